--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GO ?= go
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := $(shell $(GO) env GOPATH)/bin/golangci-lint
+
+.PHONY: build demo test format lint tools
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	scripts/demo.sh
+
+test: lint
+	GO=$(GO) scripts/test.sh
+
+format: tools
+	$(GOLANGCI) fmt
+
+lint: tools
+	$(GOLANGCI) fmt --diff
+	$(GOLANGCI) run
+
+tools:
+	@$(GOLANGCI) version 2>/dev/null | grep -q 'version $(GOLANGCI_VERSION:v%=%)' || \
+	  $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,176 @@
+// Package client is the callers' library. It keeps a look-up answer, binds a request that is not idempotent to one
+// home over all retries, sends a body only after the host has asked for it, verifies checksums and resumes broken
+// answers.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"carobshunt/api"
+
+	"github.com/juju/errors"
+)
+
+// Options configure a Client.
+type Options struct {
+	// Entries are callers' addresses of entry hosts, as IP address and port; one that answers is enough.
+	Entries []string
+	// Zone is the caller's availability zone; hosts of it are preferred.
+	Zone string
+	// Team is the caller's team.
+	Team string
+	// MaxAttempts bounds the submits of one request; 0 takes DefaultMaxAttempts.
+	MaxAttempts int
+	// RetryRefused makes Do come back after a refusal, at the time that the refusal names.
+	RetryRefused bool
+}
+
+// DefaultMaxAttempts is the number of submits of one request that a Client makes at most.
+const DefaultMaxAttempts = 8
+
+// Timeouts of the client.
+const (
+	dialTimeout   = time.Second
+	lookupTimeout = 2 * time.Second
+	// continueTimeout is longer than any budget: a host that does not answer gets no byte of the body.
+	continueTimeout = 24 * time.Hour
+	retryPause      = 200 * time.Millisecond
+)
+
+// Client talks to entry hosts. It is safe for concurrent use.
+type Client struct {
+	opts Options
+	http *http.Client
+
+	mu     sync.Mutex
+	lookup *kept
+	turn   int
+}
+
+// kept is a look-up answer and when it came.
+type kept struct {
+	answer api.Lookup
+	at     time.Time
+}
+
+// New returns a client.
+func New(opts Options) *Client {
+	if opts.MaxAttempts == 0 {
+		opts.MaxAttempts = DefaultMaxAttempts
+	}
+	return &Client{opts: opts, http: &http.Client{Transport: &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		ExpectContinueTimeout: continueTimeout,
+		DisableCompression:    true,
+	}}}
+}
+
+// ErrNoHost is returned when no entry host answered a look-up.
+const ErrNoHost = errors.ConstError("no entry host answered")
+
+// Lookup returns the entry hosts to use, from memory while the answer may be kept. Clock readings are brought up
+// to now.
+func (c *Client) Lookup(ctx context.Context) (api.Lookup, error) {
+	if answer, ok := c.remembered(); ok {
+		return answer, nil
+	}
+	var last error = ErrNoHost
+	for _, entry := range c.entries() {
+		answer, err := c.fetchLookup(ctx, entry)
+		if err == nil {
+			c.remember(answer)
+			return answer, nil
+		}
+		last = err
+	}
+	return api.Lookup{}, errors.Trace(last)
+}
+
+// Forget drops the kept look-up answer.
+func (c *Client) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lookup = nil
+}
+
+func (c *Client) remembered() (api.Lookup, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lookup == nil {
+		return api.Lookup{}, false
+	}
+	age := time.Since(c.lookup.at)
+	if age >= time.Duration(c.lookup.answer.KeepMs)*time.Millisecond {
+		return api.Lookup{}, false
+	}
+	answer := c.lookup.answer
+	answer.Hosts = append([]api.Host(nil), answer.Hosts...)
+	for i := range answer.Hosts {
+		answer.Hosts[i].ClockMs += age.Milliseconds()
+	}
+	return answer, true
+}
+
+func (c *Client) remember(answer api.Lookup) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lookup = &kept{answer: answer, at: time.Now()}
+}
+
+// entries are the configured entries, starting with another one each time, followed by hosts learned earlier.
+func (c *Client) entries() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for i := range c.opts.Entries {
+		out = append(out, c.opts.Entries[(i+c.turn)%len(c.opts.Entries)])
+	}
+	c.turn++
+	if c.lookup != nil {
+		for _, h := range c.lookup.answer.Hosts {
+			out = append(out, h.Address)
+		}
+	}
+	return out
+}
+
+func (c *Client) fetchLookup(ctx context.Context, entry string) (api.Lookup, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	address := "http://" + entry + api.PathHosts + "?zone=" + url.QueryEscape(c.opts.Zone) + "&team=" + url.QueryEscape(c.opts.Team)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return api.Lookup{}, errors.Trace(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return api.Lookup{}, errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return api.Lookup{}, readError(resp)
+	}
+	var answer api.Lookup
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return api.Lookup{}, errors.Trace(err)
+	}
+	if len(answer.Hosts) == 0 {
+		return api.Lookup{}, ErrNoHost
+	}
+	return answer, nil
+}
+
+// readError turns an answer that is not a stream into its typed error.
+func readError(resp *http.Response) error {
+	e := &api.Error{}
+	if err := json.NewDecoder(resp.Body).Decode(e); err != nil || e.Outcome == "" {
+		return &ProtocolError{Status: resp.StatusCode}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/core/node/action.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/hostlist"
+)
+
+// Action is something that the Node wants done. Actions are the only way out.
+type Action interface{ action() }
+
+// DecisionKind is the way in which traffic goes on with a request.
+type DecisionKind int
+
+// The kinds of decision.
+const (
+	// Admit: read the body, then report BodyEnded and stream the answer.
+	Admit DecisionKind = iota
+	// Attach: the request is here already; stream its answer from the start.
+	Attach
+	// Refuse: answer with the Result at once.
+	Refuse
+	// Forward: pass the request on to its home.
+	Forward
+	// Report: answer a query or a cancel with the Result.
+	Report
+)
+
+// Decision answers a Submit, Cancel or Query.
+type Decision struct {
+	Kind   DecisionKind
+	Result core.Result
+	// Home is where a Forward goes.
+	Home core.Home
+	// Target is the last target of the request, for Report.
+	Target string
+	// Alternatives are other entry hosts' callers' addresses, for Refuse.
+	Alternatives []string
+	// Deadline is the request's deadline on this host's clock, for Admit and Attach.
+	Deadline core.Time
+}
+
+// Decide carries a decision to the traffic that asked under that ticket.
+type Decide struct {
+	Ticket   Ticket
+	Decision Decision
+}
+
+// Open makes room for a request's body and answer. It comes before the Decide that admits the request, so that a
+// duplicate that is decided next finds it.
+type Open struct{ Key core.Key }
+
+// StartDispatch sends a request to a target.
+type StartDispatch struct {
+	Key      core.Key
+	Dispatch uint32
+	Target   string
+	Role     hostlist.Role
+	Stream   core.Stream
+	// Priority orders work at the engine; higher goes first.
+	Priority int
+	// Deadline is checked again right before the first byte is written.
+	Deadline core.Time
+	Request  core.Request
+}
+
+// AbortDispatch gives up a dispatch: its frames are dropped and its stream is cancelled at the engine.
+type AbortDispatch struct {
+	Key      core.Key
+	Dispatch uint32
+}
+
+// Finish gives a request its final result.
+type Finish struct {
+	Key    core.Key
+	Result core.Result
+	Timing core.Timing
+	Target string
+}
+
+// Drop forgets everything that is held for a request.
+type Drop struct{ Key core.Key }
+
+// SendHeartbeat sends a heartbeat to a peer.
+type SendHeartbeat struct {
+	Peer      string
+	Heartbeat member.Heartbeat
+}
+
+// PullDocument asks a peer for the document that it has in force.
+type PullDocument struct{ Peer string }
+
+// PullHosts asks a peer for its host list.
+type PullHosts struct{ Peer string }
+
+// Note is a change of state worth a log line.
+type Note struct {
+	Event Event
+	Text  string
+}
+
+// Event names a kind of state change.
+type Event string
+
+// The events.
+const (
+	EventRevision  Event = "configuration in force"
+	EventRejected  Event = "configuration refused"
+	EventReady     Event = "ready"
+	EventDraining  Event = "draining"
+	EventHosts     Event = "host list in force"
+	EventPeerAlive Event = "peer alive"
+	EventPeerGone  Event = "peer silent"
+)
+
+// Stop ends the process: a drain is complete.
+type Stop struct{}
+
+func (Decide) action()        {}
+func (Open) action()          {}
+func (StartDispatch) action() {}
+func (AbortDispatch) action() {}
+func (Finish) action()        {}
+func (Drop) action()          {}
+func (SendHeartbeat) action() {}
+func (PullDocument) action()  {}
+func (PullHosts) action()     {}
+func (Note) action()          {}
+func (Stop) action()          {}
+
+// afterOverload is the base of the time to come back that a refusal for lack of room carries.
+const afterOverload = 500 * time.Millisecond
--- /dev/null
+++ b/internal/core/node/admission.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"carobshunt/api"
+	"carobshunt/internal/core"
+)
+
+// admission decides whether a new request is taken in. It returns the refusal, if there is one.
+func (n *Node) admission(req *core.Request) (core.Result, bool) {
+	checks := []func(*core.Request) core.Result{
+		n.checkReady,
+		n.checkNames,
+		n.checkRoom,
+	}
+	for _, check := range checks {
+		if result := check(req); result.Code != "" {
+			result.Outcome = api.OutcomeNotRun
+			return result, true
+		}
+	}
+	return core.Result{}, false
+}
+
+func (n *Node) checkReady(*core.Request) core.Result {
+	if reason := n.notReady(); reason != "" {
+		return core.Result{Code: api.CodeNotReady, Message: reason, RetryAfter: n.retryAfter(afterOverload)}
+	}
+	if n.draining {
+		return core.Result{Code: api.CodeDraining, Message: "this host is stopping", RetryAfter: n.retryAfter(afterOverload)}
+	}
+	return core.Result{}
+}
+
+func (n *Node) checkNames(req *core.Request) core.Result {
+	if _, ok := n.config.Document().Team(req.Team); !ok {
+		return core.Result{Code: api.CodeUnknownTeam, Message: "no such team"}
+	}
+	if !n.targets.AnyServes(req.Model) {
+		return core.Result{Code: api.CodeUnknownModel, Message: "no target serves this model"}
+	}
+	return core.Result{}
+}
+
+func (n *Node) checkRoom(req *core.Request) core.Result {
+	if n.ledger.Full() && n.ledger.Get(req.Key) == nil {
+		return core.Result{Code: api.CodeRecordsFull, Message: "no room for another record", RetryAfter: n.retryAfter(afterOverload)}
+	}
+	if n.bodyBytes+req.BodyBytes > n.opts.BodyBytes {
+		return core.Result{Code: api.CodeBodyMemory, Message: "no room for the body", RetryAfter: n.retryAfter(afterOverload)}
+	}
+	return core.Result{}
+}
--- /dev/null
+++ b/internal/core/node/input.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/hostlist"
+)
+
+// Input is something that a host hears. Inputs are the only way in which anything enters the Node.
+type Input interface{ input() }
+
+// Ticket ties a Decide action to the input that asked for it.
+type Ticket uint64
+
+// Submit is a request whose headers have arrived and whose body has not.
+type Submit struct {
+	Ticket  Ticket
+	Request core.Request
+}
+
+// BodyEnded reports the end of a body that an Admit decision asked for.
+type BodyEnded struct {
+	Key core.Key
+	// Fault is empty for a whole body whose checksum is right.
+	Fault api.Code
+}
+
+// Ending says how a dispatch ended.
+type Ending int
+
+// The endings of a dispatch.
+const (
+	// EndedDone: the whole answer arrived.
+	EndedDone Ending = iota
+	// EndedNotWritten: no byte of the request was written.
+	EndedNotWritten
+	// EndedRefused: the target answered that it did not accept the request.
+	EndedRefused
+	// EndedFailed: the target answered that the request failed.
+	EndedFailed
+	// EndedLost: bytes were written and no whole answer came back.
+	EndedLost
+)
+
+// DispatchFirstToken reports the first answer bytes of a dispatch.
+type DispatchFirstToken struct {
+	Key      core.Key
+	Dispatch uint32
+}
+
+// DispatchEnded reports the end of a dispatch. An aborted dispatch ends too.
+type DispatchEnded struct {
+	Key      core.Key
+	Dispatch uint32
+	Target   string
+	Ending   Ending
+	Message  string
+}
+
+// Cancel asks to end a request early.
+type Cancel struct {
+	Ticket  Ticket
+	Request core.Request
+}
+
+// Query asks what became of a request. An answer "not run" closes the identifier.
+type Query struct {
+	Ticket  Ticket
+	Request core.Request
+}
+
+// HeartbeatHeard is a heartbeat of another entry host.
+type HeartbeatHeard struct{ Heartbeat member.Heartbeat }
+
+// DocumentHeard is a published document, from the platform or a peer.
+type DocumentHeard struct {
+	Raw    []byte
+	Source string
+}
+
+// HostsHeard is a host list, from the platform or a peer.
+type HostsHeard struct {
+	List   *hostlist.List
+	Source string
+}
+
+// PlatformAnswered reports any answer of the platform, also one that brings nothing new.
+type PlatformAnswered struct{}
+
+// LoadHeard is a target's load report.
+type LoadHeard struct {
+	Target string
+	Report target.Report
+}
+
+// Tick lets time pass; it comes every TickInterval.
+type Tick struct{}
+
+// Drain starts a planned stop.
+type Drain struct{}
+
+func (Submit) input()             {}
+func (BodyEnded) input()          {}
+func (DispatchFirstToken) input() {}
+func (DispatchEnded) input()      {}
+func (Cancel) input()             {}
+func (Query) input()              {}
+func (HeartbeatHeard) input()     {}
+func (DocumentHeard) input()      {}
+func (HostsHeard) input()         {}
+func (PlatformAnswered) input()   {}
+func (LoadHeard) input()          {}
+func (Tick) input()               {}
+func (Drain) input()              {}
--- /dev/null
+++ b/internal/core/node/node.go
@@ -0,0 +1,179 @@
+// Package node composes the state machines of one entry host into a single deterministic one. Step takes an input
+// and the time, and returns the actions to carry out; the same inputs at the same times give the same actions.
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/queue"
+	"carobshunt/internal/core/route"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/hostlist"
+)
+
+// TickInterval is the time between Tick inputs.
+const TickInterval = 50 * time.Millisecond
+
+// Options configure a Node.
+type Options struct {
+	// Self is this process; Peer its peer address.
+	Self core.Home
+	Peer string
+	Zone string
+	// Seeds are peer addresses tried before the host list is known.
+	Seeds []string
+	// Records and BodyBytes bound what is held at one time.
+	Records   int
+	BodyBytes int64
+	// Seed feeds the tie breaks and jitters.
+	Seed uint64
+}
+
+// Node is the control state of one entry host. It is not safe for concurrent use.
+type Node struct {
+	opts    Options
+	now     core.Time
+	actions []Action
+
+	config  *conf.Config
+	hosts   *hostlist.List
+	peers   *member.Table
+	targets *target.Table
+	ledger  *ledger.Ledger
+	queue   *queue.Queue
+	router  *route.Router
+	rng     *rand.Rand
+
+	// active are the unfinished records.
+	active map[core.Key]*ledger.Record
+	// bodyBytes is the sum of the bodies of active records.
+	bodyBytes int64
+
+	draining      bool
+	stopped       bool
+	ready         bool
+	alive         map[string]bool
+	lastHeartbeat core.Time
+	platformHeard core.Time
+	outcomes      map[api.Outcome]uint64
+}
+
+// New returns the Node of a process that has just started: its clock stands at zero.
+func New(opts Options) *Node {
+	rng := rand.New(rand.NewPCG(opts.Seed, opts.Seed))
+	return &Node{
+		opts:          opts,
+		config:        conf.New(),
+		peers:         member.NewTable(opts.Peer, opts.Seeds),
+		targets:       target.NewTable(),
+		ledger:        ledger.NewLedger(opts.Records),
+		queue:         queue.New(),
+		router:        route.New(rng),
+		rng:           rng,
+		active:        make(map[core.Key]*ledger.Record),
+		alive:         make(map[string]bool),
+		lastHeartbeat: -member.Interval,
+		platformHeard: never,
+		outcomes:      make(map[api.Outcome]uint64),
+	}
+}
+
+// never marks an event that has not happened.
+const never = core.Time(-1)
+
+// Step takes one input at an instant that is not before the last one.
+func (n *Node) Step(now core.Time, in Input) []Action {
+	n.now = max(n.now, now)
+	n.actions = nil
+	n.apply(in)
+	n.noteReadiness()
+	return n.actions
+}
+
+func (n *Node) apply(in Input) {
+	switch in := in.(type) {
+	case Submit:
+		n.submit(in)
+	case BodyEnded:
+		n.bodyEnded(in)
+	case DispatchFirstToken:
+		n.firstToken(in)
+	case DispatchEnded:
+		n.dispatchEnded(in)
+	case Cancel:
+		n.cancel(in)
+	case Query:
+		n.query(in)
+	case HeartbeatHeard:
+		n.heartbeatHeard(in)
+	case DocumentHeard:
+		n.documentHeard(in)
+	case HostsHeard:
+		n.hostsHeard(in)
+	case PlatformAnswered:
+		n.platformHeard = n.now
+	case LoadHeard:
+		n.loadHeard(in)
+	case Tick:
+		n.tick()
+	case Drain:
+		n.drain()
+	}
+}
+
+func (n *Node) do(a Action) { n.actions = append(n.actions, a) }
+
+func (n *Node) tick() {
+	n.expireDeadlines()
+	n.ledger.Expire(n.now, func(rec *ledger.Record) { n.do(Drop{Key: rec.Request.Key}) })
+	n.heartbeat()
+	n.notePeers()
+	n.pump()
+	n.stopWhenDrained()
+}
+
+func (n *Node) drain() {
+	if n.draining {
+		return
+	}
+	n.draining = true
+	n.do(Note{Event: EventDraining})
+	n.lastHeartbeat = n.now - member.Interval
+	n.heartbeat()
+	n.stopWhenDrained()
+}
+
+// drainNotice is how long a draining host keeps answering, so that its peers and its callers hear of it.
+const drainNotice = 2 * member.Interval
+
+func (n *Node) stopWhenDrained() {
+	if n.draining && !n.stopped && len(n.active) == 0 && n.now >= drainNotice {
+		n.stopped = true
+		n.do(Stop{})
+	}
+}
+
+// noteReadiness reports the moment at which the host first has both a configuration and a host list.
+func (n *Node) noteReadiness() {
+	if !n.ready && n.notReady() == "" {
+		n.ready = true
+		n.do(Note{Event: EventReady})
+	}
+}
+
+// notReady returns why the host can't serve, or nothing.
+func (n *Node) notReady() string {
+	switch {
+	case n.config.Document() == nil:
+		return "no configuration heard yet"
+	case n.hosts == nil:
+		return "no host list heard yet"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/node/snapshot.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"sort"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+)
+
+// Snapshot is an immutable copy of what traffic and operators read. Traffic never touches the Node itself.
+type Snapshot struct {
+	// Taken is the instant of the copy, on this host's clock.
+	Taken    core.Time
+	Ready    bool
+	Draining bool
+	// Hosts are the entry hosts that take requests, this one first.
+	Hosts    []api.Host
+	Document *document.Document
+	// RawDocument and HostList are served to peers.
+	RawDocument []byte
+	HostList    *hostlist.List
+	Heartbeat   member.Heartbeat
+	// TargetAddresses are the targets whose load is to be read.
+	TargetAddresses []string
+	Status          api.Status
+}
+
+// Snapshot copies the state.
+func (n *Node) Snapshot() *Snapshot {
+	return &Snapshot{
+		Taken:           n.now,
+		Ready:           n.notReady() == "",
+		Draining:        n.draining,
+		Hosts:           n.usableHosts(),
+		Document:        n.config.Document(),
+		RawDocument:     n.config.Raw(),
+		HostList:        n.hosts,
+		Heartbeat:       n.ownHeartbeat(),
+		TargetAddresses: n.engineAddresses(),
+		Status:          n.status(),
+	}
+}
+
+func (n *Node) engineAddresses() []string {
+	var out []string
+	for _, t := range n.targets.All() {
+		if t.Role == hostlist.RoleEngine {
+			out = append(out, t.Address)
+		}
+	}
+	return out
+}
+
+func (n *Node) usableHosts() []api.Host {
+	var hosts []api.Host
+	if !n.draining && n.notReady() == "" {
+		hosts = append(hosts, n.selfHost())
+	}
+	for _, address := range n.peers.Addresses() {
+		p := n.peers.Get(address)
+		if p.Alive(n.now) && !p.Last.Draining && !p.Leaving && p.Last.Revision > 0 {
+			hosts = append(hosts, api.Host{
+				Address:     p.Last.Address,
+				Zone:        p.Last.Zone,
+				Incarnation: p.Last.Incarnation,
+				ClockMs:     p.Clock(n.now).Milliseconds(),
+			})
+		}
+	}
+	return hosts
+}
+
+func (n *Node) selfHost() api.Host {
+	return api.Host{
+		Address:     n.opts.Self.Address,
+		Zone:        n.opts.Zone,
+		Incarnation: n.opts.Self.Incarnation,
+		ClockMs:     n.now.Milliseconds(),
+	}
+}
+
+func (n *Node) status() api.Status {
+	return api.Status{
+		Address:        n.opts.Self.Address,
+		Zone:           n.opts.Zone,
+		Incarnation:    n.opts.Self.Incarnation,
+		ClockMs:        n.now.Milliseconds(),
+		Ready:          n.notReady() == "",
+		NotReadyReason: n.notReady(),
+		Draining:       n.draining,
+		Config:         n.configStatus(),
+		Peers:          n.peerStatus(),
+		Targets:        n.targetStatus(),
+		Requests:       n.requestsStatus(),
+	}
+}
+
+func (n *Node) configStatus() api.ConfigStatus {
+	rejected, why := n.config.Rejected()
+	status := api.ConfigStatus{
+		Revision:         n.config.Revision(),
+		InForceMs:        (n.now - n.config.Since()).Milliseconds(),
+		HeardFrom:        n.config.HeardFrom(),
+		PlatformSilentMs: n.silentMs(n.platformHeard),
+		Rejected:         rejected,
+		LastRejection:    why,
+	}
+	if doc := n.config.Document(); doc != nil {
+		status.Preset = doc.Active
+	}
+	return status
+}
+
+func (n *Node) silentMs(heard core.Time) int64 {
+	if heard == never {
+		return -1
+	}
+	return (n.now - heard).Milliseconds()
+}
+
+func (n *Node) peerStatus() []api.PeerStatus {
+	out := []api.PeerStatus{}
+	for _, address := range n.peers.Addresses() {
+		p := n.peers.Get(address)
+		heard := never
+		if p.Known {
+			heard = p.Heard
+		}
+		out = append(out, api.PeerStatus{
+			Address:     address,
+			Zone:        p.Last.Zone,
+			Incarnation: p.Last.Incarnation,
+			Alive:       p.Alive(n.now),
+			Draining:    p.Last.Draining,
+			Revision:    p.Last.Revision,
+			SilentMs:    n.silentMs(heard),
+		})
+	}
+	return out
+}
+
+func (n *Node) targetStatus() []api.TargetStatus {
+	out := []api.TargetStatus{}
+	for _, t := range n.targets.All() {
+		out = append(out, api.TargetStatus{
+			Address:       t.Address,
+			Zone:          t.Zone,
+			Kind:          string(t.Role),
+			State:         string(t.State),
+			Eligible:      t.Eligible(n.now),
+			InFlight:      t.InFlight(),
+			PendingTokens: t.PendingTokens(),
+		})
+	}
+	return out
+}
+
+func (n *Node) requestsStatus() api.RequestsStatus {
+	status := api.RequestsStatus{
+		Queued:    n.queue.Len(),
+		Running:   len(n.active) - n.queue.Len(),
+		Records:   n.ledger.Len(),
+		BodyBytes: n.bodyBytes,
+		Outcomes:  []api.OutcomeCount{},
+	}
+	for outcome, count := range n.outcomes {
+		status.Outcomes = append(status.Outcomes, api.OutcomeCount{Outcome: outcome, Count: count})
+	}
+	sort.Slice(status.Outcomes, func(i, j int) bool { return status.Outcomes[i].Outcome < status.Outcomes[j].Outcome })
+	return status
+}
--- /dev/null
+++ b/internal/core/route/route.go
@@ -0,0 +1,114 @@
+// Package route picks the target for a request: filters leave out targets that can't take it, scorers rate the
+// rest, the picker chooses among near-ties.
+package route
+
+import (
+	"math/rand/v2"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/target"
+)
+
+// Filter leaves out targets.
+type Filter interface {
+	// Keep tells whether the target may take the request.
+	Keep(now core.Time, rec *ledger.Record, t *target.Target) bool
+}
+
+// Scorer rates targets.
+type Scorer interface {
+	// Score returns the cost of placing the request there; lower is better.
+	Score(now core.Time, rec *ledger.Record, t *target.Target) float64
+}
+
+// Router is a chain of filters and scorers.
+type Router struct {
+	filters []Filter
+	scorers []Scorer
+	rng     *rand.Rand
+}
+
+// New returns the router in force; rng breaks ties and must be seeded by the caller.
+func New(rng *rand.Rand) *Router {
+	return &Router{
+		filters: []Filter{eligibleFilter{}, modelFilter{}, inFlightFilter{limit: maxInFlight}},
+		scorers: []Scorer{pendingTokensScorer{}},
+		rng:     rng,
+	}
+}
+
+// maxInFlight is how many dispatches of this host one target may hold.
+const maxInFlight = 64
+
+// nearTie is the cost difference, in tokens, below which two targets count as equal.
+const nearTie = 256
+
+// Pick returns the target for the request, or nil when none can take it now.
+func (r *Router) Pick(now core.Time, rec *ledger.Record, targets []*target.Target) *target.Target {
+	var best []*target.Target
+	bestCost := 0.0
+	for _, t := range targets {
+		if !r.keep(now, rec, t) {
+			continue
+		}
+		cost := r.cost(now, rec, t)
+		switch {
+		case len(best) == 0 || cost < bestCost-nearTie:
+			best, bestCost = append(best[:0], t), cost
+		case cost <= bestCost+nearTie:
+			best = append(best, t)
+			bestCost = min(bestCost, cost)
+		}
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	return best[r.rng.IntN(len(best))]
+}
+
+func (r *Router) keep(now core.Time, rec *ledger.Record, t *target.Target) bool {
+	for _, f := range r.filters {
+		if !f.Keep(now, rec, t) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) cost(now core.Time, rec *ledger.Record, t *target.Target) float64 {
+	sum := 0.0
+	for _, s := range r.scorers {
+		sum += s.Score(now, rec, t)
+	}
+	return sum
+}
+
+type eligibleFilter struct{}
+
+// Keep implements Filter.
+func (eligibleFilter) Keep(now core.Time, _ *ledger.Record, t *target.Target) bool {
+	return t.Eligible(now)
+}
+
+type modelFilter struct{}
+
+// Keep implements Filter.
+func (modelFilter) Keep(_ core.Time, rec *ledger.Record, t *target.Target) bool {
+	return t.Serves(rec.Request.Model)
+}
+
+type inFlightFilter struct{ limit int }
+
+// Keep implements Filter.
+func (f inFlightFilter) Keep(_ core.Time, _ *ledger.Record, t *target.Target) bool {
+	return t.InFlight() < f.limit
+}
+
+// pendingTokensScorer counts the prefill work ahead of the request.
+type pendingTokensScorer struct{}
+
+// Score implements Scorer.
+func (pendingTokensScorer) Score(_ core.Time, _ *ledger.Record, t *target.Target) float64 {
+	return float64(max(t.PendingTokens(), t.Report.QueuedTokens)) + float64(t.InFlight())
+}
--- /dev/null
+++ b/internal/core/target/target.go
@@ -0,0 +1,164 @@
+// Package target is the table of targets as one host knows it: what the host list says, what this host has
+// dispatched, and what the targets report.
+package target
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/hostlist"
+)
+
+// Report is a target's published load.
+type Report struct {
+	// QueuedTokens is the prefill work that waits or runs at the engine, in tokens.
+	QueuedTokens int64 `json:"queued_tokens"`
+	// Streams is the number of running streams.
+	Streams int `json:"streams"`
+	// UsedTokens is the KV memory in use, in tokens.
+	UsedTokens int64 `json:"used_tokens"`
+}
+
+// Target is one target.
+type Target struct {
+	hostlist.Host
+	// inFlight are this host's dispatches that have not ended, with the prefill work that has no first token yet,
+	// in tokens.
+	inFlight      map[Dispatch]int64
+	pendingTokens int64
+	// Report is the last load report, heard at Reported; Reported is 0 before the first.
+	Report   Report
+	Reported core.Time
+	// suspectUntil keeps the target out of routing after a failure.
+	suspectUntil core.Time
+	failures     int
+}
+
+// Dispatch identifies one dispatch of one request.
+type Dispatch struct {
+	Key    core.Key
+	Number uint32
+}
+
+// InFlight counts this host's dispatches that have not ended.
+func (t *Target) InFlight() int { return len(t.inFlight) }
+
+// PendingTokens is this host's prefill work there that has no first token yet, in tokens.
+func (t *Target) PendingTokens() int64 { return t.pendingTokens }
+
+// Begin accounts for a new dispatch.
+func (t *Target) Begin(d Dispatch, prefillTokens int64) {
+	t.inFlight[d] = prefillTokens
+	t.pendingTokens += prefillTokens
+}
+
+// Prefilled accounts for a dispatch's first token.
+func (t *Target) Prefilled(d Dispatch) {
+	if tokens, ok := t.inFlight[d]; ok {
+		t.pendingTokens -= tokens
+		t.inFlight[d] = 0
+	}
+}
+
+// End accounts for the end of a dispatch.
+func (t *Target) End(d Dispatch) {
+	t.Prefilled(d)
+	delete(t.inFlight, d)
+}
+
+// Serves tells whether the target answers for a model or service.
+func (t *Target) Serves(model string) bool { return slices.Contains(t.Models, model) }
+
+// Suspicion after failures: doubling from the first to the last.
+const (
+	firstSuspicion = 500 * time.Millisecond
+	lastSuspicion  = 8 * time.Second
+)
+
+// Eligible tells whether new work may go to the target.
+func (t *Target) Eligible(now core.Time) bool {
+	return t.State == hostlist.StateLive && now >= t.suspectUntil
+}
+
+// Failed records a failed dispatch.
+func (t *Target) Failed(now core.Time) {
+	pause := min(firstSuspicion<<min(t.failures, 8), lastSuspicion)
+	t.failures++
+	t.suspectUntil = now + pause
+}
+
+// Answered records that the target is well.
+func (t *Target) Answered() {
+	t.failures = 0
+	t.suspectUntil = 0
+}
+
+// Table holds the targets by address.
+type Table struct {
+	version   uint64
+	byAddress map[string]*Target
+	ordered   []*Target
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{byAddress: make(map[string]*Target)} }
+
+// Apply takes a host list that is newer than the last; an older one changes nothing. A target that left the list
+// is kept, as leaving, until its dispatches have ended.
+func (tb *Table) Apply(list *hostlist.List) bool {
+	if list.Version <= tb.version {
+		return false
+	}
+	tb.version = list.Version
+	listed := make(map[string]bool)
+	for _, host := range list.Hosts {
+		if host.Role == hostlist.RoleEntry {
+			continue
+		}
+		listed[host.Address] = true
+		tb.put(host)
+	}
+	for address, t := range tb.byAddress {
+		if listed[address] {
+			continue
+		}
+		t.State = hostlist.StateLeaving
+		if t.InFlight() == 0 {
+			delete(tb.byAddress, address)
+		}
+	}
+	tb.reorder()
+	return true
+}
+
+// Version is the version of the host list in force.
+func (tb *Table) Version() uint64 { return tb.version }
+
+func (tb *Table) put(host hostlist.Host) {
+	if t := tb.byAddress[host.Address]; t != nil {
+		t.Host = host
+		return
+	}
+	tb.byAddress[host.Address] = &Target{Host: host, inFlight: make(map[Dispatch]int64)}
+}
+
+func (tb *Table) reorder() {
+	tb.ordered = tb.ordered[:0]
+	for _, t := range tb.byAddress {
+		tb.ordered = append(tb.ordered, t)
+	}
+	sort.Slice(tb.ordered, func(i, j int) bool { return tb.ordered[i].Address < tb.ordered[j].Address })
+}
+
+// Get returns the target at an address, or nil.
+func (tb *Table) Get(address string) *Target { return tb.byAddress[address] }
+
+// All returns the targets in order of address; the slice must not be changed.
+func (tb *Table) All() []*Target { return tb.ordered }
+
+// AnyServes tells whether some target answers for the model, eligible or not.
+func (tb *Table) AnyServes(model string) bool {
+	return slices.ContainsFunc(tb.ordered, func(t *Target) bool { return t.Serves(model) })
+}
--- /dev/null
+++ b/internal/document/parse.go
@@ -0,0 +1,60 @@
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+
+	"carobshunt/internal/strictjson"
+
+	"github.com/juju/errors"
+)
+
+var schema = sync.OnceValue(func() *strictjson.Schema { return strictjson.MustReflect(&Document{}) })
+
+// Parse reads a document. It returns a *strictjson.Faults error that lists every fault with its path when the
+// document does not hold to the schema or contradicts itself.
+func Parse(data []byte) (*Document, error) {
+	if err := schema().Check(data); err != nil {
+		return nil, errors.Trace(err)
+	}
+	doc := &Document{}
+	if err := json.Unmarshal(data, doc); err != nil {
+		return nil, errors.Trace(strictjson.NewFaults(strictjson.Fault{Path: "", Reason: err.Error()}))
+	}
+	if faults := contradictions(doc); len(faults) > 0 {
+		return nil, errors.Trace(strictjson.NewFaults(faults...))
+	}
+	return doc, nil
+}
+
+func contradictions(doc *Document) []strictjson.Fault {
+	var faults []strictjson.Fault
+	add := func(path, format string, args ...any) {
+		faults = append(faults, strictjson.Fault{Path: path, Reason: fmt.Sprintf(format, args...)})
+	}
+	if _, ok := doc.Presets[doc.Active]; !ok {
+		add("/active", "no preset is named %q", doc.Active)
+	}
+	for name, p := range doc.Presets {
+		if p.MiddlePromptTokens <= p.ShortPromptTokens {
+			add("/presets/"+name+"/middle_prompt_tokens", "must be above short_prompt_tokens")
+		}
+	}
+	seen := make(map[string]int)
+	for i, t := range doc.Teams {
+		if first, dup := seen[t.Name]; dup {
+			add(fmt.Sprintf("/teams/%d/name", i), "team %q stands already at /teams/%d", t.Name, first)
+		}
+		seen[t.Name] = i
+	}
+	for i, p := range doc.Placements {
+		for j, engine := range p.Engines {
+			if _, err := netip.ParseAddrPort(engine); err != nil {
+				add(fmt.Sprintf("/placements/%d/engines/%d", i, j), "must be an IP address and port")
+			}
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/fake/platform.go
@@ -0,0 +1,133 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"carobshunt/internal/platform"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Platform is the configuration service and the host list. Operators publish with PUT; entry hosts only read.
+type Platform struct {
+	config *value
+	hosts  *value
+	reads  counter
+}
+
+// value is one published text with a version, whose readers can wait for the next.
+type value struct {
+	mu      sync.Mutex
+	version uint64
+	raw     []byte
+	changed chan struct{}
+}
+
+type counter struct {
+	mu sync.Mutex
+	n  uint64
+}
+
+func (c *counter) add() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+}
+
+func (c *counter) get() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+// PathReads is where the Platform tells how many reads it has answered.
+const PathReads = "/v1/reads"
+
+// Reads is the number of reads answered since the start.
+type Reads struct {
+	Count uint64 `json:"count"`
+}
+
+// NewPlatform returns a platform that has published nothing.
+func NewPlatform() *Platform { return &Platform{config: newValue(), hosts: newValue()} }
+
+func newValue() *value { return &value{changed: make(chan struct{})} }
+
+// Register adds the routes.
+func (p *Platform) Register(e *echo.Echo) {
+	e.GET(platform.PathConfig, func(c echo.Context) error { return p.read(c, p.config) })
+	e.GET(platform.PathHosts, func(c echo.Context) error { return p.read(c, p.hosts) })
+	e.PUT(platform.PathConfig, func(c echo.Context) error { return publish(c, p.config) })
+	e.PUT(platform.PathHosts, func(c echo.Context) error { return publish(c, p.hosts) })
+	e.GET(PathReads, func(c echo.Context) error { return c.JSON(http.StatusOK, Reads{Count: p.reads.get()}) })
+}
+
+// PublishConfig and PublishHosts take a text as it is, valid or not.
+func (p *Platform) PublishConfig(raw []byte) { p.config.publish(raw) }
+
+// PublishHosts publishes a host list.
+func (p *Platform) PublishHosts(raw []byte) { p.hosts.publish(raw) }
+
+// maxPublishBytes is the largest value that the service holds, in bytes.
+const maxPublishBytes = 1 << 20
+
+func publish(c echo.Context, v *value) error {
+	raw, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxPublishBytes))
+	if err != nil {
+		return c.NoContent(http.StatusRequestEntityTooLarge)
+	}
+	v.publish(raw)
+	return c.NoContent(http.StatusNoContent)
+}
+
+// stamp is the part of a published text that carries its version.
+type stamp struct {
+	Revision uint64 `json:"revision"`
+	Version  uint64 `json:"version"`
+}
+
+func (v *value) publish(raw []byte) {
+	var s stamp
+	_ = json.Unmarshal(raw, &s) // a text without a version is passed on under the version before it
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.raw = raw
+	v.version = max(s.Revision, s.Version)
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (v *value) above(after uint64) ([]byte, <-chan struct{}) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.raw != nil && v.version > after {
+		return v.raw, v.changed
+	}
+	return nil, v.changed
+}
+
+func (p *Platform) read(c echo.Context, v *value) error {
+	p.reads.add()
+	after, _ := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	wait, _ := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64)
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		raw, changed := v.above(after)
+		if raw != nil {
+			return c.JSONBlob(http.StatusOK, raw)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return c.NoContent(http.StatusNotModified)
+		case <-c.Request().Context().Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/fake/service.go
@@ -0,0 +1,68 @@
+package fake
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"carobshunt/internal/dispatch"
+
+	"github.com/labstack/echo/v4"
+)
+
+// PathArrivals is where a Service tells how often a call arrived.
+const PathArrivals = "/v1/arrivals"
+
+// serviceTime is how long a plain service takes for a call.
+const serviceTime = 20 * time.Millisecond
+
+// Service is a plain service that counts the arrivals of each call.
+type Service struct {
+	mu       sync.Mutex
+	arrivals map[string]int
+}
+
+// Arrivals counts the arrivals of one call.
+type Arrivals struct {
+	Call  string `json:"call"`
+	Count int    `json:"count"`
+}
+
+// NewService returns a service that no call has reached.
+func NewService() *Service { return &Service{arrivals: make(map[string]int)} }
+
+// Register adds the routes.
+func (s *Service) Register(e *echo.Echo) {
+	e.POST(dispatch.PathCalls, s.call)
+	e.GET(PathArrivals+"/:team/:id", s.count)
+}
+
+func (s *Service) call(c echo.Context) error {
+	id := callOf(c.Request().Header.Get(dispatch.HeaderStream))
+	if _, err := io.Copy(io.Discard, c.Request().Body); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	s.mu.Lock()
+	s.arrivals[id]++
+	number := s.arrivals[id]
+	s.mu.Unlock()
+	time.Sleep(serviceTime)
+	w := newAnswerWriter(c.Response())
+	w.write(fmt.Sprintf("call %s arrival %d", id, number))
+	return w.end()
+}
+
+func (s *Service) count(c echo.Context) error {
+	team, err1 := url.PathUnescape(c.Param("team"))
+	id, err2 := url.PathUnescape(c.Param("id"))
+	if err1 != nil || err2 != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	call := team + "/" + id
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.JSON(http.StatusOK, Arrivals{Call: call, Count: s.arrivals[call]})
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Timeouts of a forwarded request. The continue timeout is longer than any budget: the body waits for the home's
+// word, however long that takes, so that a home that refuses or is paused gets no byte of it.
+const (
+	forwardDialTimeout     = time.Second
+	forwardContinueTimeout = 24 * time.Hour
+)
+
+func newForwarder() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: forwardDialTimeout}).DialContext,
+		ExpectContinueTimeout: forwardContinueTimeout,
+		DisableKeepAlives:     true,
+		DisableCompression:    true,
+	}}
+}
+
+// forward passes a request on to its home and the home's answer back. Whatever goes wrong on the way, the home may
+// have run the request on this or an earlier attempt, so the outcome is unknown.
+func (g *Gateway) forward(c echo.Context, home core.Home) error {
+	in := c.Request()
+	out, err := http.NewRequestWithContext(in.Context(), in.Method, "http://"+home.Address+in.URL.RequestURI(), in.Body)
+	if err != nil {
+		return writeError(c, homeUnreachable(in))
+	}
+	out.Header = in.Header.Clone()
+	out.Header.Set(api.HeaderForwarded, g.self.String())
+	out.ContentLength = in.ContentLength
+	out.GetBody = nil
+	if in.ContentLength > 0 {
+		out.Header.Set("Expect", "100-continue")
+	}
+	resp, err := g.forwarder.Do(out)
+	if err != nil {
+		return writeError(c, homeUnreachable(in))
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for name, values := range resp.Header {
+		c.Response().Header()[name] = values
+	}
+	c.Response().WriteHeader(resp.StatusCode)
+	return copyFlushing(c.Response(), resp.Body)
+}
+
+func homeUnreachable(r *http.Request) *api.Error {
+	return &api.Error{
+		Request:      r.Header.Get(api.HeaderRequest),
+		Outcome:      api.OutcomeUnknown,
+		Code:         api.CodeHomeUnreachable,
+		Message:      "the home does not answer; it alone knows the outcome",
+		RetryAfterMs: notReadyPause.Milliseconds(),
+	}
+}
+
+// copyBufferBytes is the size of one read from the home.
+const copyBufferBytes = 32 << 10
+
+// copyFlushing copies a stream as it comes; a broken stream ends the connection, so that the caller sees it break.
+func copyFlushing(w *echo.Response, body io.Reader) error {
+	buf := make([]byte, copyBufferBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return nil
+			}
+			w.Flush()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/write.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/stream"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+)
+
+// contentFrames is the media type of streamed answers.
+const contentFrames = "application/x-ndjson"
+
+// statusOf is the HTTP status that goes with a code.
+func statusOf(code api.Code) int {
+	switch code {
+	case api.CodeMalformed, api.CodeTruncated, api.CodeChecksum, api.CodeHomeRequired:
+		return http.StatusBadRequest
+	case api.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case api.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case api.CodeConflict, api.CodeClosed, api.CodeRecordExpired, api.CodeHomeGone:
+		return http.StatusConflict
+	case api.CodeNotFound, api.CodeUnknownModel, api.CodeUnknownTeam:
+		return http.StatusNotFound
+	case api.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case api.CodeOverloaded, api.CodeTeamLimit, api.CodeBodyMemory, api.CodeRecordsFull:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+// writeError answers with a typed error, at once, and with the time to come back in both forms.
+func writeError(c echo.Context, e *api.Error) error {
+	if e.RetryAfterMs > 0 {
+		seconds := (e.RetryAfterMs + 999) / 1000
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	return c.JSON(statusOf(e.Code), e)
+}
+
+// writeTimeout bounds one write to a caller, so that one that stopped reading holds nothing for good.
+const writeTimeout = 30 * time.Second
+
+type frameWriter struct {
+	response *echo.Response
+	control  *http.ResponseController
+	encoder  *json.Encoder
+	req      core.Request
+}
+
+func newFrameWriter(response *echo.Response, req core.Request) *frameWriter {
+	response.Header().Set(echo.HeaderContentType, contentFrames)
+	response.WriteHeader(http.StatusOK)
+	response.Flush()
+	return &frameWriter{
+		response: response,
+		control:  http.NewResponseController(response.Writer),
+		encoder:  json.NewEncoder(response),
+		req:      req,
+	}
+}
+
+func (w *frameWriter) write(chunk stream.Chunk) error {
+	_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	frame := api.Frame{
+		Request:  w.req.ID,
+		Attempt:  w.req.Attempt,
+		Dispatch: chunk.At.Dispatch,
+		Offset:   chunk.At.Offset,
+		Text:     chunk.Text,
+		Last:     chunk.Last,
+	}
+	if err := w.encoder.Encode(frame); err != nil {
+		return errors.Trace(err)
+	}
+	w.response.Flush()
+	return nil
+}
--- /dev/null
+++ b/internal/hostlist/hostlist.go
@@ -0,0 +1,90 @@
+// Package hostlist is the platform's published list of hosts: entry hosts and targets, live and leaving. The list
+// lags behind what it describes.
+package hostlist
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+
+	"carobshunt/internal/strictjson"
+
+	"github.com/juju/errors"
+)
+
+// Role is what a host does.
+type Role string
+
+// The roles of hosts.
+const (
+	RoleEntry   Role = "entry"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+)
+
+// State is a host's place in its life, as the platform tells it.
+type State string
+
+// The states of hosts.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// List is one version of the published list.
+type List struct {
+	// Version rises with every change.
+	Version uint64 `json:"version" jsonschema:"minimum=1"`
+	Hosts   []Host `json:"hosts"`
+}
+
+// Host is one line of the list.
+type Host struct {
+	// Address is where callers, or for a target the entry hosts, connect: an IP address and port.
+	Address string `json:"address" jsonschema:"minLength=1"`
+	// Peer is where other entry hosts connect; entry hosts only.
+	Peer  string `json:"peer,omitempty"`
+	Zone  string `json:"zone" jsonschema:"minLength=1"`
+	Role  Role   `json:"role" jsonschema:"enum=entry,enum=engine,enum=service"`
+	State State  `json:"state" jsonschema:"enum=live,enum=leaving"`
+	// Models are the models, or for a service its name, that the target answers for.
+	Models []string `json:"models,omitempty"`
+	// MemoryTokens is an engine's KV memory in tokens.
+	MemoryTokens int64 `json:"memory_tokens,omitempty" jsonschema:"minimum=0"`
+	// ChecksFencing tells whether an engine refuses an order with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing,omitempty"`
+}
+
+var schema = sync.OnceValue(func() *strictjson.Schema { return strictjson.MustReflect(&List{}) })
+
+// Parse reads a list, whole or not at all; its error is a *strictjson.Faults.
+func Parse(data []byte) (*List, error) {
+	if err := schema().Check(data); err != nil {
+		return nil, errors.Trace(err)
+	}
+	list := &List{}
+	if err := json.Unmarshal(data, list); err != nil {
+		return nil, errors.Trace(strictjson.NewFaults(strictjson.Fault{Reason: err.Error()}))
+	}
+	if faults := badAddresses(list); len(faults) > 0 {
+		return nil, errors.Trace(strictjson.NewFaults(faults...))
+	}
+	return list, nil
+}
+
+func badAddresses(list *List) []strictjson.Fault {
+	var faults []strictjson.Fault
+	check := func(path, address string) {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			faults = append(faults, strictjson.Fault{Path: path, Reason: "must be an IP address and port"})
+		}
+	}
+	for i, h := range list.Hosts {
+		check(fmt.Sprintf("/hosts/%d/address", i), h.Address)
+		if h.Role == RoleEntry {
+			check(fmt.Sprintf("/hosts/%d/peer", i), h.Peer)
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,269 @@
+// Package peer is the protocol between entry hosts: JSON-RPC 2.0 over TCP. A heartbeat is a notification; a peer
+// that learns from one that the sender has something newer calls back for it.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/hostlist"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Method names.
+const (
+	methodHeartbeat = "heartbeat"
+	methodDocument  = "document"
+	methodHosts     = "hosts"
+)
+
+// Document is the result of the "document" method.
+type Document struct {
+	Raw json.RawMessage `json:"raw"`
+}
+
+// Timeouts between hosts.
+const (
+	dialTimeout  = time.Second
+	writeTimeout = time.Second
+	callTimeout  = 3 * time.Second
+)
+
+// Control is the part of the control loop that peers need.
+type Control interface {
+	Post(node.Input)
+	Snapshot() *node.Snapshot
+}
+
+// Server answers other hosts.
+type Server struct{ control Control }
+
+// NewServer returns a server for the control loop.
+func NewServer(control Control) *Server { return &Server{control: control} }
+
+// Serve answers connections until the listener is closed or the context ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		stream := jsonrpc2.NewPlainObjectStream(conn)
+		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle))
+	}
+}
+
+func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	switch req.Method {
+	case methodHeartbeat:
+		return nil, s.heartbeat(req)
+	case methodDocument:
+		return Document{Raw: s.control.Snapshot().RawDocument}, nil
+	case methodHosts:
+		return s.control.Snapshot().HostList, nil
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+}
+
+func (s *Server) heartbeat(req *jsonrpc2.Request) error {
+	var hb member.Heartbeat
+	if req.Params == nil || json.Unmarshal(*req.Params, &hb) != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "not a heartbeat"}
+	}
+	s.control.Post(node.HeartbeatHeard{Heartbeat: hb})
+	return nil
+}
+
+// Pool sends to other hosts, over one connection each. It is safe for concurrent use and never blocks its callers.
+type Pool struct {
+	control Control
+	mu      sync.Mutex
+	links   map[string]*link
+}
+
+// NewPool returns a pool without connections.
+func NewPool(control Control) *Pool { return &Pool{control: control, links: make(map[string]*link)} }
+
+// Heartbeat sends a heartbeat; one that still waits for a slow peer is replaced.
+func (p *Pool) Heartbeat(ctx context.Context, address string, hb member.Heartbeat) {
+	p.link(ctx, address).offer(order{heartbeat: &hb})
+}
+
+// PullDocument asks a peer for its document and posts it.
+func (p *Pool) PullDocument(ctx context.Context, address string) {
+	p.link(ctx, address).offer(order{document: true})
+}
+
+// PullHosts asks a peer for its host list and posts it.
+func (p *Pool) PullHosts(ctx context.Context, address string) {
+	p.link(ctx, address).offer(order{hosts: true})
+}
+
+func (p *Pool) link(ctx context.Context, address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[address]
+	if l == nil {
+		l = &link{control: p.control, address: address, wake: make(chan struct{}, 1)}
+		p.links[address] = l
+		go l.run(ctx)
+	}
+	return l
+}
+
+// order is what is to be sent; merging orders keeps the newest heartbeat and every pull.
+type order struct {
+	heartbeat *member.Heartbeat
+	document  bool
+	hosts     bool
+}
+
+func (o order) merge(later order) order {
+	if later.heartbeat != nil {
+		o.heartbeat = later.heartbeat
+	}
+	o.document = o.document || later.document
+	o.hosts = o.hosts || later.hosts
+	return o
+}
+
+type link struct {
+	control Control
+	address string
+	conn    *jsonrpc2.Conn
+
+	mu      sync.Mutex
+	pending order
+	wake    chan struct{}
+}
+
+func (l *link) offer(o order) {
+	l.mu.Lock()
+	l.pending = l.pending.merge(o)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) take() order {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.pending
+	l.pending = order{}
+	return o
+}
+
+func (l *link) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			l.close()
+			return
+		case <-l.wake:
+			if err := l.send(ctx, l.take()); err != nil {
+				l.close()
+			}
+		}
+	}
+}
+
+func (l *link) close() {
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+func (l *link) send(ctx context.Context, o order) error {
+	if err := l.connect(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	if o.heartbeat != nil {
+		if err := l.notify(ctx, o.heartbeat); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if o.document {
+		if err := l.pullDocument(ctx); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if o.hosts {
+		return errors.Trace(l.pullHosts(ctx))
+	}
+	return nil
+}
+
+func (l *link) connect(ctx context.Context) error {
+	if l.conn != nil {
+		select {
+		case <-l.conn.DisconnectNotify():
+			l.close()
+		default:
+			return nil
+		}
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", l.address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{conn})
+	l.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls))
+	return nil
+}
+
+// refuseCalls answers calls that come back over an outgoing connection; there are none in this protocol.
+func refuseCalls(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+}
+
+func (l *link) notify(ctx context.Context, hb *member.Heartbeat) error {
+	return errors.Trace(l.conn.Notify(ctx, methodHeartbeat, hb))
+}
+
+func (l *link) pullDocument(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var doc Document
+	if err := l.conn.Call(ctx, methodDocument, nil, &doc); err != nil {
+		return errors.Trace(err)
+	}
+	l.control.Post(node.DocumentHeard{Raw: doc.Raw, Source: l.address})
+	return nil
+}
+
+func (l *link) pullHosts(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var raw json.RawMessage
+	if err := l.conn.Call(ctx, methodHosts, nil, &raw); err != nil {
+		return errors.Trace(err)
+	}
+	list, err := hostlist.Parse(raw)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l.control.Post(node.HostsHeard{List: list, Source: l.address})
+	return nil
+}
+
+// deadlineConn bounds each write, so that a peer that is paused does not hold up the sender.
+type deadlineConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c deadlineConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, errors.Trace(err)
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/internal/platform/load.go
@@ -0,0 +1,50 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/dispatch"
+)
+
+// Timings of the load reports.
+const (
+	loadInterval = 500 * time.Millisecond
+	loadTimeout  = time.Second
+)
+
+// maxReportBytes bounds one load report, in bytes.
+const maxReportBytes = 64 << 10
+
+// WatchLoad reads the load reports of all engines until the context ends.
+func WatchLoad(ctx context.Context, poster Poster) {
+	client := &http.Client{Timeout: loadTimeout}
+	for ctx.Err() == nil {
+		for _, address := range poster.Snapshot().TargetAddresses {
+			go readLoad(ctx, client, poster, address)
+		}
+		pause(ctx, loadInterval)
+	}
+}
+
+func readLoad(ctx context.Context, client *http.Client, poster Poster, address string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+dispatch.PathLoad, nil)
+	if err != nil {
+		return
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var report target.Report
+	body := http.MaxBytesReader(nil, resp.Body, maxReportBytes)
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(body).Decode(&report) != nil {
+		return
+	}
+	poster.Post(node.LoadHeard{Target: address, Report: report})
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,127 @@
+// Package platform reads the platform's configuration service and host list. It only ever reads: both are watched
+// with long polls, and each answer goes to the control loop.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/hostlist"
+
+	"github.com/juju/errors"
+)
+
+// Paths of the platform's protocol. A GET with "after" and "wait_ms" is answered at once when there is something
+// above "after", otherwise with 304 when the wait is over.
+const (
+	PathConfig = "/v1/config"
+	PathHosts  = "/v1/hosts"
+)
+
+// Timings of the watches.
+const (
+	watchWait    = 5 * time.Second
+	watchTimeout = watchWait + 2*time.Second
+	retryPause   = 500 * time.Millisecond
+)
+
+// maxValueBytes is the largest value that the service holds, in bytes.
+const maxValueBytes = 1 << 20
+
+// Poster takes inputs for the Node, and tells what it has already.
+type Poster interface {
+	Post(node.Input)
+	Snapshot() *node.Snapshot
+}
+
+// Reader watches the platform.
+type Reader struct {
+	address string
+	poster  Poster
+	client  *http.Client
+}
+
+// NewReader returns a reader of the platform at an IP address and port.
+func NewReader(address string, poster Poster) *Reader {
+	return &Reader{address: address, poster: poster, client: &http.Client{Timeout: watchTimeout}}
+}
+
+// StatusError reports an answer of the platform that is neither a value nor "nothing new".
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the platform answered with status %d", e.Status)
+}
+
+// WatchConfig passes documents on until the context ends.
+func (r *Reader) WatchConfig(ctx context.Context) {
+	r.watch(ctx, PathConfig,
+		func() uint64 { return r.poster.Snapshot().Heartbeat.Revision },
+		func(raw []byte) { r.poster.Post(node.DocumentHeard{Raw: raw, Source: conf.SourcePlatform}) })
+}
+
+// WatchHosts passes host lists on until the context ends.
+func (r *Reader) WatchHosts(ctx context.Context) {
+	r.watch(ctx, PathHosts,
+		func() uint64 { return r.poster.Snapshot().Heartbeat.HostsVersion },
+		func(raw []byte) {
+			if list, err := hostlist.Parse(raw); err == nil {
+				r.poster.Post(node.HostsHeard{List: list, Source: conf.SourcePlatform})
+			}
+		})
+}
+
+func (r *Reader) watch(ctx context.Context, path string, have func() uint64, take func([]byte)) {
+	for ctx.Err() == nil {
+		raw, err := r.get(ctx, path, have())
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		r.poster.Post(node.PlatformAnswered{})
+		if raw != nil {
+			take(raw)
+			pause(ctx, node.TickInterval)
+		}
+	}
+}
+
+// get returns a value above the version that is had, or nil when there was none during the wait.
+func (r *Reader) get(ctx context.Context, path string, after uint64) ([]byte, error) {
+	address := "http://" + r.address + path +
+		"?after=" + strconv.FormatUint(after, 10) +
+		"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusNotModified:
+		return nil, nil
+	case http.StatusOK:
+		raw, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes))
+		return raw, errors.Trace(err)
+	}
+	return nil, &StatusError{Status: resp.StatusCode}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,124 @@
+// Package settings is the configuration of one daemon process: its addresses, its availability zone and its
+// limits, read from a JSON file that is checked whole before anything starts.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"sync"
+
+	"carobshunt/internal/strictjson"
+
+	"github.com/juju/errors"
+)
+
+// Settings configure one entry host.
+type Settings struct {
+	// Zone is the availability zone of this host.
+	Zone string `json:"zone" jsonschema:"minLength=1,description=availability zone of this host"`
+	// Listen are the addresses that this process serves.
+	Listen Listen `json:"listen"`
+	// Platform is where the configuration service and the host list are read.
+	Platform Platform `json:"platform"`
+	// Peers are the peer addresses of entry hosts that are tried before the host list is known.
+	Peers []string `json:"peers,omitempty" jsonschema:"description=peer addresses tried before the host list is known"`
+	// Limits bound what this process holds.
+	Limits Limits `json:"limits,omitzero"`
+	// LogLevel is one of debug, info, warn and error.
+	LogLevel string `json:"log_level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,default=info,description=least severe level that is logged"`
+}
+
+// Listen are IP addresses with ports.
+type Listen struct {
+	Callers   string `json:"callers" jsonschema:"minLength=1,description=callers' interface"`
+	Operators string `json:"operators" jsonschema:"minLength=1,description=operators' interface"`
+	Peers     string `json:"peers" jsonschema:"minLength=1,description=interface for other entry hosts"`
+}
+
+// Platform locates the platform's services.
+type Platform struct {
+	Address string `json:"address" jsonschema:"minLength=1,description=configuration service and host list"`
+}
+
+// Limits bound memory and sizes. A zero takes the default.
+type Limits struct {
+	// BodyBytes bounds the request bodies held at one time, in bytes.
+	BodyBytes int64 `json:"body_bytes,omitempty" jsonschema:"minimum=1,default=268435456,description=request bodies held at one time in bytes"`
+	// RequestBytes bounds one request body, in bytes.
+	RequestBytes int64 `json:"request_bytes,omitempty" jsonschema:"minimum=1,default=16777216,description=one request body in bytes"`
+	// Records bounds the request records kept at one time.
+	Records int `json:"records,omitempty" jsonschema:"minimum=1,default=16384,description=request records kept at one time"`
+}
+
+// Defaults of Limits.
+const (
+	DefaultBodyBytes    = 256 << 20
+	DefaultRequestBytes = 16 << 20
+	DefaultRecords      = 16384
+	DefaultLogLevel     = "info"
+)
+
+var schema = sync.OnceValue(func() *strictjson.Schema { return strictjson.MustReflect(&Settings{}) })
+
+// Reference returns the JSON schema of the settings, with descriptions and defaults.
+func Reference() []byte { return schema().Text() }
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "settings")
+	}
+	s, err := Parse(data)
+	return s, errors.Annotatef(err, "settings %s", path)
+}
+
+// Parse reads settings, whole or not at all; a fault is reported as a *strictjson.Faults.
+func Parse(data []byte) (*Settings, error) {
+	if err := schema().Check(data); err != nil {
+		return nil, errors.Trace(err)
+	}
+	s := &Settings{}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, errors.Trace(strictjson.NewFaults(strictjson.Fault{Reason: err.Error()}))
+	}
+	if faults := badAddresses(s); len(faults) > 0 {
+		return nil, errors.Trace(strictjson.NewFaults(faults...))
+	}
+	s.applyDefaults()
+	return s, nil
+}
+
+func badAddresses(s *Settings) []strictjson.Fault {
+	var faults []strictjson.Fault
+	check := func(path, address string) {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			faults = append(faults, strictjson.Fault{Path: path, Reason: "must be an IP address and port"})
+		}
+	}
+	check("/listen/callers", s.Listen.Callers)
+	check("/listen/operators", s.Listen.Operators)
+	check("/listen/peers", s.Listen.Peers)
+	check("/platform/address", s.Platform.Address)
+	for i, p := range s.Peers {
+		check(fmt.Sprintf("/peers/%d", i), p)
+	}
+	return faults
+}
+
+func (s *Settings) applyDefaults() {
+	if s.Limits.BodyBytes == 0 {
+		s.Limits.BodyBytes = DefaultBodyBytes
+	}
+	if s.Limits.RequestBytes == 0 {
+		s.Limits.RequestBytes = DefaultRequestBytes
+	}
+	if s.Limits.Records == 0 {
+		s.Limits.Records = DefaultRecords
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = DefaultLogLevel
+	}
+}
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,121 @@
+// Package strictjson checks JSON texts against the schema of a Go type: unknown fields, wrong types and values out
+// of range are reported all at once, each with its path (a JSON pointer).
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/invopop/jsonschema"
+	"github.com/juju/errors"
+	validator "github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Fault is one thing that is wrong in a text.
+type Fault struct {
+	// Path is the JSON pointer of the field; empty for the whole text.
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// Faults is the error of a refused text.
+type Faults struct {
+	List []Fault
+}
+
+// NewFaults returns the error for these faults, sorted by path.
+func NewFaults(list ...Fault) *Faults {
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Path < list[j].Path })
+	return &Faults{List: list}
+}
+
+// Error implements error; it names every fault.
+func (f *Faults) Error() string {
+	lines := make([]string, len(f.List))
+	for i, fault := range f.List {
+		lines[i] = fmt.Sprintf("%s: %s", pathOrRoot(fault.Path), fault.Reason)
+	}
+	return strings.Join(lines, "; ")
+}
+
+func pathOrRoot(path string) string {
+	if path == "" {
+		return "/"
+	}
+	return path
+}
+
+// Schema checks texts of one Go type.
+type Schema struct {
+	text     []byte
+	compiled *validator.Schema
+}
+
+const schemaURL = "mem:///schema.json"
+
+// MustReflect derives the schema of a value's type: every field without "omitempty" is required and no other is
+// allowed. It panics when the type's tags are wrong, which a package's own tests show.
+func MustReflect(value any) *Schema {
+	reflector := jsonschema.Reflector{ExpandedStruct: true}
+	text, err := json.Marshal(reflector.Reflect(value))
+	if err != nil {
+		panic(errors.Annotatef(err, "schema of %T", value))
+	}
+	parsed, err := validator.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(errors.Annotatef(err, "schema of %T", value))
+	}
+	compiler := validator.NewCompiler()
+	if err := compiler.AddResource(schemaURL, parsed); err != nil {
+		panic(errors.Annotatef(err, "schema of %T", value))
+	}
+	compiled, err := compiler.Compile(schemaURL)
+	if err != nil {
+		panic(errors.Annotatef(err, "schema of %T", value))
+	}
+	return &Schema{text: text, compiled: compiled}
+}
+
+// Text is the schema itself, as JSON.
+func (s *Schema) Text() []byte { return s.text }
+
+// Check returns a *Faults error when the text does not hold to the schema.
+func (s *Schema) Check(data []byte) error {
+	value, err := validator.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return NewFaults(Fault{Reason: "not JSON: " + err.Error()})
+	}
+	err = s.compiled.Validate(value)
+	if err == nil {
+		return nil
+	}
+	var invalid *validator.ValidationError
+	if !errors.As(err, &invalid) {
+		return NewFaults(Fault{Reason: err.Error()})
+	}
+	return NewFaults(leaves(invalid)...)
+}
+
+func leaves(e *validator.ValidationError) []Fault {
+	if len(e.Causes) == 0 {
+		printer := message.NewPrinter(language.English)
+		return []Fault{{Path: pointer(e.InstanceLocation), Reason: e.ErrorKind.LocalizedString(printer)}}
+	}
+	var out []Fault
+	for _, cause := range e.Causes {
+		out = append(out, leaves(cause)...)
+	}
+	return out
+}
+
+func pointer(parts []string) string {
+	if len(parts) == 0 {
+		return ""
+	}
+	return "/" + strings.Join(parts, "/")
+}
