Process harness, virtual world and first failure tests

Cause: proofs need two places to stand on: entry hosts as real processes that can be killed and paused, and Nodes in virtual time.

Ruled out: cutting links inside the daemon by a test-only switch; instead a host's connections leave from its own IP address and a small TCP pipe in front of each interface cuts by source. Hence the "advertise" setting.

Change: test/process starts hosts as processes of the test binary; internal/virtual runs several Nodes with fakes at their interfaces; internal/netdial binds outgoing connections.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/dispatch"
 	"carobshunt/internal/gateway"
+	"carobshunt/internal/netdial"
 	"carobshunt/internal/operator"
 	"carobshunt/internal/peer"
 	"carobshunt/internal/platform"
@@ -40,10 +41,10 @@
 func New(s *settings.Settings, log hclog.Logger) *Daemon {
 	start := time.Now()
 	incarnation, seed := newIncarnation()
-	self := core.Home{Address: s.Listen.Callers, Incarnation: incarnation}
+	self := core.Home{Address: s.Advertise.Callers, Incarnation: incarnation}
 	n := node.New(node.Options{
 		Self:      self,
-		Peer:      s.Listen.Peers,
+		Peer:      s.Advertise.Peers,
 		Zone:      s.Zone,
 		Seeds:     s.Peers,
 		Records:   s.Limits.Records,
@@ -72,20 +73,21 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	exchanges := stream.NewStore()
+	dialer := netdial.From(d.settings.Listen.Peers)
 	x := &executor{
 		ctx:        running,
 		loop:       d.loop,
 		exchanges:  exchanges,
-		dispatcher: dispatch.New(d.loop),
-		peers:      peer.NewPool(d.loop),
+		dispatcher: dispatch.New(d.loop, dialer),
+		peers:      peer.NewPool(d.loop, dialer),
 		log:        d.log,
 		stop:       stop,
 	}
-	callers := d.callersServer(exchanges)
+	callers := d.callersServer(exchanges, dialer)
 	operators := operator.NewServer(d.loop)
 	group, groupCtx := errgroup.WithContext(running)
 	group.Go(func() error { d.loop.Run(running, x); return nil })
-	d.startReaders(group, running)
+	d.startReaders(running, group, dialer)
 	group.Go(func() error { return serveHTTP(groupCtx, callers, listeners.callers) })
 	group.Go(func() error { return serveHTTP(groupCtx, operators, listeners.operators) })
 	group.Go(func() error { return servePeers(groupCtx, peer.NewServer(d.loop), listeners.peers) })
@@ -115,20 +117,20 @@
 	return out, nil
 }
 
-func (d *Daemon) startReaders(group *errgroup.Group, ctx context.Context) {
-	reader := platform.NewReader(d.settings.Platform.Address, d.loop)
+func (d *Daemon) startReaders(ctx context.Context, group *errgroup.Group, dialer netdial.Dialer) {
+	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer)
 	group.Go(func() error { reader.WatchConfig(ctx); return nil })
 	group.Go(func() error { reader.WatchHosts(ctx); return nil })
-	group.Go(func() error { platform.WatchLoad(ctx, d.loop); return nil })
+	group.Go(func() error { platform.WatchLoad(ctx, d.loop, dialer); return nil })
 }
 
 // headerTimeout bounds how long a caller may take to send its headers.
 const headerTimeout = 5 * time.Second
 
-func (d *Daemon) callersServer(exchanges *stream.Store) *http.Server {
+func (d *Daemon) callersServer(exchanges *stream.Store, dialer netdial.Dialer) *http.Server {
 	e := echo.New()
 	e.HideBanner = true
-	gateway.New(d.loop, exchanges, d.self, d.settings.Limits.RequestBytes).Register(e)
+	gateway.New(d.loop, exchanges, d.self, d.settings.Limits.RequestBytes, dialer).Register(e)
 	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/hostlist"
+	"carobshunt/internal/netdial"
 	"carobshunt/internal/stream"
 )
 
@@ -72,13 +73,14 @@
 // Dispatcher sends requests to targets. It is safe for concurrent use.
 type Dispatcher struct {
 	reporter Reporter
+	dialer   netdial.Dialer
 	pooled   *http.Client
 }
 
 // New returns a dispatcher.
-func New(reporter Reporter) *Dispatcher {
-	return &Dispatcher{reporter: reporter, pooled: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+func New(reporter Reporter, dialer netdial.Dialer) *Dispatcher {
+	return &Dispatcher{reporter: reporter, dialer: dialer, pooled: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.WithTimeout(dialTimeout),
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -159,7 +161,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+				conn, err := r.dispatcher.dialer.WithTimeout(dialTimeout)(ctx, network, address)
 				if err != nil {
 					return nil, err
 				}
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -66,3 +66,10 @@
 	defer s.mu.Unlock()
 	return c.JSON(http.StatusOK, Arrivals{Call: call, Count: s.arrivals[call]})
 }
+
+// Arrived returns how often a call arrived.
+func (s *Service) Arrived(team, id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals[team+"/"+id]
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,12 +2,12 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/netdial"
 
 	"github.com/labstack/echo/v4"
 )
@@ -19,9 +19,9 @@
 	forwardContinueTimeout = 24 * time.Hour
 )
 
-func newForwarder() *http.Client {
+func newForwarder(dialer netdial.Dialer) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: forwardDialTimeout}).DialContext,
+		DialContext:           dialer.WithTimeout(forwardDialTimeout),
 		ExpectContinueTimeout: forwardContinueTimeout,
 		DisableKeepAlives:     true,
 		DisableCompression:    true,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/netdial"
 	"carobshunt/internal/stream"
 
 	"github.com/labstack/echo/v4"
@@ -35,8 +36,8 @@
 }
 
 // New returns a gateway for the process self; maxBody bounds one request body, in bytes.
-func New(control Control, exchanges *stream.Store, self core.Home, maxBody int64) *Gateway {
-	return &Gateway{control: control, exchanges: exchanges, self: self, maxBody: maxBody, forwarder: newForwarder()}
+func New(control Control, exchanges *stream.Store, self core.Home, maxBody int64, dialer netdial.Dialer) *Gateway {
+	return &Gateway{control: control, exchanges: exchanges, self: self, maxBody: maxBody, forwarder: newForwarder(dialer)}
 }
 
 // Register adds the routes.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/hostlist"
+	"carobshunt/internal/netdial"
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -84,12 +85,15 @@
 // Pool sends to other hosts, over one connection each. It is safe for concurrent use and never blocks its callers.
 type Pool struct {
 	control Control
+	dialer  netdial.Dialer
 	mu      sync.Mutex
 	links   map[string]*link
 }
 
 // NewPool returns a pool without connections.
-func NewPool(control Control) *Pool { return &Pool{control: control, links: make(map[string]*link)} }
+func NewPool(control Control, dialer netdial.Dialer) *Pool {
+	return &Pool{control: control, dialer: dialer, links: make(map[string]*link)}
+}
 
 // Heartbeat sends a heartbeat; one that still waits for a slow peer is replaced.
 func (p *Pool) Heartbeat(ctx context.Context, address string, hb member.Heartbeat) {
@@ -111,7 +115,7 @@
 	defer p.mu.Unlock()
 	l := p.links[address]
 	if l == nil {
-		l = &link{control: p.control, address: address, wake: make(chan struct{}, 1)}
+		l = &link{control: p.control, dialer: p.dialer, address: address, wake: make(chan struct{}, 1)}
 		p.links[address] = l
 		go l.run(ctx)
 	}
@@ -136,6 +140,7 @@
 
 type link struct {
 	control Control
+	dialer  netdial.Dialer
 	address string
 	conn    *jsonrpc2.Conn
 
@@ -212,8 +217,7 @@
 			return nil
 		}
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", l.address)
+	conn, err := l.dialer.WithTimeout(dialTimeout)(ctx, "tcp", l.address)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/platform/load.go
+++ b/internal/platform/load.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/dispatch"
+	"carobshunt/internal/netdial"
 )
 
 // Timings of the load reports.
@@ -21,8 +22,8 @@
 const maxReportBytes = 64 << 10
 
 // WatchLoad reads the load reports of all engines until the context ends.
-func WatchLoad(ctx context.Context, poster Poster) {
-	client := &http.Client{Timeout: loadTimeout}
+func WatchLoad(ctx context.Context, poster Poster, dialer netdial.Dialer) {
+	client := newClient(dialer, loadTimeout)
 	for ctx.Err() == nil {
 		for _, address := range poster.Snapshot().TargetAddresses {
 			go readLoad(ctx, client, poster, address)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -13,6 +13,7 @@
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/hostlist"
+	"carobshunt/internal/netdial"
 
 	"github.com/juju/errors"
 )
@@ -48,8 +49,13 @@
 }
 
 // NewReader returns a reader of the platform at an IP address and port.
-func NewReader(address string, poster Poster) *Reader {
-	return &Reader{address: address, poster: poster, client: &http.Client{Timeout: watchTimeout}}
+func NewReader(address string, poster Poster, dialer netdial.Dialer) *Reader {
+	return &Reader{address: address, poster: poster, client: newClient(dialer, watchTimeout)}
+}
+
+func newClient(dialer netdial.Dialer, timeout time.Duration) *http.Client {
+	transport := &http.Transport{DialContext: dialer.WithTimeout(timeout), DisableCompression: true}
+	return &http.Client{Timeout: timeout, Transport: transport}
 }
 
 // StatusError reports an answer of the platform that is neither a value nor "nothing new".
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,8 @@
 	Zone string `json:"zone" jsonschema:"minLength=1,description=availability zone of this host"`
 	// Listen are the addresses that this process serves.
 	Listen Listen `json:"listen"`
+	// Advertise are the addresses under which others reach this process, where they differ from Listen.
+	Advertise Advertise `json:"advertise,omitzero"`
 	// Platform is where the configuration service and the host list are read.
 	Platform Platform `json:"platform"`
 	// Peers are the peer addresses of entry hosts that are tried before the host list is known.
@@ -37,6 +39,12 @@
 	Peers     string `json:"peers" jsonschema:"minLength=1,description=interface for other entry hosts"`
 }
 
+// Advertise are IP addresses with ports; an empty one takes the address of Listen.
+type Advertise struct {
+	Callers string `json:"callers,omitempty" jsonschema:"description=callers' address as others see it; default: listen.callers"`
+	Peers   string `json:"peers,omitempty" jsonschema:"description=peer address as others see it; default: listen.peers"`
+}
+
 // Platform locates the platform's services.
 type Platform struct {
 	Address string `json:"address" jsonschema:"minLength=1,description=configuration service and host list"`
@@ -102,6 +110,12 @@
 	check("/listen/operators", s.Listen.Operators)
 	check("/listen/peers", s.Listen.Peers)
 	check("/platform/address", s.Platform.Address)
+	if s.Advertise.Callers != "" {
+		check("/advertise/callers", s.Advertise.Callers)
+	}
+	if s.Advertise.Peers != "" {
+		check("/advertise/peers", s.Advertise.Peers)
+	}
 	for i, p := range s.Peers {
 		check(fmt.Sprintf("/peers/%d", i), p)
 	}
@@ -109,6 +123,12 @@
 }
 
 func (s *Settings) applyDefaults() {
+	if s.Advertise.Callers == "" {
+		s.Advertise.Callers = s.Listen.Callers
+	}
+	if s.Advertise.Peers == "" {
+		s.Advertise.Peers = s.Listen.Peers
+	}
 	if s.Limits.BodyBytes == 0 {
 		s.Limits.BodyBytes = DefaultBodyBytes
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,8 +4,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=bin
-demo=deploy/demo
+net=${CAROB_DEMO_NET:-127.20} # the first half of the loopback addresses that the demo uses
 logs=$(mktemp -d)
+demo=$logs/settings
+mkdir "$demo"
+for file in deploy/demo/*.json; do sed "s/127\.20\./$net./g" "$file" >"$demo/${file##*/}"; done
 pids=()
 
 finish() {
@@ -32,12 +35,12 @@
   return 1
 }
 
-start platform "$bin/carobfake" platform --listen 127.20.0.1:7500 --config $demo/config.json --hosts $demo/hosts.json
-for i in 1 2 3 4; do start "engine$i" "$bin/carobfake" engine --listen "127.20.2.$i:7600" --speed 4; done
-start service "$bin/carobfake" service --listen 127.20.3.1:7700
+start platform "$bin/carobfake" platform --listen "$net.0.1:7500" --config "$demo/config.json" --hosts "$demo/hosts.json"
+for i in 1 2 3 4; do start "engine$i" "$bin/carobfake" engine --listen "$net.2.$i:7600" --speed 4; done
+start service "$bin/carobfake" service --listen "$net.3.1:7700"
 for i in 1 2 3 4; do start "host$i" "$bin/carobshuntd" --settings "$demo/host$i.json"; done
 
-entries=(127.20.1.1:7400 127.20.1.2:7400 127.20.1.3:7400 127.20.1.4:7400)
+entries=("$net.1.1:7400" "$net.1.2:7400" "$net.1.3:7400" "$net.1.4:7400")
 for entry in "${entries[@]}"; do wait_ready "$entry"; done
 
 run=$(date +%s%N)
--- /dev/null
+++ b/test/process/faults_test.go
@@ -0,0 +1,78 @@
+package process
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestRestartedHomeAnswersUnknown(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	req := request("order-0002", serviceName, false)
+	req.Via = c.hosts[0].callers
+	first, err := c.client().Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Outcome, api.OutcomeDone, "%+v", first)
+
+	c.hosts[0].kill()
+	c.hosts[0].start()
+	c.waitReady()
+	req.Home, req.Deadline = first.Home, first.Deadline
+	for _, via := range c.hosts {
+		req.Via = via.callers
+		again, err := c.client().Do(context.Background(), req)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Outcome, api.OutcomeUnknown, "%+v", again)
+		assert.Equal(t, again.Code, api.CodeHomeGone, "%+v", again)
+	}
+}
+
+func TestHomePausedPastBudgetRunsNothing(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	home := c.hosts[0]
+	req := request("order-0003", serviceName, false)
+	req.Via = home.callers
+	req.Budget = 500 * time.Millisecond
+	caller := c.client()
+	_, err := caller.Lookup(context.Background())
+	assert.NilError(t, err)
+
+	home.pause()
+	got, err := caller.Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeNotRun, "%+v", got)
+	home.resume()
+	home.waitFor(func(s api.Status) bool { return s.Ready })
+	assert.Equal(t, c.service.Arrived(teamName, req.ID), 0)
+}
+
+func TestCutPeerIsSeenAndComesBack(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.hosts[0].cutFrom(c.hosts[1])
+	alive := func(want bool) func(api.Status) bool {
+		return func(s api.Status) bool { return len(s.Peers) == 1 && s.Peers[0].Alive == want }
+	}
+	c.hosts[0].waitFor(alive(false))
+	c.hosts[0].peerPipe.Mend(c.hosts[1].ip)
+	c.hosts[0].waitFor(alive(true))
+}
+
+func TestPlannedStopFinishesWhatRuns(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	req := request("draft-0001", modelName, true)
+	req.Via = c.hosts[0].callers
+	req.AnswerTokens = 1000
+	ended := make(chan api.Outcome, 1)
+	go func() {
+		got, _ := c.client().Do(context.Background(), req)
+		ended <- got.Outcome
+	}()
+	c.hosts[0].waitFor(func(s api.Status) bool { return s.Requests.Running == 1 })
+	c.hosts[0].terminate()
+	assert.Equal(t, <-ended, api.OutcomeDone)
+	assert.NilError(t, c.hosts[0].cmd.Wait())
+}
