Hold team limits across hosts and bound retries

Cause: nothing limited what a team may send, and a failing target caused dispatches without end.

Ruled out: shares worked out from reported demand (two views during a cut add up to more than the limit); a fixed count of retries for each request.

Change: internal/core/limit lends shares of each team's rate between hosts for a term counted on the borrower's clock; internal/core/retry earns a share of each fresh request.

Measured: before, no limit.

Conclusion: both bounds hold in virtual time; as processes they are not run.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/limit"
 	"carobshunt/internal/hostlist"
 )
 
@@ -22,6 +23,9 @@
 	Revision     uint64 `json:"revision"`
 	HostsVersion uint64 `json:"hosts_version"`
 	Draining     bool   `json:"draining,omitempty"`
+	// Demands and Grants share out the teams' limits between hosts.
+	Demands []limit.Demand `json:"demands,omitempty"`
+	Grants  []limit.Grant  `json:"grants,omitempty"`
 }
 
 // Timings of the peer protocol.
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -11,6 +11,7 @@
 		n.checkReady,
 		n.checkNames,
 		n.checkRoom,
+		n.checkTeamLimit,
 	}
 	for _, check := range checks {
 		if result := check(req); result.Code != "" {
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -10,8 +10,10 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/limit"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/queue"
+	"carobshunt/internal/core/retry"
 	"carobshunt/internal/core/route"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
@@ -48,6 +50,8 @@
 	ledger  *ledger.Ledger
 	queue   *queue.Queue
 	router  *route.Router
+	limits  *limit.Limiter
+	retries *retry.Budget
 	rng     *rand.Rand
 
 	// active are the unfinished records.
@@ -75,6 +79,8 @@
 		ledger:        ledger.NewLedger(opts.Records),
 		queue:         queue.New(),
 		router:        route.New(rng),
+		limits:        limit.New(opts.Peer),
+		retries:       retry.New(),
 		rng:           rng,
 		active:        make(map[core.Key]*ledger.Record),
 		alive:         make(map[string]bool),
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -13,7 +13,10 @@
 		return
 	}
 	n.lastHeartbeat = n.now
+	n.settleLimits()
 	hb := n.ownHeartbeat()
+	hb.Demands = n.limits.Demands(n.now)
+	hb.Grants = n.limits.Lend(n.now, n.borrowers())
 	for _, address := range n.peers.Addresses() {
 		n.do(SendHeartbeat{Peer: address, Heartbeat: hb})
 	}
@@ -36,6 +39,7 @@
 func (n *Node) heartbeatHeard(in HeartbeatHeard) {
 	hb := in.Heartbeat
 	n.peers.Hear(n.now, hb)
+	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
 	if hb.Revision > n.config.Revision() {
 		n.do(PullDocument{Peer: hb.Peer})
 	}
@@ -48,6 +52,7 @@
 	switch n.config.Offer(n.now, in.Raw, in.Source) {
 	case conf.Applied:
 		doc := n.config.Document()
+		n.limitRates()
 		n.do(Note{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
 		n.lastHeartbeat = n.now - member.Interval
 		n.heartbeat()
@@ -64,6 +69,7 @@
 	}
 	n.hosts = in.List
 	n.peers.Apply(n.now, in.List)
+	n.limitHosts()
 	n.do(Note{Event: EventHosts, Text: fmt.Sprintf("version %d from %s", in.List.Version, in.Source)})
 	n.pump()
 }
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -86,6 +86,7 @@
 	}
 	rec := n.ledger.Admit(n.now, req, n.workOf(&req), n.config.Revision())
 	n.active[req.Key] = rec
+	n.retries.Earn(n.config.Document().Preset().RetryPercent)
 	n.bodyBytes += req.BodyBytes
 	n.do(Open{Key: req.Key})
 	n.do(Decide{Ticket: ticket, Decision: Decision{Kind: Admit, Deadline: req.Deadline}})
@@ -234,22 +235,43 @@
 		n.finish(rec, core.Result{Outcome: api.OutcomeDone})
 	case EndedNotWritten, EndedRefused:
 		n.ledger.NeverReached(rec)
-		n.queue.Push(rec)
+		n.retry(rec, core.Result{Outcome: api.OutcomeNotRun, Code: api.CodeTargetRefused, Message: in.Message})
 	case EndedFailed:
-		n.finish(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetFailed, Message: in.Message})
+		n.judgeFailed(rec, in)
 	case EndedLost:
 		n.judgeLost(rec, in)
 	}
 }
 
 func (n *Node) judgeLost(rec *ledger.Record, in DispatchEnded) {
-	if rec.Request.Idempotent {
-		rec.Timing.FirstToken = 0
-		n.ledger.Requeue(rec)
-		n.queue.Push(rec)
+	if !rec.Request.Idempotent {
+		n.finish(rec, core.Result{Outcome: api.OutcomeUnknown, Code: api.CodeTargetLost, Message: in.Message})
 		return
 	}
-	n.finish(rec, core.Result{Outcome: api.OutcomeUnknown, Code: api.CodeTargetLost, Message: in.Message})
+	n.ledger.Requeue(rec)
+	n.retry(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
+}
+
+// judgeFailed ends a request that its target failed; one that is idempotent is tried at another target first.
+func (n *Node) judgeFailed(rec *ledger.Record, in DispatchEnded) {
+	result := core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetFailed, Message: in.Message}
+	if !rec.Request.Idempotent {
+		n.finish(rec, result)
+		return
+	}
+	n.ledger.Requeue(rec)
+	n.retry(rec, result)
+}
+
+// retry puts a request back into the queue, or ends it with the result, at once, when the retry budget is used up.
+func (n *Node) retry(rec *ledger.Record, otherwise core.Result) {
+	if !n.retries.Spend() {
+		otherwise.RetryAfter = n.retryAfter(afterOverload)
+		n.finish(rec, otherwise)
+		return
+	}
+	rec.Timing.FirstToken = 0
+	n.queue.Push(rec)
 }
 
 // finish gives a request its final result and frees what it held.
@@ -261,6 +283,9 @@
 	delete(n.active, key)
 	n.queue.Remove(key)
 	n.bodyBytes -= rec.Request.BodyBytes
+	if result.Outcome == api.OutcomeNotRun {
+		n.refund(rec)
+	}
 	n.count(result.Outcome)
 	n.do(Finish{Key: key, Result: result, Timing: rec.Timing, Target: rec.Target})
 }
