A tool that measures an entry host as a process

Cause: the time that a host adds to a first token, the processor time of streaming and the memory of large prompts were not known.

Ruled out: timing inside a Go benchmark, which shares a process and a garbage collector with the host.

--- /dev/null
+++ b/internal/load/direct.go
@@ -0,0 +1,54 @@
+// Package load puts measured load on an entry host that runs as a process: the time that it adds to a first token,
+// the processor time that streaming takes, and the memory that large prompts hold.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"carobshunt/internal/dispatch"
+
+	"github.com/juju/errors"
+)
+
+// DirectError reports an engine that did not answer a stream.
+type DirectError struct{ Status int }
+
+// Error implements error.
+func (e *DirectError) Error() string { return fmt.Sprintf("the engine answered with status %d", e.Status) }
+
+// firstTokenDirect asks an engine itself, as a host would, and returns the time to its first frame.
+func firstTokenDirect(ctx context.Context, client *http.Client, engine string, shape Shape, serial int) (time.Duration, error) {
+	start := time.Now()
+	address := "http://" + engine + dispatch.PathStreams
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(shape.body()))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	req.Header.Set(dispatch.HeaderStream, fmt.Sprintf("direct~0~10000~load~direct-%d~1", serial))
+	req.Header.Set(dispatch.HeaderModel, shape.Model)
+	req.Header.Set(dispatch.HeaderPromptTokens, strconv.FormatInt(shape.PromptTokens, 10))
+	req.Header.Set(dispatch.HeaderAnswerTokens, strconv.FormatInt(shape.AnswerTokens, 10))
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return 0, &DirectError{Status: resp.StatusCode}
+	}
+	lines := bufio.NewScanner(resp.Body)
+	if !lines.Scan() {
+		return 0, errors.Trace(lines.Err())
+	}
+	first := time.Since(start)
+	for lines.Scan() {
+		continue
+	}
+	return first, errors.Trace(lines.Err())
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,153 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/client"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
+)
+
+// Shape is what the requests of a run look like.
+type Shape struct {
+	Model string
+	// PromptTokens and AnswerTokens are lengths in tokens.
+	PromptTokens int64
+	AnswerTokens int64
+}
+
+func (s Shape) body() []byte { return bytes.Repeat([]byte("word"), int(s.PromptTokens)) }
+
+// Quantiles are times of one kind of request.
+type Quantiles struct {
+	P50 time.Duration `json:"p50_ns"`
+	P95 time.Duration `json:"p95_ns"`
+	P99 time.Duration `json:"p99_ns"`
+}
+
+// Range of the histograms, in microseconds.
+const (
+	histogramLow    = 1
+	histogramHigh   = int64(time.Hour / time.Microsecond)
+	histogramDigits = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramLow, histogramHigh, histogramDigits)
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// Overhead compares requests through an entry host with the same requests to the engine itself.
+type Overhead struct {
+	Requests int       `json:"requests"`
+	Direct   Quantiles `json:"direct"`
+	Through  Quantiles `json:"through"`
+	// AddedP99 is the 99th of 100 through the host less the one direct.
+	AddedP99 time.Duration `json:"added_p99_ns"`
+}
+
+// OutcomeError reports a request of a run that did not end as it had to.
+type OutcomeError struct {
+	ID      string
+	Outcome api.Outcome
+	Code    api.Code
+}
+
+// Error implements error.
+func (e *OutcomeError) Error() string { return fmt.Sprintf("request %s ended %s %s", e.ID, e.Outcome, e.Code) }
+
+// MeasureOverhead sends pairs of requests, one to the engine and one through the host, taking turns, so that both
+// meet the same machine.
+func MeasureOverhead(ctx context.Context, caller *client.Client, host, engine string, shape Shape, pairs int) (Overhead, error) {
+	direct, through := newHistogram(), newHistogram()
+	httpClient := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	for i := range pairs {
+		first, err := firstTokenDirect(ctx, httpClient, engine, shape, i)
+		if err != nil {
+			return Overhead{}, errors.Trace(err)
+		}
+		_ = direct.RecordValue(first.Microseconds())
+		result, err := caller.Do(ctx, request(shape, host, fmt.Sprintf("overhead-%d", i)))
+		if err != nil {
+			return Overhead{}, errors.Trace(err)
+		}
+		if result.Outcome != api.OutcomeDone {
+			return Overhead{}, &OutcomeError{ID: fmt.Sprintf("overhead-%d", i), Outcome: result.Outcome, Code: result.Code}
+		}
+		_ = through.RecordValue(result.FirstToken.Microseconds())
+	}
+	out := Overhead{Requests: pairs, Direct: quantiles(direct), Through: quantiles(through)}
+	out.AddedP99 = out.Through.P99 - out.Direct.P99
+	return out, nil
+}
+
+// budget is the time budget of the runs' requests.
+const budget = 5 * time.Minute
+
+func request(shape Shape, host, id string) client.Request {
+	return client.Request{
+		ID: id, Model: shape.Model, Prompt: shape.body(), PromptTokens: shape.PromptTokens,
+		AnswerTokens: shape.AnswerTokens, Idempotent: true, Budget: budget, Via: host,
+	}
+}
+
+// Flight is what became of requests that were sent at one time.
+type Flight struct {
+	Requests int `json:"requests"`
+	Done     int `json:"done"`
+	// Refused counts those that the host refused for lack of room, at once and with a time to come back.
+	Refused int           `json:"refused"`
+	Other   int           `json:"other"`
+	Took    time.Duration `json:"took_ns"`
+	// Refusals are the times to a refusal.
+	Refusals Quantiles `json:"refusals"`
+}
+
+// Fly sends all requests at one time and waits for their ends.
+func Fly(ctx context.Context, caller *client.Client, host string, shape Shape, requests int) Flight {
+	start := time.Now()
+	flight := &flight{refusals: newHistogram()}
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			result, err := caller.Do(ctx, request(shape, host, fmt.Sprintf("flight-%d", i)))
+			flight.add(result, err)
+		})
+	}
+	wg.Wait()
+	flight.Requests = requests
+	flight.Took = time.Since(start)
+	flight.Refusals = quantiles(flight.refusals)
+	return flight.Flight
+}
+
+type flight struct {
+	mu sync.Mutex
+	Flight
+	refusals *hdrhistogram.Histogram
+}
+
+func (f *flight) add(result client.Result, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil && result.Outcome == api.OutcomeDone:
+		f.Done++
+	case err == nil && result.Outcome == api.OutcomeNotRun && result.RetryAfter > 0:
+		f.Refused++
+		_ = f.refusals.RecordValue(result.Total.Microseconds())
+	default:
+		f.Other++
+	}
+}
