--- a/internal/load/direct.go
+++ b/internal/load/direct.go
@@ -20,7 +20,9 @@
 type DirectError struct{ Status int }
 
 // Error implements error.
-func (e *DirectError) Error() string { return fmt.Sprintf("the engine answered with status %d", e.Status) }
+func (e *DirectError) Error() string {
+	return fmt.Sprintf("the engine answered with status %d", e.Status)
+}
 
 // firstTokenDirect asks an engine itself, as a host would, and returns the time to its first frame.
 func firstTokenDirect(ctx context.Context, client *http.Client, engine string, shape Shape, serial int) (time.Duration, error) {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -65,7 +65,9 @@
 }
 
 // Error implements error.
-func (e *OutcomeError) Error() string { return fmt.Sprintf("request %s ended %s %s", e.ID, e.Outcome, e.Code) }
+func (e *OutcomeError) Error() string {
+	return fmt.Sprintf("request %s ended %s %s", e.ID, e.Outcome, e.Code)
+}
 
 // MeasureOverhead sends pairs of requests, one to the engine and one through the host, taking turns, so that both
 // meet the same machine.
