--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -144,6 +144,38 @@
 	}, nil
 }
 
+// ParseOwner reads the stream to which a stream, reservation or export belongs from the name of any of them.
+func ParseOwner(name string) (Stream, error) {
+	parts := strings.Split(name, "~")
+	if len(parts) == streamFields+1 {
+		name = strings.Join(parts[:streamFields], "~")
+	}
+	return ParseStream(name)
+}
+
+// Reservation names memory that is held for a stream before it starts and while it runs. Try is new for each
+// reservation that a process makes, so that a late release never hits a later reservation.
+type Reservation struct {
+	Stream Stream
+	Try    uint32
+}
+
+// Name returns the text form: the stream's name and one more field.
+func (r Reservation) Name() string {
+	return r.Stream.Name() + "~r" + strconv.FormatUint(uint64(r.Try), 10)
+}
+
+// Export names a KV export of a stream.
+type Export struct {
+	Stream Stream
+	Number uint32
+}
+
+// Name returns the text form: the stream's name and one more field.
+func (e Export) Name() string {
+	return e.Stream.Name() + "~e" + strconv.FormatUint(uint64(e.Number), 10)
+}
+
 // StreamNameError reports a stream name that no host of this system made.
 type StreamNameError struct{ Name string }
 
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -64,6 +64,10 @@
 	// Deadline is checked again right before the first byte is written.
 	Deadline core.Time
 	Request  core.Request
+	// Group are the engines that run the request together, the lead among them; empty for a single engine.
+	Group []string
+	// Reservation names what is held on each of the Group.
+	Reservation core.Reservation
 }
 
 // AbortDispatch gives up a dispatch: its frames are dropped and its stream is cancelled at the engine.
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -10,6 +10,7 @@
 	checks := []func(*core.Request) core.Result{
 		n.checkReady,
 		n.checkNames,
+		n.checkMemory,
 		n.checkRoom,
 		n.checkTeamLimit,
 	}
--- /dev/null
+++ b/internal/core/node/groups.go
@@ -0,0 +1,282 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/group"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/hostlist"
+)
+
+// Reserve asks an engine to hold memory, or to go on holding it, until the expiry has passed since it heard. The
+// answer comes back as ReservationAnswered.
+type Reserve struct {
+	Key         core.Key
+	Target      string
+	Reservation core.Reservation
+	// Tokens is the memory to hold, in tokens.
+	Tokens int64
+	Expiry time.Duration
+	// Renewal must not make a reservation that the engine does not know; it is refused then.
+	Renewal bool
+	// Asked is this host's clock at the ask; the answer hands it back.
+	Asked core.Time
+}
+
+// Release asks an engine to drop a reservation. No answer is needed: what is not released expires.
+type Release struct {
+	Key         core.Key
+	Target      string
+	Reservation core.Reservation
+}
+
+// ReservationAnswered is what became of a Reserve.
+type ReservationAnswered struct {
+	Key         core.Key
+	Target      string
+	Reservation core.Reservation
+	Asked       core.Time
+	Answer      group.Answer
+}
+
+func (Reserve) action()            {}
+func (Release) action()            {}
+func (ReservationAnswered) input() {}
+
+// GroupCounts counts the prompts that need several engines.
+type GroupCounts struct {
+	// Claims, Completed and GivenUp count tries to reserve a group, and how they ended.
+	Claims    uint64
+	Completed uint64
+	GivenUp   uint64
+	// Lost counts groups that were lost while their stream ran.
+	Lost uint64
+	// Open is the number of claims now.
+	Open int
+}
+
+// groupState is the part of the Node that holds groups of engines.
+type groupState struct {
+	claims map[core.Key]*group.Claim
+	// failed are the requests whose last claim was given up.
+	failed map[core.Key]failedClaims
+	tries  uint32
+	counts GroupCounts
+}
+
+func newGroupState() groupState {
+	return groupState{claims: make(map[core.Key]*group.Claim), failed: make(map[core.Key]failedClaims)}
+}
+
+// failedClaims counts the claims of one request that were given up.
+type failedClaims struct {
+	count int
+	// again is when the next try may begin.
+	again core.Time
+}
+
+// Pauses between two tries to reserve a group: the base, doubled for each try that was given up. Between tries the
+// memory that a waiting claim held idle is open to others.
+const (
+	groupPause        = 2 * time.Second
+	groupPauseDoubles = 4
+)
+
+// memoryNeed is what a request holds at an engine, in tokens.
+func memoryNeed(req *core.Request) int64 { return req.PromptTokens + req.AnswerTokens }
+
+// groupEngines are the engines that serve a model; only those that take new work, if eligible is set.
+func (n *Node) groupEngines(model string, eligible bool) []group.Engine {
+	var out []group.Engine
+	for _, t := range n.targets.All() {
+		if t.Role != hostlist.RoleEngine || !t.Serves(model) || eligible && !t.Eligible(n.now) {
+			continue
+		}
+		out = append(out, group.Engine{
+			Address:      t.Address,
+			MemoryTokens: t.MemoryTokens,
+			FreeTokens:   t.MemoryTokens - t.Report.UsedTokens,
+		})
+	}
+	return out
+}
+
+// needsGroup tells whether a request is larger than each engine of its model.
+func (n *Node) needsGroup(req *core.Request) bool {
+	return group.Needed(memoryNeed(req), n.groupEngines(req.Model, false))
+}
+
+// checkMemory refuses a request that all engines of its model together can't hold.
+func (n *Node) checkMemory(req *core.Request) core.Result {
+	if !n.needsGroup(req) {
+		return core.Result{}
+	}
+	if _, ok := group.Choose(memoryNeed(req), n.groupEngines(req.Model, false)); ok {
+		return core.Result{}
+	}
+	return core.Result{Code: api.CodeTooLarge, Message: "larger than all engines of this model together"}
+}
+
+// dispatchGroup brings a request that needs several engines forward. It reports true when the request has left the
+// queue.
+func (n *Node) dispatchGroup(rec *ledger.Record) bool {
+	key := rec.Request.Key
+	claim := n.groups.claims[key]
+	if claim == nil {
+		n.claimGroup(rec)
+		return false
+	}
+	if !claim.Complete() {
+		return false
+	}
+	lead := n.targets.Get(claim.Plan.Engines[0])
+	if lead == nil {
+		n.releaseGroup(key)
+		return false
+	}
+	number := n.ledger.Dispatch(n.now, rec, lead.Address)
+	lead.Begin(target.Dispatch{Key: key, Number: number}, rec.Work.PrefillTokens)
+	n.do(StartDispatch{
+		Key:         key,
+		Dispatch:    number,
+		Target:      lead.Address,
+		Role:        lead.Role,
+		Stream:      n.streamOf(rec, number),
+		Priority:    priority(rec.Work.Class),
+		Deadline:    rec.Request.Deadline,
+		Request:     rec.Request,
+		Group:       claim.Plan.Engines,
+		Reservation: claim.Reservation,
+	})
+	return true
+}
+
+// claimGroup begins to reserve engines for a request, unless its last try was a moment ago.
+func (n *Node) claimGroup(rec *ledger.Record) {
+	key := rec.Request.Key
+	if n.now < n.groups.failed[key].again {
+		return
+	}
+	plan, ok := group.Choose(memoryNeed(&rec.Request), n.groupEngines(rec.Request.Model, true))
+	if !ok {
+		return
+	}
+	n.groups.tries++
+	n.groups.counts.Claims++
+	reservation := core.Reservation{Stream: n.streamOf(rec, rec.Dispatches+1), Try: n.groups.tries}
+	claim := group.NewClaim(n.now, plan, reservation)
+	n.groups.claims[key] = claim
+	n.ask(key, claim)
+}
+
+// ask sends what is due for a claim.
+func (n *Node) ask(key core.Key, claim *group.Claim) {
+	for _, ask := range claim.Due(n.now) {
+		n.do(Reserve{
+			Key:         key,
+			Target:      ask.Engine,
+			Reservation: claim.Reservation,
+			Tokens:      claim.Plan.Tokens,
+			Expiry:      group.Expiry,
+			Renewal:     ask.Renewal,
+			Asked:       ask.Asked,
+		})
+	}
+}
+
+// reservationAnswered takes an engine's answer. One that is held for a claim that is no more is given back.
+func (n *Node) reservationAnswered(in ReservationAnswered) {
+	claim := n.groups.claims[in.Key]
+	if claim == nil || claim.Reservation != in.Reservation {
+		if in.Answer == group.Held || in.Answer == group.Waiting {
+			n.do(Release{Key: in.Key, Target: in.Target, Reservation: in.Reservation})
+		}
+		return
+	}
+	complete := claim.Complete()
+	claim.Hear(n.now, in.Asked, in.Target, in.Answer)
+	n.advance(in.Key, claim)
+	if !complete && claim.Complete() {
+		n.groups.counts.Completed++
+		n.pump()
+	}
+}
+
+// advance carries a claim on, or gives it up.
+func (n *Node) advance(key core.Key, claim *group.Claim) {
+	n.ask(key, claim)
+	if claim.Lost() {
+		n.loseGroup(key)
+	}
+}
+
+// loseGroup ends a claim that can't be kept. A stream that runs on it has lost memory and is given up.
+func (n *Node) loseGroup(key core.Key) {
+	n.releaseGroup(key)
+	rec := n.active[key]
+	if rec == nil {
+		return
+	}
+	failed := n.groups.failed[key]
+	failed.again = n.now + n.retryAfter(groupPause<<min(failed.count, groupPauseDoubles))
+	failed.count++
+	n.groups.failed[key] = failed
+	if rec.State != ledger.Dispatched {
+		n.groups.counts.GivenUp++
+		return
+	}
+	n.groups.counts.Lost++
+	n.do(AbortDispatch{Key: key, Dispatch: rec.Dispatches})
+	n.judgeLost(rec, DispatchEnded{Key: key, Dispatch: rec.Dispatches, Target: rec.Target, Message: "memory of a group was lost"})
+}
+
+// groupsTick renews what is held, in the same order every time.
+func (n *Node) groupsTick() {
+	for _, key := range n.claimKeys() {
+		n.advance(key, n.groups.claims[key])
+	}
+}
+
+func (n *Node) claimKeys() []core.Key {
+	keys := make([]core.Key, 0, len(n.groups.claims))
+	for key := range n.groups.claims {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b core.Key) int { return a.Compare(b) })
+	return keys
+}
+
+// releaseGroup gives back everything that a request holds or has asked for.
+func (n *Node) releaseGroup(key core.Key) {
+	claim := n.groups.claims[key]
+	if claim == nil {
+		return
+	}
+	delete(n.groups.claims, key)
+	for _, engine := range claim.Plan.Engines {
+		n.do(Release{Key: key, Target: engine, Reservation: claim.Reservation})
+	}
+}
+
+// endGroup forgets the group of a request that is finished.
+func (n *Node) endGroup(key core.Key) {
+	n.releaseGroup(key)
+	delete(n.groups.failed, key)
+}
+
+// endDispatchGroup gives back the group of a dispatch that has ended.
+func (n *Node) endDispatchGroup(key core.Key, dispatch uint32) {
+	if claim := n.groups.claims[key]; claim != nil && claim.Reservation.Stream.Dispatch == dispatch {
+		n.releaseGroup(key)
+	}
+}
+
+func (n *Node) groupCounts() GroupCounts {
+	counts := n.groups.counts
+	counts.Open = len(n.groups.claims)
+	return counts
+}
--- /dev/null
+++ b/internal/core/node/memory.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/rendezvous"
+	"carobshunt/internal/core/sweep"
+	"carobshunt/internal/hostlist"
+)
+
+// MemoryListed is an engine's list of what holds its memory, which a ListMemory asked for.
+type MemoryListed struct {
+	Target   string
+	Holdings []sweep.Holding
+}
+
+// ListMemory asks an engine for the list of what holds its memory.
+type ListMemory struct{ Target string }
+
+// CancelHolding frees memory that nobody is entitled to any more.
+type CancelHolding struct {
+	Target string
+	Kind   sweep.Kind
+	Name   string
+	Reason sweep.Reason
+}
+
+func (MemoryListed) input()   {}
+func (ListMemory) action()    {}
+func (CancelHolding) action() {}
+
+// SweepCounts counts what this host has told engines to cancel, by reason.
+type SweepCounts struct {
+	Overdue   uint64
+	Orphaned  uint64
+	Forgotten uint64
+}
+
+func (c *SweepCounts) add(r sweep.Reason) {
+	switch r {
+	case sweep.ReasonOverdue:
+		c.Overdue++
+	case sweep.ReasonOrphaned:
+		c.Orphaned++
+	case sweep.ReasonForgotten:
+		c.Forgotten++
+	}
+}
+
+// sweepState is the part of the Node that watches engine memory.
+type sweepState struct {
+	sweeper *sweep.Sweeper
+	listed  core.Time
+	counts  SweepCounts
+}
+
+func newSweepState() sweepState {
+	return sweepState{sweeper: sweep.New(), listed: -sweep.Interval}
+}
+
+// liveHosts are the peer addresses of the entry hosts that are heard now, this one among them.
+func (n *Node) liveHosts() []string {
+	out := []string{n.opts.Peer}
+	for _, address := range n.peers.Addresses() {
+		if n.peers.Get(address).Alive(n.now) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// sweepRank is this host's place among the sweepers of an engine, from 0; false when it is none of them.
+func (n *Node) sweepRank(engine string, live []string) (int, bool) {
+	rank := rendezvous.Position("sweep "+engine, n.opts.Peer, live)
+	return rank, rank >= 0 && rank < sweep.Ranks
+}
+
+// sweepTick asks the engines that this host watches for their lists.
+func (n *Node) sweepTick() {
+	n.sweeps.sweeper.Step(n.now)
+	if n.now-n.sweeps.listed < sweep.Interval {
+		return
+	}
+	n.sweeps.listed = n.now
+	live := n.liveHosts()
+	for _, t := range n.targets.All() {
+		if t.Role != hostlist.RoleEngine {
+			continue
+		}
+		if _, mine := n.sweepRank(t.Address, live); !mine {
+			n.sweeps.sweeper.Forget(t.Address)
+			continue
+		}
+		n.do(ListMemory{Target: t.Address})
+	}
+}
+
+// applyEngineInput takes what engines answer about their memory and their orders.
+func (n *Node) applyEngineInput(in Input) {
+	switch in := in.(type) {
+	case MemoryListed:
+		n.memoryListed(in)
+	case ReservationAnswered:
+		n.reservationAnswered(in)
+	case OrdersRead:
+		n.ordersRead(in)
+	case OrderEnded:
+		n.orderEnded(in)
+	}
+}
+
+func (n *Node) memoryListed(in MemoryListed) {
+	rank, mine := n.sweepRank(in.Target, n.liveHosts())
+	if !mine {
+		return
+	}
+	for _, v := range n.sweeps.sweeper.Judge(n.now, in.Target, rank, in.Holdings, n.presence) {
+		n.sweeps.counts.add(v.Reason)
+		n.do(CancelHolding{Target: in.Target, Kind: v.Holding.Kind, Name: v.Holding.Name, Reason: v.Reason})
+	}
+}
+
+// presence says what this host knows of the process that made a stream.
+func (n *Node) presence(s core.Stream) sweep.Presence {
+	if s.Home.Address == n.opts.Self.Address {
+		return n.ownPresence(s)
+	}
+	p := n.peers.ByCallersAddress(s.Home.Address)
+	switch {
+	case p == nil || !p.Alive(n.now):
+		return sweep.Unheard
+	case p.Last.Incarnation == s.Home.Incarnation:
+		return sweep.Alive
+	}
+	return sweep.Replaced
+}
+
+func (n *Node) ownPresence(s core.Stream) sweep.Presence {
+	if s.Home.Incarnation != n.opts.Self.Incarnation {
+		return sweep.Replaced
+	}
+	rec := n.active[s.Key]
+	switch {
+	case rec == nil:
+		return sweep.Forgotten
+	case rec.State == ledger.Dispatched && rec.Dispatches == s.Dispatch:
+		return sweep.Alive
+	case n.groups.claims[s.Key] != nil:
+		return sweep.Alive
+	}
+	return sweep.Forgotten
+}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -59,6 +59,10 @@
 	// bodyBytes is the sum of the bodies of active records.
 	bodyBytes int64
 
+	sweeps sweepState
+	groups groupState
+	orders orderState
+
 	draining      bool
 	stopped       bool
 	ready         bool
@@ -83,6 +87,9 @@
 		retries:       retry.New(),
 		rng:           rng,
 		active:        make(map[core.Key]*ledger.Record),
+		sweeps:        newSweepState(),
+		groups:        newGroupState(),
+		orders:        newOrderState(),
 		alive:         make(map[string]bool),
 		lastHeartbeat: -member.Interval,
 		platformHeard: never,
@@ -130,6 +137,8 @@
 		n.tick()
 	case Drain:
 		n.drain()
+	default:
+		n.applyEngineInput(in)
 	}
 }
 
@@ -140,6 +149,9 @@
 	n.ledger.Expire(n.now, func(rec *ledger.Record) { n.do(Drop{Key: rec.Request.Key}) })
 	n.heartbeat()
 	n.notePeers()
+	n.sweepTick()
+	n.groupsTick()
+	n.ordersTick()
 	n.pump()
 	n.stopWhenDrained()
 }
--- /dev/null
+++ b/internal/core/node/orders.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/order"
+	"carobshunt/internal/core/rendezvous"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/hostlist"
+)
+
+// ReadOrders asks an engine what it holds and which fencing number it has seen.
+type ReadOrders struct{ Target string }
+
+// OrdersRead is an engine's answer to a ReadOrders.
+type OrdersRead struct {
+	Target string
+	State  order.State
+}
+
+// SendOrder sends an order to an engine.
+type SendOrder struct {
+	Target string
+	Order  order.Order
+	// Deadline is checked again right before the first byte is written.
+	Deadline core.Time
+}
+
+// OrderEnding is what became of an order.
+type OrderEnding int
+
+// The endings of an order.
+const (
+	// OrderTaken: the engine took it.
+	OrderTaken OrderEnding = iota
+	// OrderRefused: the engine has seen a higher fencing number.
+	OrderRefused
+	// OrderLost: it is not known whether the engine took it.
+	OrderLost
+)
+
+// OrderEnded reports the end of a SendOrder.
+type OrderEnded struct {
+	Target string
+	Ending OrderEnding
+}
+
+func (ReadOrders) action() {}
+func (SendOrder) action()  {}
+func (OrdersRead) input()  {}
+func (OrderEnded) input()  {}
+
+// OrderCounts counts orders to engines.
+type OrderCounts struct {
+	Sent    uint64
+	Taken   uint64
+	Refused uint64
+	Lost    uint64
+	// Loads counts the orders that load a model; Paced those that were put off to keep the weight store's rate.
+	Loads uint64
+	Paced uint64
+	// Behind counts readings that showed a fencing number above this host's revision.
+	Behind uint64
+}
+
+// EventBehind reports an engine that has seen orders of a newer revision than the one in force here.
+const EventBehind Event = "engine has seen a newer revision"
+
+// orderInterval is the time between two readings of one engine by its commander.
+const orderInterval = 2 * time.Second
+
+// orderState is the part of the Node that orders engines.
+type orderState struct {
+	tenures map[string]*order.Tenure
+	pace    order.Pace
+	read    core.Time
+	// behind is the highest revision that an engine was heard to have seen.
+	behind uint64
+	counts OrderCounts
+}
+
+func newOrderState() orderState {
+	return orderState{tenures: make(map[string]*order.Tenure), read: -orderInterval}
+}
+
+// publishedEntries are the peer addresses of all entry hosts in the host list.
+func (n *Node) publishedEntries() []string {
+	var out []string
+	for _, host := range n.hosts.Hosts {
+		if host.Role == hostlist.RoleEntry {
+			out = append(out, host.Peer)
+		}
+	}
+	return out
+}
+
+// commanders are the live hosts that have a share of the weight store's rate.
+func (n *Node) commanders(rate int64) []string {
+	published := n.publishedEntries()
+	var out []string
+	for _, address := range n.liveHosts() {
+		if order.Share(rate, address, published) > 0 {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// ordersTick brings the rights to order up to date and reads the engines that this host commands.
+func (n *Node) ordersTick() {
+	if n.notReady() != "" {
+		return
+	}
+	rate := n.config.Document().Preset().WeightLoadsPerMinute
+	n.orders.pace.Set(n.now, order.Share(rate, n.opts.Peer, n.publishedEntries()))
+	commanders := n.commanders(rate)
+	due := n.now-n.orders.read >= orderInterval
+	if due {
+		n.orders.read = n.now
+	}
+	for _, t := range n.targets.All() {
+		if t.Role != hostlist.RoleEngine {
+			continue
+		}
+		first := !n.draining && rendezvous.Position("order "+t.Address, n.opts.Peer, commanders) == 0
+		n.tenure(t.Address).Step(n.now, first)
+		if due && n.mayOrder(t) {
+			n.do(ReadOrders{Target: t.Address})
+		}
+	}
+}
+
+func (n *Node) tenure(engine string) *order.Tenure {
+	t := n.orders.tenures[engine]
+	if t == nil {
+		t = &order.Tenure{}
+		n.orders.tenures[engine] = t
+	}
+	return t
+}
+
+// mayOrder tells whether this host commands the engine now and the document says something of it.
+func (n *Node) mayOrder(t *target.Target) bool {
+	if t.State != hostlist.StateLive {
+		return false
+	}
+	_, placed := order.Wanted(n.config.Document(), t.Address)
+	return placed && n.tenure(t.Address).May(n.now, t.ChecksFencing)
+}
+
+// ordersRead takes an engine's state and sends the next order, if this host may and there is one.
+func (n *Node) ordersRead(in OrdersRead) {
+	t := n.targets.Get(in.Target)
+	if t == nil || n.notReady() != "" || !n.mayOrder(t) {
+		return
+	}
+	revision := n.config.Revision()
+	if in.State.Highest.Revision > revision {
+		n.noteBehind(in)
+		return
+	}
+	wanted, _ := order.Wanted(n.config.Document(), t.Address)
+	next, loads, ok := order.Next(revision, wanted, in.State)
+	if !ok {
+		return
+	}
+	if loads {
+		if !n.orders.pace.Take(n.now) {
+			n.orders.counts.Paced++
+			return
+		}
+		n.orders.counts.Loads++
+	}
+	n.orders.counts.Sent++
+	n.do(SendOrder{Target: t.Address, Order: next, Deadline: n.now + order.SendWithin})
+}
+
+func (n *Node) noteBehind(in OrdersRead) {
+	n.orders.counts.Behind++
+	if in.State.Highest.Revision > n.orders.behind {
+		n.orders.behind = in.State.Highest.Revision
+		n.do(Note{Event: EventBehind, Text: fmt.Sprintf("revision %d seen by %s", n.orders.behind, in.Target)})
+	}
+}
+
+// orderEnded counts the end of an order and reads the engine back.
+func (n *Node) orderEnded(in OrderEnded) {
+	switch in.Ending {
+	case OrderTaken:
+		n.orders.counts.Taken++
+	case OrderRefused:
+		n.orders.counts.Refused++
+	case OrderLost:
+		n.orders.counts.Lost++
+	}
+	if t := n.targets.Get(in.Target); t != nil && n.notReady() == "" && n.mayOrder(t) {
+		n.do(ReadOrders{Target: in.Target})
+	}
+}
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -153,6 +153,9 @@
 	if !n.ledger.MayDispatch(n.now, rec) {
 		return false
 	}
+	if n.needsGroup(&rec.Request) {
+		return n.dispatchGroup(rec)
+	}
 	t := n.router.Pick(n.now, rec, n.targets.All())
 	if t == nil {
 		return false
@@ -205,6 +208,7 @@
 
 func (n *Node) dispatchEnded(in DispatchEnded) {
 	n.releaseTarget(in)
+	n.endDispatchGroup(in.Key, in.Dispatch)
 	rec := n.active[in.Key]
 	if rec == nil || rec.State != ledger.Dispatched || rec.Dispatches != in.Dispatch {
 		return
@@ -282,6 +286,7 @@
 	key := rec.Request.Key
 	delete(n.active, key)
 	n.queue.Remove(key)
+	n.endGroup(key)
 	n.bodyBytes -= rec.Request.BodyBytes
 	if result.Outcome == api.OutcomeNotRun {
 		n.refund(rec)
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -26,6 +26,10 @@
 	// TargetAddresses are the targets whose load is to be read.
 	TargetAddresses []string
 	Status          api.Status
+	// Sweeps, Groups and Orders are counters since the start.
+	Sweeps SweepCounts
+	Groups GroupCounts
+	Orders OrderCounts
 }
 
 // Snapshot copies the state.
@@ -41,6 +45,9 @@
 		Heartbeat:       n.ownHeartbeat(),
 		TargetAddresses: n.engineAddresses(),
 		Status:          n.status(),
+		Sweeps:          n.sweeps.counts,
+		Groups:          n.groupCounts(),
+		Orders:          n.orders.counts,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/dispatch"
+	"carobshunt/internal/engines"
 	"carobshunt/internal/gateway"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/operator"
@@ -80,6 +81,7 @@
 		exchanges:  exchanges,
 		dispatcher: dispatch.New(d.loop, dialer),
 		peers:      peer.NewPool(d.loop, dialer),
+		engines:    engines.New(d.loop, dialer),
 		log:        d.log,
 		stop:       stop,
 	}
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -8,6 +8,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/dispatch"
+	"carobshunt/internal/engines"
 	"carobshunt/internal/peer"
 	"carobshunt/internal/stream"
 
@@ -21,6 +22,7 @@
 	exchanges  *stream.Store
 	dispatcher *dispatch.Dispatcher
 	peers      *peer.Pool
+	engines    *engines.Client
 	log        hclog.Logger
 	stop       context.CancelFunc
 }
@@ -50,6 +52,8 @@
 		x.log.Info(string(a.Event), "detail", a.Text)
 	case node.Stop:
 		x.stop()
+	default:
+		x.executeEngine(action)
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"carobshunt/internal/core"
@@ -32,6 +33,9 @@
 	HeaderPriority     = "Priority"
 	HeaderBudget       = "Budget-Ms"
 	HeaderModel        = "Model"
+	// HeaderGroup lists the engines that run a stream together, HeaderReservation names what is held on each.
+	HeaderGroup       = "Group"
+	HeaderReservation = "Reservation-Name"
 )
 
 // Paths of the targets' protocol.
@@ -197,6 +201,10 @@
 		req.Header.Set(HeaderPrefix, request.Prefix)
 		req.Header.Set(HeaderPrefixTokens, strconv.FormatInt(request.PrefixTokens, 10))
 	}
+	if len(r.order.Group) > 0 {
+		req.Header.Set(HeaderGroup, strings.Join(r.order.Group, ","))
+		req.Header.Set(HeaderReservation, r.order.Reservation.Name())
+	}
 	return req, nil
 }
 
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -173,6 +173,10 @@
 		for _, t := range h.world.Targets {
 			t.Abort(h.world, h, a)
 		}
+	case node.Reserve, node.Release, node.ListMemory, node.CancelHolding:
+		h.executeMemory(a)
+	case node.ReadOrders, node.SendOrder:
+		h.executeOrder(a)
 	case node.Finish:
 		if h.Finished != nil {
 			h.Finished(a)
