Reference model engine in virtual time

Change: internal/model has iterations, priorities, KV memory with preemption, prefix cache, late and lossy cache events, cancel, resume, export, import and groups. Ruled out: one event per token (the iteration is the only event, so ten minutes of 20 engines stay cheap).

--- /dev/null
+++ b/internal/model/iteration.go
@@ -0,0 +1,123 @@
+package model
+
+import "time"
+
+// step is one stream's part in an iteration.
+type step struct {
+	stream *stream
+	// chunk is the number of prompt tokens to prefill; 0 for a decode step.
+	chunk int64
+}
+
+// wake starts the next iteration unless one is running.
+func (e *Engine) wake() {
+	if e.busy || e.dead {
+		return
+	}
+	steps, duration := e.plan()
+	if len(steps) == 0 {
+		return
+	}
+	e.busy = true
+	e.clock.At(e.clock.Now()+duration, func() {
+		e.busy = false
+		if e.dead {
+			return
+		}
+		e.complete(steps)
+		e.wake()
+	})
+}
+
+// plan chooses the streams of the next iteration in order of rank. A stream that waits for memory keeps those
+// behind it from taking memory first.
+func (e *Engine) plan() ([]step, time.Duration) {
+	var steps []step
+	budget := e.params.IterationPrefillTokens
+	work := 0.0
+	blocked := false
+	for _, s := range e.streams {
+		if len(steps) == e.params.IterationStreams {
+			break
+		}
+		if !s.resident && budget > 0 && !blocked {
+			blocked = !e.admit(s)
+		}
+		if !s.resident || s.waitsForGroup() {
+			continue
+		}
+		chunk := min(budget, s.spec.PromptTokens-s.position)
+		if s.position < s.spec.PromptTokens && chunk == 0 {
+			continue
+		}
+		budget -= chunk
+		work += e.work(s, chunk)
+		steps = append(steps, step{stream: s, chunk: chunk})
+	}
+	return steps, e.params.Iteration(len(steps), work)
+}
+
+func (e *Engine) work(s *stream, chunk int64) float64 {
+	from := float64(s.position) * s.spec.Scale
+	mean := from + float64(chunk)*s.spec.Scale/2
+	return float64(chunk) * (1 + mean/e.params.PositionWeightTokens)
+}
+
+func (e *Engine) complete(steps []step) {
+	for _, st := range steps {
+		s := st.stream
+		if s.gone || !s.resident {
+			continue
+		}
+		s.position += st.chunk
+		if st.chunk > 0 {
+			e.cachePrefix(s)
+		}
+		switch {
+		case s.position < s.spec.PromptTokens:
+		case s.group == nil:
+			e.token(s)
+		default:
+			e.groupToken(s)
+		}
+	}
+}
+
+// groupToken writes the next token of a group, or wakes its first member when this part was the last to be ready.
+func (e *Engine) groupToken(s *stream) {
+	switch {
+	case !s.group.ready():
+	case s == s.group.parts[0]:
+		e.token(s)
+	default:
+		s.group.members[0].wake()
+	}
+}
+
+// token writes the next answer token; the prompt's last prefill step writes the first.
+func (e *Engine) token(s *stream) {
+	s.answered++
+	if s.answered > s.told {
+		s.told = s.answered
+		e.tell(s)
+	}
+	if s.answered >= s.spec.AnswerTokens {
+		e.remove(s)
+		if s.listener.Ended != nil {
+			s.listener.Ended()
+		}
+		return
+	}
+	e.grow(s)
+}
+
+func (e *Engine) tell(s *stream) {
+	now := e.clock.Now()
+	if s.told == 1 && s.listener.First != nil {
+		s.listener.First()
+	}
+	if s.told > 1 && s.listener.Gap != nil {
+		s.listener.Gap(now - s.lastToken)
+	}
+	s.lastToken = now
+}
--- /dev/null
+++ b/internal/model/params.go
@@ -0,0 +1,92 @@
+// Package model is the reference model engine in virtual time: continuous batching, prefill and decode rates, KV
+// memory with preemption and a prefix cache, priorities, cancel, resume, export and import, lagging load reports and
+// lossy cache events. It is a fake at the interface between entry hosts and engines; the same seed gives the same run.
+package model
+
+import "time"
+
+// Params are the engine's rates and limits.
+type Params struct {
+	// IterationBase is the fixed time of an iteration, IterationPerStream is added for each stream in it.
+	IterationBase      time.Duration
+	IterationPerStream time.Duration
+	// PrefillTokensPerSecond is the prefill rate of tokens of weight 1. A token's weight is
+	// 1 + position / PositionWeightTokens.
+	PrefillTokensPerSecond float64
+	PositionWeightTokens   float64
+	// IterationPrefillTokens and IterationStreams bound one iteration.
+	IterationPrefillTokens int64
+	IterationStreams       int
+	// MemoryTokens is the KV memory, in tokens.
+	MemoryTokens int64
+	// TransferTokensPerSecond is the rate of KV export and import.
+	TransferTokensPerSecond float64
+	// ReportInterval and ReportLag are the time between load reports and how late they arrive.
+	ReportInterval time.Duration
+	ReportLag      time.Duration
+	// EventLagMin and EventLagMax bound how late cache events arrive; EventLossPercent of them never do.
+	EventLagMin      time.Duration
+	EventLagMax      time.Duration
+	EventLossPercent int64
+	// GroupEfficiency is the share of the members' memory and prefill rate that a group of engines keeps.
+	GroupEfficiency float64
+}
+
+// Reference returns the parameters of the reference engine.
+func Reference() Params {
+	return Params{
+		IterationBase:           15 * time.Millisecond,
+		IterationPerStream:      200 * time.Microsecond,
+		PrefillTokensPerSecond:  20_000,
+		PositionWeightTokens:    200_000,
+		IterationPrefillTokens:  512,
+		IterationStreams:        256,
+		MemoryTokens:            450_000,
+		TransferTokensPerSecond: 200_000,
+		ReportInterval:          500 * time.Millisecond,
+		ReportLag:               time.Second,
+		EventLagMin:             500 * time.Millisecond,
+		EventLagMax:             3 * time.Second,
+		EventLossPercent:        5,
+		GroupEfficiency:         0.8,
+	}
+}
+
+// Work returns the weighted prefill work of the tokens at positions from to to, in tokens of weight 1.
+func (p Params) Work(from, to int64) float64 {
+	tokens := float64(to - from)
+	return tokens + tokens*float64(from+to)/2/p.PositionWeightTokens
+}
+
+// Iteration returns the length of an iteration with that many streams and that much prefill work.
+func (p Params) Iteration(streams int, work float64) time.Duration {
+	prefill := time.Duration(work / p.PrefillTokensPerSecond * float64(time.Second))
+	return p.IterationBase + time.Duration(streams)*p.IterationPerStream + prefill
+}
+
+// Alone returns the times to the first token and to the last on an engine that does nothing else, for a prompt of
+// which the first cached tokens need no prefill.
+func (p Params) Alone(prompt, cached, answer int64) (first, total time.Duration) {
+	for at := cached; at < prompt; {
+		next := min(at+p.IterationPrefillTokens, prompt)
+		first += p.Iteration(1, p.Work(at, next))
+		at = next
+	}
+	return first, first + time.Duration(answer-1)*p.Iteration(1, 0)
+}
+
+// Members returns how many engines a request needs for its KV memory.
+func (p Params) Members(prompt, answer int64) int {
+	if prompt+answer <= p.MemoryTokens {
+		return 1
+	}
+	n := 2
+	for float64(prompt+answer) > float64(n)*float64(p.MemoryTokens)*p.GroupEfficiency {
+		n++
+	}
+	return n
+}
+
+func (p Params) transfer(tokens int64) time.Duration {
+	return time.Duration(float64(tokens) / p.TransferTokensPerSecond * float64(time.Second))
+}
