Traces, generator and replay in virtual time, with the first baselines

Cause: no policy could be compared with another on the same traffic. Change: internal/trace (JSON lines, seeded generator of the reference mix, capacity by formula), internal/replay (Nodes on internal/virtual before model engines, reports by band, class and team, stated outcomes), carobctl replay and trace. Round robin and fewest in flight stand beside the present policy, which is kept as pending-tokens.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -33,6 +33,8 @@
 	BodyBytes int64
 	// Seed feeds the tie breaks and jitters.
 	Seed uint64
+	// Policy is how requests are queued and placed; the zero value is the one in force.
+	Policy Policy
 }
 
 // Node is the control state of one entry host. It is not safe for concurrent use.
@@ -74,7 +76,7 @@
 		targets:       target.NewTable(),
 		ledger:        ledger.NewLedger(opts.Records),
 		queue:         queue.New(),
-		router:        route.New(rng),
+		router:        newRouter(opts.Policy, rng),
 		rng:           rng,
 		active:        make(map[core.Key]*ledger.Record),
 		alive:         make(map[string]bool),
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -27,6 +27,8 @@
 	filters []Filter
 	scorers []Scorer
 	rng     *rand.Rand
+	// tie is the cost difference below which two targets count as equal.
+	tie float64
 }
 
 // New returns the router in force; rng breaks ties and must be seeded by the caller.
@@ -35,9 +37,26 @@
 		filters: []Filter{eligibleFilter{}, modelFilter{}, inFlightFilter{limit: maxInFlight}},
 		scorers: []Scorer{pendingTokensScorer{}},
 		rng:     rng,
+		tie:     nearTie,
 	}
 }
 
+// NewFewestInFlight returns a baseline: the target with the fewest dispatches of this host.
+func NewFewestInFlight(rng *rand.Rand) *Router {
+	r := New(rng)
+	r.scorers = []Scorer{inFlightScorer{}}
+	r.tie = 0
+	return r
+}
+
+// NewRoundRobin returns a baseline: the targets in turn.
+func NewRoundRobin(rng *rand.Rand) *Router {
+	r := New(rng)
+	r.scorers = []Scorer{&turnScorer{}}
+	r.tie = 0
+	return r
+}
+
 // maxInFlight is how many dispatches of this host one target may hold.
 const maxInFlight = 64
 
@@ -54,9 +73,9 @@
 		}
 		cost := r.cost(now, rec, t)
 		switch {
-		case len(best) == 0 || cost < bestCost-nearTie:
+		case len(best) == 0 || cost < bestCost-r.tie:
 			best, bestCost = append(best[:0], t), cost
-		case cost <= bestCost+nearTie:
+		case cost <= bestCost+r.tie:
 			best = append(best, t)
 			bestCost = min(bestCost, cost)
 		}
@@ -64,7 +83,13 @@
 	if len(best) == 0 {
 		return nil
 	}
-	return best[r.rng.IntN(len(best))]
+	picked := best[r.rng.IntN(len(best))]
+	for _, s := range r.scorers {
+		if observer, ok := s.(pickObserver); ok {
+			observer.Picked(picked)
+		}
+	}
+	return picked
 }
 
 func (r *Router) keep(now core.Time, rec *ledger.Record, t *target.Target) bool {
@@ -112,3 +137,34 @@
 func (pendingTokensScorer) Score(_ core.Time, _ *ledger.Record, t *target.Target) float64 {
 	return float64(max(t.PendingTokens(), t.Report.QueuedTokens)) + float64(t.InFlight())
 }
+
+// pickObserver is a scorer that follows what is picked.
+type pickObserver interface{ Picked(t *target.Target) }
+
+// inFlightScorer counts this host's dispatches at the target.
+type inFlightScorer struct{}
+
+// Score implements Scorer.
+func (inFlightScorer) Score(_ core.Time, _ *ledger.Record, t *target.Target) float64 {
+	return float64(t.InFlight())
+}
+
+// turnScorer prefers the target whose last turn is the longest ago.
+type turnScorer struct {
+	turn uint64
+	last map[string]uint64
+}
+
+// Score implements Scorer.
+func (s *turnScorer) Score(_ core.Time, _ *ledger.Record, t *target.Target) float64 {
+	return float64(s.last[t.Address])
+}
+
+// Picked implements pickObserver.
+func (s *turnScorer) Picked(t *target.Target) {
+	if s.last == nil {
+		s.last = make(map[string]uint64)
+	}
+	s.turn++
+	s.last[t.Address] = s.turn
+}
--- /dev/null
+++ b/internal/ctl/replay_trace.go
@@ -0,0 +1,69 @@
+package ctl
+
+import (
+	"io"
+	"time"
+
+	"carobshunt/internal/trace"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+// recipeFlags are the flags that say what trace to generate.
+type recipeFlags struct {
+	scenario string
+	user     string
+	percent  float64
+	scale    string
+	length   time.Duration
+}
+
+const defaultTraceLength = 10 * time.Minute
+
+func (f *recipeFlags) register(flags *pflag.FlagSet) {
+	flags.StringVar(&f.scenario, "scenario", "", "scenario of the generated trace: ordinary, burst, rush, route-notes, contracts, "+
+		"engine-dies, host-dies or zone-cut")
+	flags.StringVar(&f.user, "user", "sk-west", "deployment of the generated trace")
+	flags.Float64Var(&f.percent, "percent", 85, "steady load of the generated trace, as a percentage of the capacity")
+	flags.StringVar(&f.scale, "of", string(trace.OfAttainable), "capacity that --percent is a share of: reference or attainable")
+	flags.DurationVar(&f.length, "length", defaultTraceLength, "length of the generated trace")
+}
+
+func (f *recipeFlags) generate(seed uint64) (*trace.Trace, error) {
+	t, err := trace.Generate(trace.Recipe{
+		Scenario:   trace.Scenario(f.scenario),
+		Deployment: f.user,
+		Seed:       seed,
+		Percent:    f.percent,
+		Scale:      trace.Scale(f.scale),
+		Length:     f.length,
+	})
+	var unknown *trace.RecipeError
+	if errors.As(err, &unknown) {
+		return nil, &StatusError{Status: ExitInvalid, Reason: unknown.Error()}
+	}
+	return t, errors.Trace(err)
+}
+
+func newTrace(out io.Writer) *cobra.Command {
+	f := &recipeFlags{}
+	seed := uint64(1)
+	cmd := &cobra.Command{
+		Use:   "trace",
+		Short: "Generate a trace as JSON lines",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			t, err := f.generate(seed)
+			if err != nil {
+				return err
+			}
+			return t.Write(out)
+		},
+	}
+	f.register(cmd.Flags())
+	cmd.Flags().Uint64Var(&seed, "seed", seed, "seed of the trace")
+	_ = cmd.MarkFlagRequired("scenario")
+	return cmd
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -68,6 +68,6 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	cmd.AddCommand(newSubmit(out), newLookup(out))
+	cmd.AddCommand(newSubmit(out), newLookup(out), newReplay(out), newTrace(out))
 	return cmd
 }
--- /dev/null
+++ b/internal/replay/faults.go
@@ -0,0 +1,85 @@
+package replay
+
+import (
+	"encoding/json"
+	"time"
+
+	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/trace"
+	"carobshunt/internal/virtual"
+)
+
+func (r *run) addFaults() error {
+	for _, f := range r.opts.Trace.Faults {
+		act := r.faultAction(f)
+		if act == nil {
+			return &FaultError{Fault: f}
+		}
+		r.world.At(warmup+time.Duration(f.AtMs)*time.Millisecond, act)
+	}
+	return nil
+}
+
+// faultAction returns what carries out a fault, or nil when its subject is not there.
+func (r *run) faultAction(f trace.Fault) func() {
+	switch f.Kind {
+	case trace.KillEngine:
+		if t := r.engines[f.Subject]; t != nil {
+			return func() { t.kill(r.world) }
+		}
+	case trace.KillHost:
+		if h := r.hostAt(f.Subject); h != nil {
+			return func() { r.killHost(h) }
+		}
+	case trace.StartHost:
+		if h := r.hostAt(f.Subject); h != nil {
+			return func() {
+				h.Start()
+				r.tell(h)
+			}
+		}
+	case trace.CutZone:
+		return func() { r.cutZone = f.Subject }
+	case trace.HealZone:
+		return func() { r.cutZone = "" }
+	case trace.SetPreset:
+		if _, ok := r.doc.Presets[f.Subject]; ok {
+			return func() { r.publishPreset(f.Subject) }
+		}
+	case trace.LostConnection:
+		return r.loseConnection(f.Subject)
+	}
+	return nil
+}
+
+func (r *run) hostAt(address string) *virtual.Host {
+	for _, h := range r.hosts {
+		if h.Self().Address == address {
+			return h
+		}
+	}
+	return nil
+}
+
+// killHost ends a host's process. Its connections to engines and callers break.
+func (r *run) killHost(h *virtual.Host) {
+	h.Kill()
+	for _, t := range r.order {
+		t.hostDied(h)
+	}
+	r.connectionsBroke(h)
+}
+
+func (r *run) publishPreset(name string) {
+	r.doc.Revision++
+	r.doc.Active = name
+	raw, err := json.Marshal(r.doc)
+	if err != nil {
+		return
+	}
+	r.opts.Document = raw
+	for _, h := range r.hosts {
+		h.Post(node.DocumentHeard{Raw: raw, Source: conf.SourcePlatform})
+	}
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,68 @@
+package replay_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/hostlist"
+	"carobshunt/internal/replay"
+	"carobshunt/internal/trace"
+
+	"gotest.tools/v3/assert"
+)
+
+// deployed returns the options for a trace on the checked settings of its deployment.
+func deployed(t *testing.T, tr *trace.Trace, seed uint64) replay.Options {
+	t.Helper()
+	dir := filepath.Join("..", "..", "deploy", tr.Header.Deployment)
+	document, err := os.ReadFile(filepath.Join(dir, "config.json"))
+	assert.NilError(t, err)
+	raw, err := os.ReadFile(filepath.Join(dir, "hosts.json"))
+	assert.NilError(t, err)
+	hosts, err := hostlist.Parse(raw)
+	assert.NilError(t, err)
+	return replay.Options{Trace: tr, Hosts: hosts, Document: document, Seed: seed}
+}
+
+func generate(t *testing.T, recipe trace.Recipe) *trace.Trace {
+	t.Helper()
+	tr, err := trace.Generate(recipe)
+	assert.NilError(t, err)
+	return tr
+}
+
+func run(t *testing.T, opts replay.Options) *replay.Report {
+	t.Helper()
+	report, err := replay.Run(opts)
+	assert.NilError(t, err)
+	return report
+}
+
+func ordinary(s trace.Scenario) trace.Recipe {
+	return trace.Recipe{
+		Scenario: s, Deployment: "sk-west", Seed: 1, Percent: 85, Scale: trace.OfAttainable, Length: 2 * time.Minute,
+	}
+}
+
+func TestSameSeedGivesTheSameReportForEveryPolicy(t *testing.T) {
+	tr := generate(t, ordinary(trace.HostDies))
+	for _, policy := range node.Policies() {
+		opts := deployed(t, tr, 3)
+		opts.Policy = policy
+		assert.DeepEqual(t, run(t, opts), run(t, opts))
+	}
+}
+
+func TestEveryRequestOfEveryScenarioHasAnOutcomeAndNoOrderArrivesTwice(t *testing.T) {
+	for _, s := range trace.Scenarios() {
+		r := ordinary(s)
+		r.Length = time.Minute
+		report := run(t, deployed(t, generate(t, r), 1))
+		all := report.Group(replay.KindAll, "all")
+		assert.Equal(t, all.Done+all.Failed+all.NotRun+all.Unknown, all.Requests, "%s", s)
+		assert.Equal(t, len(report.Broken), 0, "%s: %v", s, report.Broken)
+	}
+}
--- /dev/null
+++ b/internal/replay/run.go
@@ -0,0 +1,165 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+	"carobshunt/internal/model"
+	"carobshunt/internal/trace"
+	"carobshunt/internal/virtual"
+
+	"github.com/juju/errors"
+)
+
+// run is one replay under way.
+type run struct {
+	opts    Options
+	params  model.Params
+	world   *virtual.World
+	rng     *rand.Rand
+	doc     *document.Document
+	engines map[string]*engineTarget
+	order   []*engineTarget
+	hosts   []*virtual.Host
+	zones   map[*virtual.Host]string
+	cutZone string
+	calls   []*call
+	byKey   map[core.Key]*call
+	open    int
+	gaps    *gapTally
+}
+
+// Run replays a trace and returns the report.
+func Run(opts Options) (*Report, error) {
+	r := &run{
+		opts:    opts,
+		params:  opts.engine(),
+		rng:     rand.New(rand.NewPCG(opts.Seed, 0x72756e)),
+		engines: make(map[string]*engineTarget),
+		zones:   make(map[*virtual.Host]string),
+		byKey:   make(map[core.Key]*call),
+		gaps:    newGapTally(),
+	}
+	doc, err := document.Parse(opts.Document)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	r.doc = doc
+	r.world = virtual.New(r)
+	r.addTargets()
+	r.addHosts()
+	r.addCalls()
+	if err := r.addFaults(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	r.runWorld()
+	return r.report(), nil
+}
+
+// warmup is the time before the trace begins, in which hosts hear the platform and each other.
+const warmup = time.Second
+
+func (r *run) runWorld() {
+	end := warmup + opts(r).Length()
+	r.world.Run(end)
+	for r.open > 0 && r.world.Now() < end+maxDrain {
+		r.world.Run(r.world.Now() + time.Second)
+	}
+}
+
+func opts(r *run) *trace.Header { return &r.opts.Trace.Header }
+
+// Delay implements virtual.Network.
+func (r *run) Delay(_ virtual.Time, from, to string) (time.Duration, bool) {
+	a, b := r.world.HostAt(from), r.world.HostAt(to)
+	if a == nil || b == nil || r.cut(r.zones[a], r.zones[b]) {
+		return 0, false
+	}
+	return hopTime, true
+}
+
+// cut tells whether nothing passes between two zones now.
+func (r *run) cut(a, b string) bool {
+	return r.cutZone != "" && a != b && (a == r.cutZone || b == r.cutZone)
+}
+
+func (r *run) zoneOf(h *virtual.Host) string { return r.zones[h] }
+
+func (r *run) addTargets() {
+	for i, host := range r.opts.Hosts.Hosts {
+		switch host.Role {
+		case hostlist.RoleEngine:
+			r.addEngine(host, uint64(i))
+		case hostlist.RoleService:
+			r.world.Targets[host.Address] = &serviceTarget{run: r, address: host.Address, zone: host.Zone}
+		}
+	}
+}
+
+func (r *run) addEngine(host hostlist.Host, serial uint64) {
+	t := &engineTarget{run: r, address: host.Address, zone: host.Zone}
+	t.engine = model.New(r.world, r.params, r.opts.Seed*1000+serial)
+	r.engines[host.Address] = t
+	r.order = append(r.order, t)
+	r.world.Targets[host.Address] = t
+	t.report(r.world)
+}
+
+// Limits of an entry host in a replay.
+const (
+	recordsPerHost = 200_000
+	bodyBytes      = 1 << 40
+)
+
+func (r *run) addHosts() {
+	var peers []string
+	for _, host := range r.opts.Hosts.Hosts {
+		if host.Role == hostlist.RoleEntry {
+			peers = append(peers, host.Peer)
+		}
+	}
+	for i, host := range r.opts.Hosts.Hosts {
+		full := r.opts.EntryHosts > 0 && len(r.hosts) >= r.opts.EntryHosts
+		if host.Role == hostlist.RoleEntry && !full {
+			r.addHost(host, peers, uint64(i))
+		}
+	}
+}
+
+func (r *run) addHost(host hostlist.Host, peers []string, serial uint64) {
+	h := r.world.AddHost(node.Options{
+		Self:      core.Home{Address: host.Address},
+		Peer:      host.Peer,
+		Zone:      host.Zone,
+		Seeds:     peers,
+		Records:   recordsPerHost,
+		BodyBytes: bodyBytes,
+		Seed:      r.opts.Seed*100 + serial,
+		Policy:    r.opts.Policy,
+	})
+	h.Finished = func(f node.Finish) { r.finished(h, f) }
+	r.zones[h] = host.Zone
+	r.hosts = append(r.hosts, h)
+	r.tell(h)
+}
+
+// tell gives a host what the platform publishes.
+func (r *run) tell(h *virtual.Host) {
+	h.Post(node.PlatformAnswered{})
+	h.Post(node.DocumentHeard{Raw: r.opts.Document, Source: conf.SourcePlatform})
+	h.Post(node.HostsHeard{List: r.opts.Hosts, Source: conf.SourcePlatform})
+}
+
+// FaultError reports a fault in a trace that can't be carried out.
+type FaultError struct{ Fault trace.Fault }
+
+// Error implements error.
+func (e *FaultError) Error() string {
+	return fmt.Sprintf("can't carry out %s of %q", e.Fault.Kind, e.Fault.Subject)
+}
--- /dev/null
+++ b/internal/replay/summary.go
@@ -0,0 +1,120 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/trace"
+)
+
+// Summary collects runs of several policies and seeds; it prints the worst and the mean over the seeds.
+type Summary struct{ rows []*summaryRow }
+
+type summaryRow struct {
+	policy node.Policy
+	runs   []*Report
+}
+
+// Add takes one run.
+func (s *Summary) Add(r *Report) {
+	for _, row := range s.rows {
+		if row.policy == r.Policy {
+			row.runs = append(row.runs, r)
+			return
+		}
+	}
+	s.rows = append(s.rows, &summaryRow{policy: r.Policy, runs: []*Report{r}})
+}
+
+// summaryColumn is one figure of a summary.
+type summaryColumn struct {
+	title string
+	of    func(r *Report) float64
+}
+
+func summaryColumns() []summaryColumn {
+	bands := trace.Bands()
+	short, middle, long := bands[0].Name, bands[1].Name, bands[2].Name
+	band := func(name string) func(r *Report) Figures {
+		return func(r *Report) Figures { return r.Group(KindBand, name) }
+	}
+	donePercent := func(f Figures) float64 {
+		if f.Requests == 0 {
+			return 0
+		}
+		return percent * float64(f.Done) / float64(f.Requests)
+	}
+	s, m, l := band(short), band(middle), band(long)
+	return []summaryColumn{
+		{"short first p95 ms", func(r *Report) float64 { return s(r).FirstMs.P95 }},
+		{"short gap p95 ms", func(r *Report) float64 { return s(r).GapMs.P95 }},
+		{"all gap p95 ms", func(r *Report) float64 { return r.Group(KindAll, string(KindAll)).GapMs.P95 }},
+		{"short slowdown p95", func(r *Report) float64 { return s(r).Slowdown.P95 }},
+		{"short done %", func(r *Report) float64 { return donePercent(s(r)) }},
+		{"middle done %", func(r *Report) float64 { return donePercent(m(r)) }},
+		{"long done %", func(r *Report) float64 { return donePercent(l(r)) }},
+		{"short late", func(r *Report) float64 { return float64(s(r).Late) }},
+		{"middle late", func(r *Report) float64 { return float64(m(r).Late) }},
+		{"long late", func(r *Report) float64 { return float64(l(r).Late) }},
+		{"middle first p95 ms", func(r *Report) float64 { return m(r).FirstMs.P95 }},
+		{"long first p95 s", func(r *Report) float64 { return l(r).FirstMs.P95 / 1000 }},
+		{"attempts", func(r *Report) float64 { return r.Group(KindAll, string(KindAll)).Attempts }},
+		{"done/s", func(r *Report) float64 { return r.Group(KindAll, string(KindAll)).Goodput }},
+		{"worst seconds outside", func(r *Report) float64 { return r.SecondsOutside() }},
+	}
+}
+
+// SecondsOutside is the longest stretch in which fewer than 95 in 100 short prompts had their first token in time.
+func (r *Report) SecondsOutside() float64 {
+	longest, now := 0.0, 0.0
+	for _, w := range r.Windows {
+		if w.Requests == 0 || w.Within >= withinTarget {
+			now = 0
+			continue
+		}
+		now += windowLength.Seconds()
+		longest = max(longest, now)
+	}
+	return longest
+}
+
+const withinTarget = 95
+
+// WriteTable prints one line for each figure and one column for each policy: the mean and the worst over the seeds.
+func (s *Summary) WriteTable(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, tablePadding, ' ', 0)
+	if len(s.rows) > 0 {
+		first := s.rows[0].runs[0]
+		_, _ = fmt.Fprintf(out, "%s, %s, %d seeds, mean (least to most)\n", first.Title, first.Deployment, len(s.rows[0].runs))
+	}
+	_, _ = fmt.Fprint(w, "figure")
+	for _, row := range s.rows {
+		name := string(row.policy)
+		if name == "" {
+			name = "in force"
+		}
+		_, _ = fmt.Fprintf(w, "\t%s", name)
+	}
+	_, _ = fmt.Fprintln(w)
+	for _, column := range summaryColumns() {
+		_, _ = fmt.Fprint(w, column.title)
+		for _, row := range s.rows {
+			_, _ = fmt.Fprintf(w, "\t%s", row.spread(column))
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
+func (row *summaryRow) spread(column summaryColumn) string {
+	sum := 0.0
+	least, most := column.of(row.runs[0]), column.of(row.runs[0])
+	for _, r := range row.runs {
+		v := column.of(r)
+		sum += v
+		least, most = min(least, v), max(most, v)
+	}
+	return fmt.Sprintf("%.1f (%.1f-%.1f)", sum/float64(len(row.runs)), least, most)
+}
--- /dev/null
+++ b/internal/replay/windows.go
@@ -0,0 +1,59 @@
+package replay
+
+import (
+	"time"
+
+	"carobshunt/internal/trace"
+)
+
+const (
+	windowLength = 5 * time.Second
+	// firstTokenTarget is the target for the first token of the shortest band.
+	firstTokenTarget = 750 * time.Millisecond
+	percent          = 100
+)
+
+// windows follows the first tokens of the shortest band over the time of arrival.
+func (r *run) windows() []Window {
+	n := int(r.opts.Trace.Header.Length()/windowLength) + 1
+	tallies := make([]*tally, n)
+	within := make([]int, n)
+	out := make([]Window, n)
+	for i := range out {
+		out[i].FromMs = (time.Duration(i) * windowLength).Milliseconds()
+		tallies[i] = newTally()
+	}
+	for _, c := range r.calls {
+		if c.band != trace.Bands()[0].Name {
+			continue
+		}
+		r.addToWindow(c, out, tallies, within)
+	}
+	for i := range out {
+		out[i].FirstP95 = tallies[i].quantiles().P95
+		if out[i].Requests > 0 {
+			out[i].Within = percent * float64(within[i]) / float64(out[i].Requests)
+		}
+	}
+	return out
+}
+
+// addToWindow counts a call; one that was refused at once is no late answer and is left out.
+func (r *run) addToWindow(c *call, out []Window, tallies []*tally, within []int) {
+	i := int((c.started - warmup) / windowLength)
+	if c.ended == c.decided || i >= len(out) {
+		return
+	}
+	out[i].Requests++
+	if c.outcome == "done" {
+		out[i].Done++
+	}
+	if c.first == 0 {
+		return
+	}
+	first := c.first - c.started
+	tallies[i].add(milliseconds(first))
+	if first <= firstTokenTarget {
+		within[i]++
+	}
+}
--- /dev/null
+++ b/internal/trace/generate.go
@@ -0,0 +1,184 @@
+package trace
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"carobshunt/internal/model"
+)
+
+// User is what the generator needs to know of a deployment.
+type User struct {
+	Name  string
+	Teams []string
+	Model string
+	// Orders names the plain service whose calls may not be repeated, Lookups the one whose calls may.
+	Orders, Lookups string
+	Engines         int
+}
+
+// Users returns the two deployments; the first three teams are the large ones.
+func Users() []User {
+	return []User{
+		{
+			Name: "sk-west", Model: "newsroom", Orders: "notices", Lookups: "schedule", Engines: 20,
+			Teams: []string{
+				"bratislava", "kosice", "zilina", "nitra", "trnava", "presov", "trencin", "banska-bystrica", "archive",
+				"schedule-desk",
+			},
+		},
+		{
+			Name: "etela-suomi", Model: "answers", Orders: "orders", Lookups: "stock", Engines: 20,
+			Teams: []string{
+				"handsets", "portal", "dispatch-desk", "contracts", "route-notes", "billing", "returns", "warehouse",
+				"night-shift", "quality",
+			},
+		},
+	}
+}
+
+// Parts of the mix.
+const (
+	largeTeams       = 3
+	largeTeamPercent = 70
+	// documentsPerTeam is how many shared beginnings a team's prompts above 4,000 tokens have.
+	documentsPerTeam = 3
+	serviceTokens    = 100
+	serviceBudget    = 10 * time.Second
+)
+
+// Phase is a stretch of a generated trace with a steady load.
+type Phase struct {
+	Length time.Duration
+	// Rate is the number of requests to model engines per second.
+	Rate float64
+	// Bands replaces the reference mix where it is set.
+	Bands []Band
+}
+
+// Generator makes traces. The same seed makes the same trace.
+type Generator struct {
+	user   User
+	rng    *rand.Rand
+	trace  *Trace
+	serial int
+}
+
+// NewGenerator returns a generator for a user.
+func NewGenerator(user User, seed uint64) *Generator {
+	g := &Generator{user: user, rng: rand.New(rand.NewPCG(seed, 0x7472))}
+	g.trace = &Trace{Header: Header{Format: formatVersion, Deployment: user.Name, Generated: true, Seed: seed}}
+	return g
+}
+
+// Run makes a trace of phases, one after the other.
+func (g *Generator) Run(name, title string, phases ...Phase) *Trace {
+	g.trace.Header.Generator = name
+	g.trace.Header.Title = title
+	at := time.Duration(0)
+	for _, p := range phases {
+		g.phase(at, p)
+		at += p.Length
+	}
+	g.trace.Header.LengthMs = at.Milliseconds()
+	slices.SortStableFunc(g.trace.Requests, func(a, b Request) int { return cmp.Compare(a.AtMs, b.AtMs) })
+	return g.trace
+}
+
+// phase adds Poisson arrivals, of which one in ten is a call to a plain service.
+func (g *Generator) phase(start time.Duration, p Phase) {
+	if p.Rate <= 0 {
+		return
+	}
+	rate := p.Rate / (1 - servicePercent/100.0)
+	bands := p.Bands
+	if bands == nil {
+		bands = Bands()
+	}
+	for at := g.gap(rate); at < p.Length; at += g.gap(rate) {
+		if g.rng.Float64() < servicePercent/100.0 {
+			g.add(g.serviceCall(start + at))
+			continue
+		}
+		g.add(g.prompt(start+at, g.pick(bands)))
+	}
+}
+
+func (g *Generator) gap(rate float64) time.Duration {
+	return time.Duration(g.rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+func (g *Generator) add(r Request) {
+	g.serial++
+	r.ID = fmt.Sprintf("r%07d", g.serial)
+	g.trace.Requests = append(g.trace.Requests, r)
+}
+
+func (g *Generator) pick(bands []Band) Band {
+	total := 0.0
+	for _, b := range bands {
+		total += b.Percent
+	}
+	at := g.rng.Float64() * total
+	for _, b := range bands {
+		if at < b.Percent {
+			return b
+		}
+		at -= b.Percent
+	}
+	return bands[len(bands)-1]
+}
+
+func (g *Generator) logUniform(from, to float64) float64 {
+	return from * math.Exp(g.rng.Float64()*math.Log(to/from))
+}
+
+func (g *Generator) team() string {
+	if g.rng.IntN(100) < largeTeamPercent {
+		return g.user.Teams[g.rng.IntN(largeTeams)]
+	}
+	return g.user.Teams[largeTeams+g.rng.IntN(len(g.user.Teams)-largeTeams)]
+}
+
+func (g *Generator) prompt(at time.Duration, b Band) Request {
+	tokens := int64(g.logUniform(b.From, b.To))
+	r := Request{
+		AtMs:         at.Milliseconds(),
+		Team:         g.team(),
+		Model:        g.user.Model,
+		PromptTokens: max(tokens, 1),
+		AnswerTokens: int64(g.logUniform(minAnswerTokens, maxAnswerTokens)),
+		Idempotent:   true,
+		BudgetMs:     b.Budget.Milliseconds(),
+	}
+	if b.Shared > 0 {
+		r.Prefix = fmt.Sprintf("%s-%s-%d", r.Team, b.Name, g.rng.IntN(documentsPerTeam))
+		r.PrefixTokens = int64(float64(tokens) * b.Shared)
+	}
+	return r
+}
+
+// serviceCall is a call to a plain service; a third of them may not be repeated.
+func (g *Generator) serviceCall(at time.Duration) Request {
+	r := Request{
+		AtMs:         at.Milliseconds(),
+		Team:         g.team(),
+		Model:        g.user.Lookups,
+		PromptTokens: serviceTokens,
+		AnswerTokens: 1,
+		Idempotent:   true,
+		BudgetMs:     serviceBudget.Milliseconds(),
+	}
+	if g.rng.IntN(3) == 0 {
+		r.Model = g.user.Orders
+		r.Idempotent = false
+	}
+	return r
+}
+
+// Capacity is the capacity of the user's fleet.
+func (u User) Capacity() Capacity { return CapacityOf(model.Reference(), u.Engines) }
