--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -35,6 +35,8 @@
 	BodyBytes int64
 	// Seed feeds the tie breaks and jitters.
 	Seed uint64
+	// Policy is how requests are queued and placed; the zero value is the one in force.
+	Policy Policy
 }
 
 // Node is the control state of one entry host. It is not safe for concurrent use.
@@ -82,7 +84,7 @@
 		targets:       target.NewTable(),
 		ledger:        ledger.NewLedger(opts.Records),
 		queue:         queue.New(),
-		router:        route.New(rng),
+		router:        newRouter(opts.Policy, rng),
 		limits:        limit.New(opts.Peer),
 		retries:       retry.New(),
 		rng:           rng,
