Keys, certificates and bounds by settings; all faults of a text at once

Cause: interfaces spoke plain text without a bound on connections or on the size of a message between hosts, and a parser that found a fault in the schema kept back the faults behind it.

--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -1,7 +1,6 @@
 package document
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -16,15 +15,9 @@
 // Parse reads a document. It returns a *strictjson.Faults error that lists every fault with its path when the
 // document does not hold to the schema or contradicts itself.
 func Parse(data []byte) (*Document, error) {
-	if err := schema().Check(data); err != nil {
-		return nil, errors.Trace(err)
-	}
 	doc := &Document{}
-	if err := json.Unmarshal(data, doc); err != nil {
-		return nil, errors.Trace(strictjson.NewFaults(strictjson.Fault{Path: "", Reason: err.Error()}))
-	}
-	if faults := contradictions(doc); len(faults) > 0 {
-		return nil, errors.Trace(strictjson.NewFaults(faults...))
+	if err := schema().Decode(data, doc, func() []strictjson.Fault { return contradictions(doc) }); err != nil {
+		return nil, errors.Trace(err)
 	}
 	return doc, nil
 }
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -3,7 +3,6 @@
 package hostlist
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -60,15 +59,9 @@
 
 // Parse reads a list, whole or not at all; its error is a *strictjson.Faults.
 func Parse(data []byte) (*List, error) {
-	if err := schema().Check(data); err != nil {
-		return nil, errors.Trace(err)
-	}
 	list := &List{}
-	if err := json.Unmarshal(data, list); err != nil {
-		return nil, errors.Trace(strictjson.NewFaults(strictjson.Fault{Reason: err.Error()}))
-	}
-	if faults := badAddresses(list); len(faults) > 0 {
-		return nil, errors.Trace(strictjson.NewFaults(faults...))
+	if err := schema().Decode(data, list, func() []strictjson.Fault { return badAddresses(list) }); err != nil {
+		return nil, errors.Trace(err)
 	}
 	return list, nil
 }
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -4,13 +4,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Dialer connects from one IP address.
-type Dialer struct{ source netip.Addr }
+type Dialer struct {
+	source netip.Addr
+	secure func() *tls.Config
+}
 
 // From returns a dialer for the IP address of a listening address; one that is not valid, or that stands for all
 // addresses, leaves the choice to the system.
@@ -22,11 +28,43 @@
 	return Dialer{source: address.Addr()}
 }
 
-// WithTimeout returns a dial function for transports.
+// WithTLS returns a dialer whose connections are secured by the configuration that config returns at each dial. The
+// other side is verified by the IP address that is dialed. Above it, connections look like plain ones.
+func (d Dialer) WithTLS(config func() *tls.Config) Dialer {
+	d.secure = config
+	return d
+}
+
+// WithTimeout returns a dial function for transports; the timeout covers the TLS handshake too.
 func (d Dialer) WithTimeout(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: timeout}
 	if d.source.IsValid() {
 		dialer.LocalAddr = &net.TCPAddr{IP: d.source.AsSlice()}
 	}
-	return dialer.DialContext
+	if d.secure == nil {
+		return dialer.DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dialTLS(ctx, dialer, d.secure(), network, address)
+	}
+}
+
+func dialTLS(ctx context.Context, dialer *net.Dialer, config *tls.Config, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	config.ServerName = host
+	secured := tls.Client(conn, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, errors.Trace(err)
+	}
+	return secured, nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		stream := jsonrpc2.NewPlainObjectStream(conn)
+		stream := newStream(conn)
 		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle))
 	}
 }
@@ -221,7 +221,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{conn})
+	stream := newStream(deadlineConn{conn})
 	l.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls))
 	return nil
 }
--- /dev/null
+++ b/internal/settings/security.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"carobshunt/internal/strictjson"
+)
+
+// Security names the files with keys and certificates. They are read at the start and again when they change.
+type Security struct {
+	// AuthorityFile verifies the certificates of other entry hosts.
+	AuthorityFile string `json:"authority_file,omitempty" jsonschema:"description=certificates (PEM) of the authority that signs entry hosts' certificates"`
+	// Callers secures the callers' interface.
+	Callers Interface `json:"callers,omitzero"`
+	// Operators secures the operators' interface.
+	Operators OperatorInterface `json:"operators,omitzero"`
+	// Peers secures the interface between entry hosts; both sides show a certificate of AuthorityFile.
+	Peers Certificate `json:"peers,omitzero"`
+}
+
+// Certificate is a certificate with its private key.
+type Certificate struct {
+	CertificateFile string `json:"certificate_file,omitempty" jsonschema:"description=certificate (PEM) that this process shows; turns TLS on"`
+	PrivateKeyFile  string `json:"private_key_file,omitempty" jsonschema:"description=private key (PEM) of certificate_file"`
+}
+
+// Enabled tells whether the interface speaks TLS.
+func (c Certificate) Enabled() bool { return c.CertificateFile != "" }
+
+// Interface secures an interface to which outsiders connect.
+type Interface struct {
+	Certificate
+	// ClientAuthorityFile verifies the certificates that clients must show, where it is given.
+	ClientAuthorityFile string `json:"client_authority_file,omitempty" jsonschema:"description=certificates (PEM) of the authority whose clients may connect; without it clients show none"`
+}
+
+// OperatorInterface is an Interface with keys.
+type OperatorInterface struct {
+	Interface
+	// KeysFile holds the digests of the operators' bearer keys.
+	KeysFile string `json:"keys_file,omitempty" jsonschema:"description=SHA-256 digests of the operators' bearer keys in hexadecimal one a line; without it no key is asked for"`
+}
+
+func (s Security) faults() []strictjson.Fault {
+	var faults []strictjson.Fault
+	pair := func(path string, c Certificate) {
+		if (c.CertificateFile == "") != (c.PrivateKeyFile == "") {
+			faults = append(faults, strictjson.Fault{Path: path, Reason: "certificate_file and private_key_file must stand together"})
+		}
+	}
+	pair("/security/callers", s.Callers.Certificate)
+	pair("/security/operators", s.Operators.Certificate)
+	pair("/security/peers", s.Peers)
+	client := func(path string, i Interface) {
+		if i.ClientAuthorityFile != "" && !i.Enabled() {
+			faults = append(faults, strictjson.Fault{Path: path + "/client_authority_file", Reason: "needs certificate_file"})
+		}
+	}
+	client("/security/callers", s.Callers)
+	client("/security/operators", s.Operators.Interface)
+	if (s.Peers.Enabled() || s.Callers.Enabled()) && s.AuthorityFile == "" {
+		faults = append(faults, strictjson.Fault{Path: "/security/authority_file", Reason: "needed where callers or peers use TLS"})
+	}
+	return faults
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,7 @@
 package settings
 
 import (
-	"encoding/json"
+	"cmp"
 	"fmt"
 	"net/netip"
 	"os"
@@ -28,6 +28,10 @@
 	Peers []string `json:"peers,omitempty" jsonschema:"description=peer addresses tried before the host list is known"`
 	// Limits bound what this process holds.
 	Limits Limits `json:"limits,omitzero"`
+	// Security tells callers, operators and peers apart and secures their connections.
+	Security Security `json:"security,omitzero"`
+	// Metrics bound the label sets of metrics.
+	Metrics Metrics `json:"metrics,omitzero"`
 	// LogLevel is one of debug, info, warn and error.
 	LogLevel string `json:"log_level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,default=info,description=least severe level that is logged"`
 }
@@ -58,14 +62,21 @@
 	RequestBytes int64 `json:"request_bytes,omitempty" jsonschema:"minimum=1,default=16777216,description=one request body in bytes"`
 	// Records bounds the request records kept at one time.
 	Records int `json:"records,omitempty" jsonschema:"minimum=1,default=16384,description=request records kept at one time"`
+	// CallerConnections, OperatorConnections and PeerConnections bound the connections open at one time.
+	CallerConnections   int `json:"caller_connections,omitempty" jsonschema:"minimum=1,default=8192,description=connections of callers open at one time"`
+	OperatorConnections int `json:"operator_connections,omitempty" jsonschema:"minimum=1,default=64,description=connections of operators open at one time"`
+	PeerConnections     int `json:"peer_connections,omitempty" jsonschema:"minimum=1,default=4096,description=connections of other entry hosts open at one time"`
 }
 
 // Defaults of Limits.
 const (
-	DefaultBodyBytes    = 256 << 20
-	DefaultRequestBytes = 16 << 20
-	DefaultRecords      = 16384
-	DefaultLogLevel     = "info"
+	DefaultBodyBytes           = 256 << 20
+	DefaultRequestBytes        = 16 << 20
+	DefaultRecords             = 16384
+	DefaultCallerConnections   = 8192
+	DefaultOperatorConnections = 64
+	DefaultPeerConnections     = 4096
+	DefaultLogLevel            = "info"
 )
 
 var schema = sync.OnceValue(func() *strictjson.Schema { return strictjson.MustReflect(&Settings{}) })
@@ -83,22 +94,31 @@
 	return s, errors.Annotatef(err, "settings %s", path)
 }
 
-// Parse reads settings, whole or not at all; a fault is reported as a *strictjson.Faults.
+// Parse reads settings, whole or not at all; a fault is reported as a *strictjson.Faults that has every fault.
 func Parse(data []byte) (*Settings, error) {
-	if err := schema().Check(data); err != nil {
-		return nil, errors.Trace(err)
-	}
 	s := &Settings{}
-	if err := json.Unmarshal(data, s); err != nil {
-		return nil, errors.Trace(strictjson.NewFaults(strictjson.Fault{Reason: err.Error()}))
-	}
-	if faults := badAddresses(s); len(faults) > 0 {
-		return nil, errors.Trace(strictjson.NewFaults(faults...))
+	if err := schema().Decode(data, s, func() []strictjson.Fault { return contradictions(s) }); err != nil {
+		return nil, errors.Trace(err)
 	}
 	s.applyDefaults()
 	return s, nil
 }
 
+func contradictions(s *Settings) []strictjson.Fault {
+	return append(badAddresses(s), s.Security.faults()...)
+}
+
+// Example returns settings with every default filled in, for an address of the documentation's range.
+func Example() *Settings {
+	s := &Settings{
+		Zone:     "zone-a",
+		Listen:   Listen{Callers: "192.0.2.1:7400", Operators: "192.0.2.1:7401", Peers: "192.0.2.1:7402"},
+		Platform: Platform{Address: "192.0.2.9:7500"},
+	}
+	s.applyDefaults()
+	return s
+}
+
 func badAddresses(s *Settings) []strictjson.Fault {
 	var faults []strictjson.Fault
 	check := func(path, address string) {
@@ -123,22 +143,15 @@
 }
 
 func (s *Settings) applyDefaults() {
-	if s.Advertise.Callers == "" {
-		s.Advertise.Callers = s.Listen.Callers
-	}
-	if s.Advertise.Peers == "" {
-		s.Advertise.Peers = s.Listen.Peers
-	}
-	if s.Limits.BodyBytes == 0 {
-		s.Limits.BodyBytes = DefaultBodyBytes
-	}
-	if s.Limits.RequestBytes == 0 {
-		s.Limits.RequestBytes = DefaultRequestBytes
-	}
-	if s.Limits.Records == 0 {
-		s.Limits.Records = DefaultRecords
-	}
-	if s.LogLevel == "" {
-		s.LogLevel = DefaultLogLevel
-	}
+	s.Advertise.Callers = cmp.Or(s.Advertise.Callers, s.Listen.Callers)
+	s.Advertise.Peers = cmp.Or(s.Advertise.Peers, s.Listen.Peers)
+	l := &s.Limits
+	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
+	l.RequestBytes = cmp.Or(l.RequestBytes, DefaultRequestBytes)
+	l.Records = cmp.Or(l.Records, DefaultRecords)
+	l.CallerConnections = cmp.Or(l.CallerConnections, DefaultCallerConnections)
+	l.OperatorConnections = cmp.Or(l.OperatorConnections, DefaultOperatorConnections)
+	l.PeerConnections = cmp.Or(l.PeerConnections, DefaultPeerConnections)
+	s.Metrics.applyDefaults()
+	s.LogLevel = cmp.Or(s.LogLevel, DefaultLogLevel)
 }
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -119,3 +119,35 @@
 	}
 	return "/" + strings.Join(parts, "/")
 }
+
+// Decode reads a text into value, whole or not at all. The error is a *Faults that has what the schema finds and
+// what check, which looks at value, finds beyond it.
+func (s *Schema) Decode(data []byte, value any, check func() []Fault) error {
+	var list []Fault
+	var faults *Faults
+	if err := s.Check(data); errors.As(err, &faults) {
+		list = faults.List
+	}
+	if err := json.Unmarshal(data, value); err != nil && len(list) == 0 {
+		list = []Fault{{Reason: err.Error()}}
+	}
+	list = appendNew(list, check())
+	if len(list) > 0 {
+		return errors.Trace(NewFaults(list...))
+	}
+	return nil
+}
+
+// appendNew adds the faults at places that have none yet.
+func appendNew(list, more []Fault) []Fault {
+	known := make(map[string]bool)
+	for _, fault := range list {
+		known[fault.Path] = true
+	}
+	for _, fault := range more {
+		if !known[fault.Path] {
+			list = append(list, fault)
+		}
+	}
+	return list
+}
