--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(shell $(GO) env GOPATH)/bin/golangci-lint
 
-.PHONY: build demo test format lint tools
+.PHONY: build demo demo-up walkthrough reference test format lint tools
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -10,6 +10,15 @@
 demo: build
 	scripts/demo.sh
 
+demo-up: build
+	scripts/demo.sh --keep
+
+walkthrough: build
+	scripts/walkthrough.sh
+
+reference:
+	CAROB_WRITE_REFERENCE=1 $(GO) test -count=1 -run TestReferenceIsCurrent ./internal/docscheck
+
 test: lint
 	GO=$(GO) scripts/test.sh
 
--- a/api/status.go
+++ b/api/status.go
@@ -1,5 +1,13 @@
 package api
 
+// RecordState is what a host tells operators of a request that it has a record of.
+type RecordState struct {
+	State
+	Team string `json:"team"`
+	// Host is the address and incarnation of the host that has the record.
+	Host string `json:"host"`
+}
+
 // Status is what a host reports to operators at PathStatus.
 type Status struct {
 	Address     string `json:"address"`
--- a/client/client.go
+++ b/client/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -25,6 +26,10 @@
 	Zone string
 	// Team is the caller's team.
 	Team string
+	// Key is the team's bearer key; empty where the team has none.
+	Key string
+	// TLS secures the connections; nil where callers' interfaces speak plain HTTP.
+	TLS *tls.Config
 	// MaxAttempts bounds the submits of one request; 0 takes DefaultMaxAttempts.
 	MaxAttempts int
 	// RetryRefused makes Do come back after a refusal, at the time that the refusal names.
@@ -66,11 +71,21 @@
 	}
 	return &Client{opts: opts, http: &http.Client{Transport: &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig:       opts.TLS,
+		TLSHandshakeTimeout:   dialTimeout,
 		ExpectContinueTimeout: continueTimeout,
 		DisableCompression:    true,
 	}}}
 }
 
+// url is the address of a path on a host.
+func (c *Client) url(host, path string) string {
+	if c.opts.TLS != nil {
+		return "https://" + host + path
+	}
+	return "http://" + host + path
+}
+
 // ErrNoHost is returned when no entry host answered a look-up.
 const ErrNoHost = errors.ConstError("no entry host answered")
 
@@ -143,7 +158,7 @@
 func (c *Client) fetchLookup(ctx context.Context, entry string) (api.Lookup, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	address := "http://" + entry + api.PathHosts + "?zone=" + url.QueryEscape(c.opts.Zone) + "&team=" + url.QueryEscape(c.opts.Team)
+	address := c.url(entry, api.PathHosts) + "?zone=" + url.QueryEscape(c.opts.Zone) + "&team=" + url.QueryEscape(c.opts.Team)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return api.Lookup{}, errors.Trace(err)
--- a/client/submit.go
+++ b/client/submit.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/internal/secure"
 	"carobshunt/internal/stream"
 
 	"github.com/juju/errors"
@@ -232,13 +233,14 @@
 
 func (s *submission) request(ctx context.Context) (*http.Request, error) {
 	body := &watchedBody{Reader: bytes.NewReader(s.req.Prompt), touched: &s.bodySent}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.host+api.PathRequests, body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.client.url(s.host, api.PathRequests), body)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	req.ContentLength = int64(len(s.req.Prompt))
 	h := req.Header
 	h.Set("Expect", "100-continue")
+	secure.SetBearerKey(h, s.client.opts.Key)
 	h.Set(api.HeaderRequest, s.req.ID)
 	h.Set(api.HeaderAttempt, strconv.Itoa(s.attempt))
 	h.Set(api.HeaderTeam, s.client.opts.Team)
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -68,6 +68,7 @@
 	Group []string
 	// Reservation names what is held on each of the Group.
 	Reservation core.Reservation
+	Work        core.Work
 }
 
 // AbortDispatch gives up a dispatch: its frames are dropped and its stream is cancelled at the engine.
@@ -82,6 +83,7 @@
 	Result core.Result
 	Timing core.Timing
 	Target string
+	Work   core.Work
 }
 
 // Drop forgets everything that is held for a request.
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -171,6 +171,7 @@
 		Priority: priority(rec.Work.Class),
 		Deadline: rec.Request.Deadline,
 		Request:  rec.Request,
+		Work:     rec.Work,
 	})
 	return true
 }
@@ -292,7 +293,7 @@
 		n.refund(rec)
 	}
 	n.count(result.Outcome)
-	n.do(Finish{Key: key, Result: result, Timing: rec.Timing, Target: rec.Target})
+	n.do(Finish{Key: key, Result: result, Timing: rec.Timing, Target: rec.Target, Work: rec.Work})
 }
 
 func (n *Node) count(o api.Outcome) { n.outcomes[o]++ }
--- /dev/null
+++ b/internal/ctl/deployment.go
@@ -0,0 +1,161 @@
+package ctl
+
+import (
+	"crypto/tls"
+	"os"
+	"strings"
+	"sync"
+
+	"carobshunt/client"
+	"carobshunt/internal/secure"
+	"carobshunt/internal/strictjson"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+)
+
+// Deployment tells the tool where its hosts are. It is read from a JSON file; flags go before it.
+type Deployment struct {
+	// Operators are the operators' addresses of all entry hosts.
+	Operators []string `json:"operators,omitempty" jsonschema:"description=operators' addresses of all entry hosts"`
+	// Entries are callers' addresses of entry hosts.
+	Entries []string `json:"entries,omitempty" jsonschema:"description=callers' addresses of entry hosts"`
+	// Zone is the availability zone whose hosts come first in a look-up.
+	Zone string `json:"zone,omitempty" jsonschema:"description=availability zone whose hosts come first"`
+	// Team is on whose limits requests count.
+	Team string `json:"team,omitempty" jsonschema:"description=team on whose limits requests count"`
+	// TeamKeyFile and OperatorKeyFile hold bearer keys.
+	TeamKeyFile     string `json:"team_key_file,omitempty" jsonschema:"description=file with the team's bearer key"`
+	OperatorKeyFile string `json:"operator_key_file,omitempty" jsonschema:"description=file with the operator's bearer key"`
+	// CallersTLS and OperatorsTLS tell which interfaces speak TLS.
+	CallersTLS   bool `json:"callers_tls,omitempty" jsonschema:"description=callers' interfaces speak TLS"`
+	OperatorsTLS bool `json:"operators_tls,omitempty" jsonschema:"description=operators' interfaces speak TLS"`
+	// AuthorityFile verifies the hosts; CertificateFile and PrivateKeyFile are shown to them.
+	AuthorityFile   string `json:"authority_file,omitempty" jsonschema:"description=certificates (PEM) of the authority of the hosts' certificates"`
+	CertificateFile string `json:"certificate_file,omitempty" jsonschema:"description=certificate (PEM) that is shown to hosts"`
+	PrivateKeyFile  string `json:"private_key_file,omitempty" jsonschema:"description=private key (PEM) of certificate_file"`
+}
+
+var deploymentSchema = sync.OnceValue(func() *strictjson.Schema { return strictjson.MustReflect(&Deployment{}) })
+
+// DeploymentReference returns the JSON schema of the file.
+func DeploymentReference() []byte { return deploymentSchema().Text() }
+
+// deploymentVariable names the environment variable that takes the place of --deployment.
+const deploymentVariable = "CAROBCTL_DEPLOYMENT"
+
+func (a *app) deploymentFlags(cmd *cobra.Command) {
+	flags := cmd.PersistentFlags()
+	flags.StringVarP(&a.deploymentFile, "deployment", "d", os.Getenv(deploymentVariable),
+		"file that tells where the hosts are, JSON; "+deploymentVariable+" names one too")
+	flags.StringSliceVar(&a.override.Operators, "operator", nil, "operators' address of an entry host; may be given more than once")
+	flags.StringSliceVar(&a.override.Entries, "entry", nil, "callers' address of an entry host; may be given more than once")
+	flags.StringVar(&a.override.Zone, "zone", "", "availability zone whose hosts come first")
+	flags.StringVar(&a.override.Team, "team", "", "team")
+	flags.StringVar(&a.override.TeamKeyFile, "team-key-file", "", "file with the team's bearer key")
+	flags.StringVar(&a.override.OperatorKeyFile, "operator-key-file", "", "file with the operator's bearer key")
+	flags.BoolVar(&a.override.CallersTLS, "callers-tls", false, "callers' interfaces speak TLS")
+	flags.BoolVar(&a.override.OperatorsTLS, "operators-tls", false, "operators' interfaces speak TLS")
+	flags.StringVar(&a.override.AuthorityFile, "authority-file", "", "certificates (PEM) of the authority of the hosts' certificates")
+	flags.StringVar(&a.override.CertificateFile, "certificate-file", "", "certificate (PEM) that is shown to hosts")
+	flags.StringVar(&a.override.PrivateKeyFile, "private-key-file", "", "private key (PEM) of --certificate-file")
+}
+
+func (a *app) loadDeployment() error {
+	if a.deploymentFile != "" {
+		data, err := os.ReadFile(a.deploymentFile)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		err = deploymentSchema().Decode(data, &a.deployment, func() []strictjson.Fault { return nil })
+		if err != nil {
+			return errors.Annotate(err, a.deploymentFile)
+		}
+	}
+	a.deployment.apply(a.override)
+	return nil
+}
+
+// apply puts what the flags say in the place of what the file says.
+func (d *Deployment) apply(flags Deployment) {
+	if len(flags.Operators) > 0 {
+		d.Operators = flags.Operators
+	}
+	if len(flags.Entries) > 0 {
+		d.Entries = flags.Entries
+	}
+	for _, one := range []struct {
+		to   *string
+		from string
+	}{
+		{&d.Zone, flags.Zone},
+		{&d.Team, flags.Team},
+		{&d.TeamKeyFile, flags.TeamKeyFile},
+		{&d.OperatorKeyFile, flags.OperatorKeyFile},
+		{&d.AuthorityFile, flags.AuthorityFile},
+		{&d.CertificateFile, flags.CertificateFile},
+		{&d.PrivateKeyFile, flags.PrivateKeyFile},
+	} {
+		if one.from != "" {
+			*one.to = one.from
+		}
+	}
+	d.CallersTLS = d.CallersTLS || flags.CallersTLS
+	d.OperatorsTLS = d.OperatorsTLS || flags.OperatorsTLS
+}
+
+// needed reports a flag that the command can't do without.
+func needed(flag string) error {
+	return &StatusError{Status: ExitInvalid, Reason: "--" + flag + ": needed, by flag or in the --deployment file"}
+}
+
+func (d *Deployment) needOperators() error {
+	if len(d.Operators) == 0 {
+		return needed("operator")
+	}
+	return nil
+}
+
+func (d *Deployment) needTeam() error {
+	if d.Team == "" {
+		return needed("team")
+	}
+	return nil
+}
+
+func (d *Deployment) tls(enabled bool) (*tls.Config, error) {
+	if !enabled {
+		return nil, nil
+	}
+	identity, err := secure.LoadIdentity(secure.Files{
+		Certificate: d.CertificateFile, PrivateKey: d.PrivateKeyFile, Authority: d.AuthorityFile,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return identity.Client(), nil
+}
+
+func readKey(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(path)
+	return strings.TrimSpace(string(data)), errors.Trace(err)
+}
+
+// caller returns a client of the callers' interface.
+func (d *Deployment) caller() (*client.Client, error) {
+	if len(d.Entries) == 0 {
+		return nil, needed("entry")
+	}
+	key, err := readKey(d.TeamKeyFile)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	config, err := d.tls(d.CallersTLS)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return client.New(client.Options{Entries: d.Entries, Zone: d.Zone, Team: d.Team, Key: key, TLS: config}), nil
+}
--- /dev/null
+++ b/internal/ctl/operators.go
@@ -0,0 +1,148 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/secure"
+
+	"github.com/juju/errors"
+)
+
+// operators asks the operators' interfaces of entry hosts.
+type operators struct {
+	scheme string
+	key    string
+	http   *http.Client
+}
+
+// Timeouts and sizes towards the operators' interfaces.
+const (
+	operatorTimeout = 3 * time.Second
+	maxAnswerBytes  = 64 << 20
+)
+
+func (d *Deployment) operatorsClient() (*operators, error) {
+	if err := d.needOperators(); err != nil {
+		return nil, err
+	}
+	key, err := readKey(d.OperatorKeyFile)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	config, err := d.tls(d.OperatorsTLS)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	scheme := "http"
+	if config != nil {
+		scheme = "https"
+	}
+	transport := &http.Transport{TLSClientConfig: config, DisableCompression: true}
+	return &operators{scheme: scheme, key: key, http: &http.Client{Timeout: operatorTimeout, Transport: transport}}, nil
+}
+
+// AnswerError reports an answer of a host that is not what was asked for.
+type AnswerError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("answered with status %d: %s", e.Status, e.Body)
+}
+
+func (o *operators) call(ctx context.Context, method, address, path string, query url.Values) ([]byte, error) {
+	target := url.URL{Scheme: o.scheme, Host: address, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	secure.SetBearerKey(req.Header, o.key)
+	resp, err := o.http.Do(req)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, answerError(resp.StatusCode, body)
+	}
+	return body, nil
+}
+
+func answerError(status int, body []byte) error {
+	refused := &api.Error{}
+	if json.Unmarshal(body, refused) == nil && refused.Code != "" {
+		return refused
+	}
+	return &AnswerError{Status: status, Body: string(body)}
+}
+
+func (o *operators) status(ctx context.Context, address string) (*api.Status, error) {
+	body, err := o.call(ctx, http.MethodGet, address, api.PathStatus, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	status := &api.Status{}
+	return status, errors.Trace(json.Unmarshal(body, status))
+}
+
+// record asks for a request's record, or with http.MethodDelete cancels the request.
+func (o *operators) record(ctx context.Context, method, address, team, id string) (*api.RecordState, error) {
+	body, err := o.call(ctx, method, address, api.PathRequests+"/"+id, url.Values{"team": {team}})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	state := &api.RecordState{}
+	return state, errors.Trace(json.Unmarshal(body, state))
+}
+
+// HostStatus is a host's status, or why there is none.
+type HostStatus struct {
+	// Operator is the operators' address.
+	Operator string      `json:"operator"`
+	Error    string      `json:"error,omitempty"`
+	Status   *api.Status `json:"status,omitempty"`
+}
+
+// maxAsked bounds the hosts that are asked at one time.
+const maxAsked = 32
+
+// statuses asks all hosts, in the order of their addresses.
+func (o *operators) statuses(ctx context.Context, addresses []string) []HostStatus {
+	out := make([]HostStatus, len(addresses))
+	each(addresses, func(i int, address string) {
+		status, err := o.status(ctx, address)
+		out[i] = HostStatus{Operator: address, Status: status}
+		if err != nil {
+			out[i] = HostStatus{Operator: address, Error: err.Error()}
+		}
+	})
+	return out
+}
+
+// each calls f for every address, several at a time.
+func each(addresses []string, f func(i int, address string)) {
+	slots := make(chan struct{}, maxAsked)
+	var wait sync.WaitGroup
+	for i, address := range addresses {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			f(i, address)
+		})
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/internal/ctl/query_outcome.go
@@ -0,0 +1,124 @@
+package ctl
+
+import (
+	"context"
+	"net/http"
+
+	"carobshunt/api"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+)
+
+// OutcomeReport is what "outcome" and "cancel" print.
+type OutcomeReport struct {
+	Request string `json:"request"`
+	Team    string `json:"team"`
+	// Records are the records of the hosts that have one.
+	Records []api.RecordState `json:"records"`
+	// Silent are the hosts that did not answer.
+	Silent []HostError `json:"silent,omitempty"`
+}
+
+// HostError is a host that did not answer, and why.
+type HostError struct {
+	Operator string `json:"operator"`
+	Error    string `json:"error"`
+}
+
+func (a *app) newOutcome() *cobra.Command {
+	return &cobra.Command{
+		Use:   "outcome REQUEST",
+		Short: "Show what became of a request, from the records of all hosts",
+		Long: "Show what became of a request, from the records of all hosts. The question closes nothing: a request that no " +
+			"host has a record of may still be submitted. Records are kept for a minute after the request's deadline.",
+		Args: cobra.ExactArgs(1),
+		RunE: a.run(func(cmd *cobra.Command, args []string) error {
+			return a.askRecords(cmd.Context(), http.MethodGet, args[0])
+		}),
+	}
+}
+
+// askRecords puts a question about a request to all hosts and prints the answers.
+func (a *app) askRecords(ctx context.Context, method, id string) error {
+	o, err := a.deployment.operatorsClient()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := a.deployment.needTeam(); err != nil {
+		return err
+	}
+	r := o.records(ctx, method, a.deployment.Operators, a.deployment.Team, id)
+	if err := a.print(r); err != nil {
+		return errors.Trace(err)
+	}
+	return r.judge()
+}
+
+func (o *operators) records(ctx context.Context, method string, addresses []string, team, id string) *OutcomeReport {
+	states := make([]*api.RecordState, len(addresses))
+	failures := make([]error, len(addresses))
+	each(addresses, func(i int, address string) {
+		states[i], failures[i] = o.record(ctx, method, address, team, id)
+	})
+	r := &OutcomeReport{Request: id, Team: team, Records: []api.RecordState{}}
+	for i, address := range addresses {
+		var refused *api.Error
+		switch {
+		case failures[i] == nil:
+			r.Records = append(r.Records, *states[i])
+		case errors.As(failures[i], &refused) && refused.Code == api.CodeNotFound:
+		default:
+			r.Silent = append(r.Silent, HostError{Operator: address, Error: failures[i].Error()})
+		}
+	}
+	return r
+}
+
+func (r *OutcomeReport) table(w *tableWriter) {
+	w.row("REQUEST", "OUTCOME", "CODE", "HOST", "TARGET")
+	for _, s := range r.Records {
+		w.row(s.Request, s.Outcome, orDash(string(s.Code)), s.Host, orDash(s.Target))
+	}
+	if len(r.Records) == 0 {
+		w.line("no host that answered has a record of %s", r.Request)
+	}
+	for _, h := range r.Silent {
+		w.line("%s: %s", h.Operator, h.Error)
+	}
+}
+
+// outcome is the strongest of what the records say: a request that ran somewhere ran.
+func (r *OutcomeReport) outcome() api.Outcome {
+	strength := []api.Outcome{api.OutcomeDone, api.OutcomePending, api.OutcomeUnknown, api.OutcomeFailed, api.OutcomeNotRun}
+	for _, outcome := range strength {
+		for _, s := range r.Records {
+			if s.Outcome == outcome {
+				return outcome
+			}
+		}
+	}
+	return ""
+}
+
+// judge is the exit status. Without a record, or with no more than "not run" while a host is silent, nothing is sure.
+func (r *OutcomeReport) judge() error {
+	outcome := r.outcome()
+	if outcome == "" || (outcome == api.OutcomeNotRun && len(r.Silent) > 0) {
+		return &StatusError{Status: ExitUnknown, Reason: "the records that were reached don't tell what became of the request"}
+	}
+	return outcomeStatus(outcome)
+}
+
+// outcomeStatus is the exit status of an outcome.
+func outcomeStatus(outcome api.Outcome) error {
+	switch outcome {
+	case api.OutcomeDone, api.OutcomePending:
+		return nil
+	case api.OutcomeNotRun:
+		return &StatusError{Status: ExitNotRun, Reason: "the request did not run"}
+	case api.OutcomeUnknown:
+		return &StatusError{Status: ExitUnknown, Reason: "it can't be told whether the request ran"}
+	}
+	return &StatusError{Status: ExitFailed, Reason: "the request failed"}
+}
--- /dev/null
+++ b/internal/ctl/query_status.go
@@ -0,0 +1,232 @@
+package ctl
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"carobshunt/api"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+)
+
+// StatusReport is what "status" prints.
+type StatusReport struct {
+	Hosts         []HostStatus   `json:"hosts"`
+	Disagreements []Disagreement `json:"disagreements"`
+}
+
+// Disagreement is a matter on which hosts don't say the same.
+type Disagreement struct {
+	Matter string `json:"matter"`
+	// Views are what is said, and by whom.
+	Views []View `json:"views"`
+}
+
+// View is what some hosts say.
+type View struct {
+	Value string   `json:"value"`
+	Hosts []string `json:"hosts"`
+}
+
+func (a *app) newStatus() *cobra.Command {
+	var showPeers, showTargets bool
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show the state of all hosts, and where they disagree",
+		Args:  cobra.NoArgs,
+		RunE: a.run(func(cmd *cobra.Command, _ []string) error {
+			o, err := a.deployment.operatorsClient()
+			if err != nil {
+				return errors.Trace(err)
+			}
+			r := &statusReport{showPeers: showPeers, showTargets: showTargets}
+			r.Hosts = o.statuses(cmd.Context(), a.deployment.Operators)
+			r.Disagreements = disagreements(r.Hosts)
+			if err := a.print(r); err != nil {
+				return errors.Trace(err)
+			}
+			return r.judge()
+		}),
+	}
+	cmd.Flags().BoolVar(&showPeers, "peers", false, "show the other entry hosts as each host sees them")
+	cmd.Flags().BoolVar(&showTargets, "targets", false, "show the targets as each host sees them")
+	return cmd
+}
+
+type statusReport struct {
+	StatusReport
+	showPeers, showTargets bool
+}
+
+func (r *statusReport) judge() error {
+	for _, h := range r.Hosts {
+		if h.Status == nil {
+			return &StatusError{Status: ExitDiffers, Reason: h.Operator + " does not answer"}
+		}
+	}
+	if len(r.Disagreements) > 0 {
+		return &StatusError{Status: ExitDiffers, Reason: "hosts disagree"}
+	}
+	return nil
+}
+
+func (r *statusReport) table(w *tableWriter) {
+	w.row("HOST", "ZONE", "STATE", "REVISION", "PRESET", "IN FORCE", "HEARD FROM", "PLATFORM", "PEERS", "TARGETS", "RUNNING", "QUEUED")
+	for _, h := range r.Hosts {
+		if h.Status == nil {
+			w.row(h.Operator, "-", "no answer")
+			continue
+		}
+		s := h.Status
+		w.row(h.Operator, s.Zone, stateOf(s), s.Config.Revision, orDash(s.Config.Preset), ago(s.Config.InForceMs),
+			orDash(s.Config.HeardFrom), ago(s.Config.PlatformSilentMs), peersAlive(s), targetsEligible(s),
+			s.Requests.Running, s.Requests.Queued)
+	}
+	if r.showPeers {
+		r.peersTable(w)
+	}
+	if r.showTargets {
+		r.targetsTable(w)
+	}
+	r.notes(w)
+}
+
+func stateOf(s *api.Status) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Ready:
+		return "ready"
+	}
+	return "not ready"
+}
+
+func peersAlive(s *api.Status) string {
+	alive := 0
+	for _, p := range s.Peers {
+		if p.Alive {
+			alive++
+		}
+	}
+	return fmt.Sprintf("%d/%d", alive, len(s.Peers))
+}
+
+func targetsEligible(s *api.Status) string {
+	eligible := 0
+	for _, t := range s.Targets {
+		if t.Eligible {
+			eligible++
+		}
+	}
+	return fmt.Sprintf("%d/%d", eligible, len(s.Targets))
+}
+
+func (r *statusReport) peersTable(w *tableWriter) {
+	w.line("")
+	w.row("HOST", "PEER", "ZONE", "ALIVE", "DRAINING", "REVISION", "LAST HEARD")
+	for _, h := range r.Hosts {
+		if h.Status == nil {
+			continue
+		}
+		for _, p := range h.Status.Peers {
+			w.row(h.Operator, p.Address, p.Zone, p.Alive, p.Draining, p.Revision, ago(p.SilentMs))
+		}
+	}
+}
+
+func (r *statusReport) targetsTable(w *tableWriter) {
+	w.line("")
+	w.row("HOST", "TARGET", "ZONE", "KIND", "STATE", "ELIGIBLE", "IN FLIGHT", "PENDING TOKENS")
+	for _, h := range r.Hosts {
+		if h.Status == nil {
+			continue
+		}
+		for _, t := range h.Status.Targets {
+			w.row(h.Operator, t.Address, t.Zone, t.Kind, t.State, t.Eligible, t.InFlight, t.PendingTokens)
+		}
+	}
+}
+
+func (r *statusReport) notes(w *tableWriter) {
+	for _, h := range r.Hosts {
+		switch {
+		case h.Status == nil:
+			w.line("%s: %s", h.Operator, h.Error)
+		case h.Status.Config.Rejected > 0:
+			w.line("%s refused %d documents, the last: %s", h.Operator, h.Status.Config.Rejected, h.Status.Config.LastRejection)
+		}
+	}
+	if len(r.Disagreements) == 0 {
+		w.line("hosts agree")
+		return
+	}
+	for _, d := range r.Disagreements {
+		var views []string
+		for _, v := range d.Views {
+			views = append(views, fmt.Sprintf("%s (%s)", v.Value, strings.Join(v.Hosts, ", ")))
+		}
+		w.line("hosts disagree on %s: %s", d.Matter, strings.Join(views, "; "))
+	}
+}
+
+// opinions collects what hosts say on matters.
+type opinions struct {
+	matters []string
+	views   map[string][]View
+}
+
+func (o *opinions) add(matter, value, host string) {
+	views, known := o.views[matter]
+	if !known {
+		o.matters = append(o.matters, matter)
+	}
+	at := slices.IndexFunc(views, func(v View) bool { return v.Value == value })
+	if at < 0 {
+		o.views[matter] = append(views, View{Value: value, Hosts: []string{host}})
+		return
+	}
+	views[at].Hosts = append(views[at].Hosts, host)
+}
+
+// disagreements compares what the hosts that answered say of the configuration, of each peer and of each target.
+func disagreements(hosts []HostStatus) []Disagreement {
+	o := &opinions{views: make(map[string][]View)}
+	for _, h := range hosts {
+		if s := h.Status; s != nil {
+			o.add("the revision in force", fmt.Sprintf("revision %d preset %s", s.Config.Revision, s.Config.Preset), h.Operator)
+			o.addPeers(h)
+			o.addTargets(h)
+		}
+	}
+	out := []Disagreement{}
+	for _, matter := range o.matters {
+		if len(o.views[matter]) > 1 {
+			out = append(out, Disagreement{Matter: matter, Views: o.views[matter]})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Disagreement) int { return cmp.Compare(a.Matter, b.Matter) })
+	return out
+}
+
+func (o *opinions) addPeers(h HostStatus) {
+	for _, p := range h.Status.Peers {
+		value := "silent"
+		if p.Alive {
+			value = "alive as " + p.Incarnation
+		}
+		o.add("entry host "+p.Address, value, h.Operator)
+	}
+}
+
+func (o *opinions) addTargets(h HostStatus) {
+	for _, t := range h.Status.Targets {
+		value := t.State + ", no new work"
+		if t.Eligible {
+			value = t.State + ", eligible"
+		}
+		o.add("target "+t.Address, value, h.Operator)
+	}
+}
--- /dev/null
+++ b/internal/ctl/query_watch.go
@@ -0,0 +1,138 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"carobshunt/internal/document"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+)
+
+// pollInterval is the time between two questions to a host.
+const pollInterval = 100 * time.Millisecond
+
+// WatchReport is what "watch" prints.
+type WatchReport struct {
+	Revision uint64      `json:"revision"`
+	Hosts    []WatchHost `json:"hosts"`
+	// Everywhere tells whether all hosts have the revision, or a later one, in force.
+	Everywhere bool  `json:"everywhere"`
+	TookMs     int64 `json:"took_ms"`
+}
+
+// WatchHost is one host of a watch.
+type WatchHost struct {
+	Operator string `json:"operator"`
+	Revision uint64 `json:"revision"`
+	Preset   string `json:"preset"`
+	InForce  bool   `json:"in_force"`
+	// Error is why the host did not answer the last question.
+	Error string `json:"error,omitempty"`
+}
+
+func (a *app) newWatch() *cobra.Command {
+	var revision uint64
+	var file string
+	var timeout time.Duration
+	cmd := &cobra.Command{
+		Use:   "watch",
+		Short: "Wait until a revision is in force on all hosts",
+		Long: "Wait until a revision, or a later one, is in force on all hosts. Start it before or after publishing. A " +
+			"revision that is not in force everywhere in time ends it with status 6.",
+		Args: cobra.NoArgs,
+		RunE: a.run(func(cmd *cobra.Command, _ []string) error {
+			want, err := wantedRevision(revision, file)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			return a.watch(cmd.Context(), want, timeout)
+		}),
+	}
+	cmd.Flags().Uint64Var(&revision, "revision", 0, "revision to wait for")
+	cmd.Flags().StringVar(&file, "document", "", "document whose revision to wait for")
+	cmd.Flags().DurationVar(&timeout, "timeout", defaultWatchTimeout, "how long to wait")
+	cmd.MarkFlagsOneRequired("revision", "document")
+	cmd.MarkFlagsMutuallyExclusive("revision", "document")
+	return cmd
+}
+
+const defaultWatchTimeout = 30 * time.Second
+
+func wantedRevision(revision uint64, file string) (uint64, error) {
+	if file == "" {
+		return revision, nil
+	}
+	doc, err := readDocument(file)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	return doc.Revision, nil
+}
+
+func readDocument(path string) (*document.Document, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	doc, err := document.Parse(data)
+	return doc, errors.Annotate(err, path)
+}
+
+func (a *app) watch(ctx context.Context, revision uint64, timeout time.Duration) error {
+	o, err := a.deployment.operatorsClient()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	start := time.Now()
+	r := &WatchReport{Revision: revision}
+	for {
+		r.update(o.statuses(ctx, a.deployment.Operators))
+		r.TookMs = time.Since(start).Milliseconds()
+		if r.Everywhere || time.Since(start) >= timeout {
+			break
+		}
+		time.Sleep(pollInterval)
+	}
+	if err := a.print(r); err != nil {
+		return errors.Trace(err)
+	}
+	if !r.Everywhere {
+		return &StatusError{Status: ExitTimeout, Reason: fmt.Sprintf("revision %d is not in force everywhere", revision)}
+	}
+	return nil
+}
+
+func (r *WatchReport) update(hosts []HostStatus) {
+	r.Hosts = nil
+	r.Everywhere = true
+	for _, h := range hosts {
+		host := WatchHost{Operator: h.Operator, Error: h.Error}
+		if h.Status != nil {
+			host.Revision = h.Status.Config.Revision
+			host.Preset = h.Status.Config.Preset
+			host.InForce = host.Revision >= r.Revision
+		}
+		r.Everywhere = r.Everywhere && host.InForce
+		r.Hosts = append(r.Hosts, host)
+	}
+}
+
+func (r *WatchReport) table(w *tableWriter) {
+	w.row("HOST", "REVISION", "PRESET", "IN FORCE")
+	for _, h := range r.Hosts {
+		if h.Error != "" {
+			w.row(h.Operator, "-", "-", "no answer")
+			continue
+		}
+		w.row(h.Operator, h.Revision, orDash(h.Preset), h.InForce)
+	}
+	if r.Everywhere {
+		w.line("revision %d is in force on all %d hosts after %s", r.Revision, len(r.Hosts), ago(r.TookMs))
+		return
+	}
+	w.line("revision %d is not in force everywhere after %s", r.Revision, ago(r.TookMs))
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -1,5 +1,5 @@
 // Package ctl is the operators' tool: commands that change something and queries that only read, each in a file of
-// its own.
+// its own. It writes nothing to the platform.
 package ctl
 
 import (
@@ -15,7 +15,7 @@
 // Exit statuses that scripts can rely on.
 const (
 	ExitOK = 0
-	// ExitFailed: the command could not be carried out.
+	// ExitFailed: the command could not be carried out, or the request failed.
 	ExitFailed = 1
 	// ExitInvalid: settings, a document or the command line is invalid.
 	ExitInvalid = 2
@@ -23,8 +23,22 @@
 	ExitNotRun = 3
 	// ExitUnknown: it can't be told whether the request ran.
 	ExitUnknown = 4
+	// ExitDiffers: hosts disagree or one does not answer, or two documents differ.
+	ExitDiffers = 5
+	// ExitTimeout: what was waited for did not happen in time.
+	ExitTimeout = 6
 )
 
+// exitStatuses is the help text on exit statuses.
+const exitStatuses = `Exit statuses:
+  0  as it should be
+  1  could not be carried out, or the request failed
+  2  settings, a document or the command line is invalid
+  3  the request did not run
+  4  it can't be told whether the request ran
+  5  hosts disagree or one does not answer, or two documents differ
+  6  what was waited for did not happen in time`
+
 // StatusError carries the exit status with which a command ends.
 type StatusError struct {
 	Status int
@@ -34,9 +48,31 @@
 // Error implements error.
 func (e *StatusError) Error() string { return e.Reason }
 
+// UsageError reports a command line that is invalid.
+type UsageError struct{ Cause error }
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UsageError) Unwrap() error { return e.Cause }
+
+// app is one run of the tool.
+type app struct {
+	out io.Writer
+	// begun is set once the command line was found valid.
+	begun bool
+
+	output         string
+	deploymentFile string
+	override       Deployment
+	deployment     Deployment
+}
+
 // Main runs the tool and returns its exit status.
 func Main(args []string, out, errOut io.Writer) int {
-	cmd := NewRoot(out)
+	a := &app{out: out}
+	cmd := a.root()
 	cmd.SetArgs(args)
 	cmd.SetOut(out)
 	cmd.SetErr(errOut)
@@ -44,6 +80,9 @@
 	if err == nil {
 		return ExitOK
 	}
+	if !a.begun {
+		err = &UsageError{Cause: err}
+	}
 	_, _ = fmt.Fprintln(errOut, "carobctl:", err)
 	return exitStatus(err)
 }
@@ -54,20 +93,69 @@
 		return status.Status
 	}
 	var faults *strictjson.Faults
-	if errors.As(err, &faults) {
+	var usage *UsageError
+	if errors.As(err, &faults) || errors.As(err, &usage) {
 		return ExitInvalid
 	}
 	return ExitFailed
 }
 
 // NewRoot returns the root command.
-func NewRoot(out io.Writer) *cobra.Command {
+func NewRoot(out io.Writer) *cobra.Command { return (&app{out: out}).root() }
+
+func (a *app) root() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:           "carobctl",
-		Short:         "Operate carobshunt entry hosts",
+		Use:   "carobctl",
+		Short: "Operate carobshunt entry hosts",
+		Long: "Operate carobshunt entry hosts. Nothing is written to the platform: operators publish there themselves.\n\n" +
+			exitStatuses,
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	cmd.AddCommand(newSubmit(out), newLookup(out), newReplay(out), newTrace(out))
+	cmd.AddGroup(&cobra.Group{ID: groupQueries, Title: "Queries:"}, &cobra.Group{ID: groupCommands, Title: "Commands:"})
+	cmd.PersistentFlags().StringVarP(&a.output, "output", "o", outputTable, "form of the output: table or json")
+	a.deploymentFlags(cmd)
+	a.add(cmd, groupQueries, a.newStatus(), a.newOutcome(), a.newDiff(), a.newCheck(), a.newSettings(), a.newWatch(), a.newLookup(),
+		a.wrapped(newReplay(a.out)), a.wrapped(newTrace(a.out)))
+	a.add(cmd, groupCommands, a.newSubmit(), a.newCancel(), a.newDrain())
+	_ = cmd.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
+	return cmd
+}
+
+// Groups of the help text.
+const (
+	groupQueries  = "queries"
+	groupCommands = "commands"
+)
+
+func (a *app) add(parent *cobra.Command, group string, children ...*cobra.Command) {
+	for _, child := range children {
+		child.GroupID = group
+		parent.AddCommand(child)
+	}
+}
+
+// wrapped puts run around the functions of a command and those below it.
+func (a *app) wrapped(cmd *cobra.Command) *cobra.Command {
+	if cmd.RunE != nil {
+		cmd.RunE = a.run(cmd.RunE)
+	}
+	for _, child := range cmd.Commands() {
+		a.wrapped(child)
+	}
 	return cmd
 }
+
+// run wraps a command's function: the command line has been found valid when it is called.
+func (a *app) run(f func(cmd *cobra.Command, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		if a.output != outputTable && a.output != outputJSON {
+			return &StatusError{Status: ExitInvalid, Reason: "--output: must be table or json"}
+		}
+		a.begun = true
+		if err := a.loadDeployment(); err != nil {
+			return errors.Trace(err)
+		}
+		return f(cmd, args)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,8 +7,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
-	"net"
-	"net/http"
 	"time"
 
 	"carobshunt/internal/control"
@@ -16,9 +14,8 @@
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/dispatch"
 	"carobshunt/internal/engines"
-	"carobshunt/internal/gateway"
+	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
-	"carobshunt/internal/operator"
 	"carobshunt/internal/peer"
 	"carobshunt/internal/platform"
 	"carobshunt/internal/settings"
@@ -26,7 +23,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
-	"github.com/labstack/echo/v4"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -67,7 +63,12 @@
 
 // Run serves until a drain is complete; cancelling the context starts the drain.
 func (d *Daemon) Run(ctx context.Context) error {
-	listeners, err := d.listen()
+	keys, err := loadKeys(d.settings.Security)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	m := metrics.New(d.settings.Metrics, d.loop)
+	listeners, err := d.listen(keys, m)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -79,17 +80,19 @@
 		ctx:        running,
 		loop:       d.loop,
 		exchanges:  exchanges,
-		dispatcher: dispatch.New(d.loop, dialer),
-		peers:      peer.NewPool(d.loop, dialer),
 		engines:    engines.New(d.loop, dialer),
+		dispatcher: dispatch.New(d.loop, dialer, m),
+		peers:      peer.NewPool(d.loop, secured(dialer, keys.peers)),
 		log:        d.log,
+		metrics:    m,
 		stop:       stop,
 	}
-	callers := d.callersServer(exchanges, dialer)
-	operators := operator.NewServer(d.loop)
+	callers := d.callersServer(exchanges, secured(dialer, keys.entry), m)
+	operators := d.operatorsServer(keys, m)
 	group, groupCtx := errgroup.WithContext(running)
 	group.Go(func() error { d.loop.Run(running, x); return nil })
 	d.startReaders(running, group, dialer)
+	group.Go(func() error { d.watchKeys(running, keys, m); return nil })
 	group.Go(func() error { return serveHTTP(groupCtx, callers, listeners.callers) })
 	group.Go(func() error { return serveHTTP(groupCtx, operators, listeners.operators) })
 	group.Go(func() error { return servePeers(groupCtx, peer.NewServer(d.loop), listeners.peers) })
@@ -98,65 +101,9 @@
 	return errors.Trace(group.Wait())
 }
 
-type listeners struct{ callers, operators, peers net.Listener }
-
-func (d *Daemon) listen() (listeners, error) {
-	var out listeners
-	for _, one := range []struct {
-		address  string
-		listener *net.Listener
-	}{
-		{d.settings.Listen.Callers, &out.callers},
-		{d.settings.Listen.Operators, &out.operators},
-		{d.settings.Listen.Peers, &out.peers},
-	} {
-		l, err := net.Listen("tcp", one.address)
-		if err != nil {
-			return out, errors.Annotatef(err, "listen on %s", one.address)
-		}
-		*one.listener = l
-	}
-	return out, nil
-}
-
 func (d *Daemon) startReaders(ctx context.Context, group *errgroup.Group, dialer netdial.Dialer) {
 	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer)
 	group.Go(func() error { reader.WatchConfig(ctx); return nil })
 	group.Go(func() error { reader.WatchHosts(ctx); return nil })
 	group.Go(func() error { platform.WatchLoad(ctx, d.loop, dialer); return nil })
 }
-
-// headerTimeout bounds how long a caller may take to send its headers.
-const headerTimeout = 5 * time.Second
-
-func (d *Daemon) callersServer(exchanges *stream.Store, dialer netdial.Dialer) *http.Server {
-	e := echo.New()
-	e.HideBanner = true
-	gateway.New(d.loop, exchanges, d.self, d.settings.Limits.RequestBytes, dialer).Register(e)
-	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
-}
-
-// serveHTTP serves until the context ends, and returns when the open answers have ended too.
-func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
-	ended := make(chan struct{})
-	context.AfterFunc(ctx, func() {
-		defer close(ended)
-		stopping, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(stopping)
-	})
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Trace(err)
-	}
-	<-ended
-	return nil
-}
-
-func servePeers(ctx context.Context, server *peer.Server, listener net.Listener) error {
-	context.AfterFunc(ctx, func() { _ = listener.Close() })
-	err := server.Serve(ctx, listener)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return errors.Trace(err)
-}
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/dispatch"
 	"carobshunt/internal/engines"
+	"carobshunt/internal/metrics"
 	"carobshunt/internal/peer"
 	"carobshunt/internal/stream"
 
@@ -24,6 +25,7 @@
 	peers      *peer.Pool
 	engines    *engines.Client
 	log        hclog.Logger
+	metrics    *metrics.Metrics
 	stop       context.CancelFunc
 }
 
@@ -33,12 +35,14 @@
 	case node.Open:
 		x.exchanges.Open(a.Key)
 	case node.StartDispatch:
+		x.metrics.Dispatched(a)
 		x.startDispatch(a)
 	case node.AbortDispatch:
 		if ex := x.exchanges.Get(a.Key); ex != nil {
 			ex.Abort(a.Dispatch)
 		}
 	case node.Finish:
+		x.metrics.Finished(a)
 		x.finish(a)
 	case node.Drop:
 		x.exchanges.Drop(a.Key)
@@ -49,6 +53,7 @@
 	case node.PullHosts:
 		x.peers.PullHosts(x.ctx, a.Peer)
 	case node.Note:
+		x.metrics.Noted(a.Event)
 		x.log.Info(string(a.Event), "detail", a.Text)
 	case node.Stop:
 		x.stop()
--- /dev/null
+++ b/internal/daemon/interfaces.go
@@ -0,0 +1,187 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"carobshunt/internal/gateway"
+	"carobshunt/internal/metrics"
+	"carobshunt/internal/netdial"
+	"carobshunt/internal/operator"
+	"carobshunt/internal/peer"
+	"carobshunt/internal/secure"
+	"carobshunt/internal/settings"
+	"carobshunt/internal/stream"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+)
+
+// listeners are the three interfaces, each bounded and, where the settings say so, secured.
+type listeners struct{ callers, operators, peers net.Listener }
+
+// listen opens the interfaces and registers their connection counts.
+func (d *Daemon) listen(keys *keys, m *metrics.Metrics) (listeners, error) {
+	var out listeners
+	s := d.settings
+	for _, one := range []struct {
+		name     string
+		address  string
+		bounds   secure.Bounds
+		identity *secure.Identity
+		listener *net.Listener
+	}{
+		{"callers", s.Listen.Callers, secure.Bounds{Connections: s.Limits.CallerConnections}, keys.callers, &out.callers},
+		{"operators", s.Listen.Operators, secure.Bounds{Connections: s.Limits.OperatorConnections}, keys.operators, &out.operators},
+		{"peers", s.Listen.Peers, secure.Bounds{Connections: s.Limits.PeerConnections, Idle: peerIdle}, keys.peers, &out.peers},
+	} {
+		inner, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return out, errors.Annotatef(err, "listen on %s", one.address)
+		}
+		bound := secure.Bound(inner, one.bounds)
+		m.WatchListener(one.name, bound)
+		*one.listener = bound
+		if one.identity != nil {
+			*one.listener = tls.NewListener(bound, one.identity.Server())
+		}
+	}
+	return out, nil
+}
+
+// Timeouts and sizes of the callers' and the peers' interface.
+const (
+	// headerTimeout bounds how long a caller may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// callerIdle ends a kept-alive connection without requests, peerIdle one without heartbeats.
+	callerIdle     = 60 * time.Second
+	peerIdle       = 30 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+func (d *Daemon) callersServer(exchanges *stream.Store, dialer netdial.Dialer, m *metrics.Metrics) *http.Server {
+	e := echo.New()
+	e.HideBanner = true
+	gateway.New(d.loop, exchanges, d.self, d.settings.Limits.RequestBytes, dialer, m).Register(e)
+	return &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (d *Daemon) operatorsServer(keys *keys, m *metrics.Metrics) *http.Server {
+	return operator.NewServer(operator.Options{
+		Control: d.loop,
+		Self:    d.self,
+		Keys:    keys.operatorKeys,
+		Metrics: m.Handler(),
+	})
+}
+
+// serveHTTP serves until the context ends, and returns when the open answers have ended too.
+func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+	ended := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(ended)
+		stopping, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(stopping)
+	})
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Trace(err)
+	}
+	<-ended
+	return nil
+}
+
+func servePeers(ctx context.Context, server *peer.Server, listener net.Listener) error {
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	err := server.Serve(ctx, listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+// keys are what the settings' security section names; each is nil where nothing is named.
+type keys struct {
+	callers, operators, peers *secure.Identity
+	// entry is the client side of a connection to another host's callers' interface.
+	entry        *secure.Identity
+	operatorKeys *secure.KeyList
+}
+
+func loadKeys(s settings.Security) (*keys, error) {
+	k := &keys{}
+	for _, one := range []struct {
+		enabled  bool
+		files    secure.Files
+		identity **secure.Identity
+	}{
+		{s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.Callers.ClientAuthorityFile), &k.callers},
+		{s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.AuthorityFile), &k.entry},
+		{s.Operators.Enabled(), filesOf(s.Operators.Certificate, s.Operators.ClientAuthorityFile), &k.operators},
+		{s.Peers.Enabled(), filesOf(s.Peers, s.AuthorityFile), &k.peers},
+	} {
+		if !one.enabled {
+			continue
+		}
+		identity, err := secure.LoadIdentity(one.files)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		*one.identity = identity
+	}
+	if s.Operators.KeysFile == "" {
+		return k, nil
+	}
+	var err error
+	k.operatorKeys, err = secure.LoadKeyList(s.Operators.KeysFile)
+	return k, errors.Trace(err)
+}
+
+func filesOf(c settings.Certificate, authority string) secure.Files {
+	return secure.Files{Certificate: c.CertificateFile, PrivateKey: c.PrivateKeyFile, Authority: authority}
+}
+
+// reloaders lists what is reloaded from files.
+func (k *keys) reloaders() []secure.Named {
+	var out []secure.Named
+	for _, one := range []struct {
+		name     string
+		identity *secure.Identity
+	}{{"callers", k.callers}, {"entry hosts", k.entry}, {"operators", k.operators}, {"peers", k.peers}} {
+		if one.identity != nil {
+			out = append(out, secure.Named{Name: one.name, Reloader: one.identity})
+		}
+	}
+	if k.operatorKeys != nil {
+		out = append(out, secure.Named{Name: "operator keys", Reloader: k.operatorKeys})
+	}
+	return out
+}
+
+// secured returns the dialer for connections to hosts that show a certificate of the identity's authority.
+func secured(dialer netdial.Dialer, identity *secure.Identity) netdial.Dialer {
+	if identity == nil {
+		return dialer
+	}
+	return dialer.WithTLS(identity.Client)
+}
+
+// watchKeys reloads keys and certificates until the context ends.
+func (d *Daemon) watchKeys(ctx context.Context, k *keys, m *metrics.Metrics) {
+	secure.Watch(ctx, secure.ReloadInterval, k.reloaders(), func(e secure.ReloadEvent) {
+		m.Reloaded(e.Name, e.Err)
+		if e.Err != nil {
+			d.log.Warn("keys not reloaded", "of", e.Name, "error", e.Err.Error())
+			return
+		}
+		d.log.Info("keys reloaded", "of", e.Name)
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,6 +22,8 @@
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/stream"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Header names of the targets' protocol.
@@ -78,15 +80,21 @@
 	Now() core.Time
 }
 
+// Observer gives each dispatch the place where the times between its answer's frames are observed, in seconds.
+type Observer interface {
+	Answer(node.StartDispatch) prometheus.Observer
+}
+
 // Dispatcher sends requests to targets. It is safe for concurrent use.
 type Dispatcher struct {
 	reporter Reporter
 	dialer   netdial.Dialer
+	observer Observer
 	pooled   *http.Client
 }
 
 // New returns a dispatcher.
-func New(reporter Reporter, dialer netdial.Dialer) *Dispatcher {
+func New(reporter Reporter, dialer netdial.Dialer, observer Observer) *Dispatcher {
 	transport := &http.Transport{
 		DialContext:         dialer.WithTimeout(dialTimeout),
 		MaxIdleConnsPerHost: idleConnections,
@@ -94,7 +102,7 @@
 		DisableCompression:  true,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: keepRedirect}
-	return &Dispatcher{reporter: reporter, dialer: dialer, pooled: client}
+	return &Dispatcher{reporter: reporter, dialer: dialer, observer: observer, pooled: client}
 }
 
 // Run carries out one dispatch and reports its events; it returns when the dispatch has ended.
@@ -138,6 +146,8 @@
 	order      node.StartDispatch
 	exchange   *stream.Exchange
 	first      bool
+	between    prometheus.Observer
+	lastFrame  time.Time
 }
 
 func (r *run) do(ctx context.Context) (node.Ending, string) {
@@ -240,15 +250,21 @@
 		if !text.add(frame) || !r.exchange.Answer.Append(r.order.Dispatch, frame.Offset, frame.Text) {
 			return node.EndedLost, "a frame does not follow the one before it"
 		}
-		r.noteFirst()
+		r.noteFrame()
 	}
 	return node.EndedLost, "the answer broke off"
 }
 
-func (r *run) noteFirst() {
+// noteFrame reports the first frame and observes the time since the one before.
+func (r *run) noteFrame() {
+	now := time.Now()
+	former := r.lastFrame
+	r.lastFrame = now
 	if r.first {
+		r.between.Observe(now.Sub(former).Seconds())
 		return
 	}
 	r.first = true
+	r.between = r.dispatcher.observer.Answer(r.order)
 	r.dispatcher.reporter.Post(node.DispatchFirstToken{Key: r.order.Key, Dispatch: r.order.Dispatch})
 }
--- a/internal/fakecmd/fakecmd.go
+++ b/internal/fakecmd/fakecmd.go
@@ -1,9 +1,11 @@
-// Command carobfake runs one of the stand-ins for the outside systems: a model engine, a plain service or the
-// platform.
-package main
+// Package fakecmd is the command line of the stand-ins for the outside systems: a model engine, a plain service or
+// the platform.
+package fakecmd
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -11,21 +13,17 @@
 	"time"
 
 	"carobshunt/internal/fake"
+	"carobshunt/internal/platform"
 
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/spf13/cobra"
 )
 
-func main() {
-	if err := root().Execute(); err != nil {
-		os.Exit(1)
-	}
-}
-
-func root() *cobra.Command {
+// NewRoot returns the root command.
+func NewRoot() *cobra.Command {
 	cmd := &cobra.Command{Use: "carobfake", Short: "Run a stand-in for an outside system", SilenceUsage: true}
-	cmd.AddCommand(engineCommand(), serviceCommand(), platformCommand())
+	cmd.AddCommand(engineCommand(), serviceCommand(), platformCommand(), publishCommand())
 	return cmd
 }
 
@@ -88,6 +86,62 @@
 	return cmd
 }
 
+// publishTimeout bounds a publication.
+const publishTimeout = 5 * time.Second
+
+func publishCommand() *cobra.Command {
+	var address string
+	cmd := &cobra.Command{
+		Use:   "publish {config|hosts} FILE",
+		Short: "Publish a document or a host list at a running platform stand-in, as operators do at their platform",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			raw, err := os.ReadFile(args[1])
+			if err != nil {
+				return errors.Trace(err)
+			}
+			path, ok := map[string]string{"config": platform.PathConfig, "hosts": platform.PathHosts}[args[0]]
+			if !ok {
+				return &kindError{kind: args[0]}
+			}
+			return publishAt("http://"+address+path, raw)
+		},
+	}
+	cmd.Flags().StringVar(&address, "platform", "", "IP address and port of the platform")
+	_ = cmd.MarkFlagRequired("platform")
+	return cmd
+}
+
+// kindError reports something that the platform does not publish.
+type kindError struct{ kind string }
+
+// Error implements error.
+func (e *kindError) Error() string { return fmt.Sprintf("%q: must be config or hosts", e.kind) }
+
+// statusError reports that the platform did not take a publication.
+type statusError struct{ status int }
+
+// Error implements error.
+func (e *statusError) Error() string {
+	return fmt.Sprintf("the platform answered with status %d", e.status)
+}
+
+func publishAt(url string, raw []byte) error {
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(raw))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	resp, err := (&http.Client{Timeout: publishTimeout}).Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusNoContent {
+		return &statusError{status: resp.StatusCode}
+	}
+	return nil
+}
+
 func listenFlag(cmd *cobra.Command, listen *string) {
 	cmd.Flags().StringVar(listen, "listen", "", "IP address and port to serve on")
 	_ = cmd.MarkFlagRequired("listen")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,16 +33,29 @@
 	self      core.Home
 	maxBody   int64
 	forwarder *http.Client
+	observer  Observer
+}
+
+// Observer counts refusals.
+type Observer interface {
+	Refused(api.Code)
 }
 
 // New returns a gateway for the process self; maxBody bounds one request body, in bytes.
-func New(control Control, exchanges *stream.Store, self core.Home, maxBody int64, dialer netdial.Dialer) *Gateway {
-	return &Gateway{control: control, exchanges: exchanges, self: self, maxBody: maxBody, forwarder: newForwarder(dialer)}
+func New(control Control, exchanges *stream.Store, self core.Home, maxBody int64, dialer netdial.Dialer, observer Observer) *Gateway {
+	return &Gateway{
+		control:   control,
+		exchanges: exchanges,
+		self:      self,
+		maxBody:   maxBody,
+		forwarder: newForwarder(dialer),
+		observer:  observer,
+	}
 }
 
 // Register adds the routes.
 func (g *Gateway) Register(e *echo.Echo) {
-	e.Use(g.nameHost)
+	e.Use(g.nameHost, g.countRefusals, g.authorize)
 	e.GET(api.PathHosts, g.lookup)
 	e.POST(api.PathRequests, g.submit)
 	e.GET(api.PathRequests+"/:id", g.state)
@@ -103,7 +116,7 @@
 	case node.Refuse:
 		return writeError(c, refusal(req, decision))
 	case node.Admit:
-		if fault := g.receive(c.Request(), req); fault != nil {
+		if fault := g.receive(c, req, decision.Deadline); fault != nil {
 			return writeError(c, fault)
 		}
 	case node.Attach, node.Report:
@@ -132,10 +145,14 @@
 	}
 }
 
-// receive reads the body of an admitted request; reading it is what sends "100 Continue".
-func (g *Gateway) receive(r *http.Request, req core.Request) *api.Error {
+// receive reads the body of an admitted request; reading it is what sends "100 Continue". A caller that sends too
+// slowly is cut off at the deadline.
+func (g *Gateway) receive(c echo.Context, req core.Request, deadline core.Time) *api.Error {
+	control := http.NewResponseController(c.Response().Writer)
+	_ = control.SetReadDeadline(time.Now().Add(deadline - g.control.Now()))
 	body := make([]byte, req.BodyBytes)
-	_, err := io.ReadFull(r.Body, body)
+	_, err := io.ReadFull(c.Request().Body, body)
+	_ = control.SetReadDeadline(time.Time{})
 	fault := api.Code("")
 	switch {
 	case err != nil:
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -44,6 +44,7 @@
 		seconds := (e.RetryAfterMs + 999) / 1000
 		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
+	c.Set(refusalKey, e.Code)
 	return c.JSON(statusOf(e.Code), e)
 }
 
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,213 @@
+// Package metrics counts what a host does and exposes it to operators. Histograms and counters are labelled by team
+// and class; only the teams with the highest published limits have labels of their own, so that the number of series
+// is bounded by the settings and not by the number of teams, and is the same on every host of one revision.
+package metrics
+
+import (
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/document"
+	"carobshunt/internal/settings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Source is where the state of the host is read at a scrape.
+type Source interface {
+	Snapshot() *node.Snapshot
+}
+
+// Metrics are the metrics of one process. It is safe for concurrent use.
+type Metrics struct {
+	registry  *prometheus.Registry
+	reference reference
+	teams     *teamLabels
+
+	firstToken    *prometheus.HistogramVec
+	betweenTokens *prometheus.HistogramVec
+	slowdown      *prometheus.HistogramVec
+	queueing      *prometheus.HistogramVec
+	finished      *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	dispatches    *prometheus.CounterVec
+	events        *prometheus.CounterVec
+	reloads       *prometheus.CounterVec
+}
+
+// Label names.
+const (
+	labelTeam    = "team"
+	labelClass   = "class"
+	labelOutcome = "outcome"
+	labelCode    = "code"
+	labelAttempt = "attempt"
+	labelEvent   = "event"
+	labelFile    = "file"
+	labelResult  = "result"
+)
+
+const namespace = "carobshunt"
+
+// Buckets in seconds, and of slowdown in multiples. The targets, 0.75 s and 0.059 s, are bounds of their own, so that
+// the share that meets them is exact.
+var (
+	firstTokenBuckets    = []float64{0.05, 0.1, 0.25, 0.5, 0.75, 1, 2.5, 5, 15, 60, 300}
+	betweenTokensBuckets = []float64{0.01, 0.02, 0.03, 0.04, 0.059, 0.08, 0.12, 0.25, 1}
+	slowdownBuckets      = []float64{1, 1.1, 1.25, 1.5, 2, 3, 5, 10, 30}
+	queueingBuckets      = []float64{0.001, 0.01, 0.05, 0.25, 1, 5, 30, 120}
+)
+
+// New returns the metrics of a process that was started with the settings.
+func New(s settings.Metrics, source Source) *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		reference: reference{
+			start:           time.Duration(s.ReferenceStartMs) * time.Millisecond,
+			tokensPerSecond: float64(s.ReferencePrefillTokensPerSecond),
+		},
+		firstToken:    histogram("first_token_seconds", "Time from admission to the first token.", firstTokenBuckets),
+		betweenTokens: histogram("between_tokens_seconds", "Time between two frames of an answer.", betweenTokensBuckets),
+		slowdown:      histogram("slowdown_ratio", "Time to first token over that of an idle engine.", slowdownBuckets),
+		queueing:      histogram("queueing_seconds", "Time from admission to the last dispatch.", queueingBuckets),
+		finished:      counter("requests_finished_total", "Admitted requests by outcome.", labelTeam, labelClass, labelOutcome),
+		refusals:      counter("refusals_total", "Requests refused by reason.", labelCode),
+		dispatches:    counter("dispatches_total", "Requests sent to targets: first tries and retries.", labelAttempt),
+		events:        counter("state_changes_total", "Changes of state, each of which is a log line too.", labelEvent),
+		reloads:       counter("file_reloads_total", "Key and certificate files read again.", labelFile, labelResult),
+	}
+	m.teams = newTeamLabels(s, source, m.dropTeam)
+	m.registry.MustRegister(m.firstToken, m.betweenTokens, m.slowdown, m.queueing,
+		m.finished, m.refusals, m.dispatches, m.events, m.reloads,
+		newStateCollector(source), buildInfo(),
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func histogram(name, help string, buckets []float64) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: buckets,
+	}, []string{labelTeam, labelClass})
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func buildInfo() prometheus.Collector {
+	version, goVersion := "unknown", "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version, goVersion = info.Main.Version, info.GoVersion
+	}
+	gauge := prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "build_info", Help: "Always 1; the labels tell the build.",
+		ConstLabels: prometheus.Labels{"version": version, "goversion": goVersion},
+	})
+	gauge.Set(1)
+	return gauge
+}
+
+// Handler serves a scrape.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes, Timeout: scrapeTimeout})
+}
+
+// Bounds of scrapes.
+const (
+	maxScrapes    = 4
+	scrapeTimeout = 5 * time.Second
+)
+
+// Registry is where other collectors of the process register.
+func (m *Metrics) Registry() prometheus.Registerer { return m.registry }
+
+// Refused counts a request that was answered with an error.
+func (m *Metrics) Refused(code api.Code) { m.refusals.WithLabelValues(string(code)).Inc() }
+
+// Noted counts a change of state.
+func (m *Metrics) Noted(event node.Event) { m.events.WithLabelValues(string(event)).Inc() }
+
+// Reloaded counts a look at a changed file.
+func (m *Metrics) Reloaded(file string, err error) {
+	result := "applied"
+	if err != nil {
+		result = "refused"
+	}
+	m.reloads.WithLabelValues(file, result).Inc()
+}
+
+// Dispatched counts a request that is sent to a target.
+func (m *Metrics) Dispatched(d node.StartDispatch) {
+	attempt := "first"
+	if d.Dispatch > 1 {
+		attempt = "retry"
+	}
+	m.dispatches.WithLabelValues(attempt).Inc()
+}
+
+// Answer returns where the times between the frames of a dispatch's answer are observed.
+func (m *Metrics) Answer(d node.StartDispatch) prometheus.Observer {
+	return m.betweenTokens.WithLabelValues(m.teams.label(d.Key.Team), string(d.Work.Class))
+}
+
+// Finished counts an admitted request that got its final result.
+func (m *Metrics) Finished(f node.Finish) {
+	team, class := m.teams.label(f.Key.Team), string(f.Work.Class)
+	m.finished.WithLabelValues(team, class, string(f.Result.Outcome)).Inc()
+	if f.Timing.Dispatched != 0 {
+		m.queueing.WithLabelValues(team, class).Observe((f.Timing.Dispatched - f.Timing.Admitted).Seconds())
+	}
+	if f.Timing.FirstToken == 0 {
+		return
+	}
+	first := f.Timing.FirstToken - f.Timing.Admitted
+	m.firstToken.WithLabelValues(team, class).Observe(first.Seconds())
+	if f.Work.Class != document.ClassService {
+		m.slowdown.WithLabelValues(team, class).Observe(m.reference.slowdown(first, f.Work.PrefillTokens))
+	}
+}
+
+// dropTeam ends the series of a team that has no label of its own any more.
+func (m *Metrics) dropTeam(team string) {
+	labels := prometheus.Labels{labelTeam: team}
+	for _, vec := range []*prometheus.HistogramVec{m.firstToken, m.betweenTokens, m.slowdown, m.queueing} {
+		vec.DeletePartialMatch(labels)
+	}
+	m.finished.DeletePartialMatch(labels)
+}
+
+// reference is an idle engine.
+type reference struct {
+	start           time.Duration
+	tokensPerSecond float64
+}
+
+func (r reference) slowdown(first time.Duration, prefillTokens int64) float64 {
+	alone := r.start.Seconds() + float64(prefillTokens)/r.tokensPerSecond
+	return first.Seconds() / alone
+}
+
+// Connections is a listener that counts its connections.
+type Connections interface {
+	Open() int64
+	Refused() uint64
+}
+
+// WatchListener adds the connection counts of an interface.
+func (m *Metrics) WatchListener(name string, c Connections) {
+	labels := prometheus.Labels{"interface": name}
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "connections", Help: "Connections open now.", ConstLabels: labels,
+		}, func() float64 { return float64(c.Open()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "connections_refused_total", Help: "Connections closed at once: too many were open.",
+			ConstLabels: labels,
+		}, func() float64 { return float64(c.Refused()) }),
+	)
+}
--- /dev/null
+++ b/internal/metrics/state.go
@@ -0,0 +1,137 @@
+package metrics
+
+import (
+	"carobshunt/api"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// stateCollector turns the snapshot into metrics at each scrape, so that they cost nothing between scrapes.
+type stateCollector struct {
+	source Source
+	stats  []stateMetric
+	preset *prometheus.Desc
+	ended  *prometheus.Desc
+	peers  *prometheus.Desc
+	target *prometheus.Desc
+}
+
+// stateMetric is one number of the status.
+type stateMetric struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+	read func(*api.Status) float64
+}
+
+const millisecond = 1e-3
+
+func newStateCollector(source Source) *stateCollector {
+	return &stateCollector{
+		source: source,
+		stats: []stateMetric{
+			gauge("ready", "1 when the host serves.", func(s *api.Status) float64 { return boolean(s.Ready) }),
+			gauge("draining", "1 during a planned stop.", func(s *api.Status) float64 { return boolean(s.Draining) }),
+			gauge("revision", "Configuration revision in force.", func(s *api.Status) float64 { return float64(s.Config.Revision) }),
+			gauge("revision_age_seconds", "Time since the revision came into force.",
+				func(s *api.Status) float64 { return float64(s.Config.InForceMs) * millisecond }),
+			gauge("platform_silent_seconds", "Time since the platform was last heard; -1 for never.", platformSilent),
+			total("documents_rejected_total", "Published documents refused as invalid.",
+				func(s *api.Status) float64 { return float64(s.Config.Rejected) }),
+			gauge("requests_queued", "Requests waiting for a target.", func(s *api.Status) float64 { return float64(s.Requests.Queued) }),
+			gauge("requests_running", "Requests received or at a target.", func(s *api.Status) float64 { return float64(s.Requests.Running) }),
+			gauge("records", "Request records kept.", func(s *api.Status) float64 { return float64(s.Requests.Records) }),
+			gauge("body_bytes", "Request bodies held.", func(s *api.Status) float64 { return float64(s.Requests.BodyBytes) }),
+		},
+		preset: describe("preset_info", "Always 1; the label names the preset in force.", "preset"),
+		ended:  describe("outcomes_total", "Requests answered by outcome, refused ones among them.", labelOutcome),
+		peers:  describe("peers", "Other entry hosts, by whether they were heard lately.", "alive"),
+		target: describe("targets", "Targets by kind, and by whether new work may go there.", "kind", "eligible"),
+	}
+}
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(namespace+"_"+name, help, labels, nil)
+}
+
+func gauge(name, help string, read func(*api.Status) float64) stateMetric {
+	return stateMetric{desc: describe(name, help), kind: prometheus.GaugeValue, read: read}
+}
+
+func total(name, help string, read func(*api.Status) float64) stateMetric {
+	return stateMetric{desc: describe(name, help), kind: prometheus.CounterValue, read: read}
+}
+
+func platformSilent(s *api.Status) float64 {
+	if s.Config.PlatformSilentMs < 0 {
+		return -1
+	}
+	return float64(s.Config.PlatformSilentMs) * millisecond
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func text(b bool) string {
+	if b {
+		return "true"
+	}
+	return "false"
+}
+
+// Describe implements prometheus.Collector.
+func (c *stateCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, m := range c.stats {
+		out <- m.desc
+	}
+	out <- c.preset
+	out <- c.ended
+	out <- c.peers
+	out <- c.target
+}
+
+// Collect implements prometheus.Collector.
+func (c *stateCollector) Collect(out chan<- prometheus.Metric) {
+	status := &c.source.Snapshot().Status
+	for _, m := range c.stats {
+		out <- prometheus.MustNewConstMetric(m.desc, m.kind, m.read(status))
+	}
+	if status.Config.Preset != "" {
+		out <- prometheus.MustNewConstMetric(c.preset, prometheus.GaugeValue, 1, status.Config.Preset)
+	}
+	for _, o := range status.Requests.Outcomes {
+		out <- prometheus.MustNewConstMetric(c.ended, prometheus.CounterValue, float64(o.Count), string(o.Outcome))
+	}
+	c.collectPeers(out, status.Peers)
+	c.collectTargets(out, status.Targets)
+}
+
+func (c *stateCollector) collectPeers(out chan<- prometheus.Metric, peers []api.PeerStatus) {
+	counts := map[bool]int{}
+	for _, p := range peers {
+		counts[p.Alive]++
+	}
+	for _, alive := range []bool{true, false} {
+		out <- prometheus.MustNewConstMetric(c.peers, prometheus.GaugeValue, float64(counts[alive]), text(alive))
+	}
+}
+
+// targetGroup is what targets are counted by.
+type targetGroup struct {
+	kind     string
+	eligible bool
+}
+
+func (c *stateCollector) collectTargets(out chan<- prometheus.Metric, targets []api.TargetStatus) {
+	counts := map[targetGroup]int{}
+	for _, t := range targets {
+		counts[targetGroup{t.Kind, t.Eligible}]++
+		counts[targetGroup{t.Kind, !t.Eligible}] += 0
+	}
+	for group, count := range counts {
+		out <- prometheus.MustNewConstMetric(c.target, prometheus.GaugeValue, float64(count), group.kind, text(group.eligible))
+	}
+}
--- /dev/null
+++ b/internal/metrics/teams.go
@@ -0,0 +1,103 @@
+package metrics
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"carobshunt/internal/document"
+	"carobshunt/internal/settings"
+)
+
+// otherTeams is the label under which teams without one of their own are counted. No team can have this name, since
+// names of teams with labels are checked against it.
+const otherTeams = "other"
+
+// teamLabels maps teams to label values. The set changes only with the published document.
+type teamLabels struct {
+	limit   int
+	shown   []string
+	source  Source
+	dropped func(team string)
+
+	current atomic.Pointer[labelSet]
+	mu      sync.Mutex
+}
+
+// labelSet is the teams with labels under one document.
+type labelSet struct {
+	document *document.Document
+	own      map[string]bool
+	// retired had labels under the document before. They are dropped once more with the next set, since a request
+	// that was counted during the change may have brought their series back.
+	retired map[string]bool
+}
+
+func newTeamLabels(s settings.Metrics, source Source, dropped func(string)) *teamLabels {
+	l := &teamLabels{limit: s.Teams, shown: s.ShownTeams, source: source, dropped: dropped}
+	l.current.Store(&labelSet{})
+	return l
+}
+
+// label returns the label value of a team under the document in force.
+func (l *teamLabels) label(team string) string {
+	set := l.current.Load()
+	if doc := l.source.Snapshot().Document; doc != set.document {
+		set = l.replace(doc)
+	}
+	if set.own[team] {
+		return team
+	}
+	return otherTeams
+}
+
+func (l *teamLabels) replace(doc *document.Document) *labelSet {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	former := l.current.Load()
+	if former.document == doc {
+		return former
+	}
+	set := &labelSet{document: doc, own: l.choose(doc), retired: make(map[string]bool)}
+	for team := range former.own {
+		if !set.own[team] {
+			set.retired[team] = true
+		}
+	}
+	l.current.Store(set)
+	l.drop(set, former.retired)
+	l.drop(set, set.retired)
+	return set
+}
+
+func (l *teamLabels) drop(set *labelSet, teams map[string]bool) {
+	for team := range teams {
+		if !set.own[team] {
+			l.dropped(team)
+		}
+	}
+}
+
+// choose takes the teams with the highest limits, ties broken by weight and then by name, and the shown ones.
+func (l *teamLabels) choose(doc *document.Document) map[string]bool {
+	own := make(map[string]bool)
+	if doc == nil {
+		return own
+	}
+	teams := slices.Clone(doc.Teams)
+	slices.SortFunc(teams, func(a, b document.Team) int {
+		return cmp.Or(
+			cmp.Compare(b.TokensPerSecond, a.TokensPerSecond),
+			cmp.Compare(b.Weight, a.Weight),
+			strings.Compare(a.Name, b.Name),
+		)
+	})
+	for i, t := range teams {
+		if (i < l.limit || slices.Contains(l.shown, t.Name)) && t.Name != otherTeams {
+			own[t.Name] = true
+		}
+	}
+	return own
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,41 +1,114 @@
-// Package operator is the operators' interface of an entry host: status, drain, the document in force, metrics.
+// Package operator is the operators' interface of an entry host: status, the document in force, request records and
+// metrics to read; drain and cancel as commands.
 package operator
 
 import (
+	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/secure"
 
 	"github.com/labstack/echo/v4"
 )
 
 // Control is the part of the control loop that operators need.
 type Control interface {
+	Ask(context.Context, node.Input) (node.Decision, error)
 	Post(node.Input)
 	Snapshot() *node.Snapshot
 }
 
-const headerTimeout = 5 * time.Second
+// Options configure the interface.
+type Options struct {
+	Control Control
+	Self    core.Home
+	// Keys are the operators' keys; nil where no key is asked for.
+	Keys *secure.KeyList
+	// Metrics serves a scrape.
+	Metrics http.Handler
+}
+
+// PathMetrics is where metrics are scraped.
+const PathMetrics = "/metrics"
+
+// Timeouts and sizes of the operators' interface.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 10 * time.Second
+	writeTimeout   = 20 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 16 << 10
+)
 
 // NewServer returns the server of the operators' interface.
-func NewServer(control Control) *http.Server {
+func NewServer(o Options) *http.Server {
 	e := echo.New()
 	e.HideBanner = true
-	e.GET(api.PathStatus, func(c echo.Context) error {
-		return c.JSON(http.StatusOK, control.Snapshot().Status)
-	})
-	e.POST(api.PathDrain, func(c echo.Context) error {
-		control.Post(node.Drain{})
-		return c.NoContent(http.StatusAccepted)
-	})
-	e.GET(api.PathDocument, func(c echo.Context) error {
-		raw := control.Snapshot().RawDocument
-		if raw == nil {
-			return c.NoContent(http.StatusNotFound)
+	h := &handlers{Options: o}
+	e.Use(h.authorize)
+	h.registerQueries(e)
+	h.registerCommands(e)
+	return &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+type handlers struct{ Options }
+
+func (h *handlers) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if h.Keys == nil || h.Keys.Allows(secure.BearerKey(c.Request().Header)) {
+			return next(c)
 		}
-		return c.JSONBlob(http.StatusOK, raw)
+		return c.JSON(http.StatusUnauthorized, &api.Error{
+			Outcome: api.OutcomeNotRun, Code: api.CodeUnauthorized, Message: "not an operator's key",
+		})
+	}
+}
+
+// record names the request of the path. It is asked about as an idempotent one, so that the question closes nothing.
+func record(c echo.Context) core.Request {
+	key := core.Key{Team: c.QueryParam("team"), ID: strings.TrimSpace(c.Param("id"))}
+	return core.Request{Key: key, Idempotent: true}
+}
+
+// answerRecord answers with the state of a record.
+func (h *handlers) answerRecord(c echo.Context, req core.Request, in node.Input) error {
+	if req.Team == "" {
+		return c.JSON(http.StatusBadRequest, &api.Error{
+			Request: req.ID, Outcome: api.OutcomeNotRun, Code: api.CodeMalformed, Message: "team: missing",
+		})
+	}
+	d, err := h.Control.Ask(c.Request().Context(), in)
+	if err != nil {
+		return c.JSON(http.StatusServiceUnavailable, &api.Error{
+			Request: req.ID, Outcome: api.OutcomeUnknown, Code: api.CodeDraining, Message: "this host is stopping",
+		})
+	}
+	if d.Result.Code == api.CodeNotFound {
+		return c.JSON(http.StatusNotFound, &api.Error{
+			Request: req.ID, Outcome: d.Result.Outcome, Code: d.Result.Code, Message: d.Result.Message,
+		})
+	}
+	return c.JSON(http.StatusOK, api.RecordState{
+		State: api.State{
+			Request:      req.ID,
+			Outcome:      d.Result.Outcome,
+			Code:         d.Result.Code,
+			Target:       d.Target,
+			RetryAfterMs: d.Result.RetryAfter.Milliseconds(),
+		},
+		Team: req.Team,
+		Host: h.Self.String(),
 	})
-	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
 }
