--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -149,6 +149,7 @@
 		Priority:    priority(rec.Work.Class),
 		Deadline:    rec.Request.Deadline,
 		Request:     rec.Request,
+		Work:        rec.Work,
 		Group:       claim.Plan.Engines,
 		Reservation: claim.Reservation,
 	})
--- a/internal/daemon/engines.go
+++ b/internal/daemon/engines.go
@@ -12,7 +12,7 @@
 	case node.ListMemory:
 		go x.engines.ListMemory(x.ctx, a)
 	case node.CancelHolding:
-		x.log.Info("engine memory swept", "engine", a.Target, "kind", a.Kind, "name", a.Name, "reason", a.Reason)
+		x.log.Debug("engine memory swept", "engine", a.Target, "kind", a.Kind, "name", a.Name, "reason", a.Reason)
 		go x.engines.CancelHolding(x.ctx, a)
 	case node.ReadOrders:
 		go x.engines.ReadOrders(x.ctx, a)
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"carobshunt/api"
+	"carobshunt/internal/core/node"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -12,6 +13,9 @@
 	stats  []stateMetric
 	preset *prometheus.Desc
 	ended  *prometheus.Desc
+	sweeps *prometheus.Desc
+	groups *prometheus.Desc
+	orders *prometheus.Desc
 	peers  *prometheus.Desc
 	target *prometheus.Desc
 }
@@ -44,6 +48,9 @@
 		},
 		preset: describe("preset_info", "Always 1; the label names the preset in force.", "preset"),
 		ended:  describe("outcomes_total", "Requests answered by outcome, refused ones among them.", labelOutcome),
+		sweeps: describe("sweeps_total", "Leftovers that engines were told to drop, by reason.", "reason"),
+		groups: describe("engine_groups_total", "Tries to reserve several engines for one prompt, by step.", "step"),
+		orders: describe("orders_total", "Orders to engines, by step.", "step"),
 		peers:  describe("peers", "Other entry hosts, by whether they were heard lately.", "alive"),
 		target: describe("targets", "Targets by kind, and by whether new work may go there.", "kind", "eligible"),
 	}
@@ -89,13 +96,17 @@
 	}
 	out <- c.preset
 	out <- c.ended
+	out <- c.sweeps
+	out <- c.groups
+	out <- c.orders
 	out <- c.peers
 	out <- c.target
 }
 
 // Collect implements prometheus.Collector.
 func (c *stateCollector) Collect(out chan<- prometheus.Metric) {
-	status := &c.source.Snapshot().Status
+	snap := c.source.Snapshot()
+	status := &snap.Status
 	for _, m := range c.stats {
 		out <- prometheus.MustNewConstMetric(m.desc, m.kind, m.read(status))
 	}
@@ -107,6 +118,33 @@
 	}
 	c.collectPeers(out, status.Peers)
 	c.collectTargets(out, status.Targets)
+	c.collectEngines(out, snap)
+}
+
+// step is a counter of several under one name.
+type step struct {
+	name  string
+	count uint64
+}
+
+func (c *stateCollector) collectEngines(out chan<- prometheus.Metric, snap *node.Snapshot) {
+	collectSteps(out, c.sweeps, []step{
+		{"overdue", snap.Sweeps.Overdue}, {"orphaned", snap.Sweeps.Orphaned}, {"forgotten", snap.Sweeps.Forgotten},
+	})
+	collectSteps(out, c.groups, []step{
+		{"claimed", snap.Groups.Claims}, {"completed", snap.Groups.Completed},
+		{"given_up", snap.Groups.GivenUp}, {"lost", snap.Groups.Lost},
+	})
+	collectSteps(out, c.orders, []step{
+		{"sent", snap.Orders.Sent}, {"taken", snap.Orders.Taken}, {"refused", snap.Orders.Refused},
+		{"lost", snap.Orders.Lost}, {"loads", snap.Orders.Loads}, {"paced", snap.Orders.Paced}, {"behind", snap.Orders.Behind},
+	})
+}
+
+func collectSteps(out chan<- prometheus.Metric, desc *prometheus.Desc, steps []step) {
+	for _, s := range steps {
+		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(s.count), s.name)
+	}
 }
 
 func (c *stateCollector) collectPeers(out chan<- prometheus.Metric, peers []api.PeerStatus) {
