First steps for operators run as printed; pages checked against the code

Cause: nothing kept the pages and the code together, and an operator had no first steps. Change: 'Start here' and 'Alarms' in docs/OPERATIONS.md; scripts/walkthrough.sh runs the former as printed and compares exit statuses and outputs; internal/docscheck checks commands, flags, settings, metrics, links, make targets and glossary; docs/REFERENCE.md is made from the code and a stale one fails. Design notes on metrics and security. Ruled out: a load of 8,000-token prompts, which the team's limit refuses; the load now comes back after refusals.

--- a/internal/ctl/command_submit.go
+++ b/internal/ctl/command_submit.go
@@ -52,6 +52,7 @@
 	expect       string
 	showText     bool
 	details      bool
+	retryRefused bool
 }
 
 func (a *app) newSubmit() *cobra.Command {
@@ -78,6 +79,7 @@
 	flags.StringVar(&f.expect, "expect", "", "outcome or code that is expected; another one is a failure")
 	flags.BoolVar(&f.showText, "text", false, "print the answer too")
 	flags.BoolVar(&f.details, "details", false, "print the home and the deadline too, with which the request can be submitted again")
+	flags.BoolVar(&f.retryRefused, "retry-refused", false, "come back after a refusal, at the time that it names, within the budget")
 	cmd.MarkFlagsRequiredTogether("home", "deadline")
 	for _, name := range []string{"id", "model", "prompt-tokens"} {
 		_ = cmd.MarkFlagRequired(name)
@@ -104,7 +106,7 @@
 	if err := a.deployment.needTeam(); err != nil {
 		return err
 	}
-	c, err := a.deployment.caller()
+	c, err := a.deployment.caller(f.retryRefused)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/ctl/deployment.go
+++ b/internal/ctl/deployment.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"crypto/tls"
 	"os"
 	"strings"
@@ -46,7 +47,7 @@
 
 func (a *app) deploymentFlags(cmd *cobra.Command) {
 	flags := cmd.PersistentFlags()
-	flags.StringVarP(&a.deploymentFile, "deployment", "d", os.Getenv(deploymentVariable),
+	flags.StringVarP(&a.deploymentFile, "deployment", "d", "",
 		"file that tells where the hosts are, JSON; "+deploymentVariable+" names one too")
 	flags.StringSliceVar(&a.override.Operators, "operator", nil, "operators' address of an entry host; may be given more than once")
 	flags.StringSliceVar(&a.override.Entries, "entry", nil, "callers' address of an entry host; may be given more than once")
@@ -62,14 +63,14 @@
 }
 
 func (a *app) loadDeployment() error {
-	if a.deploymentFile != "" {
-		data, err := os.ReadFile(a.deploymentFile)
+	if path := cmp.Or(a.deploymentFile, os.Getenv(deploymentVariable)); path != "" {
+		data, err := os.ReadFile(path)
 		if err != nil {
 			return errors.Trace(err)
 		}
 		err = deploymentSchema().Decode(data, &a.deployment, func() []strictjson.Fault { return nil })
 		if err != nil {
-			return errors.Annotate(err, a.deploymentFile)
+			return errors.Annotate(err, path)
 		}
 	}
 	a.deployment.apply(a.override)
@@ -144,8 +145,8 @@
 	return strings.TrimSpace(string(data)), errors.Trace(err)
 }
 
-// caller returns a client of the callers' interface.
-func (d *Deployment) caller() (*client.Client, error) {
+// caller returns a client of the callers' interface; retryRefused makes it come back after refusals.
+func (d *Deployment) caller(retryRefused bool) (*client.Client, error) {
 	if len(d.Entries) == 0 {
 		return nil, needed("entry")
 	}
@@ -157,5 +158,12 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return client.New(client.Options{Entries: d.Entries, Zone: d.Zone, Team: d.Team, Key: key, TLS: config}), nil
+	return client.New(client.Options{
+		Entries:      d.Entries,
+		Zone:         d.Zone,
+		Team:         d.Team,
+		Key:          key,
+		TLS:          config,
+		RetryRefused: retryRefused,
+	}), nil
 }
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -35,20 +35,29 @@
 }
 
 // tableWriter aligns columns.
-type tableWriter struct{ *tabwriter.Writer }
+type tableWriter struct {
+	*tabwriter.Writer
+	// columns is the number of columns of the table that is being written; 0 between tables.
+	columns int
+}
 
-// row writes a line; the columns are separated.
+// row writes a line of a table, whose first row has its headings. Columns that are left out are dashes.
 func (w *tableWriter) row(columns ...any) {
-	cells := make([]string, len(columns))
-	for i, c := range columns {
-		cells[i] = fmt.Sprint(c)
+	w.columns = max(w.columns, len(columns))
+	var cells []string
+	for _, c := range columns {
+		cells = append(cells, fmt.Sprint(c))
+	}
+	for len(cells) < w.columns {
+		cells = append(cells, "-")
 	}
 	_, _ = io.WriteString(w, strings.Join(cells, "\t")+"\n")
 }
 
-// line writes text that is not aligned with the rows around it.
+// line ends a table and writes text that is not aligned.
 func (w *tableWriter) line(format string, args ...any) {
 	_ = w.Flush()
+	w.columns = 0
 	_, _ = fmt.Fprintf(w.Writer, format+"\n", args...)
 	_ = w.Flush()
 }
--- /dev/null
+++ b/internal/docscheck/reference_test.go
@@ -0,0 +1,271 @@
+package docscheck
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"testing"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/ctl"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+	"carobshunt/internal/metrics"
+	"carobshunt/internal/settings"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+	"gotest.tools/v3/assert"
+)
+
+// writeVariable makes TestReferenceIsCurrent write the page.
+const writeVariable = "CAROB_WRITE_REFERENCE"
+
+func TestReferenceIsCurrent(t *testing.T) {
+	path := filepath.Join(root, "docs/REFERENCE.md")
+	want := reference(t)
+	if os.Getenv(writeVariable) != "" {
+		assert.NilError(t, os.WriteFile(path, []byte(want), 0o644))
+	}
+	got, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), want, "run: make reference")
+}
+
+func reference(t *testing.T) string {
+	var out strings.Builder
+	out.WriteString("# Reference\n\nMade from the code by `make reference`; changes by hand are refused by the tests.\n")
+	trees := commandTrees()
+	for _, name := range []string{"carobctl", "carobshuntd", "carobfake"} {
+		fmt.Fprintf(&out, "\n## %s\n\n", name)
+		writeCommand(&out, trees[name])
+	}
+	out.WriteString("\nThe daemon ends with status 0 after a planned stop, 2 for settings that are invalid, else 1.\n")
+	writeRows(t, &out, "Settings of the daemon", settings.Reference())
+	writeRows(t, &out, "Deployment file of carobctl", ctl.DeploymentReference())
+	writeRows(t, &out, "Published document", document.Reference())
+	writeRows(t, &out, "Host list", hostlist.Reference())
+	out.WriteString("\n## Metrics\n\nServed at `/metrics` on the operators' interface.\n\n")
+	out.WriteString("| Metric | Kind | Labels | Meaning |\n|---|---|---|---|\n")
+	for _, m := range metricRows(t) {
+		fmt.Fprintf(&out, "| `%s` | %s | %s | %s |\n", m.name, m.kind, m.labels, m.help)
+	}
+	return out.String()
+}
+
+func writeCommand(out *strings.Builder, cmd *cobra.Command) {
+	if cmd.HasParent() {
+		fmt.Fprintf(out, "\n### %s\n\n", cmd.CommandPath())
+	}
+	fmt.Fprintf(out, "```text\n%s\n```\n\n%s\n", cmd.UseLine(), strings.ReplaceAll(description(cmd), "Exit statuses:\n", "Exit statuses:\n\n"))
+	rows := 0
+	cmd.LocalFlags().VisitAll(func(f *pflag.Flag) {
+		if f.Name == "help" {
+			return
+		}
+		if rows == 0 {
+			out.WriteString("\n| Flag | Default | Meaning |\n|---|---|---|\n")
+		}
+		rows++
+		fmt.Fprintf(out, "| `--%s` | %s | %s |\n", f.Name, codeOrDash(f.DefValue), f.Usage)
+	})
+	for _, child := range cmd.Commands() {
+		if child.Name() != "help" && child.Name() != "completion" {
+			writeCommand(out, child)
+		}
+	}
+}
+
+func description(cmd *cobra.Command) string {
+	if cmd.Long != "" {
+		return cmd.Long
+	}
+	return cmd.Short + "."
+}
+
+func codeOrDash(value string) string {
+	if value == "" || value == "[]" {
+		return "-"
+	}
+	return "`" + value + "`"
+}
+
+// settingRow is one leaf of a schema.
+type settingRow struct {
+	path, kind, limits, meaning string
+}
+
+// schemaNode is the part of a JSON schema that the reference needs.
+type schemaNode struct {
+	Ref         string                 `json:"$ref"`
+	Defs        map[string]*schemaNode `json:"$defs"`
+	Type        string                 `json:"type"`
+	Description string                 `json:"description"`
+	Properties  map[string]*schemaNode `json:"properties"`
+	Additional  json.RawMessage        `json:"additionalProperties"`
+	Items       *schemaNode            `json:"items"`
+	Required    []string               `json:"required"`
+	Default     any                    `json:"default"`
+	Minimum     *json.Number           `json:"minimum"`
+	Maximum     *json.Number           `json:"maximum"`
+	Enum        []any                  `json:"enum"`
+}
+
+func settingsRows(t *testing.T, schema []byte) []settingRow {
+	t.Helper()
+	top := &schemaNode{}
+	assert.NilError(t, json.Unmarshal(schema, top))
+	var rows []settingRow
+	collectRows(t, top, top, "", false, &rows)
+	sort.Slice(rows, func(i, j int) bool { return rows[i].path < rows[j].path })
+	return rows
+}
+
+func collectRows(t *testing.T, top, node *schemaNode, path string, required bool, rows *[]settingRow) {
+	if name, ok := strings.CutPrefix(node.Ref, "#/$defs/"); ok {
+		described := node.Description
+		node = top.Defs[name]
+		assert.Assert(t, node != nil, name)
+		if described != "" && node.Description == "" {
+			node.Description = described
+		}
+	}
+	var values schemaNode
+	switch {
+	case len(node.Properties) > 0:
+		for name, child := range node.Properties {
+			collectRows(t, top, child, strings.TrimPrefix(path+"."+name, "."), contains(node.Required, name), rows)
+		}
+	case node.Type == "array" && node.Items != nil && node.Items.Ref != "":
+		collectRows(t, top, node.Items, path+"[]", false, rows)
+	case node.Type == "object" && json.Unmarshal(node.Additional, &values) == nil:
+		collectRows(t, top, &values, path+".NAME", false, rows)
+	default:
+		*rows = append(*rows, settingRow{path: path, kind: node.Type, limits: limitsOf(node, required), meaning: node.Description})
+	}
+}
+
+func contains(list []string, name string) bool {
+	for _, one := range list {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+func limitsOf(node *schemaNode, required bool) string {
+	var parts []string
+	if required {
+		parts = append(parts, "required")
+	}
+	if node.Default != nil {
+		parts = append(parts, fmt.Sprintf("default %v", number(node.Default)))
+	}
+	if node.Minimum != nil {
+		parts = append(parts, "at least "+node.Minimum.String())
+	}
+	if node.Maximum != nil {
+		parts = append(parts, "at most "+node.Maximum.String())
+	}
+	if len(node.Enum) > 0 {
+		parts = append(parts, "one of "+strings.Trim(fmt.Sprint(node.Enum), "[]"))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// number shows whole numbers without an exponent.
+func number(value any) any {
+	if f, ok := value.(float64); ok {
+		return fmt.Sprintf("%.0f", f)
+	}
+	return value
+}
+
+func writeRows(t *testing.T, out *strings.Builder, title string, schema []byte) {
+	fmt.Fprintf(out, "\n## %s\n\nUnknown fields are refused. `[]` stands for each item of a list, `NAME` for each name.\n\n", title)
+	out.WriteString("| Field | Type | Limits | Meaning |\n|---|---|---|---|\n")
+	for _, r := range settingsRows(t, schema) {
+		fmt.Fprintf(out, "| `%s` | %s | %s | %s |\n", r.path, r.kind, dash(r.limits), dash(r.meaning))
+	}
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// metricRow is one metric.
+type metricRow struct{ name, kind, labels, help string }
+
+// state is a source with one of each.
+type state struct{ snapshot node.Snapshot }
+
+func (s *state) Snapshot() *node.Snapshot { return &s.snapshot }
+
+type noConnections struct{}
+
+func (noConnections) Open() int64     { return 0 }
+func (noConnections) Refused() uint64 { return 0 }
+
+// metricRows scrapes a process's metrics after one of everything has happened.
+func metricRows(t *testing.T) []metricRow {
+	t.Helper()
+	s := &state{snapshot: node.Snapshot{Status: api.Status{
+		Config:   api.ConfigStatus{Preset: "ordinary"},
+		Targets:  []api.TargetStatus{{Kind: "engine"}},
+		Requests: api.RequestsStatus{Outcomes: []api.OutcomeCount{{Outcome: api.OutcomeDone, Count: 1}}},
+	}}}
+	m := metrics.New(settings.Example().Metrics, s)
+	m.WatchListener("callers", noConnections{})
+	key := core.Key{Team: "desk", ID: "request-1"}
+	work := core.Work{Class: document.ClassShort, PrefillTokens: 1}
+	m.Dispatched(node.StartDispatch{Key: key, Dispatch: 1, Work: work})
+	m.Answer(node.StartDispatch{Key: key, Work: work}).Observe(1)
+	m.Finished(node.Finish{Key: key, Work: work, Timing: core.Timing{Admitted: 1, Dispatched: 2, FirstToken: 3}})
+	m.Refused(api.CodeMalformed)
+	m.Noted(node.EventReady)
+	m.Reloaded("peers", nil)
+	answer := httptest.NewRecorder()
+	m.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return parseMetrics(answer.Body.String())
+}
+
+func parseMetrics(text string) []metricRow {
+	var rows []metricRow
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(line, "# HELP carobshunt_"):
+			name, help, _ := strings.Cut(strings.TrimPrefix(line, "# HELP "), " ")
+			rows = append(rows, metricRow{name: name, help: help, labels: "-"})
+		case strings.HasPrefix(line, "# TYPE carobshunt_"):
+			rows[len(rows)-1].kind = line[strings.LastIndex(line, " ")+1:]
+		case strings.HasPrefix(line, "carobshunt_") && strings.Contains(line, "{"):
+			rows[len(rows)-1].labels = labelNames(line)
+		}
+	}
+	return rows
+}
+
+// labelNames are the labels of a sample, without the one of buckets.
+func labelNames(line string) string {
+	_, rest, _ := strings.Cut(line, "{")
+	inside, _, _ := strings.Cut(rest, "}")
+	var names []string
+	for _, pair := range strings.Split(inside, ",") {
+		if name, _, ok := strings.Cut(pair, "="); ok && name != "le" {
+			names = append(names, "`"+name+"`")
+		}
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -51,3 +51,6 @@
 	}
 	return faults
 }
+
+// Reference returns the JSON schema of a document.
+func Reference() []byte { return schema().Text() }
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -81,3 +81,6 @@
 	}
 	return faults
 }
+
+// Reference returns the JSON schema of a list.
+func Reference() []byte { return schema().Text() }
