Configuration that never falls, bounded peer exchange, failure evidence by zone

Cause: a second document under one revision was dropped as old, so hosts that heard different ones stayed apart for good; a starting host was ready on the first answer, however old; every host read the platform and sent heartbeats to every other; a change cost the whole document; a drain ended at once on a host older than the notice time; a process that slept handed out work from the host list of before. Change: versions ordered by revision and digest; a starting host waits for its peers and the targets' fencing numbers; two readers of each availability zone by rendezvous hash, with a bounded take-over; heartbeats along four rings; deltas with a digest check; suspicion of own link and zone; linger of a draining host.

--- a/api/status.go
+++ b/api/status.go
@@ -8,12 +8,14 @@
 	ClockMs     int64  `json:"clock_ms"`
 	Ready       bool   `json:"ready"`
 	// NotReadyReason is empty on a ready host.
-	NotReadyReason string         `json:"not_ready_reason,omitempty"`
-	Draining       bool           `json:"draining"`
-	Config         ConfigStatus   `json:"config"`
-	Peers          []PeerStatus   `json:"peers"`
-	Targets        []TargetStatus `json:"targets"`
-	Requests       RequestsStatus `json:"requests"`
+	NotReadyReason string `json:"not_ready_reason,omitempty"`
+	Draining       bool   `json:"draining"`
+	// Warnings name what an operator should look at.
+	Warnings []Warning      `json:"warnings"`
+	Config   ConfigStatus   `json:"config"`
+	Peers    []PeerStatus   `json:"peers"`
+	Targets  []TargetStatus `json:"targets"`
+	Requests RequestsStatus `json:"requests"`
 }
 
 // ConfigStatus reports the configuration in force.
@@ -26,6 +28,22 @@
 	HeardFrom string `json:"heard_from"`
 	// PlatformSilentMs is the time since the platform was last heard, in milliseconds; -1 for never.
 	PlatformSilentMs int64 `json:"platform_silent_ms"`
+	// Digest is the digest of the document in force, in hexadecimal; hosts with one revision and two digests heard
+	// two documents.
+	Digest string `json:"digest"`
+	// KnownRevision is the highest revision that a peer had in force or a target remembers; above Revision, this
+	// host is behind.
+	KnownRevision uint64 `json:"known_revision"`
+	// CallersRevision is the highest revision that a caller echoed from a look-up. Nothing proves it.
+	CallersRevision uint64 `json:"callers_revision"`
+	// Conflicts counts the times that two documents were heard under the revision in force.
+	Conflicts uint64 `json:"conflicts"`
+	// HostsVersion is the version of the host list in force, HostsInForceMs the time since it was heard, in
+	// milliseconds; -1 for never.
+	HostsVersion   uint64 `json:"hosts_version"`
+	HostsInForceMs int64  `json:"hosts_in_force_ms"`
+	// Reads tells whether this host watches the platform itself.
+	Reads bool `json:"reads"`
 	// Rejected counts documents refused as invalid; LastRejection names the first fault of the last of them.
 	Rejected      uint64 `json:"rejected"`
 	LastRejection string `json:"last_rejection,omitempty"`
@@ -70,3 +88,24 @@
 	Outcome Outcome `json:"outcome"`
 	Count   uint64  `json:"count"`
 }
+
+// Warning names a state that an operator should look at.
+type Warning string
+
+// The warnings.
+const (
+	// WarningConflict: two documents were published under the revision in force.
+	WarningConflict Warning = "configuration_conflict"
+	// WarningBehind: a peer or a target knows a higher revision than the one in force here.
+	WarningBehind Warning = "configuration_behind"
+	// WarningCallersAhead: a caller echoed a higher revision than any that is known otherwise.
+	WarningCallersAhead Warning = "callers_ahead"
+	// WarningPlatformSilent: the platform has not answered any host of this availability zone for a while.
+	WarningPlatformSilent Warning = "platform_silent"
+	// WarningPeersSilent: there are peers, and none of them is heard.
+	WarningPeersSilent Warning = "peers_silent"
+	// WarningLink: this host's own link to the targets is suspected.
+	WarningLink Warning = "own_link_suspected"
+	// WarningZone: the targets of an availability zone can't be reached from this host.
+	WarningZone Warning = "zone_suspected"
+)
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -1,4 +1,5 @@
-// Package member tracks the other entry hosts: who is listed, who was heard when, and in which incarnation.
+// Package member tracks the other entry hosts: which of them this host exchanges state with, who was heard when,
+// and in which incarnation.
 package member
 
 import (
@@ -6,6 +7,7 @@
 	"time"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/limit"
 	"carobshunt/internal/hostlist"
 )
@@ -19,35 +21,77 @@
 	Incarnation string `json:"incarnation"`
 	// ClockMs is the sender's clock, in milliseconds since its start.
 	ClockMs int64 `json:"clock_ms"`
-	// Revision is the configuration revision in force at the sender, HostsVersion its host list's version.
+	// Revision and Digest are the configuration in force at the sender, HostsVersion and HostsDigest its host list.
 	Revision     uint64 `json:"revision"`
+	Digest       uint64 `json:"digest,omitempty"`
 	HostsVersion uint64 `json:"hosts_version"`
+	HostsDigest  uint64 `json:"hosts_digest,omitempty"`
 	Draining     bool   `json:"draining,omitempty"`
 	// Demands and Grants share out the teams' limits between hosts.
 	Demands []limit.Demand `json:"demands,omitempty"`
 	Grants  []limit.Grant  `json:"grants,omitempty"`
+	// Ready tells whether the sender takes requests.
+	Ready bool `json:"ready,omitempty"`
+	// IntervalMs is the time after which the next heartbeat is due, in milliseconds.
+	IntervalMs int64 `json:"interval_ms,omitempty"`
+	// PlatformAgeMs is the time since the platform answered some host of the sender's availability zone, as far as
+	// the sender knows, in milliseconds; -1 for never.
+	PlatformAgeMs int64 `json:"platform_age_ms"`
+}
+
+// Config is the version of the configuration in force at the sender.
+func (h *Heartbeat) Config() conf.Version {
+	return conf.Version{Revision: h.Revision, Digest: h.Digest}
+}
+
+// Hosts is the version of the host list in force at the sender.
+func (h *Heartbeat) Hosts() conf.Version {
+	return conf.Version{Revision: h.HostsVersion, Digest: h.HostsDigest}
 }
 
 // Timings of the peer protocol.
 const (
-	// Interval is the time between heartbeats to one peer.
+	// Interval is the time between heartbeats to one peer, at up to fewPeers peers.
 	Interval = 250 * time.Millisecond
-	// Silence is the time without a heartbeat after which a peer counts as gone.
+	// Silence is the least time without a heartbeat after which a peer counts as gone.
 	Silence = 1500 * time.Millisecond
+	// fewPeers is the number of peers that are sent a heartbeat each Interval. With more, the interval grows in
+	// proportion, so that the bytes sent do not.
+	fewPeers = 3
+	// silentIntervals is the number of its intervals after which a peer counts as gone.
+	silentIntervals = 4
+	// settledDelay is how much longer than the fastest heartbeat of its sender a heartbeat may take and still count
+	// as heard when it arrives. One that took longer waited for a process that slept.
+	settledDelay = 500 * time.Millisecond
+	// driftDivisor allows two hosts' clocks to drift apart by one part in that many.
+	driftDivisor = 1000
 )
 
+// IntervalFor is the time between heartbeats to one of that many peers.
+func IntervalFor(peers int) time.Duration {
+	return Interval * time.Duration(max(peers, fewPeers)) / fewPeers
+}
+
 // Peer is another entry host.
 type Peer struct {
 	Last Heartbeat
-	// Heard is when Last arrived; meaningful if Known.
+	// Heard is when Last was fresh, on this host's clock; meaningful if Known.
 	Heard core.Time
 	Known bool
 	// Leaving is the host list's word.
 	Leaving bool
+	// neighbour marks a host that this one exchanges heartbeats with by the overlay.
+	neighbour bool
+	// offset is the least difference seen between this host's clock at arrival and the peer's in the heartbeat.
+	offset core.Time
 }
 
 // Alive tells whether the peer was heard lately.
-func (p *Peer) Alive(now core.Time) bool { return p.Known && now-p.Heard < Silence }
+func (p *Peer) Alive(now core.Time) bool { return p.Known && now-p.Heard < p.silence() }
+
+func (p *Peer) silence() time.Duration {
+	return max(Silence, silentIntervals*time.Duration(p.Last.IntervalMs)*time.Millisecond)
+}
 
 // Clock estimates the peer's clock; it is late by the time that the heartbeat travelled, never early.
 func (p *Peer) Clock(now core.Time) core.Time {
@@ -57,15 +101,24 @@
 // Table holds the peers by peer address.
 type Table struct {
 	self  string
+	zone  string
 	peers map[string]*Peer
+	// seeds are the addresses from the settings, used until a host list is known.
+	seeds    []string
+	contacts []string
+	// zoneRanks are the listed live entry hosts of the own availability zone, in order of preference as readers.
+	zoneRanks []string
+	listed    bool
 }
 
-// NewTable returns a table for the host with that peer address, seeded with peer addresses from the settings.
-func NewTable(self string, seeds []string) *Table {
-	t := &Table{self: self, peers: make(map[string]*Peer)}
+// NewTable returns a table for the host with that peer address and availability zone, seeded with peer addresses
+// from the settings.
+func NewTable(self, zone string, seeds []string) *Table {
+	t := &Table{self: self, zone: zone, peers: make(map[string]*Peer), seeds: seeds}
 	for _, address := range seeds {
 		t.ensure(address)
 	}
+	t.recontact(0)
 	return t
 }
 
@@ -75,55 +128,115 @@
 	}
 	p := t.peers[address]
 	if p == nil {
-		p = &Peer{Last: Heartbeat{Peer: address}}
+		p = &Peer{Last: Heartbeat{Peer: address, PlatformAgeMs: -1}}
 		t.peers[address] = p
 	}
 	return p
 }
 
-// Apply takes a host list: listed entry hosts are added, unlisted ones that are silent are dropped.
+// Apply takes a host list: the overlay's neighbours are added, other hosts that are silent are dropped.
 func (t *Table) Apply(now core.Time, list *hostlist.List) {
-	listed := make(map[string]bool)
+	t.listed = true
+	t.zoneRanks = rankZone(list, t.zone)
+	neighbours := Neighbours(list, t.self, t.zone)
+	for _, p := range t.peers {
+		p.neighbour = false
+		p.Leaving = false
+	}
+	for _, host := range neighbours {
+		t.ensure(host.Peer).neighbour = true
+	}
 	for _, host := range list.Hosts {
-		if host.Role != hostlist.RoleEntry || host.Peer == t.self {
-			continue
-		}
-		listed[host.Peer] = true
-		p := t.ensure(host.Peer)
-		p.Leaving = host.State == hostlist.StateLeaving
-		if !p.Known {
-			p.Last.Address = host.Address
-			p.Last.Zone = host.Zone
+		if p := t.peers[host.Peer]; p != nil && host.Role == hostlist.RoleEntry {
+			p.Leaving = host.State == hostlist.StateLeaving
+			p.fill(host)
 		}
 	}
+	t.recontact(now)
+}
+
+// fill takes what the host list says of a peer that was not heard.
+func (p *Peer) fill(host hostlist.Host) {
+	if !p.Known {
+		p.Last.Address = host.Address
+		p.Last.Zone = host.Zone
+	}
+}
+
+// maxStrangers is how many hosts that the overlay does not give are answered while they send heartbeats: hosts that
+// the host list does not name yet, or whose host list differs.
+const maxStrangers = 8
+
+// recontact drops silent strangers and settles who is sent heartbeats.
+func (t *Table) recontact(now core.Time) {
+	t.contacts = t.contacts[:0:0]
+	var strangers []string
 	for address, p := range t.peers {
-		if !listed[address] && !p.Alive(now) {
+		switch {
+		case p.neighbour, !t.listed:
+			t.contacts = append(t.contacts, address)
+		case p.Alive(now):
+			strangers = append(strangers, address)
+		default:
 			delete(t.peers, address)
 		}
 	}
+	sort.Strings(strangers)
+	t.contacts = append(t.contacts, strangers[:min(len(strangers), maxStrangers)]...)
+	sort.Strings(t.contacts)
+}
+
+// Expire forgets strangers that fell silent.
+func (t *Table) Expire(now core.Time) {
+	for _, p := range t.peers {
+		if t.listed && !p.neighbour && !p.Alive(now) {
+			t.recontact(now)
+			return
+		}
+	}
+}
+
+// Hearing is what a heartbeat told about its sender.
+type Hearing struct {
+	// Fresh is false for a heartbeat that waited while a process slept.
+	Fresh bool
+	// Started is true for the first heartbeat of an incarnation.
+	Started bool
 }
 
-// Hear takes a heartbeat.
-func (t *Table) Hear(now core.Time, hb Heartbeat) {
-	p := t.ensure(hb.Peer)
+// Hear takes a heartbeat. Its age is reckoned from the fastest one of the same incarnation, so that heartbeats that
+// waited in a buffer while this process slept do not make their sender look alive.
+func (t *Table) Hear(now core.Time, hb Heartbeat) Hearing {
+	p := t.peers[hb.Peer]
 	if p == nil {
-		return
+		if p = t.ensure(hb.Peer); p == nil {
+			return Hearing{}
+		}
+		defer t.recontact(now)
+	}
+	started := !p.Known || p.Last.Incarnation != hb.Incarnation
+	offset := now - core.Time(hb.ClockMs)*time.Millisecond
+	p.offset += (now - p.Heard) / driftDivisor
+	if started || offset < p.offset {
+		p.offset = offset
 	}
+	if !started && hb.ClockMs < p.Last.ClockMs {
+		return Hearing{}
+	}
+	delay := offset - p.offset
 	p.Last = hb
-	p.Heard = now
 	p.Known = true
-}
-
-// Addresses returns the peer addresses, sorted.
-func (t *Table) Addresses() []string {
-	out := make([]string, 0, len(t.peers))
-	for address := range t.peers {
-		out = append(out, address)
+	p.Heard = now
+	if delay > settledDelay {
+		p.Heard = now - delay
 	}
-	sort.Strings(out)
-	return out
+	return Hearing{Fresh: delay <= settledDelay, Started: started}
 }
 
+// Addresses returns the peer addresses of all known hosts that this one exchanges state with, sorted. It must not
+// be changed.
+func (t *Table) Addresses() []string { return t.contacts }
+
 // Get returns a peer by peer address, or nil.
 func (t *Table) Get(address string) *Peer { return t.peers[address] }
 
@@ -136,3 +249,33 @@
 	}
 	return nil
 }
+
+// AllHeard tells whether every contact was heard, and whether one of them is ready.
+func (t *Table) AllHeard(now core.Time) (all, ready bool) {
+	all = true
+	for _, address := range t.contacts {
+		p := t.peers[address]
+		all = all && p.Alive(now)
+		ready = ready || (p.Alive(now) && p.Last.Ready)
+	}
+	return all, ready
+}
+
+// Rank is this host's place among the live hosts of its availability zone in the order in which they are to read
+// the platform, from 0. Hosts that are known to be silent are passed over. It stops counting at limit.
+func (t *Table) Rank(now core.Time, limit int) int {
+	rank := 0
+	for _, address := range t.zoneRanks {
+		if address == t.self || rank >= limit {
+			return rank
+		}
+		p := t.peers[address]
+		if p == nil || !p.neighbour || p.Alive(now) || !t.heardLongEnough(now) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// heardLongEnough tells whether a peer could have been heard since the start.
+func (t *Table) heardLongEnough(now core.Time) bool { return now >= Silence }
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -117,6 +117,10 @@
 	EventHosts     Event = "host list in force"
 	EventPeerAlive Event = "peer alive"
 	EventPeerGone  Event = "peer silent"
+	EventConflict  Event = "two configurations under one revision"
+	EventSlept     Event = "the process slept"
+	EventSuspects  Event = "suspicion of own link or zones changed"
+	EventReads     Event = "reading the platform"
 )
 
 // Stop ends the process: a drain is complete.
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -27,7 +27,7 @@
 	if reason := n.notReady(); reason != "" {
 		return core.Result{Code: api.CodeNotReady, Message: reason, RetryAfter: n.retryAfter(afterOverload)}
 	}
-	if n.draining {
+	if n.drain.active {
 		return core.Result{Code: api.CodeDraining, Message: "this host is stopping", RetryAfter: n.retryAfter(afterOverload)}
 	}
 	return core.Result{}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -16,6 +16,7 @@
 	"carobshunt/internal/core/retry"
 	"carobshunt/internal/core/route"
 	"carobshunt/internal/core/target"
+	"carobshunt/internal/delta"
 	"carobshunt/internal/hostlist"
 )
 
@@ -45,8 +46,12 @@
 	now     core.Time
 	actions []Action
 
-	config  *conf.Config
-	hosts   *hostlist.List
+	config *conf.Config
+	hosts  *hostlist.List
+	// hostsHistory is the host list's text with the deltas that led to it; hostsSince is when it was heard.
+	hostsHistory *delta.History
+	hostsSince   core.Time
+
 	peers   *member.Table
 	targets *target.Table
 	ledger  *ledger.Ledger
@@ -65,13 +70,14 @@
 	groups groupState
 	orders orderState
 
-	draining      bool
-	stopped       bool
+	drain         drainState
 	ready         bool
 	alive         map[string]bool
 	lastHeartbeat core.Time
-	platformHeard core.Time
 	outcomes      map[api.Outcome]uint64
+	knowledge     knowledge
+	wake          wakeState
+	cache         statusCache
 }
 
 // New returns the Node of a process that has just started: its clock stands at zero.
@@ -80,7 +86,8 @@
 	return &Node{
 		opts:          opts,
 		config:        conf.New(),
-		peers:         member.NewTable(opts.Peer, opts.Seeds),
+		hostsHistory:  &delta.History{},
+		peers:         member.NewTable(opts.Peer, opts.Zone, opts.Seeds),
 		targets:       target.NewTable(),
 		ledger:        ledger.NewLedger(opts.Records),
 		queue:         queue.New(),
@@ -93,9 +100,9 @@
 		groups:        newGroupState(),
 		orders:        newOrderState(),
 		alive:         make(map[string]bool),
-		lastHeartbeat: -member.Interval,
-		platformHeard: never,
+		lastHeartbeat: -time.Hour,
 		outcomes:      make(map[api.Outcome]uint64),
+		knowledge:     newKnowledge(),
 	}
 }
 
@@ -104,9 +111,11 @@
 
 // Step takes one input at an instant that is not before the last one.
 func (n *Node) Step(now core.Time, in Input) []Action {
+	n.noteSleep(now)
 	n.now = max(n.now, now)
 	n.actions = nil
 	n.apply(in)
+	n.endCatchUp()
 	n.noteReadiness()
 	return n.actions
 }
@@ -115,6 +124,7 @@
 	switch in := in.(type) {
 	case Submit:
 		n.submit(in)
+		n.noteSubmit(&in.Request)
 	case BodyEnded:
 		n.bodyEnded(in)
 	case DispatchFirstToken:
@@ -132,13 +142,16 @@
 	case HostsHeard:
 		n.hostsHeard(in)
 	case PlatformAnswered:
-		n.platformHeard = n.now
+		n.platformAnswered()
 	case LoadHeard:
 		n.loadHeard(in)
 	case Tick:
 		n.tick()
 	case Drain:
-		n.drain()
+		n.startDrain()
+	case OrdersRead:
+		n.fenceHeard(in)
+		n.ordersRead(in)
 	default:
 		n.applyEngineInput(in)
 	}
@@ -150,50 +163,12 @@
 	n.expireDeadlines()
 	n.ledger.Expire(n.now, func(rec *ledger.Record) { n.do(Drop{Key: rec.Request.Key}) })
 	n.heartbeat()
+	n.peers.Expire(n.now)
 	n.notePeers()
+	n.noteSuspects()
 	n.sweepTick()
 	n.groupsTick()
 	n.ordersTick()
 	n.pump()
 	n.stopWhenDrained()
 }
-
-func (n *Node) drain() {
-	if n.draining {
-		return
-	}
-	n.draining = true
-	n.do(Note{Event: EventDraining})
-	n.lastHeartbeat = n.now - member.Interval
-	n.heartbeat()
-	n.stopWhenDrained()
-}
-
-// drainNotice is how long a draining host keeps answering, so that its peers and its callers hear of it.
-const drainNotice = 2 * member.Interval
-
-func (n *Node) stopWhenDrained() {
-	if n.draining && !n.stopped && len(n.active) == 0 && n.now >= drainNotice {
-		n.stopped = true
-		n.do(Stop{})
-	}
-}
-
-// noteReadiness reports the moment at which the host first has both a configuration and a host list.
-func (n *Node) noteReadiness() {
-	if !n.ready && n.notReady() == "" {
-		n.ready = true
-		n.do(Note{Event: EventReady})
-	}
-}
-
-// notReady returns why the host can't serve, or nothing.
-func (n *Node) notReady() string {
-	switch {
-	case n.config.Document() == nil:
-		return "no configuration heard yet"
-	case n.hosts == nil:
-		return "no host list heard yet"
-	}
-	return ""
-}
--- a/internal/core/node/orders.go
+++ b/internal/core/node/orders.go
@@ -124,7 +124,7 @@
 		if t.Role != hostlist.RoleEngine {
 			continue
 		}
-		first := !n.draining && rendezvous.Position("order "+t.Address, n.opts.Peer, commanders) == 0
+		first := !n.drain.active && rendezvous.Position("order "+t.Address, n.opts.Peer, commanders) == 0
 		n.tenure(t.Address).Step(n.now, first)
 		if due && n.mayOrder(t) {
 			n.do(ReadOrders{Target: t.Address})
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -2,75 +2,155 @@
 
 import (
 	"fmt"
+	"time"
 
+	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/delta"
 )
 
 // heartbeat sends this host's state to its peers once an interval.
 func (n *Node) heartbeat() {
-	if n.now-n.lastHeartbeat < member.Interval {
+	if n.now-n.lastHeartbeat < member.IntervalFor(len(n.peers.Addresses())) {
 		return
 	}
 	n.lastHeartbeat = n.now
 	n.settleLimits()
+	n.announce(func(*member.Peer) bool { return true })
+}
+
+// announce sends this host's state at once to the peers that need it.
+func (n *Node) announce(needs func(*member.Peer) bool) {
+	hb := n.fullHeartbeat()
+	for _, address := range n.peers.Addresses() {
+		if needs(n.peers.Get(address)) {
+			n.do(SendHeartbeat{Peer: address, Heartbeat: hb})
+		}
+	}
+}
+
+// fullHeartbeat is this host's state with what it asks and lends of the teams' limits.
+func (n *Node) fullHeartbeat() member.Heartbeat {
 	hb := n.ownHeartbeat()
 	hb.Demands = n.limits.Demands(n.now)
 	hb.Grants = n.limits.Lend(n.now, n.borrowers())
-	for _, address := range n.peers.Addresses() {
-		n.do(SendHeartbeat{Peer: address, Heartbeat: hb})
-	}
+	return hb
 }
 
 func (n *Node) ownHeartbeat() member.Heartbeat {
+	config, hosts := n.config.Version(), n.hostsVersion()
 	return member.Heartbeat{
-		Address:      n.opts.Self.Address,
-		Peer:         n.opts.Peer,
-		Zone:         n.opts.Zone,
-		Incarnation:  n.opts.Self.Incarnation,
-		ClockMs:      n.now.Milliseconds(),
-		Revision:     n.config.Revision(),
-		HostsVersion: n.targets.Version(),
-		Draining:     n.draining,
+		Address:       n.opts.Self.Address,
+		Peer:          n.opts.Peer,
+		Zone:          n.opts.Zone,
+		Incarnation:   n.opts.Self.Incarnation,
+		ClockMs:       n.now.Milliseconds(),
+		Revision:      config.Revision,
+		Digest:        config.Digest,
+		HostsVersion:  hosts.Revision,
+		HostsDigest:   hosts.Digest,
+		Draining:      n.drain.active,
+		Ready:         n.ready,
+		IntervalMs:    member.IntervalFor(len(n.peers.Addresses())).Milliseconds(),
+		PlatformAgeMs: n.zonePlatformAgeMs(),
 	}
 }
 
-// heartbeatHeard takes a peer's state and pulls from it what is newer there.
+func (n *Node) hostsVersion() conf.Version {
+	return conf.Version{Revision: n.targets.Version(), Digest: n.hostsHistory.Newest().Digest}
+}
+
+// heartbeatHeard takes a peer's state and pulls from it what is newer there. A peer that has just started is answered
+// at once, since it waits for its peers before it gets ready.
 func (n *Node) heartbeatHeard(in HeartbeatHeard) {
 	hb := in.Heartbeat
-	n.peers.Hear(n.now, hb)
+	hearing := n.peers.Hear(n.now, hb)
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
-	if hb.Revision > n.config.Revision() {
+	n.wake.fresh = n.wake.fresh || hearing.Fresh
+	n.noteZonePlatform(&hb)
+	if hearing.Started && n.peers.Get(hb.Peer) != nil {
+		n.do(SendHeartbeat{Peer: hb.Peer, Heartbeat: n.fullHeartbeat()})
+	}
+	if hb.Config().Above(n.knowledge.config) {
+		n.knowledge.config = hb.Config()
+	}
+	if hb.Hosts().Above(n.knowledge.hosts) {
+		n.knowledge.hosts = hb.Hosts()
+	}
+	if n.knowledge.documentPull.due(n.now, hb.Config(), n.config.Version()) {
 		n.do(PullDocument{Peer: hb.Peer})
 	}
-	if hb.HostsVersion > n.targets.Version() {
+	if n.knowledge.hostsPull.due(n.now, hb.Hosts(), n.hostsVersion()) {
 		n.do(PullHosts{Peer: hb.Peer})
 	}
 }
 
+// pull is the last order to pull a text from a peer.
+type pull struct {
+	version conf.Version
+	until   core.Time
+}
+
+const (
+	// pullPatience is how long a pull may take before another peer is asked for the same version.
+	pullPatience = 500 * time.Millisecond
+	// refusedPause is how long a peer's version that was refused is not asked for again.
+	refusedPause = 10 * time.Second
+)
+
+// due tells whether an offered version is to be pulled now, and if so notes that it is.
+func (p *pull) due(now core.Time, offered, have conf.Version) bool {
+	if !offered.Above(have) || (now < p.until && !offered.Above(p.version)) {
+		return false
+	}
+	*p = pull{version: offered, until: now + pullPatience}
+	return true
+}
+
 func (n *Node) documentHeard(in DocumentHeard) {
+	conflicts, _ := n.config.Conflicts()
 	switch n.config.Offer(n.now, in.Raw, in.Source) {
 	case conf.Applied:
 		doc := n.config.Document()
 		n.limitRates()
 		n.do(Note{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
-		n.lastHeartbeat = n.now - member.Interval
-		n.heartbeat()
+		n.announceNews()
+		n.pump()
 	case conf.Invalid:
 		_, why := n.config.Rejected()
 		n.do(Note{Event: EventRejected, Text: why})
+		n.knowledge.documentPull.until = n.now + refusedPause
+	case conf.Repeated:
+		n.knowledge.documentPull.until = n.now + refusedPause
 	case conf.Old:
 	}
+	if after, _ := n.config.Conflicts(); after > conflicts {
+		n.do(Note{Event: EventConflict, Text: n.config.Version().String()})
+	}
+}
+
+// announceNews tells the peers that are not known to have what this host has.
+func (n *Node) announceNews() {
+	config, hosts := n.config.Version(), n.hostsVersion()
+	n.announce(func(p *member.Peer) bool {
+		return config.Above(p.Last.Config()) || hosts.Above(p.Last.Hosts())
+	})
 }
 
 func (n *Node) hostsHeard(in HostsHeard) {
-	if !n.targets.Apply(in.List) {
+	text, err := delta.Encode(in.List)
+	version := conf.Version{Revision: in.List.Version, Digest: text.Digest}
+	if err != nil || !version.Above(n.hostsVersion()) || !n.targets.Apply(in.List) {
 		return
 	}
 	n.hosts = in.List
+	n.hostsHistory = n.hostsHistory.Add(text)
+	n.hostsSince = n.now
 	n.peers.Apply(n.now, in.List)
 	n.limitHosts()
 	n.do(Note{Event: EventHosts, Text: fmt.Sprintf("version %d from %s", in.List.Version, in.Source)})
+	n.announceNews()
 	n.pump()
 }
 
@@ -95,6 +175,18 @@
 		}
 		n.do(Note{Event: event, Text: address})
 	}
+	if len(n.alive) > 2*len(n.peers.Addresses()) {
+		n.forgetPeers()
+	}
+}
+
+// forgetPeers drops what was noted of hosts that are no longer peers.
+func (n *Node) forgetPeers() {
+	for address := range n.alive {
+		if n.peers.Get(address) == nil {
+			delete(n.alive, address)
+		}
+	}
 }
 
 // alternatives are the callers' addresses of other hosts that take requests.
@@ -102,7 +194,7 @@
 	var out []string
 	for _, address := range n.peers.Addresses() {
 		p := n.peers.Get(address)
-		if p.Alive(n.now) && !p.Last.Draining && !p.Leaving {
+		if p.Alive(n.now) && !p.Last.Draining && !p.Leaving && p.Last.Ready {
 			out = append(out, p.Last.Address)
 		}
 	}
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -144,6 +144,9 @@
 
 // pump hands waiting requests to targets, in order of service, as far as there is room.
 func (n *Node) pump() {
+	if n.catchingUp() {
+		return
+	}
 	n.queue.Each(func(rec *ledger.Record) (take, more bool) {
 		return n.dispatch(rec), true
 	})
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -2,10 +2,12 @@
 
 import (
 	"sort"
+	"strconv"
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/delta"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 )
@@ -19,10 +21,15 @@
 	// Hosts are the entry hosts that take requests, this one first.
 	Hosts    []api.Host
 	Document *document.Document
-	// RawDocument and HostList are served to peers.
+	// RawDocument is the text of the document in force. Documents and HostLists are served to peers; HostList is the
+	// newest of the latter.
 	RawDocument []byte
+	Documents   *delta.History
 	HostList    *hostlist.List
-	Heartbeat   member.Heartbeat
+	HostLists   *delta.History
+	// Reads tells whether this host is to watch the platform.
+	Reads     bool
+	Heartbeat member.Heartbeat
 	// TargetAddresses are the targets whose load is to be read.
 	TargetAddresses []string
 	Status          api.Status
@@ -37,13 +44,16 @@
 	return &Snapshot{
 		Taken:           n.now,
 		Ready:           n.notReady() == "",
-		Draining:        n.draining,
+		Draining:        n.drain.active,
 		Hosts:           n.usableHosts(),
 		Document:        n.config.Document(),
 		RawDocument:     n.config.Raw(),
+		Documents:       n.config.History(),
 		HostList:        n.hosts,
+		HostLists:       n.hostsHistory,
+		Reads:           n.reads(),
 		Heartbeat:       n.ownHeartbeat(),
-		TargetAddresses: n.engineAddresses(),
+		TargetAddresses: n.targetAddresses(),
 		Status:          n.status(),
 		Sweeps:          n.sweeps.counts,
 		Groups:          n.groupCounts(),
@@ -51,24 +61,14 @@
 	}
 }
 
-func (n *Node) engineAddresses() []string {
-	var out []string
-	for _, t := range n.targets.All() {
-		if t.Role == hostlist.RoleEngine {
-			out = append(out, t.Address)
-		}
-	}
-	return out
-}
-
 func (n *Node) usableHosts() []api.Host {
 	var hosts []api.Host
-	if !n.draining && n.notReady() == "" {
+	if !n.drain.active && n.notReady() == "" {
 		hosts = append(hosts, n.selfHost())
 	}
 	for _, address := range n.peers.Addresses() {
 		p := n.peers.Get(address)
-		if p.Alive(n.now) && !p.Last.Draining && !p.Leaving && p.Last.Revision > 0 {
+		if p.Alive(n.now) && !p.Last.Draining && !p.Leaving && p.Last.Ready {
 			hosts = append(hosts, api.Host{
 				Address:     p.Last.Address,
 				Zone:        p.Last.Zone,
@@ -97,10 +97,11 @@
 		ClockMs:        n.now.Milliseconds(),
 		Ready:          n.notReady() == "",
 		NotReadyReason: n.notReady(),
-		Draining:       n.draining,
+		Draining:       n.drain.active,
+		Warnings:       n.warnings(),
 		Config:         n.configStatus(),
 		Peers:          n.peerStatus(),
-		Targets:        n.targetStatus(),
+		Targets:        n.cachedTargets(),
 		Requests:       n.requestsStatus(),
 	}
 }
@@ -111,16 +112,30 @@
 		Revision:         n.config.Revision(),
 		InForceMs:        (n.now - n.config.Since()).Milliseconds(),
 		HeardFrom:        n.config.HeardFrom(),
-		PlatformSilentMs: n.silentMs(n.platformHeard),
+		PlatformSilentMs: n.silentMs(n.knowledge.platformHeard),
+		Digest:           strconv.FormatUint(n.config.Version().Digest, 16),
+		KnownRevision:    max(n.floor(), n.config.Revision()),
+		CallersRevision:  n.knowledge.callers,
+		HostsVersion:     n.targets.Version(),
+		HostsInForceMs:   n.hostsInForceMs(),
+		Reads:            n.reads(),
 		Rejected:         rejected,
 		LastRejection:    why,
 	}
+	status.Conflicts, _ = n.config.Conflicts()
 	if doc := n.config.Document(); doc != nil {
 		status.Preset = doc.Active
 	}
 	return status
 }
 
+func (n *Node) hostsInForceMs() int64 {
+	if n.hosts == nil {
+		return -1
+	}
+	return (n.now - n.hostsSince).Milliseconds()
+}
+
 func (n *Node) silentMs(heard core.Time) int64 {
 	if heard == never {
 		return -1
--- /dev/null
+++ b/internal/core/target/evidence_test.go
@@ -0,0 +1,127 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/hostlist"
+
+	"gotest.tools/v3/assert"
+)
+
+// fleet returns a table of targets spread evenly over three availability zones.
+func fleet(n int) *Table {
+	list := &hostlist.List{Version: 1}
+	for i := range n {
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Address: fmt.Sprintf("10.0.0.%02d:1", i), Zone: string(rune('a' + i%3)),
+			Role: hostlist.RoleEngine, State: hostlist.StateLive,
+		})
+	}
+	table := NewTable()
+	table.Apply(list)
+	return table
+}
+
+// drive lets a host try every eligible target at each step, and returns how many steps each target was out.
+func drive(table *Table, from, to core.Time, cut func(*Target) bool) map[string]int {
+	const step = 50 * time.Millisecond
+	out := make(map[string]int)
+	for now := from; now < to; now += step {
+		for _, t := range table.All() {
+			switch {
+			case !t.Eligible(now):
+				out[t.Address]++
+			case cut(t):
+				t.Failed(now)
+			default:
+				t.Answered()
+			}
+		}
+	}
+	return out
+}
+
+func all(*Target) bool  { return true }
+func none(*Target) bool { return false }
+
+func eligible(table *Table, now core.Time) int {
+	n := 0
+	for _, t := range table.All() {
+		if t.Eligible(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestFaultOfTheOwnLinkKeepsNoTargetOut(t *testing.T) {
+	for _, cutFor := range []time.Duration{time.Second, 30 * time.Second, 10 * time.Minute} {
+		table := fleet(20)
+		mended := time.Second + cutFor
+		drive(table, time.Second, mended, all)
+		assert.Assert(t, table.Suspects(mended).Link)
+		assert.Equal(t, eligible(table, mended+linkPause), 20, "cut for %v", cutFor)
+		drive(table, mended, mended+2*linkPause, none)
+		assert.DeepEqual(t, table.Suspects(mended+2*linkPause), Suspects{})
+	}
+}
+
+func TestOneBadTargetIsEjectedAlone(t *testing.T) {
+	table := fleet(20)
+	bad := table.All()[7]
+	out := drive(table, 0, time.Minute, func(t *Target) bool { return t == bad })
+	assert.Equal(t, len(out), 1, "%v", out)
+	assert.Assert(t, out[bad.Address] > 1100, "of 1200 steps out: %d", out[bad.Address])
+	assert.DeepEqual(t, table.Suspects(time.Minute), Suspects{})
+}
+
+func TestCutZoneIsOutOnlyWhileItIsCut(t *testing.T) {
+	table := fleet(21)
+	out := drive(table, 0, time.Minute, func(t *Target) bool { return t.Zone == "b" })
+	for address := range out {
+		assert.Equal(t, table.Get(address).Zone, "b")
+	}
+	assert.DeepEqual(t, table.Suspects(time.Minute), Suspects{Zones: []string{"b"}})
+	assert.Equal(t, eligible(table, time.Minute+2*zonePause), 21)
+	drive(table, time.Minute, time.Minute+zonePause+50*time.Millisecond, none)
+	assert.DeepEqual(t, table.Suspects(time.Minute+2*zonePause), Suspects{})
+}
+
+func TestBadTargetInSmallZoneDoesNotKeepTheOthersOut(t *testing.T) {
+	table := fleet(9)
+	bad := table.Get("10.0.0.00:1")
+	drive(table, 0, time.Second, func(t *Target) bool { return t.Zone == "a" })
+	out := drive(table, time.Second, time.Minute, func(t *Target) bool { return t == bad })
+	for address, steps := range out {
+		assert.Assert(t, address == bad.Address || steps <= int(2*zonePause/(50*time.Millisecond)), "%v", out)
+	}
+}
+
+func TestOldFailuresAreNoEvidence(t *testing.T) {
+	table := fleet(6)
+	for i, target := range table.All() {
+		target.Failed(time.Duration(i) * (failingFor + time.Second))
+	}
+	assert.DeepEqual(t, table.Suspects(6*(failingFor+time.Second)), Suspects{})
+}
+
+func TestTargetThatLeavesIsNotEligible(t *testing.T) {
+	table := fleet(4)
+	list := &hostlist.List{Version: 2}
+	for i, target := range table.All() {
+		host := target.Host
+		if i == 0 {
+			host.State = hostlist.StateLeaving
+		}
+		if i != 1 {
+			list.Hosts = append(list.Hosts, host)
+		}
+	}
+	table.Apply(list)
+	assert.Equal(t, eligible(table, time.Hour), 2)
+	list.Version = 1
+	assert.Assert(t, !table.Apply(list))
+}
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -5,7 +5,6 @@
 import (
 	"slices"
 	"sort"
-	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/hostlist"
@@ -31,9 +30,12 @@
 	// Report is the last load report, heard at Reported; Reported is 0 before the first.
 	Report   Report
 	Reported core.Time
-	// suspectUntil keeps the target out of routing after a failure.
+	// suspectUntil keeps the target out of routing after a failure; failedAt is its last failure, and failures
+	// counts those since its last answer.
 	suspectUntil core.Time
+	failedAt     core.Time
 	failures     int
+	evidence     *evidence
 }
 
 // Dispatch identifies one dispatch of one request.
@@ -71,44 +73,34 @@
 // Serves tells whether the target answers for a model or service.
 func (t *Target) Serves(model string) bool { return slices.Contains(t.Models, model) }
 
-// Suspicion after failures: doubling from the first to the last.
-const (
-	firstSuspicion = 500 * time.Millisecond
-	lastSuspicion  = 8 * time.Second
-)
-
 // Eligible tells whether new work may go to the target.
 func (t *Target) Eligible(now core.Time) bool {
-	return t.State == hostlist.StateLive && now >= t.suspectUntil
+	return t.State == hostlist.StateLive && now >= t.evidence.until(t)
 }
 
 // Failed records a failed dispatch.
-func (t *Target) Failed(now core.Time) {
-	pause := min(firstSuspicion<<min(t.failures, 8), lastSuspicion)
-	t.failures++
-	t.suspectUntil = now + pause
-}
+func (t *Target) Failed(now core.Time) { t.evidence.failed(now, t) }
 
 // Answered records that the target is well.
-func (t *Target) Answered() {
-	t.failures = 0
-	t.suspectUntil = 0
-}
+func (t *Target) Answered() { t.evidence.answered(t) }
 
 // Table holds the targets by address.
 type Table struct {
 	version   uint64
 	byAddress map[string]*Target
 	ordered   []*Target
+	evidence  *evidence
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{byAddress: make(map[string]*Target)} }
+func NewTable() *Table {
+	return &Table{byAddress: make(map[string]*Target), evidence: newEvidence()}
+}
 
-// Apply takes a host list that is newer than the last; an older one changes nothing. A target that left the list
-// is kept, as leaving, until its dispatches have ended.
+// Apply takes a host list; one with a lower version than the last changes nothing. A target that left the list is
+// kept, as leaving, until its dispatches have ended.
 func (tb *Table) Apply(list *hostlist.List) bool {
-	if list.Version <= tb.version {
+	if list.Version < tb.version {
 		return false
 	}
 	tb.version = list.Version
@@ -126,10 +118,12 @@
 		}
 		t.State = hostlist.StateLeaving
 		if t.InFlight() == 0 {
+			t.evidence.forget(t)
 			delete(tb.byAddress, address)
 		}
 	}
 	tb.reorder()
+	tb.evidence.count(tb.ordered)
 	return true
 }
 
@@ -141,7 +135,7 @@
 		t.Host = host
 		return
 	}
-	tb.byAddress[host.Address] = &Target{Host: host, inFlight: make(map[Dispatch]int64)}
+	tb.byAddress[host.Address] = &Target{Host: host, inFlight: make(map[Dispatch]int64), evidence: tb.evidence}
 }
 
 func (tb *Table) reorder() {
@@ -158,6 +152,9 @@
 // All returns the targets in order of address; the slice must not be changed.
 func (tb *Table) All() []*Target { return tb.ordered }
 
+// Suspects returns what this host suspects of the targets' failures, besides the targets themselves.
+func (tb *Table) Suspects(now core.Time) Suspects { return tb.evidence.suspects(now) }
+
 // AnyServes tells whether some target answers for the model, eligible or not.
 func (tb *Table) AnyServes(model string) bool {
 	return slices.ContainsFunc(tb.ordered, func(t *Target) bool { return t.Serves(model) })
--- /dev/null
+++ b/internal/delta/delta.go
@@ -0,0 +1,164 @@
+// Package delta carries a published JSON text between hosts in bytes that are proportional to what changed. A text
+// is split into pieces at its entries (the fields of the top level and the entries of its lists and objects); a
+// Delta says which pieces of the old text stay and what is new between them. Both ends check a digest.
+package delta
+
+import (
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+)
+
+// Failures of Apply.
+const (
+	ErrOtherBase = errors.ConstError("the delta was made for another text")
+	ErrRange     = errors.ConstError("the delta copies pieces that the text does not have")
+	ErrDigest    = errors.ConstError("the patched text does not have the digest that was announced")
+)
+
+// Text is a published value in its canonical encoding: encoding/json of its Go type, without white space.
+type Text struct {
+	Raw []byte
+	// Digest is the 64-bit xxHash of Raw; 0 for no text.
+	Digest uint64
+}
+
+// NewText returns the text with its digest.
+func NewText(raw []byte) Text { return Text{Raw: raw, Digest: xxhash.Sum64(raw)} }
+
+// Encode returns the canonical text of a value.
+func Encode(value any) (Text, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return Text{}, errors.Trace(err)
+	}
+	return NewText(raw), nil
+}
+
+// Edit either copies Count pieces of the old text, from piece From on, or inserts Insert.
+type Edit struct {
+	From   int    `json:"from,omitempty"`
+	Count  int    `json:"count,omitempty"`
+	Insert string `json:"insert,omitempty"`
+}
+
+// Delta turns the text with the digest Old into the one with the digest New.
+type Delta struct {
+	Old   uint64 `json:"old"`
+	New   uint64 `json:"new"`
+	Edits []Edit `json:"edits"`
+}
+
+// Size is about the number of bytes that the delta takes on the wire.
+func (d *Delta) Size() int {
+	size := 0
+	for _, e := range d.Edits {
+		size += editOverheadBytes + len(e.Insert)
+	}
+	return size
+}
+
+// editOverheadBytes is about what an edit takes on the wire besides its insertion.
+const editOverheadBytes = 24
+
+// Make returns the delta from one text to another.
+func Make(from, to Text) Delta {
+	old := split(from.Raw)
+	at := make(map[string]int, len(old))
+	for i, piece := range old {
+		at[string(piece)] = i
+	}
+	d := Delta{Old: from.Digest, New: to.Digest}
+	next := 0
+	for _, piece := range split(to.Raw) {
+		if next < len(old) && string(old[next]) == string(piece) {
+			d.copy(next)
+			next++
+			continue
+		}
+		if i, ok := at[string(piece)]; ok {
+			d.copy(i)
+			next = i + 1
+			continue
+		}
+		d.insert(piece)
+		next++
+	}
+	return d
+}
+
+func (d *Delta) copy(piece int) {
+	if n := len(d.Edits); n > 0 {
+		if last := &d.Edits[n-1]; last.Count > 0 && last.From+last.Count == piece {
+			last.Count++
+			return
+		}
+	}
+	d.Edits = append(d.Edits, Edit{From: piece, Count: 1})
+}
+
+func (d *Delta) insert(piece []byte) {
+	if n := len(d.Edits); n > 0 && d.Edits[n-1].Count == 0 {
+		d.Edits[n-1].Insert += string(piece)
+		return
+	}
+	d.Edits = append(d.Edits, Edit{Insert: string(piece)})
+}
+
+// Apply returns the new text, or an error when the old one is not the delta's base or the result is not its end.
+func (d *Delta) Apply(from Text) (Text, error) {
+	if from.Digest != d.Old {
+		return Text{}, ErrOtherBase
+	}
+	old := split(from.Raw)
+	out := make([]byte, 0, len(from.Raw)+d.Size())
+	for _, e := range d.Edits {
+		if e.Count < 0 || e.From < 0 || e.Count > len(old) || e.From > len(old)-e.Count {
+			return Text{}, ErrRange
+		}
+		for _, piece := range old[e.From : e.From+e.Count] {
+			out = append(out, piece...)
+		}
+		out = append(out, e.Insert...)
+	}
+	to := NewText(out)
+	if to.Digest != d.New {
+		return Text{}, ErrDigest
+	}
+	return to, nil
+}
+
+// pieceDepth is the depth of nesting down to which entries are pieces of their own.
+const pieceDepth = 2
+
+// split cuts a JSON text after each comma and opening bracket that stands at most pieceDepth deep.
+func split(raw []byte) [][]byte {
+	var pieces [][]byte
+	start, depth := 0, 0
+	inString, escaped := false, false
+	for i, b := range raw {
+		switch {
+		case escaped:
+			escaped = false
+		case inString:
+			escaped = b == '\\'
+			inString = b != '"'
+		case b == '"':
+			inString = true
+		case b == '{' || b == '[':
+			depth++
+		case b == '}' || b == ']':
+			depth--
+		}
+		if inString || depth > pieceDepth || (b != ',' && b != '{' && b != '[') {
+			continue
+		}
+		pieces = append(pieces, raw[start:i+1])
+		start = i + 1
+	}
+	if start < len(raw) {
+		pieces = append(pieces, raw[start:])
+	}
+	return pieces
+}
--- /dev/null
+++ b/internal/delta/history.go
@@ -0,0 +1,60 @@
+package delta
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+// historyLength is how many deltas a History keeps.
+const historyLength = 64
+
+// History is the newest text with the deltas that led to it, oldest first. It is immutable; the zero value holds
+// nothing.
+type History struct {
+	newest Text
+	deltas []Delta
+}
+
+// Newest is the newest text; its Digest is 0 when there is none.
+func (h *History) Newest() Text { return h.newest }
+
+// Add returns the history with one more text. It keeps no more deltas than are shorter than the whole text.
+func (h *History) Add(text Text) *History {
+	next := &History{newest: text}
+	if h.newest.Digest == 0 {
+		return next
+	}
+	next.deltas = append(slices.Clone(h.deltas), Make(h.newest, text))
+	size := 0
+	for i := len(next.deltas) - 1; i >= 0; i-- {
+		size += next.deltas[i].Size()
+		if size > len(text.Raw) || len(next.deltas)-i > historyLength {
+			next.deltas = next.deltas[i+1:]
+			break
+		}
+	}
+	return next
+}
+
+// Since returns the deltas that lead from the text with that digest to the newest one, or false when they are not
+// all kept.
+func (h *History) Since(digest uint64) ([]Delta, bool) {
+	for i := len(h.deltas) - 1; i >= 0; i-- {
+		if h.deltas[i].Old == digest {
+			return h.deltas[i:], true
+		}
+	}
+	return nil, false
+}
+
+// ApplyAll carries out deltas one after the other.
+func ApplyAll(from Text, deltas []Delta) (Text, error) {
+	var err error
+	for i := range deltas {
+		if from, err = deltas[i].Apply(from); err != nil {
+			return Text{}, errors.Trace(err)
+		}
+	}
+	return from, nil
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,6 @@
 // Package peer is the protocol between entry hosts: JSON-RPC 2.0 over TCP. A heartbeat is a notification; a peer
-// that learns from one that the sender has something newer calls back for it.
+// that learns from one that the sender has something newer calls back for it, names the text that it has, and gets
+// the deltas from there, or the whole text.
 package peer
 
 import (
@@ -11,6 +12,7 @@
 
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/delta"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/netdial"
 
@@ -25,11 +27,22 @@
 	methodHosts     = "hosts"
 )
 
-// Document is the result of the "document" method.
-type Document struct {
-	Raw json.RawMessage `json:"raw"`
+// Have is the parameter of the "document" and "hosts" methods: the digest of the text that the caller has, 0 for
+// none.
+type Have struct {
+	Digest uint64 `json:"digest"`
 }
 
+// Published is their result: the deltas that lead from the caller's text to the newest one, or the whole of it.
+type Published struct {
+	Digest uint64          `json:"digest"`
+	Deltas []delta.Delta   `json:"deltas,omitempty"`
+	Raw    json.RawMessage `json:"raw,omitempty"`
+}
+
+// ErrNothingPublished is returned by a peer that has no text yet.
+const ErrNothingPublished = errors.ConstError("the peer has no such text")
+
 // Timeouts between hosts.
 const (
 	dialTimeout  = time.Second
@@ -66,13 +79,32 @@
 	case methodHeartbeat:
 		return nil, s.heartbeat(req)
 	case methodDocument:
-		return Document{Raw: s.control.Snapshot().RawDocument}, nil
+		return published(req, s.control.Snapshot().Documents)
 	case methodHosts:
-		return s.control.Snapshot().HostList, nil
+		return published(req, s.control.Snapshot().HostLists)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 }
 
+// published answers with the deltas from the caller's text where they are all kept.
+func published(req *jsonrpc2.Request, history *delta.History) (*Published, error) {
+	var have Have
+	if req.Params == nil || json.Unmarshal(*req.Params, &have) != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "not a digest"}
+	}
+	newest := history.Newest()
+	if newest.Digest == 0 {
+		return nil, &jsonrpc2.Error{Code: codeNothing, Message: ErrNothingPublished.Error()}
+	}
+	if deltas, ok := history.Since(have.Digest); ok {
+		return &Published{Digest: newest.Digest, Deltas: deltas}, nil
+	}
+	return &Published{Digest: newest.Digest, Raw: newest.Raw}, nil
+}
+
+// codeNothing is the JSON-RPC error code of a peer that has no text yet.
+const codeNothing = -32000
+
 func (s *Server) heartbeat(req *jsonrpc2.Request) error {
 	var hb member.Heartbeat
 	if req.Params == nil || json.Unmarshal(*req.Params, &hb) != nil {
@@ -236,24 +268,20 @@
 }
 
 func (l *link) pullDocument(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var doc Document
-	if err := l.conn.Call(ctx, methodDocument, nil, &doc); err != nil {
+	text, err := l.pull(ctx, methodDocument, l.control.Snapshot().Documents)
+	if err != nil {
 		return errors.Trace(err)
 	}
-	l.control.Post(node.DocumentHeard{Raw: doc.Raw, Source: l.address})
+	l.control.Post(node.DocumentHeard{Raw: text.Raw, Source: l.address})
 	return nil
 }
 
 func (l *link) pullHosts(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var raw json.RawMessage
-	if err := l.conn.Call(ctx, methodHosts, nil, &raw); err != nil {
+	text, err := l.pull(ctx, methodHosts, l.control.Snapshot().HostLists)
+	if err != nil {
 		return errors.Trace(err)
 	}
-	list, err := hostlist.Parse(raw)
+	list, err := hostlist.Parse(text.Raw)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -261,6 +289,28 @@
 	return nil
 }
 
+// pull fetches the peer's newest text, as deltas if it can; when they don't fit it asks for the whole text.
+func (l *link) pull(ctx context.Context, method string, history *delta.History) (delta.Text, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	base := history.Newest()
+	var got Published
+	if err := l.conn.Call(ctx, method, Have{Digest: base.Digest}, &got); err != nil {
+		return delta.Text{}, errors.Trace(err)
+	}
+	if len(got.Raw) > 0 {
+		return delta.NewText(got.Raw), nil
+	}
+	if text, err := delta.ApplyAll(base, got.Deltas); err == nil && text.Digest == got.Digest {
+		return text, nil
+	}
+	got = Published{}
+	if err := l.conn.Call(ctx, method, Have{}, &got); err != nil {
+		return delta.Text{}, errors.Trace(err)
+	}
+	return delta.NewText(got.Raw), nil
+}
+
 // deadlineConn bounds each write, so that a peer that is paused does not hold up the sender.
 type deadlineConn struct{ net.Conn }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,8 +1,9 @@
 // Package platform reads the platform's configuration service and host list. It only ever reads: both are watched
-// with long polls, and each answer goes to the control loop.
+// with long polls, and each answer goes to the control loop. A host reads while its Node says that it is to.
 package platform
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -30,6 +31,11 @@
 	watchWait    = 5 * time.Second
 	watchTimeout = watchWait + 2*time.Second
 	retryPause   = 500 * time.Millisecond
+	// repeatPause follows an answer that brings the same text again: one that is refused, or an old one from a
+	// service that disregards "after".
+	repeatPause = 2 * time.Second
+	// standbyPause is the time between two looks at whether this host is to read.
+	standbyPause = 100 * time.Millisecond
 )
 
 // maxValueBytes is the largest value that the service holds, in bytes.
@@ -85,17 +91,27 @@
 }
 
 func (r *Reader) watch(ctx context.Context, path string, have func() uint64, take func([]byte)) {
+	var last []byte
 	for ctx.Err() == nil {
+		if !r.poster.Snapshot().Reads {
+			pause(ctx, standbyPause)
+			continue
+		}
 		raw, err := r.get(ctx, path, have())
 		if err != nil {
 			pause(ctx, retryPause)
 			continue
 		}
 		r.poster.Post(node.PlatformAnswered{})
-		if raw != nil {
-			take(raw)
-			pause(ctx, node.TickInterval)
+		if raw == nil {
+			continue
+		}
+		if bytes.Equal(raw, last) {
+			pause(ctx, repeatPause)
 		}
+		last = raw
+		take(raw)
+		pause(ctx, node.TickInterval)
 	}
 }
 
