--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -50,9 +50,10 @@
 	heardFrom string
 	rejected  uint64
 	rejection string
-	// refused is the digest of the last refused text as it came, so that a text that is offered again and again is
-	// counted once.
-	refused   uint64
+	// judged is the digest of the last text as it came, and verdict what became of it, so that a text that is
+	// offered again and again is read and counted once.
+	judged    uint64
+	verdict   Verdict
 	conflicts uint64
 	// conflict is the lower text of the last conflict.
 	conflict Version
@@ -78,9 +79,29 @@
 
 // Offer judges a document heard from a source: SourcePlatform or a peer's address.
 func (c *Config) Offer(now core.Time, raw []byte, source string) Verdict {
+	digest := delta.NewText(raw).Digest
+	if digest == c.judged {
+		return c.verdict.again()
+	}
+	c.judged = digest
+	c.verdict = c.judge(now, raw, source)
+	return c.verdict
+}
+
+// again is what becomes of the same text when it is offered once more.
+func (v Verdict) again() Verdict {
+	if v == Invalid {
+		return Repeated
+	}
+	return Old
+}
+
+func (c *Config) judge(now core.Time, raw []byte, source string) Verdict {
 	doc, text, err := parse(raw)
 	if err != nil {
-		return c.refuse(raw, err)
+		c.rejected++
+		c.rejection = err.Error()
+		return Invalid
 	}
 	version := Version{Revision: doc.Revision, Digest: text.Digest}
 	c.noteConflict(version)
@@ -103,17 +124,6 @@
 	return doc, text, err
 }
 
-func (c *Config) refuse(raw []byte, err error) Verdict {
-	digest := delta.NewText(raw).Digest
-	if digest == c.refused {
-		return Repeated
-	}
-	c.refused = digest
-	c.rejected++
-	c.rejection = err.Error()
-	return Invalid
-}
-
 // noteConflict counts a second text under the revision in force.
 func (c *Config) noteConflict(version Version) {
 	inForce := c.Version()
