--- a/test/configuration/fuzz_test.go
+++ b/test/configuration/fuzz_test.go
@@ -57,9 +57,10 @@
 type publisher struct {
 	documents [][]byte
 	revision  uint64
-	// shown indexes the document that is answered; a stale platform stays at an old one.
-	shown int
-	stale bool
+	// newest indexes the newest valid document, shown the one that is answered: a stale platform stays at an old one.
+	newest int
+	shown  int
+	stale  bool
 	// staleSince is when stale last changed.
 	staleSince virtual.Time
 	hosts      *hostlist.List
@@ -73,7 +74,16 @@
 	}
 	raw, _ := json.Marshal(configuration(revision, preset))
 	p.documents = append(p.documents, raw)
-	p.revision = max(p.revision, revision)
+	p.revision = revision
+	p.newest = len(p.documents) - 1
+	if !p.stale {
+		p.shown = p.newest
+	}
+}
+
+// publishInvalid takes a document that no host may apply; it is answered until the next one.
+func (p *publisher) publishInvalid() {
+	p.documents = append(p.documents, []byte(`{"revision":9999}`))
 	if !p.stale {
 		p.shown = len(p.documents) - 1
 	}
@@ -243,42 +253,51 @@
 func (d *deployment) disturb(rng *rand.Rand) {
 	h := d.Hosts()[rng.IntN(len(d.Hosts()))]
 	other := d.Hosts()[rng.IntN(len(d.Hosts()))]
-	presets := []string{"ordinary", "peak", "maintenance"}
-	switch rng.IntN(12) {
-	case 0:
-		h.Kill()
-	case 1, 2:
-		if !h.Alive() {
-			d.start(h)
-		}
-	case 3:
-		if h.Alive() {
-			h.Pause()
-			d.pausedAt[h] = d.Now()
-		}
-	case 4, 5:
-		if h.Alive() && h.Paused() {
-			h.Resume()
-			d.pausedAt[h] = d.Now()
-		}
-	case 6:
-		d.network.set(h.Peer(), other.Peer(), rng.IntN(2) == 0)
-	case 7:
-		d.network.set(h.Peer(), platformAddress, rng.IntN(2) == 0)
-	case 8:
-		d.platform.stale = !d.platform.stale
-		d.platform.staleSince = d.Now()
-		d.platform.shown = len(d.platform.documents) - 1
-		if d.platform.stale {
-			d.platform.shown = rng.IntN(len(d.platform.documents))
-		}
-	case 9:
-		d.platform.publish(d.platform.revision+1, presets[rng.IntN(3)])
-	case 10:
-		d.publishTwice(rng)
-	case 11:
-		d.platform.documents = append(d.platform.documents, []byte(`{"revision":9999}`))
-		d.platform.publish(d.platform.revision+1, presets[rng.IntN(3)])
+	faults := []func(){
+		func() { h.Kill() },
+		func() { d.restart(h) }, func() { d.restart(h) },
+		func() { d.pause(h) },
+		func() { d.resume(h) }, func() { d.resume(h) },
+		func() { d.network.set(h.Peer(), other.Peer(), rng.IntN(2) == 0) },
+		func() { d.network.set(h.Peer(), platformAddress, rng.IntN(2) == 0) },
+		func() { d.toggleStale(rng) },
+		func() { d.platform.publish(d.platform.revision+1, presets[rng.IntN(3)]) },
+		func() { d.publishTwice(rng) },
+		d.platform.publishInvalid,
+	}
+	faults[rng.IntN(len(faults))]()
+}
+
+var presets = []string{"ordinary", "peak", "maintenance"}
+
+func (d *deployment) restart(h *virtual.Host) {
+	if !h.Alive() {
+		d.start(h)
+	}
+}
+
+func (d *deployment) pause(h *virtual.Host) {
+	if h.Alive() {
+		h.Pause()
+		d.pausedAt[h] = d.Now()
+	}
+}
+
+func (d *deployment) resume(h *virtual.Host) {
+	if h.Alive() && h.Paused() {
+		h.Resume()
+		d.pausedAt[h] = d.Now()
+	}
+}
+
+// toggleStale makes the platform answer with one of the documents published before, or with the last again.
+func (d *deployment) toggleStale(rng *rand.Rand) {
+	p := d.platform
+	p.stale = !p.stale
+	p.staleSince = d.Now()
+	p.shown = p.newest
+	if p.stale {
+		p.shown = rng.IntN(len(p.documents))
 	}
 }
 
@@ -295,17 +314,12 @@
 		d.network.set(way[0], way[1], false)
 	}
 	for _, h := range d.Hosts() {
-		switch {
-		case !h.Alive():
-			d.start(h)
-		case h.Paused():
-			h.Resume()
-			d.pausedAt[h] = d.Now()
-		}
+		d.restart(h)
+		d.resume(h)
 	}
 	d.platform.stale = false
 	d.platform.staleSince = d.Now()
-	d.platform.shown = len(d.platform.documents) - 1
+	d.platform.shown = d.platform.newest
 }
 
 // convergeWithin is the bound of issue 4 at four hosts.
