--- a/internal/core/sweep/sweep_test.go
+++ b/internal/core/sweep/sweep_test.go
@@ -23,7 +23,6 @@
 	presence sweep.Presence
 	attached bool
 	age      time.Duration
-	gone     bool
 }
 
 // every repeats a reading at each interval from one instant to another.
