Let four hosts read each engine's list of holdings

Change: four hosts read each list, ranks wait up to 15 s, so the bound is 24 s.

Conclusion: an engine that tells no ages, with all readers restarted within a budget, is still beyond the bound.

--- a/internal/core/sweep/sweep.go
+++ b/internal/core/sweep/sweep.go
@@ -72,7 +72,7 @@
 }
 
 // Timings of the sweep. A holding that is overdue on an engine that can be reached is canceled within
-// Slack + (Ranks-1)·RankPatience + 2·Interval, which is under 30 s, whichever one host can reach it.
+// Slack + (Ranks-1)·RankPatience + 2·Interval = 24 s, whichever one host can reach it.
 const (
 	// Interval is the time between two readings of one engine's list by one host.
 	Interval = 2 * time.Second
@@ -81,7 +81,7 @@
 	// Grace is how long a holding whose process is gone waits for somebody to resume it.
 	Grace = 8 * time.Second
 	// Ranks is the number of hosts that read one engine's list.
-	Ranks = 3
+	Ranks = 4
 	// RankPatience is how much longer each further rank waits than the one before it.
 	RankPatience = 5 * time.Second
 	// sleepGap is the time between two steps above which the process has slept.
