--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -7,7 +7,9 @@
 //     executed is never taken for a new one.
 //   - No record is evicted early: when the ledger is full, admission is refused.
 //   - A request that is not idempotent and that may have reached a target is never handed out for dispatch again.
-//   - An attempt that was answered "not run" stays closed: a copy of it that arrives later is refused.
+//   - An attempt that was answered "not run" stays closed: a copy of it that arrives later is refused. This holds for
+//     attempts that joined a record too.
+//   - No caller can make a record last longer than MaxBudget and Retention from the last submit of its key.
 package ledger
 
 import (
@@ -46,8 +48,14 @@
 	Target string
 	// Reached is set once a byte may have arrived at a target.
 	Reached bool
+	// Aborted is set when the dispatch was told to end and its last word is awaited.
+	Aborted bool
 	// Revision is the configuration revision that the request was admitted under.
 	Revision uint64
+	// reachedBefore is what Reached was before the last dispatch.
+	reachedBefore bool
+	// attempts is the highest attempt that the record answers for.
+	attempts uint32
 	// closedThrough is the highest attempt that was answered "not run".
 	closedThrough uint32
 	expires       core.Time
@@ -71,6 +79,21 @@
 // that are past their deadline by so much that they can't be told from ones whose record is gone.
 const Retention = 60 * time.Second
 
+// MaxBudget is the furthest that a deadline may lie ahead.
+const MaxBudget = time.Hour
+
+// AllAttempts closes an identifier for good.
+const AllAttempts = ^uint32(0)
+
+// LastMoment is the time before the deadline of a request that is not idempotent in which it is no longer
+// dispatched: the end of a dispatch must be heard before the deadline to know whether it was written.
+const LastMoment = 50 * time.Millisecond
+
+// expiry is when the record of a submit that arrives now may be dropped.
+func expiry(now core.Time, req *core.Request) core.Time {
+	return min(req.Deadline, now+MaxBudget) + Retention
+}
+
 // Ledger holds the records. It is not safe for concurrent use.
 type Ledger struct {
 	limit   int
@@ -116,6 +139,9 @@
 	if now < req.Deadline {
 		return New, core.Result{}
 	}
+	if req.Deadline <= 0 {
+		return Refuse, noDeadline(req)
+	}
 	result := core.Result{Outcome: api.OutcomeNotRun, Code: api.CodeDeadline, Message: "the deadline has passed"}
 	if now >= req.Deadline+Retention {
 		result = Expired(req.Idempotent)
@@ -123,6 +149,20 @@
 	return Refuse, result
 }
 
+// noDeadline refuses a submit that can't be told from a late copy. Only of a first one is it certain that none ran
+// before.
+func noDeadline(req *core.Request) core.Result {
+	result := core.Result{
+		Outcome: api.OutcomeUnknown,
+		Code:    api.CodeMalformed,
+		Message: "a request that is not idempotent must name its deadline",
+	}
+	if req.Attempt == 1 {
+		result.Outcome = api.OutcomeNotRun
+	}
+	return result
+}
+
 // Expired is the result for a key whose record may have been dropped.
 func Expired(idempotent bool) core.Result {
 	result := core.Result{
@@ -153,11 +193,28 @@
 // isClosed tells whether the record only remembers that attempts were answered "not run".
 func (r *Record) isClosed() bool { return r.State == Finished && r.Result.Outcome == api.OutcomeNotRun }
 
+// Join makes the record answer for another submit of its key.
+func (l *Ledger) Join(now core.Time, rec *Record, req *core.Request) {
+	rec.attempts = max(rec.attempts, req.Attempt)
+	if late := expiry(now, req); late > rec.expires {
+		rec.expires = late
+		heap.Fix(&l.byTime, rec.heapIndex)
+	}
+}
+
+// CloseAll closes every attempt of a record that ended without a run; it changes nothing for others.
+func (l *Ledger) CloseAll(rec *Record) {
+	if rec.isClosed() {
+		rec.closedThrough = AllAttempts
+	}
+}
+
 // Admit opens a record for a request that Offer judged New.
 func (l *Ledger) Admit(now core.Time, req core.Request, work core.Work, revision uint64) *Record {
-	closed := uint32(0)
+	closed, dispatches := uint32(0), uint32(0)
 	if old := l.records[req.Key]; old != nil {
-		closed = old.closedThrough
+		// Dispatch numbers go on, so that late events of the old record's dispatches are not taken for new ones.
+		closed, dispatches = old.closedThrough, old.Dispatches
 		l.remove(old)
 	}
 	rec := &Record{
@@ -166,21 +223,25 @@
 		State:         Receiving,
 		Result:        core.Result{Outcome: api.OutcomePending},
 		Timing:        core.Timing{Admitted: now},
+		Dispatches:    dispatches,
 		Revision:      revision,
+		attempts:      req.Attempt,
 		closedThrough: closed,
-		expires:       req.Deadline + Retention,
+		expires:       expiry(now, &req),
 	}
 	l.insert(rec)
 	return rec
 }
 
-// Close remembers that an attempt was answered "not run". It reports false when no room is left to remember it;
-// the answer must then not be "not run".
+// Close remembers that an attempt was answered "not run". It reports false when that can't be promised, because no
+// room is left to remember it or the request is here and may run; the answer must then not be "not run".
 func (l *Ledger) Close(now core.Time, req core.Request, result core.Result) bool {
 	if rec := l.records[req.Key]; rec != nil {
-		if rec.isClosed() && req.Attempt > rec.closedThrough {
-			rec.closedThrough = req.Attempt
+		if !rec.isClosed() {
+			return false
 		}
+		rec.closedThrough = max(rec.closedThrough, req.Attempt)
+		l.Join(now, rec, &req)
 		return true
 	}
 	if l.Full() {
@@ -191,8 +252,9 @@
 		State:         Finished,
 		Result:        result,
 		Timing:        core.Timing{Finished: now},
+		attempts:      req.Attempt,
 		closedThrough: req.Attempt,
-		expires:       req.Deadline + Retention,
+		expires:       expiry(now, &req),
 	}
 	l.insert(rec)
 	return true
@@ -207,20 +269,28 @@
 	rec.State = Dispatched
 	rec.Dispatches++
 	rec.Target = target
+	rec.reachedBefore = rec.Reached
 	rec.Reached = true
+	rec.Aborted = false
 	rec.Timing.Dispatched = now
 	return rec.Dispatches
 }
 
 // MayDispatch tells whether the record may go to a target now.
 func (l *Ledger) MayDispatch(now core.Time, rec *Record) bool {
-	return rec.State == Queued && now < rec.Request.Deadline && (rec.Request.Idempotent || !rec.Reached)
+	if rec.State != Queued {
+		return false
+	}
+	if rec.Request.Idempotent {
+		return now < rec.Request.Deadline
+	}
+	return now+LastMoment < rec.Request.Deadline && !rec.Reached
 }
 
 // NeverReached takes back the mark of a dispatch that is certain not to have reached its target.
 func (l *Ledger) NeverReached(rec *Record) {
 	rec.State = Queued
-	rec.Reached = false
+	rec.Reached = rec.reachedBefore
 }
 
 // Requeue makes an idempotent request wait for another target.
@@ -234,8 +304,8 @@
 	rec.State = Finished
 	rec.Result = result
 	rec.Timing.Finished = now
-	if result.Outcome == api.OutcomeNotRun && rec.Request.Attempt > rec.closedThrough {
-		rec.closedThrough = rec.Request.Attempt
+	if result.Outcome == api.OutcomeNotRun {
+		rec.closedThrough = max(rec.closedThrough, rec.attempts)
 	}
 	return true
 }
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -1,14 +1,19 @@
 package node
 
 import (
+	"time"
+
 	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/document"
 )
 
 // admission decides whether a new request is taken in. It returns the refusal, if there is one.
 func (n *Node) admission(req *core.Request) (core.Result, bool) {
 	checks := []func(*core.Request) core.Result{
 		n.checkReady,
+		n.checkDeadline,
 		n.checkNames,
 		n.checkMemory,
 		n.checkRoom,
@@ -33,6 +38,28 @@
 	return core.Result{}
 }
 
+// clockSlack is how far a caller's reading of this host's clock may run ahead of it.
+const clockSlack = time.Second
+
+// checkDeadline refuses a deadline that no budget explains.
+func (n *Node) checkDeadline(req *core.Request) core.Result {
+	if req.Deadline > n.now+n.longestBudget()+clockSlack {
+		return core.Result{Code: api.CodeMalformed, Message: "the deadline is further away than the longest budget"}
+	}
+	return core.Result{}
+}
+
+// longestBudget is the longest time budget of any preset: a request may outlast a switch.
+func (n *Node) longestBudget() time.Duration {
+	longest := time.Duration(0)
+	for _, preset := range n.config.Document().Presets {
+		for _, class := range []document.Class{document.ClassShort, document.ClassMiddle, document.ClassLong} {
+			longest = max(longest, preset.Budget(class))
+		}
+	}
+	return min(longest, ledger.MaxBudget)
+}
+
 func (n *Node) checkNames(req *core.Request) core.Result {
 	if _, ok := n.config.Document().Team(req.Team); !ok {
 		return core.Result{Code: api.CodeUnknownTeam, Message: "no such team"}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -23,6 +23,8 @@
 // BodyEnded reports the end of a body that an Admit decision asked for.
 type BodyEnded struct {
 	Key core.Key
+	// Attempt is the submit that brought the body.
+	Attempt uint32
 	// Fault is empty for a whole body whose checksum is right.
 	Fault api.Code
 }
--- a/internal/core/node/limits_test.go
+++ b/internal/core/node/limits_test.go
@@ -136,7 +136,7 @@
 		if team == limitedTeam {
 			f.admitted = append(f.admitted, grant{at: f.world.Now(), tokens: req.PromptTokens + req.AnswerTokens})
 		}
-		h.Post(node.BodyEnded{Key: req.Key})
+		h.Post(node.BodyEnded{Key: req.Key, Attempt: req.Attempt})
 	})
 	f.world.After(every, func() { f.send(h, team, every, until) })
 }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -22,6 +22,9 @@
 // TickInterval is the time between Tick inputs.
 const TickInterval = 50 * time.Millisecond
 
+// At least one tick falls into a request's last moment; this does not compile otherwise.
+const _ = uint64(ledger.LastMoment - TickInterval)
+
 // Options configure a Node.
 type Options struct {
 	// Self is this process; Peer its peer address.
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -22,9 +22,13 @@
 	}
 	n.setDeadline(&req)
 	verdict, result := n.ledger.Offer(n.now, &req)
+	rec := n.ledger.Get(req.Key)
+	if rec != nil {
+		n.ledger.Join(n.now, rec, &req)
+	}
 	switch verdict {
 	case ledger.Join:
-		n.do(Decide{Ticket: in.Ticket, Decision: Decision{Kind: Attach, Deadline: req.Deadline}})
+		n.do(Decide{Ticket: in.Ticket, Decision: Decision{Kind: Attach, Deadline: rec.Request.Deadline}})
 	case ledger.Refuse:
 		n.refuse(in.Ticket, result)
 	case ledger.New:
@@ -39,12 +43,8 @@
 	}
 	switch {
 	case req.Home == core.Home{}:
-		return n.refusal(core.Result{
-			Outcome: api.OutcomeNotRun,
-			Code:    api.CodeHomeRequired,
-			Message: "a request that is not idempotent must name its home",
-		}), true
-	case req.Home.Address == n.opts.Self.Address, n.incarnationGone(req.Home):
+		return n.refusal(homeRequired(req)), true
+	case req.Home.Address == n.opts.Self.Address:
 		return n.refusal(core.Result{
 			Outcome: api.OutcomeUnknown,
 			Code:    api.CodeHomeGone,
@@ -57,26 +57,43 @@
 			Message: "the request was forwarded to a host that is not its home",
 		}), true
 	}
+	// Whether that process still lives is for its address to say: what this host heard of it may be older than the
+	// caller's look-up.
 	return Decision{Kind: Forward, Home: req.Home}, true
 }
 
-// incarnationGone tells whether the address is known to be served by another process by now.
-func (n *Node) incarnationGone(home core.Home) bool {
-	p := n.peers.ByCallersAddress(home.Address)
-	return p != nil && p.Known && p.Last.Incarnation != home.Incarnation
+// homeRequired refuses a request that names no home. Only of a first submit is it certain that none ran before.
+func homeRequired(req *core.Request) core.Result {
+	result := core.Result{
+		Outcome: api.OutcomeUnknown,
+		Code:    api.CodeHomeRequired,
+		Message: "a request that is not idempotent must name its home",
+	}
+	if req.Attempt == 1 {
+		result.Outcome = api.OutcomeNotRun
+	}
+	return result
 }
 
-// setDeadline fills in the deadline where the caller gave a budget or nothing.
+// setDeadline fills in the deadline of an idempotent request where the caller gave a budget or nothing. One that is
+// not idempotent must bring its own: a new one at each arrival would let a late copy run after the record is gone.
 func (n *Node) setDeadline(req *core.Request) {
-	if req.Deadline > 0 {
+	if req.Deadline > 0 || !req.Idempotent {
 		return
 	}
-	budget := req.Budget
-	if budget <= 0 && n.config.Document() != nil {
-		preset := n.config.Document().Preset()
-		budget = preset.Budget(preset.Classify(req.PromptTokens))
+	req.Deadline = n.now + n.budgetOf(req)
+}
+
+// budgetOf is the budget that the caller gave, or the class's default.
+func (n *Node) budgetOf(req *core.Request) time.Duration {
+	switch {
+	case req.Budget > 0:
+		return req.Budget
+	case n.config.Document() == nil:
+		return ledger.MaxBudget // the refusal will say what is missing
 	}
-	req.Deadline = n.now + budget
+	preset := n.config.Document().Preset()
+	return preset.Budget(preset.Classify(req.PromptTokens))
 }
 
 func (n *Node) submitNew(ticket Ticket, req core.Request) {
@@ -130,7 +147,7 @@
 
 func (n *Node) bodyEnded(in BodyEnded) {
 	rec := n.active[in.Key]
-	if rec == nil || rec.State != ledger.Receiving {
+	if rec == nil || rec.State != ledger.Receiving || rec.Request.Attempt != in.Attempt {
 		return
 	}
 	if in.Fault != "" {
@@ -227,7 +244,7 @@
 	switch in.Ending {
 	case EndedDone:
 		t.Answered()
-	case EndedNotWritten, EndedLost:
+	case EndedNotWritten, EndedRefused, EndedLost:
 		t.Failed(n.now)
 	}
 }
@@ -239,7 +256,7 @@
 		n.finish(rec, core.Result{Outcome: api.OutcomeDone})
 	case EndedNotWritten, EndedRefused:
 		n.ledger.NeverReached(rec)
-		n.retry(rec, core.Result{Outcome: api.OutcomeNotRun, Code: api.CodeTargetRefused, Message: in.Message})
+		n.judgeUntaken(rec, in)
 	case EndedFailed:
 		n.judgeFailed(rec, in)
 	case EndedLost:
@@ -247,13 +264,25 @@
 	}
 }
 
-func (n *Node) judgeLost(rec *ledger.Record, in DispatchEnded) {
-	if !rec.Request.Idempotent {
-		n.finish(rec, core.Result{Outcome: api.OutcomeUnknown, Code: api.CodeTargetLost, Message: in.Message})
+// judgeUntaken goes on with a request that the target did not take. An earlier dispatch of it may have run.
+func (n *Node) judgeUntaken(rec *ledger.Record, in DispatchEnded) {
+	if rec.Aborted {
+		n.finish(rec, pastDeadline(rec))
 		return
 	}
-	n.ledger.Requeue(rec)
-	n.retry(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
+	n.retry(rec, core.Result{Outcome: certainOutcome(rec), Code: api.CodeTargetRefused, Message: in.Message})
+}
+
+func (n *Node) judgeLost(rec *ledger.Record, in DispatchEnded) {
+	switch {
+	case rec.Request.Idempotent:
+		n.ledger.Requeue(rec)
+		n.retry(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
+	case rec.Aborted:
+		n.finish(rec, pastDeadline(rec))
+	default:
+		n.finish(rec, core.Result{Outcome: certainOutcome(rec), Code: api.CodeTargetLost, Message: in.Message})
+	}
 }
 
 // judgeFailed ends a request that its target failed; one that is idempotent is tried at another target first.
@@ -278,6 +307,11 @@
 	n.queue.Push(rec)
 }
 
+// pastDeadline is the result of a request whose time is over.
+func pastDeadline(rec *ledger.Record) core.Result {
+	return core.Result{Outcome: certainOutcome(rec), Code: api.CodeDeadline, Message: "the deadline has passed"}
+}
+
 // finish gives a request its final result and frees what it held.
 func (n *Node) finish(rec *ledger.Record, result core.Result) {
 	if !n.ledger.Finish(n.now, rec, result) {
@@ -297,25 +331,37 @@
 
 func (n *Node) count(o api.Outcome) { n.outcomes[o]++ }
 
-// expireDeadlines ends every request whose time is over, at once.
+// expireDeadlines ends every request whose time is over, at once. A dispatch of which only its last word can tell
+// whether it was written is told to end a tick earlier, or by a process that woke late, a tick before its request.
 func (n *Node) expireDeadlines() {
 	var late []*ledger.Record
 	for _, rec := range n.active {
-		if n.now >= rec.Request.Deadline {
+		if n.now+ledger.LastMoment >= rec.Request.Deadline {
 			late = append(late, rec)
 		}
 	}
 	slices.SortFunc(late, func(a, b *ledger.Record) int { return a.Request.Compare(b.Request.Key) })
 	for _, rec := range late {
-		n.giveUp(rec, api.CodeDeadline, "the deadline has passed")
+		switch {
+		case rec.State == ledger.Dispatched && !rec.Aborted && certainOutcome(rec) == api.OutcomeUnknown:
+			rec.Aborted = true
+			n.do(AbortDispatch{Key: rec.Request.Key, Dispatch: rec.Dispatches})
+		case n.now >= rec.Request.Deadline:
+			n.abort(rec)
+			n.finish(rec, pastDeadline(rec))
+		}
 	}
 }
 
-// giveUp ends a request that has no whole answer, with the outcome that is certain.
-func (n *Node) giveUp(rec *ledger.Record, code api.Code, message string) {
+func (n *Node) abort(rec *ledger.Record) {
 	if rec.State == ledger.Dispatched {
 		n.do(AbortDispatch{Key: rec.Request.Key, Dispatch: rec.Dispatches})
 	}
+}
+
+// giveUp ends a request that has no whole answer, with the outcome that is certain.
+func (n *Node) giveUp(rec *ledger.Record, code api.Code, message string) {
+	n.abort(rec)
 	n.finish(rec, core.Result{Outcome: certainOutcome(rec), Code: code, Message: message})
 }
 
@@ -330,6 +376,7 @@
 	return api.OutcomeUnknown
 }
 
+// cancel ends a request early. One that has not arrived yet is closed, so that it does not run afterwards.
 func (n *Node) cancel(in Cancel) {
 	if decision, elsewhere := n.decideHome(&in.Request); elsewhere {
 		n.do(Decide{Ticket: in.Ticket, Decision: decision})
@@ -337,55 +384,56 @@
 	}
 	rec := n.ledger.Get(in.Request.Key)
 	if rec == nil {
-		n.do(Decide{Ticket: in.Ticket, Decision: Decision{Kind: Report, Result: notFound}})
+		n.reportResult(in.Ticket, n.unseen(in.Request, api.CodeCanceled))
 		return
 	}
 	if rec.State != ledger.Finished {
 		n.giveUp(rec, api.CodeCanceled, "canceled by the caller")
 	}
+	n.ledger.CloseAll(rec)
 	n.report(in.Ticket, rec)
 }
 
-var notFound = core.Result{Outcome: api.OutcomeFailed, Code: api.CodeNotFound, Message: "no record of this request"}
-
 func (n *Node) report(ticket Ticket, rec *ledger.Record) {
 	n.do(Decide{Ticket: ticket, Decision: Decision{Kind: Report, Result: rec.Result, Target: rec.Target}})
 }
 
-// query reports a request's outcome. For one that is not idempotent and that its home has no record of, the
-// answer closes the identifier first, so that "not run" stays true.
+func (n *Node) reportResult(ticket Ticket, result core.Result) {
+	n.do(Decide{Ticket: ticket, Decision: Decision{Kind: Report, Result: result}})
+}
+
+// query reports a request's outcome. "Not run" closes the identifier first, so that it stays true.
 func (n *Node) query(in Query) {
-	req := in.Request
-	if decision, elsewhere := n.decideHome(&req); elsewhere {
+	if decision, elsewhere := n.decideHome(&in.Request); elsewhere {
 		n.do(Decide{Ticket: in.Ticket, Decision: decision})
 		return
 	}
-	if rec := n.ledger.Get(req.Key); rec != nil {
-		n.report(in.Ticket, rec)
-		return
-	}
-	if req.Idempotent {
-		n.do(Decide{Ticket: in.Ticket, Decision: Decision{Kind: Report, Result: notFound}})
+	rec := n.ledger.Get(in.Request.Key)
+	if rec == nil {
+		n.reportResult(in.Ticket, n.unseen(in.Request, api.CodeClosed))
 		return
 	}
-	n.do(Decide{Ticket: in.Ticket, Decision: Decision{Kind: Report, Result: n.closeUnseen(req)}})
+	n.ledger.CloseAll(rec)
+	n.report(in.Ticket, rec)
 }
 
-func (n *Node) closeUnseen(req core.Request) core.Result {
+// unseen is the answer about a request without a record. One that is not idempotent is closed with the code, as
+// long as its record can't have been dropped.
+func (n *Node) unseen(req core.Request, code api.Code) core.Result {
+	if req.Idempotent {
+		return core.Result{Outcome: api.OutcomeFailed, Code: api.CodeNotFound, Message: "no record of this request"}
+	}
 	if req.Deadline <= 0 || n.now >= req.Deadline+ledger.Retention {
 		return ledger.Expired(false)
 	}
-	result := core.Result{Outcome: api.OutcomeNotRun, Code: api.CodeClosed, Message: "never admitted; closed by this query"}
-	req.Attempt = allAttempts
+	result := core.Result{Outcome: api.OutcomeNotRun, Code: code, Message: "never admitted here, and closed now"}
+	req.Attempt = ledger.AllAttempts
 	if !n.ledger.Close(n.now, req, result) {
-		return ledger.Expired(false)
+		return core.Result{Outcome: api.OutcomeUnknown, Code: api.CodeRecordsFull, Message: "no room to close the identifier"}
 	}
 	return result
 }
 
-// allAttempts closes an identifier for good.
-const allAttempts = ^uint32(0)
-
 // retryAfter is a time to come back with jitter, between half and one and a half of the base.
 func (n *Node) retryAfter(base time.Duration) time.Duration {
 	return base/2 + time.Duration(n.rng.Int64N(int64(base)))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -106,9 +106,6 @@
 	defer ex.Abort(order.Dispatch)
 	run := &run{dispatcher: d, order: order, exchange: ex}
 	ending, message := run.do(ctx)
-	if order.Role == hostlist.RoleEngine && ending == node.EndedLost {
-		d.cancelStream(order.Target, order.Stream.Name())
-	}
 	d.reporter.Post(node.DispatchEnded{
 		Key:      order.Key,
 		Dispatch: order.Dispatch,
@@ -116,6 +113,9 @@
 		Ending:   ending,
 		Message:  message,
 	})
+	if order.Role == hostlist.RoleEngine && ending == node.EndedLost {
+		d.cancelStream(order.Target, order.Stream.Name())
+	}
 }
 
 // cancelStream tells an engine to drop a stream. The sweep of engines catches what this misses.
@@ -142,7 +142,11 @@
 
 func (r *run) do(ctx context.Context) (node.Ending, string) {
 	gate := &writeGate{now: r.dispatcher.reporter.Now, deadline: r.order.Deadline}
-	req, err := r.request(httptrace.WithClientTrace(ctx, gate.trace()))
+	body := r.exchange.Body()
+	if body == nil {
+		return node.EndedNotWritten, "the request ended before it was sent"
+	}
+	req, err := r.request(httptrace.WithClientTrace(ctx, gate.trace()), body)
 	if err != nil {
 		return node.EndedNotWritten, err.Error()
 	}
@@ -189,12 +193,11 @@
 // keepRedirect hands a redirect back as an answer; targets have none to give.
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-func (r *run) request(ctx context.Context) (*http.Request, error) {
+func (r *run) request(ctx context.Context, body []byte) (*http.Request, error) {
 	path := PathStreams
 	if r.order.Role == hostlist.RoleService {
 		path = PathCalls
 	}
-	body := r.exchange.Body()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.order.Target+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 	case node.Refuse:
 		return writeError(c, refusal(req, decision))
 	case node.Admit:
-		if fault := g.receive(c.Request(), req); fault != nil {
+		if fault := g.receive(c, req, decision.Deadline); fault != nil {
 			return writeError(c, fault)
 		}
 	case node.Attach, node.Report:
@@ -111,13 +111,18 @@
 	return g.streamAnswer(c, req, stream.Position{})
 }
 
-// stopping is the answer to a request that the control loop did not take: it decided nothing, so nothing ran.
+// stopping is the answer to a request that the control loop did not take. Of a request that is not idempotent an
+// earlier submit may have run here.
 func stopping(req core.Request) *api.Error {
-	return &api.Error{
+	e := &api.Error{
 		Request: req.ID, Attempt: req.Attempt,
 		Outcome: api.OutcomeNotRun, Code: api.CodeDraining, Message: "this host is stopping",
 		RetryAfterMs: notReadyPause.Milliseconds(),
 	}
+	if !req.Idempotent {
+		e.Outcome = api.OutcomeUnknown
+	}
+	return e
 }
 
 func refusal(req core.Request, d node.Decision) *api.Error {
@@ -132,22 +137,19 @@
 	}
 }
 
-// receive reads the body of an admitted request; reading it is what sends "100 Continue".
-func (g *Gateway) receive(r *http.Request, req core.Request) *api.Error {
-	body := make([]byte, req.BodyBytes)
-	_, err := io.ReadFull(r.Body, body)
-	fault := api.Code("")
-	switch {
-	case err != nil:
-		fault = api.CodeTruncated
-	case stream.Checksum(body) != req.BodyChecksum:
-		fault = api.CodeChecksum
-	default:
-		if ex := g.exchanges.Get(req.Key); ex != nil {
-			ex.SetBody(body)
-		}
+// receive reads the body of an admitted request; reading it is what sends "100 Continue". A body that stalls is
+// given up at the request's deadline. The exchange is the one that the admission opened: a later one of the same
+// identifier is another attempt's.
+func (g *Gateway) receive(c echo.Context, req core.Request, deadline core.Time) *api.Error {
+	ex := g.exchanges.Get(req.Key)
+	control := http.NewResponseController(c.Response().Writer)
+	_ = control.SetReadDeadline(time.Now().Add(deadline - g.control.Now()))
+	body, fault := readBody(c.Request().Body, req)
+	if fault == "" && ex != nil {
+		_ = control.SetReadDeadline(time.Time{})
+		ex.SetBody(body)
 	}
-	g.control.Post(node.BodyEnded{Key: req.Key, Fault: fault})
+	g.control.Post(node.BodyEnded{Key: req.Key, Attempt: req.Attempt, Fault: fault})
 	if fault == "" {
 		return nil
 	}
@@ -157,6 +159,18 @@
 	}
 }
 
+// readBody returns the body, or the code of its fault.
+func readBody(r io.Reader, req core.Request) ([]byte, api.Code) {
+	body := make([]byte, req.BodyBytes)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, api.CodeTruncated
+	}
+	if stream.Checksum(body) != req.BodyChecksum {
+		return nil, api.CodeChecksum
+	}
+	return body, ""
+}
+
 // streamAnswer writes frames until the answer is final or the caller is gone. A caller that is gone does not end
 // its request: it may come back for the answer.
 func (g *Gateway) streamAnswer(c echo.Context, req core.Request, at stream.Position) error {
@@ -249,5 +263,11 @@
 	if err1 != nil || err2 != nil || offset < 0 {
 		return writeError(c, malformed("dispatch, offset: must be whole numbers"))
 	}
-	return g.streamAnswer(c, req, stream.Position{Dispatch: uint32(dispatch), Offset: offset})
+	at := stream.Position{Dispatch: uint32(dispatch), Offset: offset}
+	if g.exchanges.Get(req.Key).Answer.Beyond(at) {
+		return writeError(c, &api.Error{
+			Request: req.ID, Outcome: decision.Result.Outcome, Code: api.CodeOffsetOutOfRange, Message: "the answer is shorter than that",
+		})
+	}
+	return g.streamAnswer(c, req, at)
 }
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -8,6 +8,7 @@
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
 )
 
 var validID = regexp.MustCompile(`^[A-Za-z0-9_-]{8,64}$`)
@@ -80,15 +81,17 @@
 	return home
 }
 
-func (p *parser) duration(name string) time.Duration {
-	return time.Duration(p.number(name, false, 1, maxBudgetMs)) * time.Millisecond
+func (p *parser) duration(name string, highMs int64) time.Duration {
+	return time.Duration(p.number(name, false, 1, highMs)) * time.Millisecond
 }
 
 // Bounds of header values.
 const (
 	maxTokens   = 1 << 21
 	maxAttempts = 1 << 20
-	maxBudgetMs = 24 * 60 * 60 * 1000
+	maxBudgetMs = int64(ledger.MaxBudget / time.Millisecond)
+	// maxClockMs bounds a reading of a host's clock: some hundred years.
+	maxClockMs = 1 << 42
 	// maxBytesPerToken bounds how much body one declared prompt token stands for.
 	maxBytesPerToken = 16
 )
@@ -117,8 +120,8 @@
 		Key:        core.Key{Team: p.text(api.HeaderTeam, true), ID: p.identifier(api.HeaderRequest)},
 		Idempotent: p.flag(api.HeaderIdempotent),
 		Home:       p.home(),
-		Deadline:   p.duration(api.HeaderDeadline),
-		Budget:     p.duration(api.HeaderBudget),
+		Deadline:   p.duration(api.HeaderDeadline, maxClockMs),
+		Budget:     p.duration(api.HeaderBudget, maxBudgetMs),
 		Revision:   uint64(p.number(api.HeaderRevision, false, 0, 1<<62)),
 		Forwarded:  p.header.Get(api.HeaderForwarded) != "",
 	}
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -30,6 +30,8 @@
 		return http.StatusConflict
 	case api.CodeNotFound, api.CodeUnknownModel, api.CodeUnknownTeam:
 		return http.StatusNotFound
+	case api.CodeOffsetOutOfRange:
+		return http.StatusRequestedRangeNotSatisfiable
 	case api.CodeDeadline:
 		return http.StatusGatewayTimeout
 	case api.CodeOverloaded, api.CodeTeamLimit, api.CodeBodyMemory, api.CodeRecordsFull:
--- a/internal/replay/callers.go
+++ b/internal/replay/callers.go
@@ -18,6 +18,7 @@
 	// host is the entry host that has the request now; home is its process for a request that may not be repeated.
 	host     *virtual.Host
 	home     core.Home
+	deadline core.Time
 	tries    uint32
 	started  time.Duration
 	first    time.Duration
@@ -84,6 +85,7 @@
 	}
 	c.host = h
 	c.home = h.Self()
+	c.deadline = h.Clock() + r.left(c)
 	r.world.After(hopTime, func() { r.offer(c, h) })
 }
 
@@ -100,8 +102,13 @@
 	return live[r.rng.IntN(len(live))]
 }
 
-func (r *run) request(c *call) core.Request {
+// left is what is left of a call's budget.
+func (r *run) left(c *call) time.Duration {
 	left := time.Duration(c.req.BudgetMs)*time.Millisecond - (r.world.Now() - c.started)
+	return max(left, time.Millisecond)
+}
+
+func (r *run) request(c *call) core.Request {
 	return core.Request{
 		Key:          c.key,
 		Attempt:      c.tries,
@@ -112,7 +119,8 @@
 		PrefixTokens: c.req.PrefixTokens,
 		Idempotent:   c.req.Idempotent,
 		Home:         c.home,
-		Budget:       max(left, time.Millisecond),
+		Deadline:     c.deadline,
+		Budget:       r.left(c),
 		BodyBytes:    c.req.PromptTokens,
 	}
 }
@@ -122,17 +130,18 @@
 		r.connectionBroke(c)
 		return
 	}
-	h.Submit(r.request(c), func(d node.Decision) { r.decide(c, h, d) })
+	req := r.request(c)
+	h.Submit(req, func(d node.Decision) { r.decide(c, h, req.Attempt, d) })
 }
 
-func (r *run) decide(c *call, h *virtual.Host, d node.Decision) {
+func (r *run) decide(c *call, h *virtual.Host, attempt uint32, d node.Decision) {
 	if c.decided == 0 {
 		c.decided = r.world.Now()
 	}
 	switch d.Kind {
 	case node.Admit:
 		post := h.Poster()
-		r.world.After(hopTime, func() { post(node.BodyEnded{Key: c.key}) })
+		r.world.After(hopTime, func() { post(node.BodyEnded{Key: c.key, Attempt: attempt}) })
 	case node.Refuse:
 		if d.Result.Code == api.CodeNotReady || d.Result.Code == api.CodeDraining {
 			r.submit(c)
--- a/internal/stream/buffer.go
+++ b/internal/stream/buffer.go
@@ -118,6 +118,13 @@
 	return chunk, b.changed, chunk.Text != "" || chunk.Last != nil
 }
 
+// Beyond tells whether a position lies behind the end of a final answer.
+func (b *Buffer) Beyond(at Position) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.last != nil && at.Dispatch == b.dispatch && at.Offset > int64(len(b.text))
+}
+
 // Len is the number of bytes held.
 func (b *Buffer) Len() int64 {
 	b.mu.Lock()
--- a/internal/stream/exchange.go
+++ b/internal/stream/exchange.go
@@ -14,6 +14,8 @@
 	mu     sync.Mutex
 	body   []byte
 	aborts map[uint32]context.CancelFunc
+	// aborted is the highest dispatch that was aborted or has ended; dispatches of one request follow one another.
+	aborted uint32
 }
 
 // SetBody hands over the body.
@@ -33,17 +35,22 @@
 // Release frees the body.
 func (e *Exchange) Release() { e.SetBody(nil) }
 
-// OnAbort registers how to end a dispatch.
+// OnAbort registers how to end a dispatch; one that was aborted before is ended at once.
 func (e *Exchange) OnAbort(dispatch uint32, abort context.CancelFunc) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if dispatch <= e.aborted {
+		abort()
+		return
+	}
 	e.aborts[dispatch] = abort
 }
 
-// Abort ends a dispatch, if it is still going on.
+// Abort ends a dispatch, also one that has not begun yet.
 func (e *Exchange) Abort(dispatch uint32) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.aborted = max(e.aborted, dispatch)
 	if abort := e.aborts[dispatch]; abort != nil {
 		abort()
 	}
