Random schedules against an oracle of arrivals; the client resumes, and says only what it knows

Cause: nothing compared what callers are told with what arrived. An idempotent request that names another process is given its budget anew. The caller's library seals a body before it turns elsewhere, takes a new home for a request whose body never left, resumes a broken answer at its offset (through another host where need be), keeps answers of two processes apart, and sets the deadline a little before the end of its budget, so that the host's last word reaches it. Ruled out: judging a home's life from heartbeats, which can be older than the caller's look-up; the home's address is asked.

--- a/client/assembly.go
+++ b/client/assembly.go
@@ -20,10 +20,19 @@
 
 // assembly puts an answer together from frames.
 type assembly struct {
+	// host is the process that sends the answer; dispatch numbers are its own.
+	host     string
 	dispatch uint32
 	text     []byte
 }
 
+// from names the process whose frames follow. What another process sent is of another run.
+func (a *assembly) from(host string) {
+	if host != a.host {
+		*a = assembly{host: host}
+	}
+}
+
 // read takes frames until the last one. What is held stays held after an error, so that a resumed answer goes on
 // from there.
 func (a *assembly) read(body io.Reader, id string, first func()) (*api.Last, error) {
--- a/client/submit.go
+++ b/client/submit.go
@@ -1,12 +1,9 @@
 package client
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"carobshunt/api"
@@ -58,16 +55,24 @@
 	Last       api.Last
 }
 
+// maxAnswerMargin bounds AnswerMargin.
+const maxAnswerMargin = 250 * time.Millisecond
+
+// AnswerMargin is how much earlier than the end of a budget the deadline at the host lies, so that the host's last
+// word still reaches the caller in time.
+func AnswerMargin(budget time.Duration) time.Duration { return min(budget/10, maxAnswerMargin) }
+
 // Do submits a request and returns what became of it. The error is non-nil only when nothing could be asked of any
 // host, in which case nothing ran.
 func (c *Client) Do(ctx context.Context, req Request) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Budget)
 	defer cancel()
-	s := &submission{client: c, req: req, start: time.Now()}
+	s := &submission{client: c, req: req, start: time.Now(), sent: req.Home != ""}
 	if err := s.bind(ctx); err != nil {
 		return Result{}, errors.Trace(err)
 	}
 	s.run(ctx)
+	s.settle()
 	s.result.Home = s.req.Home
 	s.result.Deadline = s.req.Deadline
 	s.result.Attempts = s.attempt
@@ -82,10 +87,14 @@
 	start   time.Time
 	attempt int
 	host    string
-	// bodySent is set once any byte of the body may have left.
-	bodySent atomic.Bool
-	result   Result
-	answer   assembly
+	// body is the present attempt's.
+	body *sealedBody
+	// sent is set once any byte of the body may have left, here or in an earlier process of the caller.
+	sent bool
+	// lost is set once an attempt whose body may have left ended without an answer.
+	lost   bool
+	result Result
+	answer assembly
 }
 
 // bind chooses the host, which for a request that is not idempotent becomes its home.
@@ -110,12 +119,19 @@
 		s.host = chosen.Address
 	}
 	if s.req.Home == "" {
-		s.req.Home = chosen.Home()
-		s.req.Deadline = time.Duration(chosen.ClockMs)*time.Millisecond + s.req.Budget - time.Since(s.start)
+		s.bindTo(chosen)
 	}
 	return nil
 }
 
+func (s *submission) bindTo(h api.Host) {
+	s.req.Home = h.Home()
+	s.req.Deadline = time.Duration(h.ClockMs)*time.Millisecond + s.left() - AnswerMargin(s.req.Budget)
+}
+
+// left is what is left of the budget.
+func (s *submission) left() time.Duration { return s.req.Budget - time.Since(s.start) }
+
 // verdict says how to go on after an attempt.
 type verdict int
 
@@ -123,24 +139,28 @@
 	finished verdict = iota
 	again
 	elsewhere
+	// broken is an answer that broke off and may be resumed.
+	broken
 )
 
 func (s *submission) run(ctx context.Context) {
 	for s.attempt < s.client.opts.MaxAttempts {
 		s.attempt++
-		switch s.try(ctx) {
-		case finished:
+		v := s.try(ctx)
+		if v == broken {
+			v = s.recover(ctx)
+		}
+		if v == finished {
 			return
-		case elsewhere:
+		}
+		if v == elsewhere {
 			s.moveOn(ctx)
-		case again:
 		}
-		pause := max(s.result.RetryAfter, retryPause)
 		select {
 		case <-ctx.Done():
 			s.outOfTime()
 			return
-		case <-time.After(pause):
+		case <-time.After(max(s.result.RetryAfter, retryPause)):
 		}
 	}
 	if s.result.Outcome == "" {
@@ -153,7 +173,7 @@
 	s.result.Code = api.CodeDeadline
 	s.result.Message = "no final answer within the budget"
 	switch {
-	case !s.bodySent.Load():
+	case !s.sent:
 		s.result.Outcome = api.OutcomeNotRun
 	case s.req.Idempotent:
 		s.result.Outcome = api.OutcomeFailed
@@ -162,6 +182,26 @@
 	}
 }
 
+// settle corrects a refusal by what the caller alone knows. A host that can't tell whether a request ran is wrong
+// about one whose body never left; a host that did not run an idempotent one can't speak for the host before it.
+func (s *submission) settle() {
+	switch {
+	case s.result.Outcome == api.OutcomeUnknown && !s.sent && neverRead(s.result.Code):
+		s.result.Outcome = api.OutcomeNotRun
+	case s.result.Outcome == api.OutcomeNotRun && s.req.Idempotent && s.lost:
+		s.result.Outcome = api.OutcomeFailed
+	}
+}
+
+// neverRead tells whether a host refuses with this code before it has looked at the request itself.
+func neverRead(code api.Code) bool {
+	switch code {
+	case api.CodeHomeGone, api.CodeHomeUnreachable, api.CodeRecordsFull, api.CodeDraining:
+		return true
+	}
+	return false
+}
+
 // moveOn turns to another host. A request of which no body was ever sent ran nowhere and may take a new home.
 func (s *submission) moveOn(ctx context.Context) {
 	s.client.Forget()
@@ -169,36 +209,52 @@
 	if err != nil {
 		return
 	}
-	other := lookup.Hosts[s.attempt%len(lookup.Hosts)]
-	for _, h := range lookup.Hosts {
-		if h.Address != s.host {
-			other = h
-		}
-	}
+	other := s.pickOther(lookup.Hosts)
 	s.host = other.Address
-	if s.req.Idempotent || !s.bodySent.Load() {
-		s.req.Home = other.Home()
-		s.req.Deadline = time.Duration(other.ClockMs)*time.Millisecond + s.req.Budget - time.Since(s.start)
+	if s.req.Idempotent || !s.sent {
+		s.bindTo(other)
 	}
 }
 
+// pickOther is another host than the present one, if there is one; a different one at each attempt.
+func (s *submission) pickOther(hosts []api.Host) api.Host {
+	for i := range hosts {
+		if h := hosts[(s.attempt+i)%len(hosts)]; h.Address != s.host {
+			return h
+		}
+	}
+	return hosts[0]
+}
+
 func (s *submission) try(ctx context.Context) verdict {
 	req, err := s.request(ctx)
 	if err != nil {
 		return elsewhere
 	}
 	resp, err := s.client.http.Do(req)
+	sent := s.body.seal() // from here on nothing more of the body leaves
+	s.sent = s.sent || sent
 	if err != nil {
+		s.lost = s.lost || sent
 		return elsewhere
 	}
 	defer func() { _ = resp.Body.Close() }()
-	s.result.Host = resp.Header.Get(api.HeaderHost)
 	if resp.StatusCode != http.StatusOK {
+		s.result.Host = resp.Header.Get(api.HeaderHost)
 		return s.judgeRefusal(readError(resp))
 	}
+	v := s.readAnswer(resp)
+	s.lost = s.lost || sent && v == broken
+	return v
+}
+
+// readAnswer takes frames until the answer is whole or breaks off.
+func (s *submission) readAnswer(resp *http.Response) verdict {
+	s.result.Host = resp.Header.Get(api.HeaderHost)
+	s.answer.from(s.result.Host)
 	last, err := s.answer.read(resp.Body, s.req.ID, func() { s.result.FirstToken = time.Since(s.start) })
 	if err != nil {
-		return again
+		return broken
 	}
 	s.result.Outcome = last.Outcome
 	s.result.Code = last.Code
@@ -219,8 +275,9 @@
 	s.result.Code = refused.Code
 	s.result.Message = refused.Message
 	s.result.RetryAfter = time.Duration(refused.RetryAfterMs) * time.Millisecond
+	homeless := refused.Code == api.CodeHomeGone || refused.Code == api.CodeHomeUnreachable
 	switch {
-	case refused.Code == api.CodeDraining, refused.Code == api.CodeNotReady:
+	case refused.Code == api.CodeDraining, refused.Code == api.CodeNotReady, homeless && !s.sent:
 		return elsewhere
 	case refused.Code == api.CodeHomeUnreachable:
 		return again
@@ -231,24 +288,24 @@
 }
 
 func (s *submission) request(ctx context.Context) (*http.Request, error) {
-	body := &watchedBody{Reader: bytes.NewReader(s.req.Prompt), touched: &s.bodySent}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.host+api.PathRequests, body)
+	s.body = newSealedBody(s.req.Prompt)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.host+api.PathRequests, s.body)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	req.ContentLength = int64(len(s.req.Prompt))
+	if req.ContentLength == 0 {
+		req.Body = http.NoBody
+		s.sent = true // the headers are all of it
+	}
+	s.setHeaders(req.Header)
 	h := req.Header
 	h.Set("Expect", "100-continue")
-	h.Set(api.HeaderRequest, s.req.ID)
 	h.Set(api.HeaderAttempt, strconv.Itoa(s.attempt))
-	h.Set(api.HeaderTeam, s.client.opts.Team)
 	h.Set(api.HeaderModel, s.req.Model)
 	h.Set(api.HeaderPromptTokens, strconv.FormatInt(s.req.PromptTokens, 10))
 	h.Set(api.HeaderAnswerTokens, strconv.FormatInt(s.req.AnswerTokens, 10))
-	h.Set(api.HeaderIdempotent, strconv.FormatBool(s.req.Idempotent))
 	h.Set(api.HeaderBodyChecksum, stream.Checksum(s.req.Prompt))
-	h.Set(api.HeaderHome, s.req.Home)
-	h.Set(api.HeaderDeadline, strconv.FormatInt(s.req.Deadline.Milliseconds(), 10))
 	if s.req.Prefix != "" {
 		h.Set(api.HeaderPrefix, s.req.Prefix)
 		h.Set(api.HeaderPrefixTokens, strconv.FormatInt(s.req.PrefixTokens, 10))
@@ -256,14 +313,12 @@
 	return req, nil
 }
 
-// watchedBody notes the first read: from then on the body counts as sent.
-type watchedBody struct {
-	io.Reader
-	touched *atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b *watchedBody) Read(p []byte) (int, error) {
-	b.touched.Store(true)
-	return b.Reader.Read(p)
+// setHeaders sets what every question about the request carries.
+func (s *submission) setHeaders(h http.Header) {
+	h.Set(api.HeaderRequest, s.req.ID)
+	h.Set(api.HeaderTeam, s.client.opts.Team)
+	h.Set(api.HeaderIdempotent, strconv.FormatBool(s.req.Idempotent))
+	h.Set(api.HeaderHome, s.req.Home)
+	h.Set(api.HeaderDeadline, strconv.FormatInt(s.req.Deadline.Milliseconds(), 10))
+	h.Set(api.HeaderBudget, strconv.FormatInt(max(s.left().Milliseconds(), 1), 10))
 }
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -62,6 +62,16 @@
 	return Decision{Kind: Forward, Home: req.Home}, true
 }
 
+// decideAsked says what becomes of a question about a request that another process holds. One about an idempotent
+// request goes to the process that its caller names.
+func (n *Node) decideAsked(req *core.Request) (Decision, bool) {
+	named := req.Home != core.Home{} && req.Home.Address != n.opts.Self.Address
+	if req.Idempotent && named && !req.Forwarded {
+		return Decision{Kind: Forward, Home: req.Home}, true
+	}
+	return n.decideHome(req)
+}
+
 // homeRequired refuses a request that names no home. Only of a first submit is it certain that none ran before.
 func homeRequired(req *core.Request) core.Result {
 	result := core.Result{
@@ -75,13 +85,14 @@
 	return result
 }
 
-// setDeadline fills in the deadline of an idempotent request where the caller gave a budget or nothing. One that is
-// not idempotent must bring its own: a new one at each arrival would let a late copy run after the record is gone.
+// setDeadline fills in the deadline of an idempotent request that brings none for this process's clock: it gave a
+// budget or nothing, or read the clock of another process. A request that is not idempotent must bring its own: a new
+// one at each arrival would let a late copy run after the record is gone.
 func (n *Node) setDeadline(req *core.Request) {
-	if req.Deadline > 0 || !req.Idempotent {
-		return
+	elsewhere := req.Home != core.Home{} && req.Home != n.opts.Self
+	if req.Idempotent && (req.Deadline <= 0 || elsewhere) {
+		req.Deadline = n.now + n.budgetOf(req)
 	}
-	req.Deadline = n.now + n.budgetOf(req)
 }
 
 // budgetOf is the budget that the caller gave, or the class's default.
@@ -378,7 +389,7 @@
 
 // cancel ends a request early. One that has not arrived yet is closed, so that it does not run afterwards.
 func (n *Node) cancel(in Cancel) {
-	if decision, elsewhere := n.decideHome(&in.Request); elsewhere {
+	if decision, elsewhere := n.decideAsked(&in.Request); elsewhere {
 		n.do(Decide{Ticket: in.Ticket, Decision: decision})
 		return
 	}
@@ -404,7 +415,7 @@
 
 // query reports a request's outcome. "Not run" closes the identifier first, so that it stays true.
 func (n *Node) query(in Query) {
-	if decision, elsewhere := n.decideHome(&in.Request); elsewhere {
+	if decision, elsewhere := n.decideAsked(&in.Request); elsewhere {
 		n.do(Decide{Ticket: in.Ticket, Decision: decision})
 		return
 	}
--- /dev/null
+++ b/test/outcomes/faults_test.go
@@ -0,0 +1,78 @@
+package outcomes
+
+import (
+	"time"
+
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/virtual"
+)
+
+// planFaults schedules what the kind of schedule allows.
+func (s *schedule) planFaults() {
+	for _, h := range s.hosts {
+		if s.kind.kills && s.chance(0.7) {
+			s.world.At(s.upTo(4*time.Second), func() { s.kill(h) })
+		}
+		if s.kind.pauses && s.chance(0.7) {
+			s.world.At(s.upTo(4*time.Second), func() { s.pause(h) })
+		}
+		if s.kind.drains && s.chance(0.5) {
+			s.world.At(time.Second+s.upTo(3*time.Second), func() { s.drain(h) })
+		}
+		for _, other := range s.hosts {
+			if s.kind.cuts && other != h && s.chance(0.4) {
+				s.world.At(s.upTo(4*time.Second), func() { s.cutOff(h, other) })
+			}
+		}
+	}
+}
+
+func (s *schedule) kill(h *virtual.Host) {
+	if !h.Alive() {
+		return
+	}
+	h.Kill()
+	s.world.After(s.upTo(2*time.Second), func() { s.restart(h) })
+}
+
+func (s *schedule) restart(h *virtual.Host) {
+	if h.Alive() {
+		return
+	}
+	h.Start()
+	s.woke[h] = 0
+	s.world.After(s.upTo(500*time.Millisecond), func() { s.inform(h) })
+}
+
+// pause stops a process for up to longer than a budget.
+func (s *schedule) pause(h *virtual.Host) {
+	if !h.Alive() || h.Paused() {
+		return
+	}
+	h.Pause()
+	process := h.Self()
+	s.world.After(s.upTo(4*time.Second), func() {
+		if h.Alive() && h.Self() == process {
+			s.woke[h] = h.Clock()
+			h.Resume()
+		}
+	})
+}
+
+func (s *schedule) drain(h *virtual.Host) {
+	if !h.Alive() {
+		return
+	}
+	h.Post(node.Drain{})
+	s.world.After(2*time.Second+s.upTo(2*time.Second), func() {
+		if h.Stopped() {
+			s.restart(h)
+		}
+	})
+}
+
+func (s *schedule) cutOff(a, b *virtual.Host) {
+	name := a.Peer() + " " + b.Peer()
+	s.cut[name] = true
+	s.world.After(200*time.Millisecond+s.upTo(3*time.Second), func() { delete(s.cut, name) })
+}
--- /dev/null
+++ b/test/outcomes/outcomes_test.go
@@ -0,0 +1,97 @@
+package outcomes
+
+import (
+	"fmt"
+	"runtime"
+	"sort"
+	"sync"
+	"testing"
+
+	"carobshunt/api"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	schedules = 10_000
+	seed      = 4
+	// shown is how many faults a failing test prints.
+	shown = 10
+)
+
+// tally sums up what callers took away from the schedules of one kind.
+type tally struct {
+	calls, unknown, unknownArrived int
+	byCode                         map[api.Code]int
+}
+
+// runAll runs schedules on all processors and returns what the oracles found, in order of schedule.
+func runAll(count int, without mechanism) ([]string, map[string]*tally) {
+	found := make([][]string, count)
+	finals := make([]*oracle, count)
+	var wg sync.WaitGroup
+	workers := runtime.GOMAXPROCS(0)
+	for w := range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := w; i < count; i += workers {
+				s := newSchedule(seed, i, without)
+				for _, fault := range s.run() {
+					found[i] = append(found[i], fmt.Sprintf("schedule %d (%s): %s", i, s.kind.name, fault))
+				}
+				finals[i] = s.oracle
+			}
+		}()
+	}
+	wg.Wait()
+	var faults []string
+	tallies := make(map[string]*tally)
+	for i := range count {
+		faults = append(faults, found[i]...)
+		name := kinds[i%len(kinds)].name
+		if tallies[name] == nil {
+			tallies[name] = &tally{byCode: make(map[api.Code]int)}
+		}
+		tallies[name].add(finals[i])
+	}
+	return faults, tallies
+}
+
+func (t *tally) add(o *oracle) {
+	for _, f := range o.finals {
+		if f.idempotent {
+			continue
+		}
+		t.calls++
+		if f.outcome == api.OutcomeUnknown {
+			t.unknown++
+			t.byCode[f.code]++
+			if len(o.arrivals[f.key]) > 0 {
+				t.unknownArrived++
+			}
+		}
+	}
+}
+
+func TestRandomSchedulesKeepEveryPromise(t *testing.T) {
+	faults, tallies := runAll(schedules, nothing)
+	var names []string
+	for name := range tallies {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		ta := tallies[name]
+		t.Logf("%-22s %6d calls that may not be repeated, %5d unknown (%.2f%%), of these %5d arrived, by code %v",
+			name, ta.calls, ta.unknown, 100*float64(ta.unknown)/float64(ta.calls), ta.unknownArrived, ta.byCode)
+	}
+	show(t, faults)
+	assert.Equal(t, len(faults), 0)
+}
+
+func show(t *testing.T, faults []string) {
+	for _, fault := range faults[:min(shown, len(faults))] {
+		t.Log(fault)
+	}
+}
--- /dev/null
+++ b/test/outcomes/schedule_test.go
@@ -0,0 +1,256 @@
+package outcomes
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+	"carobshunt/internal/virtual"
+)
+
+// kind is what goes wrong in a schedule.
+type kind struct {
+	name string
+	// targets lose, refuse, fail and delay dispatches.
+	targets bool
+	// kills, pauses, cuts and drains hit entry hosts.
+	kills, pauses, cuts, drains bool
+	// breaks cut callers' connections; delays hold up what callers send, up to longer than budgets.
+	breaks, delays bool
+	// doubles repeat callers' attempts and targets' events.
+	doubles bool
+	// long schedules outlast the retention of records.
+	long bool
+	// tight hosts have room for few records and bodies.
+	tight bool
+}
+
+var kinds = []kind{
+	{name: "no fault"},
+	{name: "targets", targets: true},
+	{name: "kills", kills: true},
+	{name: "pauses", pauses: true},
+	{name: "cuts between hosts", cuts: true},
+	{name: "callers' connections", breaks: true, delays: true, doubles: true},
+	{name: "little room", tight: true, doubles: true},
+	{name: "planned stops", drains: true, doubles: true},
+	{name: "past retention", targets: true, kills: true, breaks: true, delays: true, doubles: true, long: true},
+	{name: "all together", targets: true, kills: true, pauses: true, cuts: true, drains: true, breaks: true, delays: true, doubles: true},
+}
+
+const (
+	engineModel  = "draft"
+	serviceModel = "orders"
+	teamName     = "desk"
+	bodyBytes    = 1000
+	hostCount    = 3
+	callerCount  = 8
+	// callersStart within this time; the schedule ends when every budget and pause is over.
+	startWithin    = 3 * time.Second
+	scheduleLength = 9 * time.Second
+	longLength     = 70 * time.Second
+	// longestDelay is how late what a caller sends may arrive, unless the schedule is long.
+	longestDelay = 5 * time.Second
+)
+
+// schedule is one random run.
+type schedule struct {
+	kind      kind
+	rng       *rand.Rand
+	world     *virtual.World
+	oracle    *oracle
+	hosts     []*virtual.Host
+	targets   []*fakeTarget
+	byAddress map[string]*virtual.Host
+	callers   []*caller
+	exchanges map[core.Home]map[core.Key]*exchange
+	woke      map[*virtual.Host]core.Time
+	cut       map[string]bool
+	list      *hostlist.List
+	// without names the mechanism that the harness leaves out, to show that the checks see it.
+	without mechanism
+	submits uint32
+}
+
+// mechanism is something that a schedule can do without.
+type mechanism int
+
+const (
+	nothing mechanism = iota
+	withoutHome
+	withoutIncarnation
+	withoutAttempts
+	withoutDeadline
+	withoutWrittenMark
+)
+
+func newSchedule(seed uint64, number int, without mechanism) *schedule {
+	s := &schedule{
+		kind:      kinds[number%len(kinds)],
+		rng:       rand.New(rand.NewPCG(seed, uint64(number))),
+		oracle:    newOracle(),
+		byAddress: make(map[string]*virtual.Host),
+		exchanges: make(map[core.Home]map[core.Key]*exchange),
+		woke:      make(map[*virtual.Host]core.Time),
+		cut:       make(map[string]bool),
+		without:   without,
+	}
+	s.world = virtual.New(s)
+	s.addTargets()
+	s.addHosts()
+	return s
+}
+
+func (s *schedule) chance(p float64) bool { return s.rng.Float64() < p }
+
+func (s *schedule) upTo(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
+
+// Delay implements virtual.Network.
+func (s *schedule) Delay(_ virtual.Time, from, to string) (time.Duration, bool) {
+	if s.cut[from+" "+to] {
+		return 0, false
+	}
+	return time.Millisecond + s.upTo(4*time.Millisecond), true
+}
+
+func (s *schedule) addTargets() {
+	s.list = &hostlist.List{Version: 1}
+	for i := range 4 {
+		host := hostlist.Host{Address: fmt.Sprintf("10.0.1.%d:1", i), Zone: "a", State: hostlist.StateLive}
+		host.Role, host.Models = hostlist.RoleEngine, []string{engineModel}
+		if i%2 == 0 {
+			host.Role, host.Models = hostlist.RoleService, []string{serviceModel}
+		}
+		s.list.Hosts = append(s.list.Hosts, host)
+		t := &fakeTarget{s: s, address: host.Address, faulty: s.kind.targets, running: make(map[dispatchName]*dispatch)}
+		s.targets = append(s.targets, t)
+		s.world.Targets[host.Address] = t
+	}
+}
+
+func (s *schedule) addHosts() {
+	for i := range hostCount {
+		callers, peer := fmt.Sprintf("10.0.0.%d:1", i), fmt.Sprintf("10.0.0.%d:2", i)
+		s.list.Hosts = append(s.list.Hosts, hostlist.Host{
+			Address: callers, Peer: peer, Zone: "a", Role: hostlist.RoleEntry, State: hostlist.StateLive,
+		})
+	}
+	for _, listed := range s.list.Hosts {
+		if listed.Role != hostlist.RoleEntry {
+			continue
+		}
+		opts := node.Options{Self: core.Home{Address: listed.Address}, Peer: listed.Peer, Zone: "a", Records: 1000, BodyBytes: 1 << 20, Seed: 1}
+		if s.kind.tight {
+			opts.Records, opts.BodyBytes = 3, 3*bodyBytes
+		}
+		h := s.world.AddHost(opts)
+		h.Finished = func(f node.Finish) { s.finished(h, f) }
+		s.hosts = append(s.hosts, h)
+		s.byAddress[listed.Address] = h
+		s.inform(h)
+	}
+}
+
+var rawDocument = func() []byte {
+	budgets := document.Budgets{ShortMs: 10_000, MiddleMs: 10_000, LongMs: 10_000}
+	preset := document.Preset{
+		Budgets: budgets, FirstTokenTargetMs: 750, ShortPromptTokens: 4_000, MiddlePromptTokens: 100_000,
+		ProtectShortPercent: 25, RetryPercent: 10,
+	}
+	raw, err := json.Marshal(document.Document{
+		Revision: 1, Active: "ordinary", Presets: map[string]document.Preset{"ordinary": preset},
+		Teams: []document.Team{{Name: teamName, Weight: 1, TokensPerSecond: 1_000_000}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}()
+
+func (s *schedule) inform(h *virtual.Host) {
+	h.Post(node.DocumentHeard{Raw: rawDocument, Source: "platform"})
+	h.Post(node.HostsHeard{List: s.list, Source: "platform"})
+}
+
+func (s *schedule) anyHost() *virtual.Host { return s.hosts[s.rng.IntN(len(s.hosts))] }
+
+// lookup is the answer of any host that answers now, or nil.
+func (s *schedule) lookup() *lookup {
+	h := s.anyHost()
+	if !h.Alive() || h.Paused() {
+		return nil
+	}
+	snap := h.Snapshot()
+	if len(snap.Hosts) == 0 {
+		return nil
+	}
+	out := &lookup{at: s.world.Now()}
+	for _, host := range snap.Hosts {
+		host.ClockMs += (h.Clock() - snap.Taken).Milliseconds()
+		out.hosts = append(out.hosts, host)
+	}
+	return out
+}
+
+// run carries out the schedule and returns what its oracle found.
+func (s *schedule) run() []string {
+	for i := range callerCount {
+		c := &caller{
+			s: s, key: core.Key{Team: teamName, ID: fmt.Sprintf("request-%d", i)},
+			idempotent: s.chance(0.3), retries: s.chance(0.5), budget: 200*time.Millisecond + s.upTo(3*time.Second),
+		}
+		s.callers = append(s.callers, c)
+		s.world.At(s.upTo(startWithin), c.begin)
+		if s.chance(0.3) {
+			s.world.At(s.upTo(scheduleLength), func() { c.ask(s.chance(0.5)) })
+		}
+	}
+	s.planFaults()
+	length := scheduleLength
+	if s.kind.delays {
+		length += longestDelay
+	}
+	if s.kind.long {
+		length = longLength
+	}
+	s.world.Run(length)
+	s.judge()
+	return s.oracle.faults
+}
+
+// judge checks what is left at the end, and what was said.
+func (s *schedule) judge() {
+	for _, c := range s.callers {
+		if !c.over {
+			s.oracle.faultf("%v has no outcome at the end", c.key)
+		}
+	}
+	for _, h := range s.hosts {
+		if !h.Alive() || h.Paused() {
+			continue
+		}
+		requests := h.Snapshot().Status.Requests
+		if requests.Queued+requests.Running > 0 || requests.BodyBytes != 0 {
+			s.oracle.faultf("%v still holds %+v at the end", h.Self(), requests)
+		}
+		if s.kind.tight && requests.Records > 3 {
+			s.oracle.faultf("%v holds %d records", h.Self(), requests.Records)
+		}
+	}
+	s.oracle.judge()
+}
+
+func (s *schedule) finished(h *virtual.Host, f node.Finish) {
+	ex := s.exchange(h, f.Key)
+	s.oracle.finished(h, ex.deadline, s.woke[h], f)
+	if f.Result.Outcome == api.OutcomeUnknown && !s.maybeRan(h.Self(), f.Key) {
+		s.oracle.faultf("%v: unknown (%s) was said of a request that its home knows not to have run", f.Key, f.Result.Code)
+	}
+	ex.end(f.Result)
+}
