--- a/internal/core/node/memory_test.go
+++ b/internal/core/node/memory_test.go
@@ -133,7 +133,7 @@
 	post := h.Poster()
 	h.Submit(req, func(d node.Decision) {
 		if d.Kind == node.Admit {
-			w.world.After(time.Millisecond, func() { post(node.BodyEnded{Key: req.Key}) })
+			w.world.After(time.Millisecond, func() { post(node.BodyEnded{Key: req.Key, Attempt: req.Attempt}) })
 		}
 	})
 	return req.Key
--- /dev/null
+++ b/test/outcomes/mechanism_test.go
@@ -0,0 +1,54 @@
+package outcomes
+
+import (
+	"testing"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/virtual"
+
+	"gotest.tools/v3/assert"
+)
+
+// spoilt is the request as a host would take it that lacks a mechanism.
+func (s *schedule) spoilt(req core.Request, at *virtual.Host) core.Request {
+	switch s.without {
+	case withoutHome:
+		req.Home = at.Self()
+	case withoutIncarnation:
+		if req.Home.Address == at.Self().Address {
+			req.Home = at.Self()
+		}
+	case withoutAttempts:
+		s.submits++
+		req.Attempt += s.submits * callerAttempts
+	case withoutDeadline:
+		req.Deadline = at.Clock() + 2*time.Second
+	}
+	return req
+}
+
+// mechanismSchedules is the number of schedules that show a missing mechanism.
+const mechanismSchedules = 400
+
+func TestChecksSeeEachMissingMechanism(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		without     mechanism
+		first, step int
+	}{
+		{"home binding", withoutHome, 0, 1},
+		{"incarnation", withoutIncarnation, 0, 1},
+		{"closing of attempts", withoutAttempts, 0, 1},
+		{"mark of written dispatches", withoutWrittenMark, 0, 1},
+		// Only what outlasts the retention of records shows this one.
+		{"deadline fixed for good", withoutDeadline, 8, 2 * len(kinds)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			faults, _ := runAll(mechanismSchedules, c.first, c.step, c.without)
+			t.Logf("%d faults in %d schedules", len(faults), mechanismSchedules)
+			show(t, faults[:min(1, len(faults))])
+			assert.Assert(t, len(faults) > 0)
+		})
+	}
+}
