Cut large fleets into cells of hosts and targets

At 2,000 hosts each would have read 6,800 load reports, and each engine would have been swept by hundreds.

Ruled out: cells that operators publish; runs of equal length in an order of hashes, where one host that leaves shifts every cell.

Change: internal/core/cell cuts the host list into leaves of a hash tree. Look-ups name hosts of the team's cells, or whom to ask.

Conclusion: one design at both sizes; the pace of model loads is still split over all hosts, which bends where hosts outnumber the loads in a minute.

--- a/api/api.go
+++ b/api/api.go
@@ -91,6 +91,7 @@
 	CodeRecordsFull      Code = "records_full"
 	CodeNotReady         Code = "not_ready"
 	CodeDraining         Code = "draining"
+	CodeNotServed        Code = "team_not_served_here"
 	CodeNoTarget         Code = "no_target"
 	CodeTargetFailed     Code = "target_failed"
 	CodeTargetRefused    Code = "target_refused"
@@ -140,8 +141,11 @@
 
 // Lookup answers PathHosts: the entry hosts to use, the nearest first.
 type Lookup struct {
-	Hosts    []Host `json:"hosts"`
-	Revision uint64 `json:"revision"`
+	Hosts []Host `json:"hosts"`
+	// Ask names callers' addresses of hosts to ask instead, where the one that was asked knows none that serve the
+	// team; Hosts is empty then.
+	Ask      []string `json:"ask,omitempty"`
+	Revision uint64   `json:"revision"`
 	// KeepMs is how long the caller may keep this answer, in milliseconds.
 	KeepMs int64 `json:"keep_ms"`
 }
--- a/client/client.go
+++ b/client/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,17 +97,25 @@
 		return answer, nil
 	}
 	var last error = ErrNoHost
-	for _, entry := range c.entries() {
-		answer, err := c.fetchLookup(ctx, entry)
-		if err == nil {
+	ask := c.entries()
+	for i := 0; i < min(len(ask), maxAsked); i++ {
+		answer, err := c.fetchLookup(ctx, ask[i])
+		switch {
+		case err != nil:
+			last = err
+		case len(answer.Hosts) > 0:
 			c.remember(answer)
 			return answer, nil
+		default: // the hosts that serve the team come next
+			ask = slices.Insert(ask, i+1, answer.Ask...)
 		}
-		last = err
 	}
 	return api.Lookup{}, errors.Trace(last)
 }
 
+// maxAsked bounds the hosts that one look-up asks.
+const maxAsked = 32
+
 // Forget drops the kept look-up answer.
 func (c *Client) Forget() {
 	c.mu.Lock()
@@ -175,9 +184,6 @@
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
 		return api.Lookup{}, errors.Trace(err)
 	}
-	if len(answer.Hosts) == 0 {
-		return api.Lookup{}, ErrNoHost
-	}
 	return answer, nil
 }
 
--- a/client/submit.go
+++ b/client/submit.go
@@ -278,7 +278,7 @@
 	s.result.RetryAfter = time.Duration(refused.RetryAfterMs) * time.Millisecond
 	homeless := refused.Code == api.CodeHomeGone || refused.Code == api.CodeHomeUnreachable
 	switch {
-	case refused.Code == api.CodeDraining, refused.Code == api.CodeNotReady, homeless && !s.sent:
+	case refused.Code == api.CodeDraining, refused.Code == api.CodeNotReady, refused.Code == api.CodeNotServed, homeless && !s.sent:
 		return elsewhere
 	case refused.Code == api.CodeHomeUnreachable:
 		return again
--- a/internal/core/limit/limiter.go
+++ b/internal/core/limit/limiter.go
@@ -1,33 +1,29 @@
 package limit
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"carobshunt/internal/core"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// TeamHosts is how many hosts serve one team at most. With fewer hosts than that, all serve every team.
-const TeamHosts = 8
-
 // Limiter holds the accounts of all teams on one host. It is not safe for concurrent use.
 type Limiter struct {
 	self  string
 	teams map[string]*Team
 	rates map[string]float64
-	hosts []string
-	// spread is how many hosts shared each team's rate under the list before, until settled. joining is set while
-	// other hosts may not know of this one.
-	spread  int
+	// serving is the assignment in force. before is the oldest one that other hosts may still go by, or nil.
+	serving Assignment
+	before  Assignment
+	// joining is set while other hosts may not count with this process.
 	joining bool
 	settled core.Time
 }
 
-// settleTime is how long a host that is new, or whose share grows because the host list became shorter, waits before
-// it uses the whole share, unless all hosts have shown that they know the list.
+// Assignment tells the peer addresses of the hosts that serve a team.
+type Assignment func(team string) []string
+
+// settleTime is how long other hosts may go by an older assignment, unless all have shown that they know the list.
 const settleTime = 10 * time.Second
 
 // New returns the limiter of the host with that peer address.
@@ -36,6 +32,7 @@
 		self:    self,
 		teams:   make(map[string]*Team),
 		rates:   make(map[string]float64),
+		serving: func(string) []string { return nil },
 		joining: true,
 		settled: settleTime,
 	}
@@ -56,31 +53,31 @@
 	TokensPerSecond int64
 }
 
-// SetHosts takes the peer addresses of the listed entry hosts. A list that is shorter than the one before makes
-// shares grow only after settleTime, since other hosts may still go by the longer one.
-func (l *Limiter) SetHosts(now core.Time, hosts []string) {
-	before := len(l.hosts)
-	l.hosts = slices.Clone(hosts)
-	slices.Sort(l.hosts)
-	if len(l.hosts) < before {
-		l.spread = max(l.spread, before)
+// Assign takes a new assignment. Until it has settled, no share is larger than under the one before, since other
+// hosts may still go by that.
+func (l *Limiter) Assign(now core.Time, serving Assignment) {
+	if !l.joining {
+		if l.before == nil {
+			l.before = l.serving
+		}
 		l.settled = now + settleTime
 	}
+	l.serving = serving
 	l.rebase(now)
 }
 
-// Settle lets shares grow now: every listed host has shown that it knows the list.
+// Settle tells that every listed host has shown that it knows the list.
 func (l *Limiter) Settle(now core.Time) {
 	l.settled = min(l.settled, now)
 	l.settle(now)
 }
 
-// settle ends the wait for hosts that may go by an older list.
+// settle ends the wait for hosts that may go by an older assignment.
 func (l *Limiter) settle(now core.Time) {
-	if now < l.settled || (l.spread == 0 && !l.joining) {
+	if now < l.settled || (l.before == nil && !l.joining) {
 		return
 	}
-	l.spread = 0
+	l.before = nil
 	l.joining = false
 	l.rebase(now)
 }
@@ -99,31 +96,28 @@
 }
 
 func (l *Limiter) baseShare(team string, rate float64) float64 {
-	hosts := HostsOf(team, l.hosts)
-	if !slices.Contains(hosts, l.self) {
-		return 0
+	share := l.shareUnder(l.serving, team, rate)
+	if l.before != nil {
+		share = min(share, l.shareUnder(l.before, team, rate))
 	}
-	spread := max(len(hosts), min(l.spread, TeamHosts))
-	return rate / float64(spread)
+	return share
 }
 
-// HostsOf returns which of the listed hosts serve a team, by rendezvous hashing, best first.
-func HostsOf(team string, hosts []string) []string {
-	ranked := slices.Clone(hosts)
-	weights := make(map[string]uint64, len(hosts))
-	for _, h := range hosts {
-		weights[h] = xxhash.Sum64String(team + "\x00" + h)
+func (l *Limiter) shareUnder(serving Assignment, team string, rate float64) float64 {
+	hosts := serving(team)
+	if !slices.Contains(hosts, l.self) {
+		return 0
 	}
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
-	})
-	return ranked[:min(len(ranked), TeamHosts)]
+	return rate / float64(len(hosts))
 }
 
 // started tells whether every loan that an earlier process of this host may have made is over, and the other hosts
 // count with this one.
 func (l *Limiter) started(now core.Time) bool { return now >= Term && !l.joining }
 
+// Serves tells whether this host is to take a team's requests.
+func (l *Limiter) Serves(team string) bool { return slices.Contains(l.serving(team), l.self) }
+
 // Take admits a request of a team, or returns after how long it may come again.
 func (l *Limiter) Take(now core.Time, team string, tokens int64) (time.Duration, bool) {
 	l.settle(now)
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/limit"
 	"carobshunt/internal/hostlist"
@@ -135,10 +136,10 @@
 }
 
 // Apply takes a host list: the overlay's neighbours are added, other hosts that are silent are dropped.
-func (t *Table) Apply(now core.Time, list *hostlist.List) {
+func (t *Table) Apply(now core.Time, list *hostlist.List, cells *cell.Map) {
 	t.listed = true
 	t.zoneRanks = rankZone(list, t.zone)
-	neighbours := Neighbours(list, t.self, t.zone)
+	neighbours := Neighbours(list, cells, t.self, t.zone)
 	for _, p := range t.peers {
 		p.neighbour = false
 		p.Leaving = false
--- a/internal/core/member/overlay.go
+++ b/internal/core/member/overlay.go
@@ -3,36 +3,39 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 
+	"carobshunt/internal/core/cell"
 	"carobshunt/internal/hostlist"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// The overlay: each host exchanges state with the hosts next to it on a few rings. A ring orders hosts by a hash of
-// its number and their address, so that every host works out the same rings from the same host list, and a host that
-// comes or goes changes two neighbours on each. Half of the rings hold one availability zone each, so that a zone
-// that is cut off stays one piece; the others hold all hosts, and are the long links between zones.
-const (
-	zoneRings   = 2
-	globalRings = 2
-	// Degree is the most neighbours that the overlay gives a host: two on each ring. Up to that many, all other
-	// hosts are neighbours.
-	Degree = 2 * (zoneRings + globalRings)
-)
+// The overlay: each host exchanges state with the hosts of its own cell, and with the hosts next to it on two rings,
+// which are the links between cells. A ring orders hosts by a hash of its name and their address, so that every host
+// works out the same rings from the same host list, and a host that comes or goes changes two neighbours on each. One
+// ring holds the own availability zone, so that a zone that is cut off stays one piece; the other holds all hosts.
 
 // Neighbours returns the entry hosts that the host with that peer address exchanges state with, in order of peer
 // address.
-func Neighbours(list *hostlist.List, self, zone string) []hostlist.Host {
+func Neighbours(list *hostlist.List, cells *cell.Map, self, zone string) []hostlist.Host {
 	others := entryHosts(list, self)
-	if len(others) > Degree {
-		others = onRings(others, self, zone)
+	if cells.Len() > 1 {
+		others = append(inCell(others, cells.HostsFor(self)), onRings(others, self, zone)...)
 	}
 	slices.SortFunc(others, comparePeers)
 	return slices.CompactFunc(others, func(a, b hostlist.Host) bool { return a.Peer == b.Peer })
 }
 
+func inCell(others []hostlist.Host, mates []string) []hostlist.Host {
+	var out []hostlist.Host
+	for _, host := range others {
+		if slices.Contains(mates, host.Peer) {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
 func comparePeers(a, b hostlist.Host) int { return cmp.Compare(a.Peer, b.Peer) }
 
 func entryHosts(list *hostlist.List, except string) []hostlist.Host {
@@ -47,20 +50,13 @@
 
 func onRings(others []hostlist.Host, self, zone string) []hostlist.Host {
 	sameZone := slices.DeleteFunc(slices.Clone(others), func(h hostlist.Host) bool { return h.Zone != zone })
-	var out []hostlist.Host
-	for ring := range zoneRings {
-		out = appendAround(out, sameZone, self, zone+"/"+strconv.Itoa(ring))
-	}
-	for ring := range globalRings {
-		out = appendAround(out, others, self, "/"+strconv.Itoa(ring))
-	}
-	return out
+	return append(around(sameZone, self, zone+"/"), around(others, self, "/")...)
 }
 
-// appendAround appends the hosts before and after this one on a ring.
-func appendAround(out, hosts []hostlist.Host, self, ring string) []hostlist.Host {
+// around returns the hosts before and after this one on a ring.
+func around(hosts []hostlist.Host, self, ring string) []hostlist.Host {
 	if len(hosts) == 0 {
-		return out
+		return nil
 	}
 	own := place(ring, self)
 	before, after := hosts[0], hosts[0]
@@ -73,7 +69,7 @@
 			before = host
 		}
 	}
-	return append(out, before, after)
+	return []hostlist.Host{before, after}
 }
 
 // place is a host's position on a ring. Differences of positions wrap around.
--- a/internal/core/node/limits.go
+++ b/internal/core/node/limits.go
@@ -14,6 +14,13 @@
 // checkTeamLimit takes the request's tokens from its team's account. It must be the last check, since a request
 // that is refused for another reason must not pay.
 func (n *Node) checkTeamLimit(req *core.Request) core.Result {
+	if !n.limits.Serves(req.Team) {
+		return core.Result{
+			Code:       api.CodeNotServed,
+			Message:    "other hosts serve this team",
+			RetryAfter: n.retryAfter(afterOverload),
+		}
+	}
 	wait, ok := n.limits.Take(n.now, req.Team, cost(req))
 	if ok {
 		return core.Result{}
@@ -40,17 +47,6 @@
 	n.limits.SetRates(n.now, rates)
 }
 
-// limitHosts hands the listed entry hosts to the accounts.
-func (n *Node) limitHosts() {
-	var hosts []string
-	for _, h := range n.hosts.Hosts {
-		if h.Role == hostlist.RoleEntry {
-			hosts = append(hosts, h.Peer)
-		}
-	}
-	n.limits.SetHosts(n.now, hosts)
-}
-
 // borrowers are the peers that ask for a part of this host's rates. A demand that is older than half a term is left
 // out: a grant for it would be over before it could be used.
 func (n *Node) borrowers() []limit.Borrower {
--- a/internal/core/node/memory.go
+++ b/internal/core/node/memory.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/rendezvous"
@@ -69,9 +71,19 @@
 	return out
 }
 
+// inCellOf returns those of the hosts that are in the cell of a target. Only they know of each other whether they are
+// well, and answer for the target.
+func (n *Node) inCellOf(target string, hosts []string) []string {
+	if n.cells == nil || n.cells.Len() == 1 {
+		return hosts
+	}
+	cell := n.cells.HostsFor(target)
+	return slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return !slices.Contains(cell, h) })
+}
+
 // sweepRank is this host's place among the sweepers of an engine, from 0; false when it is none of them.
 func (n *Node) sweepRank(engine string, live []string) (int, bool) {
-	rank := rendezvous.Position("sweep "+engine, n.opts.Peer, live)
+	rank := rendezvous.Position("sweep "+engine, n.opts.Peer, n.inCellOf(engine, live))
 	return rank, rank >= 0 && rank < sweep.Ranks
 }
 
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -8,6 +8,7 @@
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/limit"
@@ -55,6 +56,10 @@
 	hostsHistory *delta.History
 	hostsSince   core.Time
 
+	// cells are those of the host list; directory says who serves whom.
+	cells     *cell.Map
+	directory *directory
+
 	peers   *member.Table
 	targets *target.Table
 	ledger  *ledger.Ledger
--- a/internal/core/node/orders.go
+++ b/internal/core/node/orders.go
@@ -79,6 +79,19 @@
 	// behind is the highest revision that an engine was heard to have seen.
 	behind uint64
 	counts OrderCounts
+	// shares are the hosts' shares of the weight store's rate sharedRate under the host list sharedHosts.
+	shares      map[string]int64
+	sharedRate  int64
+	sharedHosts uint64
+}
+
+// share works out the shares of a rate, unless they are those in force.
+func (s *orderState) share(rate int64, hostsVersion uint64, published func() []string) {
+	if s.shares != nil && s.sharedRate == rate && s.sharedHosts == hostsVersion {
+		return
+	}
+	s.shares = order.Shares(rate, published())
+	s.sharedRate, s.sharedHosts = rate, hostsVersion
 }
 
 func newOrderState() orderState {
@@ -97,11 +110,10 @@
 }
 
 // commanders are the live hosts that have a share of the weight store's rate.
-func (n *Node) commanders(rate int64) []string {
-	published := n.publishedEntries()
+func (n *Node) commanders() []string {
 	var out []string
 	for _, address := range n.liveHosts() {
-		if order.Share(rate, address, published) > 0 {
+		if n.orders.shares[address] > 0 {
 			out = append(out, address)
 		}
 	}
@@ -114,8 +126,9 @@
 		return
 	}
 	rate := n.config.Document().Preset().WeightLoadsPerMinute
-	n.orders.pace.Set(n.now, order.Share(rate, n.opts.Peer, n.publishedEntries()))
-	commanders := n.commanders(rate)
+	n.orders.share(rate, n.hosts.Version, n.publishedEntries)
+	n.orders.pace.Set(n.now, n.orders.shares[n.opts.Peer])
+	commanders := n.commanders()
 	due := n.now-n.orders.read >= orderInterval
 	if due {
 		n.orders.read = n.now
@@ -124,7 +137,7 @@
 		if t.Role != hostlist.RoleEngine {
 			continue
 		}
-		first := !n.drain.active && rendezvous.Position("order "+t.Address, n.opts.Peer, commanders) == 0
+		first := !n.drain.active && rendezvous.Position("order "+t.Address, n.opts.Peer, n.inCellOf(t.Address, commanders)) == 0
 		n.tenure(t.Address).Step(n.now, first)
 		if due && n.mayOrder(t) {
 			n.do(ReadOrders{Target: t.Address})
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/delta"
@@ -114,6 +115,7 @@
 	case conf.Applied:
 		doc := n.config.Document()
 		n.limitRates()
+		n.renewDirectory()
 		n.do(Note{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
 		n.announceNews()
 		n.pump()
@@ -141,14 +143,19 @@
 func (n *Node) hostsHeard(in HostsHeard) {
 	text, err := delta.Encode(in.List)
 	version := conf.Version{Revision: in.List.Version, Digest: text.Digest}
-	if err != nil || !version.Above(n.hostsVersion()) || !n.targets.Apply(in.List) {
+	if err != nil || !version.Above(n.hostsVersion()) {
+		return
+	}
+	cells := cell.New(in.List)
+	if !n.targets.Apply(cells.Scope(in.List, n.opts.Peer)) {
 		return
 	}
 	n.hosts = in.List
+	n.cells = cells
 	n.hostsHistory = n.hostsHistory.Add(text)
 	n.hostsSince = n.now
-	n.peers.Apply(n.now, in.List)
-	n.limitHosts()
+	n.peers.Apply(n.now, in.List, cells)
+	n.renewDirectory()
 	n.do(Note{Event: EventHosts, Text: fmt.Sprintf("version %d from %s", in.List.Version, in.Source)})
 	n.announceNews()
 	n.pump()
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -30,7 +30,7 @@
 	case ledger.Join:
 		n.do(Decide{Ticket: in.Ticket, Decision: Decision{Kind: Attach, Deadline: rec.Request.Deadline}})
 	case ledger.Refuse:
-		n.refuse(in.Ticket, result)
+		n.refuse(in.Ticket, req.Team, result)
 	case ledger.New:
 		n.submitNew(in.Ticket, req)
 	}
@@ -127,12 +127,16 @@
 		result.Outcome = api.OutcomeUnknown
 		result.Code = api.CodeRecordsFull
 	}
-	n.refuse(ticket, result)
+	n.refuse(ticket, req.Team, result)
 }
 
-func (n *Node) refuse(ticket Ticket, result core.Result) {
+func (n *Node) refuse(ticket Ticket, team string, result core.Result) {
 	n.count(result.Outcome)
-	n.do(Decide{Ticket: ticket, Decision: n.refusal(result)})
+	decision := n.refusal(result)
+	if result.Code == api.CodeNotServed {
+		decision.Alternatives = n.directory.referrals(team)
+	}
+	n.do(Decide{Ticket: ticket, Decision: decision})
 }
 
 func (n *Node) refusal(result core.Result) Decision {
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -37,6 +37,8 @@
 	Sweeps SweepCounts
 	Groups GroupCounts
 	Orders OrderCounts
+
+	directory *directory
 }
 
 // Snapshot copies the state.
@@ -58,6 +60,7 @@
 		Sweeps:          n.sweeps.counts,
 		Groups:          n.groupCounts(),
 		Orders:          n.orders.counts,
+		directory:       n.directory,
 	}
 }
 
--- a/internal/core/order/pace.go
+++ b/internal/core/order/pace.go
@@ -11,22 +11,24 @@
 // a load and its begin at the weight store, so that loads that were decided apart can't begin together.
 const paceWindow = time.Minute + 10*time.Second
 
-// Share is the part of a rate that a member of the published list may use on its own. The shares of all members add
-// up to the rate, with no message between them.
-func Share(rate int64, member string, published []string) int64 {
+// Shares are the parts of a rate that the members of the published list may use, each on its own. They add up to the
+// rate, with no message between the members. A member without a part is left out.
+func Shares(rate int64, published []string) map[string]int64 {
 	sorted := slices.Clone(published)
 	slices.Sort(sorted)
 	sorted = slices.Compact(sorted)
-	i := slices.Index(sorted, member)
-	if i < 0 || rate <= 0 {
-		return 0
-	}
+	out := make(map[string]int64)
 	n := int64(len(sorted))
-	share := rate / n
-	if int64(i) < rate%n {
-		share++
+	for i, member := range sorted {
+		share := rate / n
+		if int64(i) < rate%n {
+			share++
+		}
+		if share > 0 {
+			out[member] = share
+		}
 	}
-	return share
+	return out
 }
 
 // Pace keeps one host to its share. A share that rises counts only when it has stood for a whole window, since
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,10 +86,11 @@
 		})
 	}
 	age := (g.control.Now() - snap.Taken).Milliseconds()
-	answer := api.Lookup{Revision: snap.Heartbeat.Revision, KeepMs: keepLookup.Milliseconds()}
+	hosts, ask := snap.HostsFor(c.QueryParam("team"))
+	answer := api.Lookup{Ask: ask, Revision: snap.Heartbeat.Revision, KeepMs: keepLookup.Milliseconds()}
 	zone := c.QueryParam("zone")
 	for _, sameZone := range []bool{true, false} {
-		for _, h := range snap.Hosts {
+		for _, h := range hosts {
 			if (h.Zone == zone) == sameZone {
 				h.ClockMs += age
 				answer.Hosts = append(answer.Hosts, h)
