Engine stand-in with limited memory, reservations, exports, resume and orders; process tests for them

Cause: the stand-in had no limit on memory, dropped a stream with its connection, and took no orders.

Change: memory in tokens shared out first come first served (450,000 by default), streams that go on without a connection and can be followed again by name, reservations that expire, exports and imports, one list of all holdings with ages, absolute orders with fencing numbers, and a weight store with a rate.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -4,47 +4,47 @@
 package fake
 
 import (
-	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"carobshunt/internal/core/sweep"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/dispatch"
-	"carobshunt/internal/stream"
+	"carobshunt/internal/engines"
 
 	"github.com/labstack/echo/v4"
 )
 
-// Engine is a model engine that prefills at a fixed rate and then writes its answer token by token.
+// EngineOptions configure an Engine.
+type EngineOptions struct {
+	// Speed divides all times; 0 means 1.
+	Speed float64
+	// MemoryTokens is the KV memory in tokens; 0 means DefaultMemoryTokens.
+	MemoryTokens int64
+	// ChecksFencing makes the engine refuse orders with an old fencing number.
+	ChecksFencing bool
+	// Weights is where models are loaded from; nil for a store without limit.
+	Weights WeightStore
+}
+
+// DefaultMemoryTokens is the KV memory of the reference engine, in tokens.
+const DefaultMemoryTokens = 450_000
+
+// Engine is a model engine that prefills at a fixed rate and then writes its answer token by token. A stream goes on
+// when its connection drops; it holds its memory until its answer was fetched or it is canceled.
 type Engine struct {
-	// speed divides all times.
-	speed float64
+	opts EngineOptions
 
 	mu      sync.Mutex
+	memory  *memory
 	streams map[string]*engineStream
-}
-
-// engineStream is one running stream.
-type engineStream struct {
-	Name   string `json:"name"`
-	Tokens int64  `json:"tokens"`
-	// prefilling is set until the first token.
-	prefilling bool
-	canceled   chan struct{}
-}
-
-// StreamInfo is a line of an engine's list of streams.
-type StreamInfo struct {
-	Name string `json:"name"`
-	// Tokens is the KV memory that the stream holds, in tokens.
-	Tokens int64 `json:"tokens"`
+	unnamed uint64
+	orders  orderBook
 }
 
 // Rates of the stand-in.
@@ -52,158 +52,280 @@
 	prefillTokensPerSecond = 20_000
 	positionWeightTokens   = 200_000
 	tokenInterval          = 16 * time.Millisecond
+	// groupEfficiency is what a group keeps of its members' prefill rate.
+	groupEfficiency = 0.8
+	// memoryWait is how long a stream waits for memory before it is refused.
+	memoryWait = 5 * time.Second
 )
 
 // NewEngine returns an engine that runs speed times as fast as the reference.
-func NewEngine(speed float64) *Engine {
-	return &Engine{speed: speed, streams: make(map[string]*engineStream)}
+func NewEngine(speed float64) *Engine { return NewEngineWith(EngineOptions{Speed: speed}) }
+
+// NewEngineWith returns an engine.
+func NewEngineWith(opts EngineOptions) *Engine {
+	if opts.Speed == 0 {
+		opts.Speed = 1
+	}
+	if opts.MemoryTokens == 0 {
+		opts.MemoryTokens = DefaultMemoryTokens
+	}
+	g := &Engine{opts: opts, streams: make(map[string]*engineStream)}
+	g.memory = newMemory(opts.MemoryTokens, g.reservationGone)
+	return g
 }
 
 // Register adds the routes.
 func (g *Engine) Register(e *echo.Echo) {
 	e.POST(dispatch.PathStreams, g.start)
-	e.GET(dispatch.PathStreams, g.list)
-	e.DELETE(dispatch.PathStreams+"/:name", g.cancel)
+	e.GET(dispatch.PathStreams, g.listStreams)
+	e.GET(dispatch.PathStreams+"/:name/resume", named(g.resume))
+	e.DELETE(dispatch.PathStreams+"/:name", named(g.cancel))
 	e.GET(dispatch.PathLoad, g.load)
+	e.GET(engines.PathMemory, g.list)
+	e.PUT(engines.PathReservations+"/:name", named(g.reserve))
+	e.DELETE(engines.PathReservations+"/:name", named(g.release))
+	e.GET(engines.PathReservations, g.listReservations)
+	e.POST(engines.PathExports+"/:name", named(g.export))
+	e.GET(engines.PathExports+"/:name", named(g.readExport))
+	e.DELETE(engines.PathExports+"/:name", named(g.dropExport))
+	e.GET(engines.PathOrders, g.orderState)
+	e.PUT(engines.PathOrders, g.order)
+}
+
+// named hands the name in the path to a handler.
+func named(handler func(echo.Context, string) error) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		name, err := url.PathUnescape(c.Param("name"))
+		if err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		return handler(c, name)
+	}
 }
 
+// start takes a stream and follows it. A name that runs already is followed from its start.
 func (g *Engine) start(c echo.Context) error {
 	header := c.Request().Header
-	prompt := headerNumber(header, dispatch.HeaderPromptTokens)
-	answer := headerNumber(header, dispatch.HeaderAnswerTokens)
 	if _, err := io.Copy(io.Discard, c.Request().Body); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	s := &engineStream{
-		Name:       header.Get(dispatch.HeaderStream),
-		Tokens:     prompt + answer,
-		prefilling: true,
-		canceled:   make(chan struct{}),
-	}
-	g.add(s)
-	defer g.remove(s.Name)
-	if !g.sleep(c, s, prefillTime(prompt)) {
-		return nil
-	}
-	g.setPrefilled(s)
-	w := newAnswerWriter(c.Response())
-	for i := range answer {
-		if !w.write(fmt.Sprintf("token%d ", i)) || !g.sleep(c, s, tokenInterval) {
-			return nil
+	s := newEngineStream(header.Get(dispatch.HeaderStream))
+	s.prompt = headerNumber(header, dispatch.HeaderPromptTokens)
+	s.answer = headerNumber(header, dispatch.HeaderAnswerTokens)
+	s.group = len(strings.Split(header.Get(dispatch.HeaderGroup), ","))
+	s.reservation = header.Get(dispatch.HeaderReservation)
+	running, fresh := g.put(s)
+	if running == nil {
+		return c.NoContent(http.StatusTooManyRequests)
+	}
+	if fresh {
+		if !g.waitForMemory(c, s) {
+			return c.NoContent(http.StatusTooManyRequests)
 		}
+		go g.run(s)
 	}
-	return w.end()
+	return g.follow(c, running, 0)
 }
 
-// prefillTime is how long a prompt takes, each token weighted by its position.
-func prefillTime(tokens int64) time.Duration {
-	weight := 1 + float64(tokens)/2/positionWeightTokens
-	return time.Duration(float64(tokens) * weight / prefillTokensPerSecond * float64(time.Second))
+// put adds a stream, or finds the one of its name. It returns nil when the memory that it needs can't be had.
+func (g *Engine) put(s *engineStream) (running *engineStream, fresh bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.name == "" {
+		g.unnamed++
+		s.name = "unnamed-" + strconv.FormatUint(g.unnamed, 10)
+	}
+	if running = g.streams[s.name]; running != nil {
+		return running, false
+	}
+	tokens := s.prompt + s.answer
+	if s.reservation != "" {
+		if !g.memory.heldAt(sweep.KindReservation, s.reservation) {
+			return nil, false
+		}
+		tokens = 0
+	}
+	if tokens > g.opts.MemoryTokens {
+		return nil, false
+	}
+	g.streams[s.name] = s
+	s.hold = g.memory.ask(sweep.KindStream, s.name, tokens)
+	return s, true
 }
 
-func headerNumber(h http.Header, name string) int64 {
-	n, _ := strconv.ParseInt(h.Get(name), 10, 64)
-	return n
+// waitForMemory waits for a new stream's place in line, for a while and as long as its sender does.
+func (g *Engine) waitForMemory(c echo.Context, s *engineStream) bool {
+	timer := time.NewTimer(g.scaled(memoryWait))
+	defer timer.Stop()
+	select {
+	case <-s.hold.granted:
+		return true
+	case <-timer.C:
+	case <-c.Request().Context().Done():
+	case <-s.canceled:
+	}
+	g.drop(s.name)
+	return false
 }
 
-func (g *Engine) add(s *engineStream) {
+// run makes the answer.
+func (g *Engine) run(s *engineStream) {
+	if !g.pause(s, g.prefillTime(s)) {
+		return
+	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.streams[s.Name] = s
+	s.prefilled = true
+	g.mu.Unlock()
+	for i := range s.answer {
+		s.append("token" + strconv.FormatInt(i, 10) + " ")
+		if !g.pause(s, tokenInterval) {
+			return
+		}
+	}
+	s.finish()
 }
 
-func (g *Engine) remove(name string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.streams, name)
+// prefillTime is how long a prompt takes, each token weighted by its position.
+func (g *Engine) prefillTime(s *engineStream) time.Duration {
+	weight := 1 + float64(s.prompt)/2/positionWeightTokens
+	rate := float64(prefillTokensPerSecond)
+	if s.reservation != "" {
+		rate *= groupEfficiency * float64(s.group)
+	}
+	return time.Duration(float64(s.prompt) * weight / rate * float64(time.Second))
 }
 
-func (g *Engine) setPrefilled(s *engineStream) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s.prefilling = false
+func (g *Engine) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / g.opts.Speed)
 }
 
-// sleep waits for a time at the engine's speed; it reports false when the stream is cancelled first.
-func (g *Engine) sleep(c echo.Context, s *engineStream, d time.Duration) bool {
-	timer := time.NewTimer(time.Duration(float64(d) / g.speed))
+// pause waits for a time at the engine's speed; it reports false when the stream is canceled first.
+func (g *Engine) pause(s *engineStream, d time.Duration) bool {
+	timer := time.NewTimer(g.scaled(d))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
 	case <-s.canceled:
-	case <-c.Request().Context().Done():
+		return false
 	}
-	return false
 }
 
-func (g *Engine) list(c echo.Context) error {
-	g.mu.Lock()
-	out := []StreamInfo{}
-	for _, s := range g.streams {
-		out = append(out, StreamInfo{Name: s.Name, Tokens: s.Tokens})
+func headerNumber(h http.Header, name string) int64 {
+	n, _ := strconv.ParseInt(h.Get(name), 10, 64)
+	return n
+}
+
+// resume follows a stream again from an offset, in bytes.
+func (g *Engine) resume(c echo.Context, name string) error {
+	offset, err := strconv.ParseInt(c.QueryParam("offset"), 10, 64)
+	if err != nil || offset < 0 {
+		return c.NoContent(http.StatusBadRequest)
 	}
+	g.mu.Lock()
+	s := g.streams[name]
 	g.mu.Unlock()
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return c.JSON(http.StatusOK, out)
+	if s == nil {
+		return c.NoContent(http.StatusNotFound)
+	}
+	return g.follow(c, s, offset)
 }
 
-func (g *Engine) cancel(c echo.Context) error {
-	name, err := url.PathUnescape(c.Param("name"))
-	if err != nil {
-		return c.NoContent(http.StatusBadRequest)
+// follow writes a stream's frames from an offset. One whose end was written is dropped.
+func (g *Engine) follow(c echo.Context, s *engineStream, offset int64) error {
+	g.attach(s, 1)
+	defer g.attach(s, -1)
+	w := newAnswerWriter(c.Response(), offset)
+	for {
+		text, done, changed := s.read(w.offset)
+		switch {
+		case text != "":
+			if !w.write(text) {
+				return nil
+			}
+		case done:
+			if err := w.end(s.whole()); err == nil && c.Request().Context().Err() == nil {
+				g.drop(s.name)
+			}
+			return nil
+		default:
+			select {
+			case <-changed:
+			case <-s.canceled:
+				panic(http.ErrAbortHandler) // the reader must see that the answer broke off
+			case <-c.Request().Context().Done():
+				return nil
+			}
+		}
 	}
+}
+
+func (g *Engine) attach(s *engineStream, by int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	s.hold.attached += by
+}
+
+func (g *Engine) cancel(c echo.Context, name string) error {
+	if !g.drop(name) {
+		return c.NoContent(http.StatusNotFound)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// drop ends a stream, if it is there, and frees its memory.
+func (g *Engine) drop(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dropLocked(name)
+}
+
+func (g *Engine) dropLocked(name string) bool {
 	s := g.streams[name]
 	if s == nil {
-		return c.NoContent(http.StatusNotFound)
+		return false
 	}
-	close(s.canceled)
 	delete(g.streams, name)
-	return c.NoContent(http.StatusNoContent)
+	close(s.canceled)
+	g.memory.free(sweep.KindStream, name)
+	return true
+}
+
+// reservationGone ends the streams that ran on a reservation; the lock is held.
+func (g *Engine) reservationGone(name string) {
+	for _, s := range g.streams {
+		if s.reservation == name {
+			g.dropLocked(s.name)
+		}
+	}
 }
 
 func (g *Engine) load(c echo.Context) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var report target.Report
+	g.memory.expire()
+	report := target.Report{UsedTokens: g.memory.used}
 	for _, s := range g.streams {
 		report.Streams++
-		report.UsedTokens += s.Tokens
-		if s.prefilling {
-			report.QueuedTokens += s.Tokens
+		if !s.prefilled {
+			report.QueuedTokens += s.prompt + s.answer
 		}
 	}
 	return c.JSON(http.StatusOK, report)
 }
 
-// answerWriter writes the frames of a streamed answer.
-type answerWriter struct {
-	response *echo.Response
-	encoder  *json.Encoder
-	text     strings.Builder
-}
-
-func newAnswerWriter(response *echo.Response) *answerWriter {
-	response.Header().Set(echo.HeaderContentType, "application/x-ndjson")
-	response.WriteHeader(http.StatusOK)
-	return &answerWriter{response: response, encoder: json.NewEncoder(response)}
-}
-
-func (w *answerWriter) write(text string) bool {
-	frame := dispatch.TargetFrame{Offset: int64(w.text.Len()), Text: text}
-	w.text.WriteString(text)
-	err := w.encoder.Encode(frame)
-	w.response.Flush()
-	return err == nil
+// UsedTokens is the KV memory in use, in tokens.
+func (g *Engine) UsedTokens() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.memory.expire()
+	return g.memory.used
 }
 
-func (w *answerWriter) end() error {
-	text := w.text.String()
-	return w.encoder.Encode(dispatch.TargetFrame{
-		Offset:   int64(len(text)),
-		End:      true,
-		Checksum: stream.Checksum([]byte(text)),
-	})
+// Holdings lists everything that holds memory or waits for it.
+func (g *Engine) Holdings() []sweep.Holding {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.memory.expire()
+	return g.memory.list()
 }
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -50,9 +50,10 @@
 	number := s.arrivals[id]
 	s.mu.Unlock()
 	time.Sleep(serviceTime)
-	w := newAnswerWriter(c.Response())
-	w.write(fmt.Sprintf("call %s arrival %d", id, number))
-	return w.end()
+	w := newAnswerWriter(c.Response(), 0)
+	text := fmt.Sprintf("call %s arrival %d", id, number)
+	w.write(text)
+	return w.end(text)
 }
 
 func (s *Service) count(c echo.Context) error {
--- a/internal/fakecmd/fakecmd.go
+++ b/internal/fakecmd/fakecmd.go
@@ -28,20 +28,26 @@
 }
 
 func engineCommand() *cobra.Command {
-	var listen string
-	var speed float64
+	var listen, weights string
+	var opts fake.EngineOptions
 	cmd := &cobra.Command{
 		Use:   "engine",
 		Short: "Run a model engine",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			e := newEcho()
-			fake.NewEngine(speed).Register(e)
+			if weights != "" {
+				opts.Weights = fake.RemoteWeights(weights)
+			}
+			fake.NewEngineWith(opts).Register(e)
 			return serve(listen, e)
 		},
 	}
 	listenFlag(cmd, &listen)
-	cmd.Flags().Float64Var(&speed, "speed", 1, "how many times as fast as the reference engine")
+	cmd.Flags().Float64Var(&opts.Speed, "speed", 1, "how many times as fast as the reference engine")
+	cmd.Flags().Int64Var(&opts.MemoryTokens, "memory-tokens", fake.DefaultMemoryTokens, "KV memory in tokens")
+	cmd.Flags().BoolVar(&opts.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
+	cmd.Flags().StringVar(&weights, "weights", "", "IP address and port of the weight store; empty for one without limit")
 	return cmd
 }
 
@@ -63,6 +69,7 @@
 
 func platformCommand() *cobra.Command {
 	var listen, config, hosts string
+	var weights int
 	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Run the configuration service and the host list",
@@ -77,11 +84,13 @@
 			}
 			e := newEcho()
 			p.Register(e)
+			fake.NewWeights(weights).Register(e)
 			return serve(listen, e)
 		},
 	}
 	listenFlag(cmd, &listen)
 	cmd.Flags().StringVar(&config, "config", "", "file with the document to publish at the start")
+	cmd.Flags().IntVar(&weights, "weight-loads-per-minute", 0, "the weight store's rate; 0 for none")
 	cmd.Flags().StringVar(&hosts, "hosts", "", "file with the host list to publish at the start")
 	return cmd
 }
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -167,7 +167,7 @@
 }
 
 func (c *cluster) addEngine(i int) {
-	engine := fake.NewEngine(engineSpeed)
+	engine := fake.NewEngineWith(fake.EngineOptions{Speed: engineSpeed, ChecksFencing: i%2 == 0})
 	e := echo.New()
 	engine.Register(e)
 	ip := c.ip(50 + i)
--- /dev/null
+++ b/test/process/memory_test.go
@@ -0,0 +1,150 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core/order"
+	"carobshunt/internal/document"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// memoryComesBack is how long the engines' memory may take to come back: the rest of a budget, and 30 s.
+const memoryComesBack = 40 * time.Second
+
+// waitEngines waits until every engine is as wanted.
+func (c *cluster) waitEngines(within time.Duration, want func(i int) (bool, string)) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for i := range c.engines {
+			if ok, found := want(i); !ok {
+				return poll.Continue("engine %d: %s", i, found)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(within), poll.WithDelay(50*time.Millisecond))
+}
+
+// newLargeCluster starts a cluster whose team may send long prompts at once.
+func newLargeCluster(t *testing.T, hosts, engines int) *cluster {
+	t.Helper()
+	c := prepareCluster(t, hosts, engines)
+	c.doc.Revision++
+	c.doc.Teams[0].TokensPerSecond = 1 << 40
+	c.publishDocument()
+	for _, h := range c.hosts {
+		h.start()
+	}
+	c.waitReady()
+	return c
+}
+
+func (c *cluster) usedTokens() int64 {
+	sum := int64(0)
+	for _, e := range c.engines {
+		sum += e.UsedTokens()
+	}
+	return sum
+}
+
+func TestEnginesGetTheirMemoryBackWhenHostsDie(t *testing.T) {
+	t.Parallel()
+	c := newLargeCluster(t, 4, 4)
+	for i, prompt := range []int64{1_000_000, 300_000} {
+		req := request(fmt.Sprintf("contract-%d", i), modelName, true)
+		req.Via = c.hosts[i].callers
+		req.PromptTokens, req.AnswerTokens, req.Budget = prompt, 2000, 8*time.Second
+		go func() { _, _ = c.client().Do(context.Background(), req) }()
+		c.hosts[i].waitFor(func(s api.Status) bool { return s.Requests.Running == 1 })
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if used := c.usedTokens(); used < 1_300_000 {
+			return poll.Continue("%d tokens used", used)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(readyWithin), poll.WithDelay(10*time.Millisecond))
+	c.hosts[0].kill()
+	c.hosts[1].kill()
+	c.hosts[1].start()
+	c.waitEngines(memoryComesBack, func(i int) (bool, string) {
+		list := c.engines[i].Holdings()
+		return len(list) == 0 && c.engines[i].UsedTokens() == 0, fmt.Sprintf("%+v", list)
+	})
+}
+
+func TestPromptLargerThanOneEngineIsServed(t *testing.T) {
+	t.Parallel()
+	c := newLargeCluster(t, 2, 3)
+	req := request("contract-0001", modelName, true)
+	req.PromptTokens, req.Budget = 1_000_000, 60*time.Second
+	got, err := c.client().Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeDone, "%+v", got)
+	assert.Equal(t, got.Text, "token0 token1 token2 token3 token4 ")
+	c.waitEngines(readyWithin, func(i int) (bool, string) {
+		return c.engines[i].UsedTokens() == 0, fmt.Sprintf("%+v", c.engines[i].Holdings())
+	})
+}
+
+// place publishes a revision that wants these versions of the model on every engine.
+func (c *cluster) place(versions ...string) {
+	c.doc.Revision++
+	c.doc.Placements = nil
+	for _, v := range versions {
+		p := document.Placement{Model: modelName, Version: v}
+		for _, h := range c.list.Hosts {
+			if h.MemoryTokens > 0 {
+				p.Engines = append(p.Engines, h.Address)
+			}
+		}
+		c.doc.Placements = append(c.doc.Placements, p)
+	}
+	c.publishDocument()
+}
+
+// waitVersions waits until every engine holds just these versions by orders of the newest revision.
+func (c *cluster) waitVersions(versions ...string) {
+	c.t.Helper()
+	c.waitEngines(memoryComesBack, func(i int) (bool, string) {
+		state := c.engines[i].Orders()
+		ok := len(state.Models) == len(versions) && state.Highest.Revision == c.doc.Revision
+		for j := range versions {
+			ok = ok && state.Models[j].Version == versions[j]
+		}
+		return ok, fmt.Sprintf("%+v", state)
+	})
+}
+
+func TestPausedCommanderLeavesTheNewestPlacementInForce(t *testing.T) {
+	t.Parallel()
+	c := prepareCluster(t, 2, 6)
+	for _, e := range c.engines {
+		e.SetModels(
+			order.Model{Model: modelName, Version: "1"},
+			order.Model{Model: modelName, Version: "2"},
+			order.Model{Model: modelName, Version: "3"},
+		)
+	}
+	for _, h := range c.hosts {
+		h.start()
+	}
+	c.waitReady()
+	c.place("1", "2")
+	c.hosts[0].pause()
+	c.place("1")
+	c.waitVersions("1")
+	c.hosts[0].resume()
+	c.hosts[0].waitFor(func(s api.Status) bool { return s.Config.Revision == c.doc.Revision })
+	c.waitReady()
+	c.waitVersions("1")
+	for i, e := range c.engines {
+		if i%2 == 0 {
+			assert.Equal(t, e.OutdatedOrders(), 0)
+		}
+	}
+}
