Readers of the platform by rank, with ages by rank in heartbeats; scenarios of configuration, leaving and sleep

Cause: a take-over by the zone's freshest answer ended itself: the first host that took over made the zone fresh. Two texts under one revision stayed unseen, since a watch asks only for higher ones. Change: heartbeats carry the ages by rank, so a host reads while fewer than two before it are answered; readers ask for the value in force again once a minute. Starting hosts ask engines for the fencing numbers that they remember.

--- a/api/status.go
+++ b/api/status.go
@@ -34,7 +34,8 @@
 	InForceMs int64 `json:"in_force_ms"`
 	// HeardFrom is "platform" or the address of the peer that passed the revision on.
 	HeardFrom string `json:"heard_from"`
-	// PlatformSilentMs is the time since the platform was last heard, in milliseconds; -1 for never.
+	// PlatformSilentMs is the time since the platform last answered some host of this availability zone, in
+	// milliseconds; -1 for never.
 	PlatformSilentMs int64 `json:"platform_silent_ms"`
 	// Digest is the digest of the document in force, in hexadecimal; hosts with one revision and two digests heard
 	// two documents.
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -34,9 +35,9 @@
 	Ready bool `json:"ready,omitempty"`
 	// IntervalMs is the time after which the next heartbeat is due, in milliseconds.
 	IntervalMs int64 `json:"interval_ms,omitempty"`
-	// PlatformAgeMs is the time since the platform answered some host of the sender's availability zone, as far as
-	// the sender knows, in milliseconds; -1 for never.
-	PlatformAgeMs int64 `json:"platform_age_ms"`
+	// PlatformAgesMs are the times since the platform answered the first hosts of the sender's availability zone, by
+	// their rank as readers, as far as the sender knows, in milliseconds; -1 for never.
+	PlatformAgesMs []int64 `json:"platform_ages_ms,omitempty"`
 }
 
 // Config is the version of the configuration in force at the sender.
@@ -128,7 +129,7 @@
 	}
 	p := t.peers[address]
 	if p == nil {
-		p = &Peer{Last: Heartbeat{Peer: address, PlatformAgeMs: -1}}
+		p = &Peer{Last: Heartbeat{Peer: address}}
 		t.peers[address] = p
 	}
 	return p
@@ -261,21 +262,6 @@
 	return all, ready
 }
 
-// Rank is this host's place among the live hosts of its availability zone in the order in which they are to read
-// the platform, from 0. Hosts that are known to be silent are passed over. It stops counting at limit.
-func (t *Table) Rank(now core.Time, limit int) int {
-	rank := 0
-	for _, address := range t.zoneRanks {
-		if address == t.self || rank >= limit {
-			return rank
-		}
-		p := t.peers[address]
-		if p == nil || !p.neighbour || p.Alive(now) || !t.heardLongEnough(now) {
-			rank++
-		}
-	}
-	return rank
-}
-
-// heardLongEnough tells whether a peer could have been heard since the start.
-func (t *Table) heardLongEnough(now core.Time) bool { return now >= Silence }
+// Rank is this host's place among the listed live hosts of its availability zone in the order in which they are to
+// read the platform, from 0; -1 when it is not listed.
+func (t *Table) Rank() int { return slices.Index(t.zoneRanks, t.self) }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -41,19 +41,19 @@
 func (n *Node) ownHeartbeat() member.Heartbeat {
 	config, hosts := n.config.Version(), n.hostsVersion()
 	return member.Heartbeat{
-		Address:       n.opts.Self.Address,
-		Peer:          n.opts.Peer,
-		Zone:          n.opts.Zone,
-		Incarnation:   n.opts.Self.Incarnation,
-		ClockMs:       n.now.Milliseconds(),
-		Revision:      config.Revision,
-		Digest:        config.Digest,
-		HostsVersion:  hosts.Revision,
-		HostsDigest:   hosts.Digest,
-		Draining:      n.drain.active,
-		Ready:         n.ready,
-		IntervalMs:    member.IntervalFor(len(n.peers.Addresses())).Milliseconds(),
-		PlatformAgeMs: n.zonePlatformAgeMs(),
+		Address:        n.opts.Self.Address,
+		Peer:           n.opts.Peer,
+		Zone:           n.opts.Zone,
+		Incarnation:    n.opts.Self.Incarnation,
+		ClockMs:        n.now.Milliseconds(),
+		Revision:       config.Revision,
+		Digest:         config.Digest,
+		HostsVersion:   hosts.Revision,
+		HostsDigest:    hosts.Digest,
+		Draining:       n.drain.active,
+		Ready:          n.ready,
+		IntervalMs:     member.IntervalFor(len(n.peers.Addresses())).Milliseconds(),
+		PlatformAgesMs: n.platformAgesMs(),
 	}
 }
 
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -23,10 +23,8 @@
 	callers uint64
 	// complete is when this host first had both a configuration and a host list.
 	complete core.Time
-	// platformHeard is when the platform last answered this host, zonePlatformHeard when it last answered some host
-	// of this availability zone, as far as is known.
-	platformHeard     core.Time
-	zonePlatformHeard core.Time
+	// platform is when the platform was last heard.
+	platform platformHeard
 	// documentPull and hostsPull are the last orders to pull from a peer.
 	documentPull pull
 	hostsPull    pull
@@ -35,7 +33,7 @@
 }
 
 func newKnowledge() knowledge {
-	return knowledge{complete: never, platformHeard: never, zonePlatformHeard: never}
+	return knowledge{complete: never, platform: newPlatformHeard()}
 }
 
 // settleTime is how long a starting host that has heard a configuration and a host list waits for the others: the
@@ -146,44 +144,6 @@
 	n.wake = wakeState{}
 }
 
-// Reading the platform.
-const (
-	// zoneReaders is how many hosts of each availability zone watch the platform.
-	zoneReaders = 2
-	// maxZoneReaders bounds how many do while the platform does not answer.
-	maxZoneReaders = 8
-	// takeOver is the time without an answer of the platform, for each further zoneReaders hosts to begin reading.
-	takeOver = 5 * time.Second
-)
-
-// reads tells whether this host is to watch the platform. The first hosts of its availability zone in order of
-// rendezvous hash do; when the platform answers none of them for a while, the next ones join, up to a bound.
-func (n *Node) reads() bool {
-	rank := n.peers.Rank(n.now, maxZoneReaders)
-	if rank < zoneReaders {
-		return true
-	}
-	silent := n.now - max(n.knowledge.zonePlatformHeard, 0)
-	return rank < maxZoneReaders && silent >= takeOver*time.Duration(rank/zoneReaders)
-}
-
-func (n *Node) platformAnswered() {
-	n.knowledge.platformHeard = n.now
-	n.knowledge.zonePlatformHeard = n.now
-}
-
-// zonePlatformAgeMs is the time since the platform answered a host of this zone, in milliseconds; -1 for never.
-func (n *Node) zonePlatformAgeMs() int64 { return n.silentMs(n.knowledge.zonePlatformHeard) }
-
-// noteZonePlatform takes a peer's word of when the platform answered a host of this zone.
-func (n *Node) noteZonePlatform(hb *member.Heartbeat) {
-	if hb.Zone != n.opts.Zone || hb.PlatformAgeMs < 0 {
-		return
-	}
-	heard := n.now - time.Duration(hb.PlatformAgeMs)*time.Millisecond
-	n.knowledge.zonePlatformHeard = max(n.knowledge.zonePlatformHeard, heard)
-}
-
 // noteSuspects reports changes of what is suspected in the targets' place, and of who reads the platform.
 func (n *Node) noteSuspects() {
 	if reads := n.reads(); reads != n.knowledge.reads {
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -112,7 +112,7 @@
 		Revision:         n.config.Revision(),
 		InForceMs:        (n.now - n.config.Since()).Milliseconds(),
 		HeardFrom:        n.config.HeardFrom(),
-		PlatformSilentMs: n.silentMs(n.knowledge.platformHeard),
+		PlatformSilentMs: n.silentMs(n.knowledge.platform.last()),
 		Digest:           strconv.FormatUint(n.config.Version().Digest, 16),
 		KnownRevision:    max(n.floor(), n.config.Revision()),
 		CallersRevision:  n.knowledge.callers,
--- a/internal/core/node/warnings.go
+++ b/internal/core/node/warnings.go
@@ -21,7 +21,7 @@
 		{api.WarningConflict, conflict},
 		{api.WarningBehind, n.floor() > n.config.Revision()},
 		{api.WarningCallersAhead, n.knowledge.callers > max(n.floor(), n.config.Revision())},
-		{api.WarningPlatformSilent, n.now-max(n.knowledge.zonePlatformHeard, 0) >= platformPatience},
+		{api.WarningPlatformSilent, n.now-max(n.knowledge.platform.last(), 0) >= platformPatience},
 		{api.WarningPeersSilent, n.peersSilent()},
 		{api.WarningLink, suspects.Link},
 		{api.WarningZone, !suspects.Link && len(suspects.Zones) > 0},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,9 +28,14 @@
 
 // Timings of the watches.
 const (
-	watchWait    = 5 * time.Second
+	watchWait    = 2 * time.Second
 	watchTimeout = watchWait + 2*time.Second
 	retryPause   = 500 * time.Millisecond
+	// maxRetryPause is the longest pause between tries of a host that has nothing to serve with yet.
+	maxRetryPause = 4 * time.Second
+	// verifyInterval is the time between reads of the value that is in force already: the platform may hold another
+	// one under the same version.
+	verifyInterval = time.Minute
 	// repeatPause follows an answer that brings the same text again: one that is refused, or an old one from a
 	// service that disregards "after".
 	repeatPause = 2 * time.Second
@@ -92,16 +97,25 @@
 
 func (r *Reader) watch(ctx context.Context, path string, have func() uint64, take func([]byte)) {
 	var last []byte
+	verified := time.Now()
+	failures := 0
 	for ctx.Err() == nil {
 		if !r.poster.Snapshot().Reads {
 			pause(ctx, standbyPause)
 			continue
 		}
-		raw, err := r.get(ctx, path, have())
+		after := have()
+		if after > 0 && time.Since(verified) >= verifyInterval {
+			after--
+			verified = time.Now()
+		}
+		raw, err := r.get(ctx, path, after)
 		if err != nil {
-			pause(ctx, retryPause)
+			failures++
+			pause(ctx, r.retryAfter(failures))
 			continue
 		}
+		failures = 0
 		r.poster.Post(node.PlatformAnswered{})
 		if raw == nil {
 			continue
@@ -115,6 +129,15 @@
 	}
 }
 
+// retryAfter is the pause after a number of failures in a row. Hosts that serve already are few readers and try at
+// an even pace; hosts that can't serve yet may be all there are, and try ever more rarely.
+func (r *Reader) retryAfter(failures int) time.Duration {
+	if r.poster.Snapshot().Ready {
+		return retryPause
+	}
+	return min(retryPause<<min(failures-1, 8), maxRetryPause)
+}
+
 // get returns a value above the version that is had, or nil when there was none during the wait.
 func (r *Reader) get(ctx context.Context, path string, after uint64) ([]byte, error) {
 	address := "http://" + r.address + path +
--- /dev/null
+++ b/test/configuration/scenarios_test.go
@@ -0,0 +1,343 @@
+package configuration
+
+import (
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/order"
+	"carobshunt/internal/hostlist"
+	"carobshunt/internal/virtual"
+
+	"gotest.tools/v3/assert"
+)
+
+// engine is a fake engine: it remembers a fencing number, answers when it is told to, and keeps when it was given work.
+type engine struct {
+	revision uint64
+	work     []virtual.Time
+	running  []func()
+}
+
+func (e *engine) Start(w *virtual.World, from *virtual.Host, o node.StartDispatch) {
+	e.work = append(e.work, w.Now())
+	post := from.Poster()
+	e.running = append(e.running, func() {
+		post(node.DispatchEnded{Key: o.Key, Dispatch: o.Dispatch, Target: o.Target, Ending: node.EndedDone})
+	})
+}
+
+func (e *engine) Abort(*virtual.World, *virtual.Host, node.AbortDispatch) {}
+
+func (e *engine) Order(*virtual.World, order.Order) bool { return false }
+
+func (e *engine) OrderState(*virtual.World) order.State {
+	return order.State{Highest: order.Fence{Revision: e.revision}}
+}
+
+// answer ends what runs.
+func (e *engine) answer() {
+	for _, f := range e.running {
+		f()
+	}
+	e.running = nil
+}
+
+const modelName = "draft"
+
+// addEngine lists a live engine in the first availability zone.
+func (d *deployment) addEngine(address string) *engine {
+	e := &engine{}
+	d.Targets[address] = e
+	d.listHost(hostlist.Host{
+		Address: address, Zone: "a", Role: hostlist.RoleEngine, State: hostlist.StateLive,
+		Models: []string{modelName}, MemoryTokens: 450_000,
+	})
+	return e
+}
+
+// listHost publishes a host list in which the host's line is replaced or added.
+func (d *deployment) listHost(line hostlist.Host) {
+	next := &hostlist.List{Version: d.platform.hosts.Version + 1}
+	for _, h := range d.platform.hosts.Hosts {
+		if h.Address != line.Address {
+			next.Hosts = append(next.Hosts, h)
+		}
+	}
+	next.Hosts = append(next.Hosts, line)
+	d.platform.hosts = next
+}
+
+func (d *deployment) leave(address string) {
+	for _, h := range d.platform.hosts.Hosts {
+		if h.Address == address {
+			h.State = hostlist.StateLeaving
+			d.listHost(h)
+			return
+		}
+	}
+}
+
+func (d *deployment) submit(h *virtual.Host, id string) {
+	req := core.Request{
+		Key: core.Key{Team: "desk", ID: id}, Attempt: 1, Model: modelName, PromptTokens: 100, AnswerTokens: 10,
+		Idempotent: true, Budget: time.Hour,
+	}
+	post := h.Poster()
+	h.Submit(req, func(decision node.Decision) {
+		if decision.Kind == node.Admit {
+			post(node.BodyEnded{Key: req.Key})
+		}
+	})
+}
+
+func (d *deployment) allReady() bool {
+	for _, h := range d.Hosts() {
+		if !h.Alive() || !h.Snapshot().Ready {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *deployment) restartAll() {
+	for _, h := range d.Hosts() {
+		h.Kill()
+	}
+	for _, h := range d.Hosts() {
+		d.start(h)
+	}
+}
+
+func TestColdStartBeforeStalePlatformWaitsForWhatEnginesRemember(t *testing.T) {
+	d := deploy(1, 4, 3)
+	e := d.addEngine("10.2.0.1:1")
+	d.platform.publish(2, "peak")
+	d.Run(2 * time.Second)
+	assert.Assert(t, d.allReady())
+	e.revision = 2
+	d.platform.stale, d.platform.shown = true, 0
+	d.restartAll()
+	d.Run(d.Now() + time.Minute)
+	for _, h := range d.Hosts() {
+		snap := h.Snapshot()
+		assert.Assert(t, !snap.Ready, "%s serves revision %d", h.Peer(), snap.Heartbeat.Revision)
+		assert.Equal(t, snap.Status.Config.KnownRevision, uint64(2))
+		assert.DeepEqual(t, snap.Status.Warnings, []api.Warning{api.WarningBehind})
+	}
+	d.heal()
+	d.Run(d.Now() + convergeWithin)
+	assert.Assert(t, d.allReady())
+}
+
+func TestHostThatHearsNobodyServesNothingAtStart(t *testing.T) {
+	d := deploy(1, 4, 3)
+	alone := d.Hosts()[0]
+	alone.Kill()
+	d.network.set(alone.Peer(), platformAddress, true)
+	for _, other := range d.Hosts()[1:] {
+		d.network.set(alone.Peer(), other.Peer(), true)
+	}
+	d.start(alone)
+	d.Run(time.Minute)
+	assert.Assert(t, !alone.Snapshot().Ready)
+	assert.Equal(t, len(alone.Snapshot().Hosts), 0)
+	d.network.set(alone.Peer(), d.Hosts()[1].Peer(), false)
+	d.Run(d.Now() + convergeWithin)
+	assert.Assert(t, alone.Snapshot().Ready, "%s", alone.Snapshot().Status.NotReadyReason)
+}
+
+func TestHostThatHearsNobodyAnyMoreGoesOnWithWhatItHas(t *testing.T) {
+	d := deploy(1, 4, 3)
+	alone := d.Hosts()[0]
+	d.Run(2 * time.Second)
+	d.network.set(alone.Peer(), platformAddress, true)
+	for _, other := range d.Hosts()[1:] {
+		d.network.set(alone.Peer(), other.Peer(), true)
+	}
+	d.Run(d.Now() + time.Minute)
+	snap := alone.Snapshot()
+	assert.Assert(t, snap.Ready)
+	assert.Equal(t, len(snap.Hosts), 1)
+	assert.DeepEqual(t, snap.Status.Warnings, []api.Warning{api.WarningPlatformSilent, api.WarningPeersSilent})
+	assert.Assert(t, snap.Status.Config.PlatformSilentMs >= 59_000)
+}
+
+func TestNewsThatCannotBePulledFromOnePeerComesFromAnother(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.Run(2 * time.Second)
+	first, second := d.Hosts()[0], d.Hosts()[1]
+	d.network.set(second.Peer(), platformAddress, true)
+	d.network.cut[[2]string{second.Peer(), first.Peer()}] = true
+	d.network.set(d.Hosts()[2].Peer(), platformAddress, true)
+	d.network.set(d.Hosts()[3].Peer(), platformAddress, true)
+	d.platform.publish(2, "peak")
+	d.Run(d.Now() + convergeWithin)
+	assert.Equal(t, d.version(second).Revision, uint64(2))
+}
+
+func TestTwoOperatorsAtOnceAreReported(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.Run(2 * time.Second)
+	d.platform.publish(2, "peak")
+	d.Run(d.Now() + time.Second)
+	d.platform.publish(2, "maintenance")
+	d.Run(d.Now() + 10*time.Second)
+	conflicts := 0
+	for _, h := range d.Hosts() {
+		assert.Equal(t, d.version(h), d.version(d.Hosts()[0]))
+		for _, w := range h.Snapshot().Status.Warnings {
+			if w == api.WarningConflict {
+				conflicts++
+			}
+		}
+	}
+	assert.Assert(t, conflicts > 0)
+	d.platform.publish(3, "ordinary")
+	d.Run(d.Now() + convergeWithin)
+	for _, h := range d.Hosts() {
+		assert.Equal(t, d.version(h).Revision, uint64(3))
+		assert.Equal(t, len(h.Snapshot().Status.Warnings), 0, "%v", h.Snapshot().Status.Warnings)
+	}
+}
+
+// readers counts the hosts that read the platform, by availability zone.
+func (d *deployment) readers() map[string]int {
+	out := map[string]int{}
+	for _, h := range d.Hosts() {
+		if h.Alive() && h.Snapshot().Reads {
+			out[h.Snapshot().Heartbeat.Zone]++
+		}
+	}
+	return out
+}
+
+func TestReadsOfThePlatformDoNotGrowWithHosts(t *testing.T) {
+	for _, hosts := range []int{12, 60} {
+		d := deploy(1, hosts, 3)
+		d.Run(3 * time.Second)
+		assert.DeepEqual(t, d.readers(), map[string]int{"a": 2, "b": 2, "c": 2})
+		before := d.platform.reads
+		d.Run(d.Now() + 10*time.Second)
+		assert.Equal(t, d.platform.reads-before, 6*int(10*time.Second/pollInterval), "%d hosts", hosts)
+	}
+}
+
+func TestReadersThatDieAreReplaced(t *testing.T) {
+	d := deploy(1, 30, 3)
+	d.Run(3 * time.Second)
+	for _, h := range d.Hosts() {
+		if h.Snapshot().Reads && h.Snapshot().Heartbeat.Zone == "b" {
+			h.Kill()
+		}
+	}
+	assert.Equal(t, d.readers()["b"], 0)
+	d.Run(d.Now() + 8*time.Second)
+	assert.Equal(t, d.readers()["b"], 2)
+	d.Run(d.Now() + 15*time.Second)
+	assert.Equal(t, d.readers()["b"], 2)
+	for _, h := range d.Hosts() {
+		d.network.set(h.Peer(), platformAddress, true)
+	}
+	d.Run(d.Now() + 20*time.Second)
+	for zone, n := range d.readers() {
+		assert.Assert(t, n <= 8, "zone %s: %d hosts read a platform that is down", zone, n)
+	}
+}
+
+func TestLeavingTargetHeardOnlyFromPeerGetsNoNewWork(t *testing.T) {
+	for seed := range uint64(20) {
+		d := deploy(seed, 4, 3)
+		stays, leaves := d.addEngine("10.2.0.1:1"), d.addEngine("10.2.0.2:1")
+		d.Run(2 * time.Second)
+		deaf := d.Hosts()[int(seed)%4]
+		d.network.set(deaf.Peer(), platformAddress, true)
+		d.After(5*time.Second, func() { d.leave("10.2.0.2:1") })
+		left := d.Now() + 5*time.Second
+		for i := range 100 {
+			d.submit(deaf, string(rune('a'+i%26))+time.Duration(i).String()+"-request")
+			d.Run(d.Now() + 100*time.Millisecond)
+			stays.answer()
+			leaves.answer()
+		}
+		assert.Assert(t, len(leaves.work) > 0 && len(stays.work) > 50, "%d and %d", len(leaves.work), len(stays.work))
+		for _, at := range leaves.work {
+			assert.Assert(t, at <= left+3*time.Second, "seed %d: work at %v, left at %v", seed, at, left)
+		}
+	}
+}
+
+func TestHostThatSleptGivesNoWorkToTargetThatLeftMeanwhile(t *testing.T) {
+	for seed := range uint64(20) {
+		d := deploy(seed, 4, 3)
+		stays, leaves := d.addEngine("10.2.0.1:1"), d.addEngine("10.2.0.2:1")
+		d.Run(2 * time.Second)
+		sleeper := d.Hosts()[int(seed)%4]
+		sleeper.Pause()
+		d.leave("10.2.0.2:1")
+		d.Run(d.Now() + 30*time.Second)
+		for i := range 20 {
+			d.submit(sleeper, "while-asleep-"+string(rune('a'+i)))
+		}
+		sleeper.Resume()
+		d.Run(d.Now() + 2*time.Second)
+		assert.Equal(t, len(leaves.work), 0, "seed %d", seed)
+		assert.Equal(t, len(stays.work), 20, "seed %d", seed)
+	}
+}
+
+func TestPlannedStopWaitsForTheCallersThatMayComeBack(t *testing.T) {
+	d := deploy(1, 4, 3)
+	e := d.addEngine("10.2.0.1:1")
+	d.Run(2 * time.Second)
+	h := d.Hosts()[0]
+	req := core.Request{
+		Key: core.Key{Team: "desk", ID: "bound-request"}, Attempt: 1, Model: modelName, PromptTokens: 100, AnswerTokens: 10,
+		Home: h.Self(), Budget: 6 * time.Second,
+	}
+	h.Submit(req, func(node.Decision) { h.Post(node.BodyEnded{Key: req.Key}) })
+	d.Run(d.Now() + 100*time.Millisecond)
+	h.Post(node.Drain{})
+	d.Run(d.Now() + 3*time.Second)
+	assert.Assert(t, !h.Stopped(), "a request runs")
+	e.answer()
+	d.Run(d.Now() + time.Second)
+	asked := false
+	h.Query(req, func(decision node.Decision) {
+		asked = true
+		assert.Equal(t, decision.Result.Outcome, api.OutcomeDone)
+	})
+	assert.Assert(t, asked)
+	d.Run(d.Now() + 4*time.Second)
+	assert.Assert(t, h.Stopped())
+}
+
+func TestDrainingHostIsOutOfLookupsAndNamesOthers(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.addEngine("10.2.0.1:1")
+	d.Run(10 * time.Second)
+	h := d.Hosts()[0]
+	h.Post(node.Drain{})
+	d.Run(d.Now() + 20*time.Millisecond)
+	for _, other := range d.Hosts()[1:] {
+		for _, named := range other.Snapshot().Hosts {
+			assert.Assert(t, named.Address != h.Self().Address)
+		}
+	}
+	refused := false
+	req := core.Request{
+		Key: core.Key{Team: "desk", ID: "late-request"}, Attempt: 1, Model: modelName, PromptTokens: 100, Idempotent: true,
+		Budget: time.Second,
+	}
+	h.Submit(req, func(decision node.Decision) {
+		refused = true
+		assert.Equal(t, decision.Result.Code, api.CodeDraining)
+		assert.Equal(t, decision.Result.Outcome, api.OutcomeNotRun)
+		assert.Equal(t, len(decision.Alternatives), 3)
+	})
+	assert.Assert(t, refused)
+	d.Run(d.Now() + time.Second)
+	assert.Assert(t, h.Stopped())
+}
