--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -305,10 +306,30 @@
 	_ = h.cmd.Wait()
 }
 
-// pause stops the process, resume lets it go on.
-func (h *host) pause()  { assert.NilError(h.c.t, h.cmd.Process.Signal(syscall.SIGSTOP)) }
+// resume lets a paused process go on.
 func (h *host) resume() { assert.NilError(h.c.t, h.cmd.Process.Signal(syscall.SIGCONT)) }
 
+// pause stops the process and waits until all of its threads stand still: the signal alone takes a while, in which
+// a thread could still answer.
+func (h *host) pause() {
+	h.c.t.Helper()
+	assert.NilError(h.c.t, h.cmd.Process.Signal(syscall.SIGSTOP))
+	poll.WaitOn(h.c.t, func(poll.LogT) poll.Result {
+		stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", h.cmd.Process.Pid))
+		if err != nil || len(stats) == 0 {
+			return poll.Error(fmt.Errorf("no threads of process %d: %v", h.cmd.Process.Pid, err))
+		}
+		for _, path := range stats {
+			raw, err := os.ReadFile(path)
+			_, state, found := strings.Cut(string(raw), ") ")
+			if err == nil && found && !strings.HasPrefix(state, "T") {
+				return poll.Continue("a thread of %s is in state %.1s", h.ip, state)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(readyWithin), poll.WithDelay(time.Millisecond))
+}
+
 // terminate asks the process for a planned stop.
 func (h *host) terminate() { assert.NilError(h.c.t, h.cmd.Process.Signal(syscall.SIGTERM)) }
 
