--- a/internal/secure/keys.go
+++ b/internal/secure/keys.go
@@ -29,8 +29,11 @@
 	return d, true
 }
 
-// Matches compares a key with the digest in constant time.
+// Matches compares a key with the digest in constant time. No key matches nothing.
 func (d Digest) Matches(key string) bool {
+	if key == "" {
+		return false
+	}
 	sum := sha256.Sum256([]byte(key))
 	return subtle.ConstantTimeCompare(sum[:], d[:]) == 1
 }
--- /dev/null
+++ b/internal/secure/secure_test.go
@@ -0,0 +1,300 @@
+package secure
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carobshunt/internal/netdial"
+	"carobshunt/internal/testcert"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+const localhost = "127.0.0.1"
+
+// party is one side with files of its own.
+type party struct {
+	files    Files
+	identity *Identity
+	serial   int64
+}
+
+func newParty(t *testing.T, signer *testcert.Authority, ip string, believed string) *party {
+	t.Helper()
+	dir := t.TempDir()
+	p := &party{files: Files{
+		Certificate: filepath.Join(dir, "certificate.pem"), PrivateKey: filepath.Join(dir, "key.pem"), Authority: believed,
+	}}
+	p.serial = signer.Issue(p.files.Certificate, p.files.PrivateKey, ip)
+	var err error
+	p.identity, err = LoadIdentity(p.files)
+	assert.NilError(t, err)
+	return p
+}
+
+// echoServer answers each byte with itself.
+func echoServer(t *testing.T, identity *Identity) string {
+	t.Helper()
+	inner, err := net.Listen("tcp", localhost+":0")
+	assert.NilError(t, err)
+	l := tls.NewListener(inner, identity.Server())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn); _ = conn.Close() }()
+		}
+	}()
+	return inner.Addr().String()
+}
+
+const dialTimeout = 5 * time.Second
+
+// exchange sends a byte and returns the error of its coming back.
+func exchange(conn net.Conn) error {
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
+
+func dial(t *testing.T, address string, identity *Identity) (net.Conn, error) {
+	t.Helper()
+	conn, err := netdial.Dialer{}.WithTLS(identity.Client).WithTimeout(dialTimeout)(context.Background(), "tcp", address)
+	if err == nil {
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	return conn, err
+}
+
+func serialOf(conn net.Conn) int64 {
+	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+}
+
+func TestNewCertificateIsServedToNewConnectionsWhileOldOnesGoOn(t *testing.T) {
+	authority := testcert.NewAuthority(t)
+	server := newParty(t, authority, localhost, authority.File)
+	client := newParty(t, authority, localhost, authority.File)
+	address := echoServer(t, server.identity)
+	before, err := dial(t, address, client.identity)
+	assert.NilError(t, err)
+	assert.NilError(t, exchange(before))
+	assert.Equal(t, serialOf(before), server.serial)
+
+	renewed := authority.Issue(server.files.Certificate, server.files.PrivateKey, localhost)
+	changed, err := server.identity.Reload()
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+
+	after, err := dial(t, address, client.identity)
+	assert.NilError(t, err)
+	assert.NilError(t, exchange(after))
+	assert.Equal(t, serialOf(after), renewed)
+	assert.NilError(t, exchange(before))
+	changed, err = server.identity.Reload()
+	assert.NilError(t, err)
+	assert.Assert(t, !changed, "nothing is reloaded twice")
+}
+
+func TestPairThatDoesNotMatchIsRefusedAndTheFormerOneStays(t *testing.T) {
+	authority := testcert.NewAuthority(t)
+	server := newParty(t, authority, localhost, "")
+	client, err := LoadIdentity(Files{Authority: authority.File})
+	assert.NilError(t, err)
+	address := echoServer(t, server.identity)
+	renewed := authority.Issue(server.files.Certificate, filepath.Join(t.TempDir(), "key.pem"), localhost)
+	for range 2 {
+		_, err = server.identity.Reload()
+		assert.Assert(t, err != nil, "a refused pair is looked at again")
+	}
+	conn, err := dial(t, address, client)
+	assert.NilError(t, err)
+	assert.Equal(t, serialOf(conn), server.serial)
+	assert.Assert(t, renewed != server.serial)
+}
+
+func TestOnlyTheAuthoritysCertificatesAreBelieved(t *testing.T) {
+	ours, foreign := testcert.NewAuthority(t), testcert.NewAuthority(t)
+	server := newParty(t, ours, localhost, ours.File)
+	elsewhere := newParty(t, ours, "127.0.0.2", ours.File)
+	anonymous, err := LoadIdentity(Files{Authority: ours.File})
+	assert.NilError(t, err)
+	cases := []struct {
+		name    string
+		server  *Identity
+		client  *Identity
+		refused bool
+	}{
+		{"both of the authority", server.identity, newParty(t, ours, localhost, ours.File).identity, false},
+		{"client without a certificate", server.identity, anonymous, true},
+		{"client of another authority", server.identity, newParty(t, foreign, localhost, ours.File).identity, true},
+		{"server of another authority", server.identity, newParty(t, ours, localhost, foreign.File).identity, true},
+		{"server of another address", elsewhere.identity, newParty(t, ours, localhost, ours.File).identity, true},
+	}
+	for _, c := range cases {
+		conn, err := dial(t, echoServer(t, c.server), c.client)
+		if err == nil {
+			err = exchange(conn)
+		}
+		assert.Equal(t, err != nil, c.refused, "%s: %v", c.name, err)
+	}
+}
+
+func TestPlainAndEmptyFilesAreRefused(t *testing.T) {
+	authority := testcert.NewAuthority(t)
+	empty := filepath.Join(t.TempDir(), "empty.pem")
+	assert.NilError(t, os.WriteFile(empty, []byte("nothing"), 0o600))
+	_, err := LoadIdentity(Files{Authority: empty})
+	var bad *AuthorityError
+	assert.Assert(t, errors.As(err, &bad))
+	_, err = LoadIdentity(Files{Certificate: empty, PrivateKey: empty, Authority: authority.File})
+	assert.Assert(t, err != nil)
+	_, err = LoadIdentity(Files{Authority: empty + "-missing"})
+	assert.Assert(t, os.IsNotExist(errors.Cause(err)), "%v", err)
+}
+
+func digestLine(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:]) + "\n"
+}
+
+func TestKeyListFollowsItsFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys")
+	assert.NilError(t, os.WriteFile(path, []byte("# operators\n\n"+digestLine("first-key")), 0o600))
+	keys, err := LoadKeyList(path)
+	assert.NilError(t, err)
+	assert.Assert(t, keys.Allows("first-key"))
+	assert.Assert(t, !keys.Allows("second-key"))
+	assert.Assert(t, !keys.Allows(""))
+
+	assert.NilError(t, os.WriteFile(path, []byte(digestLine("second-key")+digestLine("")), 0o600))
+	changed, err := keys.Reload()
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	assert.Assert(t, keys.Allows("second-key"))
+	assert.Assert(t, !keys.Allows("first-key"))
+	assert.Assert(t, !keys.Allows(""), "no key is never a key")
+
+	assert.NilError(t, os.WriteFile(path, []byte(digestLine("third-key")+"plain-secret\n"), 0o600))
+	_, err = keys.Reload()
+	var bad *KeyFileError
+	assert.Assert(t, errors.As(err, &bad))
+	assert.Equal(t, bad.Line, 2)
+	assert.Assert(t, !strings.Contains(err.Error(), "plain-secret"), "a key is not quoted")
+	assert.Assert(t, keys.Allows("second-key"), "the former keys stay")
+}
+
+func TestBearerKeyIsReadFromItsHeaderAlone(t *testing.T) {
+	for value, want := range map[string]string{
+		"": "", "Bearer abc": "abc", "Basic abc": "", "bearer abc": "", "Bearer ": "",
+	} {
+		h := http.Header{}
+		h.Set("Authorization", value)
+		assert.Equal(t, BearerKey(h), want, value)
+	}
+	h := http.Header{}
+	SetBearerKey(h, "")
+	assert.Equal(t, len(h), 0)
+	SetBearerKey(h, "abc")
+	assert.Equal(t, BearerKey(h), "abc")
+}
+
+func TestListenerClosesWhatIsTooMuch(t *testing.T) {
+	inner, err := net.Listen("tcp", localhost+":0")
+	assert.NilError(t, err)
+	l := Bound(inner, Bounds{Connections: 2})
+	defer func() { _ = l.Close() }()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	connect := func() net.Conn {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	connect()
+	connect()
+	first, second := <-accepted, <-accepted
+	_, err = connect().Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "the third is closed")
+	assert.Equal(t, l.Refused(), uint64(1))
+	assert.Equal(t, l.Open(), int64(2))
+	assert.NilError(t, first.Close())
+	_ = first.Close()
+	connect()
+	<-accepted
+	assert.Equal(t, l.Open(), int64(2), "closing twice frees one place")
+	_ = second.Close()
+}
+
+func TestIdleConnectionEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		conn := &boundConn{Conn: near, listener: &Listener{bounds: Bounds{Idle: time.Minute}}}
+		go func() {
+			time.Sleep(50 * time.Second)
+			_, _ = far.Write([]byte("x"))
+		}()
+		start := time.Now()
+		_, err := conn.Read(make([]byte, 1))
+		assert.NilError(t, err)
+		_, err = conn.Read(make([]byte, 1))
+		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+		assert.Equal(t, time.Since(start), 110*time.Second)
+	})
+}
+
+// script is a Reloader whose answers are given.
+type script struct {
+	answers []error
+	changed []bool
+	at      int
+}
+
+func (s *script) Reload() (bool, error) {
+	i := min(s.at, len(s.answers)-1)
+	s.at++
+	return s.changed[i], s.answers[i]
+}
+
+func TestWatchReportsChangesOnceAndErrorsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := &AuthorityError{Path: "x"}
+		s := &script{
+			answers: []error{nil, broken, broken, nil, broken, nil},
+			changed: []bool{true, false, false, true, false, false},
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		var events []ReloadEvent
+		Watch(ctx, time.Second, []Named{{Name: "peers", Reloader: s}}, func(e ReloadEvent) { events = append(events, e) })
+		assert.DeepEqual(t, events, []ReloadEvent{
+			{Name: "peers"}, {Name: "peers", Err: broken}, {Name: "peers"}, {Name: "peers", Err: broken},
+		})
+	})
+}
