--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+func TestMessagesAreReadOneByOneUpToTheBound(t *testing.T) {
+	const limit = 5000
+	codec := lineCodec{limit: limit}
+	fits := `{"a":"` + strings.Repeat("x", limit-9) + `"}`
+	cases := []struct {
+		name, text string
+		messages   int
+		last       error
+	}{
+		{"two messages", `{"a":"1"}` + "\n" + `{"a":"2"}` + "\n", 2, io.EOF},
+		{"exactly the bound", fits + "\n", 1, io.EOF},
+		{"one byte above the bound", fits + " \n", 0, &MessageSizeError{Limit: limit}},
+		{"no end at all", strings.Repeat("x", 1<<20), 0, &MessageSizeError{Limit: limit}},
+	}
+	for _, c := range cases {
+		stream := bufio.NewReader(strings.NewReader(c.text))
+		count := 0
+		var err error
+		for {
+			var v map[string]string
+			if err = codec.ReadObject(stream, &v); err != nil {
+				break
+			}
+			count++
+		}
+		assert.Equal(t, count, c.messages, c.name)
+		var size *MessageSizeError
+		if errors.As(c.last, &size) {
+			assert.Assert(t, errors.As(err, &size), "%s: %v", c.name, err)
+			continue
+		}
+		assert.Assert(t, errors.Is(err, c.last), "%s: %v", c.name, err)
+	}
+}
+
+func TestObjectSpreadOverLinesIsRefused(t *testing.T) {
+	var v map[string]string
+	err := lineCodec{limit: 100}.ReadObject(bufio.NewReader(strings.NewReader("{\n\"a\":\"1\"}\n")), &v)
+	assert.Assert(t, err != nil)
+}
+
+func TestPublishedValueOfTheLargestSizeFits(t *testing.T) {
+	const largestValue = 1 << 20
+	raw, err := json.Marshal(strings.Repeat("x", largestValue-2))
+	assert.NilError(t, err)
+	var wire bytes.Buffer
+	codec := lineCodec{limit: maxMessageBytes}
+	assert.NilError(t, codec.WriteObject(&wire, Document{Raw: raw}))
+	var got Document
+	assert.NilError(t, codec.ReadObject(bufio.NewReader(&wire), &got))
+	assert.Equal(t, len(got.Raw), largestValue)
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"carobshunt/internal/strictjson"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+func files(t *testing.T, pattern string) []string {
+	t.Helper()
+	found, err := filepath.Glob(pattern)
+	assert.NilError(t, err)
+	assert.Assert(t, len(found) > 0, pattern)
+	return found
+}
+
+func TestGoodSettingsAreTaken(t *testing.T) {
+	for _, file := range files(t, "testdata/good/*.json") {
+		s, err := Load(file)
+		assert.NilError(t, err, file)
+		assert.Assert(t, s.Limits.Records > 0 && s.Metrics.Teams > 0 && s.Advertise.Callers != "", "%s: defaults are filled in", file)
+	}
+}
+
+// TestBadSettingsAreRefusedWithEveryFault compares the paths of the faults with the file beside the settings.
+func TestBadSettingsAreRefusedWithEveryFault(t *testing.T) {
+	for _, file := range files(t, "testdata/bad/*.json") {
+		_, err := Load(file)
+		var faults *strictjson.Faults
+		assert.Assert(t, errors.As(err, &faults), "%s: %v", file, err)
+		var paths []string
+		for _, f := range faults.List {
+			assert.Assert(t, f.Reason != "", file)
+			if len(paths) == 0 || paths[len(paths)-1] != f.Path {
+				paths = append(paths, f.Path)
+			}
+		}
+		want, err := os.ReadFile(strings.TrimSuffix(file, ".json") + ".paths")
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Join(paths, "\n")+"\n", string(want), file)
+	}
+}
+
+func TestDefaultsOfTheSchemaAreTheOnesInForce(t *testing.T) {
+	text, err := json.Marshal(Example())
+	assert.NilError(t, err)
+	_, err = Parse(text)
+	assert.NilError(t, err, "settings with every default are valid")
+	var example, reference map[string]any
+	assert.NilError(t, json.Unmarshal(text, &example))
+	assert.NilError(t, json.Unmarshal(Reference(), &reference))
+	definitions := reference["$defs"].(map[string]any)
+	for section, definition := range map[string]string{"limits": "Limits", "metrics": "Metrics"} {
+		properties := definitions[definition].(map[string]any)["properties"].(map[string]any)
+		for name, property := range properties {
+			want, documented := property.(map[string]any)["default"]
+			if documented {
+				assert.Equal(t, example[section].(map[string]any)[name], want, "%s.%s", section, name)
+			}
+		}
+	}
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -131,7 +131,9 @@
 	if err := json.Unmarshal(data, value); err != nil && len(list) == 0 {
 		list = []Fault{{Reason: err.Error()}}
 	}
-	list = appendNew(list, check())
+	if json.Valid(data) {
+		list = appendNew(list, check())
+	}
 	if len(list) > 0 {
 		return errors.Trace(NewFaults(list...))
 	}
