Bodies that nobody reads hold no connection; tests of keys, certificates and scrapes with real processes

Cause: after the answer to a body that did not come, the HTTP server waits for the rest of it without a bound, so a caller that stops sending held a connection for good (seen: open after 10 s at a budget of 0.3 s). Process tests show keys of teams and operators, mutual TLS between hosts, forwarding over TLS, renewal under open connections, the metrics of a real process, and that no key and no prompt is logged.

--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -40,6 +40,9 @@
 	return http.StatusServiceUnavailable
 }
 
+// unreadBodyTimeout bounds how long a connection waits for the rest of a body that nobody reads, after the answer.
+const unreadBodyTimeout = time.Second
+
 // writeError answers with a typed error, at once, and with the time to come back in both forms.
 func writeError(c echo.Context, e *api.Error) error {
 	if e.RetryAfterMs > 0 {
@@ -47,6 +50,8 @@
 		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
 	c.Set(refusalKey, e.Code)
+	control := http.NewResponseController(c.Response().Writer)
+	_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	return c.JSON(statusOf(e.Code), e)
 }
 
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -73,6 +73,9 @@
 	enginePipes  []*pipe
 	service      *fake.Service
 	servicePipe  *pipe
+
+	// adjust changes the settings of a host before it starts; nil changes nothing.
+	adjust func(*host, *settings.Settings)
 }
 
 // host is one entry host.
@@ -295,6 +298,9 @@
 			s.Peers = append(s.Peers, other.peers)
 		}
 	}
+	if h.c.adjust != nil {
+		h.c.adjust(h, &s)
+	}
 	return s
 }
 
--- /dev/null
+++ b/test/process/secure_test.go
@@ -0,0 +1,279 @@
+package process
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/client"
+	"carobshunt/internal/document"
+	"carobshunt/internal/secure"
+	"carobshunt/internal/settings"
+	"carobshunt/internal/testcert"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	teamKey     = "team-secret-5f2a"
+	operatorKey = "operator-secret-91bc"
+	promptText  = "the prompt of a caller 77aa"
+)
+
+func digestOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// keyed starts a cluster whose team has a key.
+func keyed(t *testing.T) *cluster {
+	c := prepareCluster(t, 2, 1)
+	c.doc.Revision++
+	c.doc.Teams = []document.Team{{Name: teamName, Weight: 1, TokensPerSecond: 10_000_000, KeySHA256: digestOf(teamKey)}}
+	c.publishDocument()
+	for _, h := range c.hosts {
+		h.start()
+	}
+	c.waitReady()
+	return c
+}
+
+func (c *cluster) clientWith(opts client.Options) *client.Client {
+	for _, h := range c.hosts {
+		opts.Entries = append(opts.Entries, h.callers)
+	}
+	opts.Team = teamName
+	return client.New(opts)
+}
+
+func TestOnlyTheTeamsKeyPasses(t *testing.T) {
+	c := keyed(t)
+	req := request("order-0001", serviceName, false)
+	req.Prompt = []byte(promptText)
+	for i, key := range []string{"", "wrong", operatorKey} {
+		req.ID = fmt.Sprintf("refused-%d", i)
+		got, err := c.clientWith(client.Options{Key: key}).Do(context.Background(), req)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Outcome, api.OutcomeNotRun, "%+v", got)
+		assert.Equal(t, got.Code, api.CodeUnauthorized, "%+v", got)
+		assert.Equal(t, c.service.Arrived(teamName, req.ID), 0)
+	}
+	req.ID = "order-0002"
+	req.Via = c.hosts[0].callers
+	caller := c.clientWith(client.Options{Key: teamKey})
+	first, err := caller.Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Outcome, api.OutcomeDone, "%+v", first)
+	req.Home, req.Deadline, req.Via = first.Home, first.Deadline, c.hosts[1].callers
+	again, err := caller.Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Outcome, api.OutcomeDone, "the forwarded request carries its key: %+v", again)
+	assert.Equal(t, c.service.Arrived(teamName, req.ID), 1)
+	c.assertNoSecretInLogs(teamKey, promptText, digestOf(teamKey))
+}
+
+// assertNoSecretInLogs reads the logs of all hosts, at the level that says most.
+func (c *cluster) assertNoSecretInLogs(secrets ...string) {
+	for _, h := range c.hosts {
+		raw, err := os.ReadFile(filepath.Join(c.dir, h.ip+".log"))
+		assert.NilError(c.t, err)
+		assert.Assert(c.t, len(raw) > 0, "%s logged nothing", h.ip)
+		for _, secret := range secrets {
+			assert.Assert(c.t, !strings.Contains(string(raw), secret), "%s logged %q", h.ip, secret)
+		}
+	}
+}
+
+func get(t *testing.T, url, key string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	assert.NilError(t, err)
+	secure.SetBearerKey(req.Header, key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+func TestOperatorsNeedAKeyOfTheirFileAndTeamsKeysAreNone(t *testing.T) {
+	c := prepareCluster(t, 1, 1)
+	keys := filepath.Join(c.dir, "operators")
+	assert.NilError(t, os.WriteFile(keys, []byte(digestOf(operatorKey)+"\n"), 0o600))
+	c.adjust = func(_ *host, s *settings.Settings) { s.Security.Operators.KeysFile = keys }
+	h := c.hosts[0]
+	h.start()
+	url := "http://" + h.operator
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		conn, err := net.Dial("tcp", h.operator)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = conn.Close()
+		return poll.Success()
+	}, poll.WithTimeout(readyWithin))
+	for _, path := range []string{api.PathStatus, api.PathDocument, "/metrics", api.PathRequests + "/walk-0001?team=desk"} {
+		for _, key := range []string{"", teamKey} {
+			status, _ := get(t, url+path, key)
+			assert.Equal(t, status, http.StatusUnauthorized, path)
+		}
+	}
+	status, _ := get(t, url+api.PathStatus, operatorKey)
+	assert.Equal(t, status, http.StatusOK)
+
+	assert.NilError(t, os.WriteFile(keys, []byte(digestOf("renewed")+"\n"), 0o600))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, _ := get(t, url+api.PathStatus, "renewed"); status != http.StatusOK {
+			return poll.Continue("status %d", status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(readyWithin), poll.WithDelay(100*time.Millisecond))
+	status, _ = get(t, url+api.PathStatus, operatorKey)
+	assert.Equal(t, status, http.StatusUnauthorized, "the former key is no key any more")
+	c.assertNoSecretInLogs(operatorKey, teamKey, "renewed-", digestOf(operatorKey))
+}
+
+// secured starts two hosts whose callers' and peers' interfaces speak TLS.
+func secured(t *testing.T, authority *testcert.Authority) *cluster {
+	c := prepareCluster(t, 2, 1)
+	for _, h := range c.hosts {
+		authority.Issue(h.certificate(), h.privateKey(), h.ip)
+	}
+	c.adjust = func(h *host, s *settings.Settings) {
+		pair := settings.Certificate{CertificateFile: h.certificate(), PrivateKeyFile: h.privateKey()}
+		s.Security.AuthorityFile = authority.File
+		s.Security.Callers.Certificate = pair
+		s.Security.Peers = pair
+	}
+	for _, h := range c.hosts {
+		h.start()
+	}
+	c.waitReady()
+	return c
+}
+
+func (h *host) certificate() string { return filepath.Join(h.c.dir, h.ip+".pem") }
+func (h *host) privateKey() string  { return filepath.Join(h.c.dir, h.ip+".key") }
+
+func TestSecuredHostsServeForwardAndRenewTheirCertificates(t *testing.T) {
+	authority := testcert.NewAuthority(t)
+	c := secured(t, authority) // peers hear each other, so both sides' certificates were taken
+	identity, err := secure.LoadIdentity(secure.Files{Authority: authority.File})
+	assert.NilError(t, err)
+	caller := c.clientWith(client.Options{TLS: identity.Client()})
+	req := request("order-0001", serviceName, false)
+	req.Via = c.hosts[0].callers
+	first, err := caller.Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Outcome, api.OutcomeDone, "%+v", first)
+	req.Home, req.Deadline, req.Via = first.Home, first.Deadline, c.hosts[1].callers
+	again, err := caller.Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Outcome, api.OutcomeDone, "%+v", again)
+	assert.Equal(t, c.service.Arrived(teamName, req.ID), 1)
+
+	home := c.hosts[0]
+	old := dialTLS(t, home.callers, identity)
+	renewed := authority.Issue(home.certificate(), home.privateKey(), home.ip)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		conn := dialTLS(t, home.callers, identity)
+		defer func() { _ = conn.Close() }()
+		if serial := conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(); serial != renewed {
+			return poll.Continue("serial %d", serial)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(readyWithin), poll.WithDelay(100*time.Millisecond))
+	_, err = fmt.Fprintf(old, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", api.PathHosts)
+	assert.NilError(t, err)
+	line := make([]byte, len("HTTP/1.1 200"))
+	_, err = io.ReadFull(old, line)
+	assert.NilError(t, err)
+	assert.Equal(t, string(line), "HTTP/1.1 200", "the connection from before goes on")
+
+	plain, err := c.client().Lookup(context.Background())
+	assert.Assert(t, err != nil, "a plain connection is refused: %+v", plain)
+}
+
+func dialTLS(t *testing.T, address string, identity *secure.Identity) *tls.Conn {
+	t.Helper()
+	conn, err := tls.Dial("tcp", address, identity.Client())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func TestScrapeShowsWhatHappened(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	req := request("draft-0001", modelName, true)
+	req.Via = c.hosts[0].callers
+	got, err := c.client().Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeDone, "%+v", got)
+	req.ID, req.Model = "draft-0002", "no-such-model"
+	got, err = c.client().Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeNotRun, "%+v", got)
+	c.platform.PublishConfig([]byte(`{"revision": 9}`))
+	c.hosts[0].waitFor(func(s api.Status) bool { return s.Config.Rejected > 0 })
+
+	status, text := get(t, "http://"+c.hosts[0].operator+"/metrics", "")
+	assert.Equal(t, status, http.StatusOK)
+	for _, line := range []string{
+		`carobshunt_first_token_seconds_count{class="short",team="desk"} 1`,
+		`carobshunt_slowdown_ratio_count{class="short",team="desk"} 1`,
+		`carobshunt_queueing_seconds_count{class="short",team="desk"} 1`,
+		`carobshunt_between_tokens_seconds_count{class="short",team="desk"} 4`,
+		`carobshunt_requests_finished_total{class="short",outcome="done",team="desk"} 1`,
+		`carobshunt_refusals_total{code="unknown_model"} 1`,
+		`carobshunt_dispatches_total{attempt="first"} 1`,
+		`carobshunt_outcomes_total{outcome="done"} 1`,
+		`carobshunt_preset_info{preset="ordinary"} 1`,
+		`carobshunt_peers{alive="true"} 1`,
+		`carobshunt_targets{eligible="true",kind="engine"} 1`,
+		`carobshunt_revision 1`,
+		`carobshunt_ready 1`,
+		`carobshunt_build_info{`,
+		`carobshunt_state_changes_total{event="ready"} 1`,
+		`process_resident_memory_bytes`,
+	} {
+		assert.Assert(t, strings.Contains(text, line), "no %s in:\n%s", line, text)
+	}
+	assert.Assert(t, !strings.Contains(text, "carobshunt_documents_rejected_total 0"))
+}
+
+func TestSlowBodyIsCutOffAtTheDeadline(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	conn, err := net.Dial("tcp", c.hosts[0].callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n", api.PathRequests)
+	assert.NilError(t, err)
+	for name, value := range map[string]string{
+		api.HeaderRequest: "slow-00001", api.HeaderAttempt: "1", api.HeaderTeam: teamName, api.HeaderModel: modelName,
+		api.HeaderPromptTokens: "100", api.HeaderAnswerTokens: "5", api.HeaderIdempotent: "true",
+		api.HeaderBodyChecksum: "0", api.HeaderBudget: "300",
+	} {
+		_, err = fmt.Fprintf(conn, "%s: %s\r\n", name, value)
+		assert.NilError(t, err)
+	}
+	_, err = fmt.Fprint(conn, "\r\nhalf")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(readyWithin)))
+	answer, err := io.ReadAll(conn)
+	assert.NilError(t, err, "the host ends the connection by itself")
+	assert.Assert(t, strings.Contains(string(answer), string(api.OutcomeNotRun)), "%s", answer)
+	c.hosts[0].waitFor(func(s api.Status) bool { return s.Requests.BodyBytes == 0 && s.Requests.Running == 0 })
+}
