Callers' page, warnings in status and metrics, typed answers to unknown paths, quiet libraries

Cause: what a host warns of was not shown; two documents of one revision looked alike in status; the HTTP and JSON-RPC libraries wrote a line for each broken connection; an unknown path got an untyped error; an address that stands for all addresses of a host could be advertised. Change: status and metrics show warnings, digests, conflicts and the known revision; watch names a refusal while it waits; library lines are debug lines or dropped; settings refuse an unspecified advertised address; one check of addresses for settings, documents and host lists; docs/CALLERS.md, with its headers and outcomes checked.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -91,7 +91,8 @@
 	assert.Equal(t, status, ExitOK, text)
 	assert.Assert(t, strings.Contains(text, "hosts agree"), text)
 
-	b.status.Config = api.ConfigStatus{Revision: 2, Preset: "peak"}
+	a.status.Config = api.ConfigStatus{Revision: 2, Preset: "peak", Digest: "a1"}
+	b.status.Config = api.ConfigStatus{Revision: 2, Preset: "peak", Digest: "b2"}
 	a.status.Targets = []api.TargetStatus{{Address: "192.0.2.1:7600", State: "live", Eligible: true}}
 	b.status.Targets = []api.TargetStatus{{Address: "192.0.2.1:7600", State: "live", Eligible: false}}
 	a.status.Peers = []api.PeerStatus{{Address: "192.0.2.5:7402", Alive: true, Incarnation: "i1"}}
@@ -103,8 +104,8 @@
 	assert.DeepEqual(t, report.Disagreements, []Disagreement{
 		{"entry host 192.0.2.5:7402", []View{{"alive as i1", []string{a.address}}, {"silent", []string{b.address}}}},
 		{"target 192.0.2.1:7600", []View{{"live, eligible", []string{a.address}}, {"live, no new work", []string{b.address}}}},
-		{"the revision in force", []View{
-			{"revision 1 preset ordinary", []string{a.address}}, {"revision 2 preset peak", []string{b.address}},
+		{"the configuration in force", []View{
+			{"revision 2 preset peak digest a1", []string{a.address}}, {"revision 2 preset peak digest b2", []string{b.address}},
 		}},
 	})
 
--- a/internal/ctl/query_status.go
+++ b/internal/ctl/query_status.go
@@ -152,12 +152,11 @@
 
 func (r *statusReport) notes(w *tableWriter) {
 	for _, h := range r.Hosts {
-		switch {
-		case h.Status == nil:
+		if h.Status == nil {
 			w.line("%s: %s", h.Operator, h.Error)
-		case h.Status.Config.Rejected > 0:
-			w.line("%s refused %d documents, the last: %s", h.Operator, h.Status.Config.Rejected, h.Status.Config.LastRejection)
+			continue
 		}
+		hostNotes(w, h.Operator, h.Status)
 	}
 	if len(r.Disagreements) == 0 {
 		w.line("hosts agree")
@@ -172,6 +171,19 @@
 	}
 }
 
+// hostNotes writes what an operator should look at on one host.
+func hostNotes(w *tableWriter, operator string, s *api.Status) {
+	if s.NotReadyReason != "" {
+		w.line("%s is not ready: %s", operator, s.NotReadyReason)
+	}
+	for _, warning := range s.Warnings {
+		w.line("%s warns: %s", operator, warning)
+	}
+	if s.Config.Rejected > 0 {
+		w.line("%s refused %d documents, the last: %s", operator, s.Config.Rejected, s.Config.LastRejection)
+	}
+}
+
 // opinions collects what hosts say on matters.
 type opinions struct {
 	matters []string
@@ -196,7 +208,7 @@
 	o := &opinions{views: make(map[string][]View)}
 	for _, h := range hosts {
 		if s := h.Status; s != nil {
-			o.add("the revision in force", fmt.Sprintf("revision %d preset %s", s.Config.Revision, s.Config.Preset), h.Operator)
+			o.add("the configuration in force", configurationOf(s), h.Operator)
 			o.addPeers(h)
 			o.addTargets(h)
 		}
@@ -211,6 +223,11 @@
 	return out
 }
 
+// configurationOf tells two documents of one revision apart by their digests.
+func configurationOf(s *api.Status) string {
+	return fmt.Sprintf("revision %d preset %s digest %s", s.Config.Revision, s.Config.Preset, orDash(s.Config.Digest))
+}
+
 func (o *opinions) addPeers(h HostStatus) {
 	for _, p := range h.Status.Peers {
 		value := "silent"
--- a/internal/ctl/query_watch.go
+++ b/internal/ctl/query_watch.go
@@ -22,6 +22,9 @@
 	// Everywhere tells whether all hosts have the revision, or a later one, in force.
 	Everywhere bool  `json:"everywhere"`
 	TookMs     int64 `json:"took_ms"`
+
+	// rejected counts the documents that each host had refused when it was first asked.
+	rejected map[string]uint64
 }
 
 // WatchHost is one host of a watch.
@@ -30,6 +33,8 @@
 	Revision uint64 `json:"revision"`
 	Preset   string `json:"preset"`
 	InForce  bool   `json:"in_force"`
+	// Refusal is why the host refused a document while it was watched.
+	Refusal string `json:"refusal,omitempty"`
 	// Error is why the host did not answer the last question.
 	Error string `json:"error,omitempty"`
 }
@@ -88,7 +93,7 @@
 		return errors.Trace(err)
 	}
 	start := time.Now()
-	r := &WatchReport{Revision: revision}
+	r := &WatchReport{Revision: revision, rejected: make(map[string]uint64)}
 	for {
 		r.update(o.statuses(ctx, a.deployment.Operators))
 		r.TookMs = time.Since(start).Milliseconds()
@@ -115,12 +120,27 @@
 			host.Revision = h.Status.Config.Revision
 			host.Preset = h.Status.Config.Preset
 			host.InForce = host.Revision >= r.Revision
+			host.Refusal = r.refusal(h)
 		}
 		r.Everywhere = r.Everywhere && host.InForce
 		r.Hosts = append(r.Hosts, host)
 	}
 }
 
+// refusal is the host's last refusal of a document since the watch began, if there was one.
+func (r *WatchReport) refusal(h HostStatus) string {
+	config := h.Status.Config
+	before, asked := r.rejected[h.Operator]
+	if !asked {
+		r.rejected[h.Operator] = config.Rejected
+		return ""
+	}
+	if config.Rejected == before {
+		return ""
+	}
+	return config.LastRejection
+}
+
 func (r *WatchReport) table(w *tableWriter) {
 	w.row("HOST", "REVISION", "PRESET", "IN FORCE")
 	for _, h := range r.Hosts {
@@ -130,6 +150,11 @@
 		}
 		w.row(h.Operator, h.Revision, orDash(h.Preset), h.InForce)
 	}
+	for _, h := range r.Hosts {
+		if h.Refusal != "" {
+			w.line("%s refused a document: %s", h.Operator, h.Refusal)
+		}
+	}
 	if r.Everywhere {
 		w.line("revision %d is in force on all %d hosts after %s", r.Revision, len(r.Hosts), ago(r.TookMs))
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,6 +89,7 @@
 	}
 	callers := d.callersServer(exchanges, secured(dialer, keys.entry), m)
 	operators := d.operatorsServer(keys, m)
+	callers.ErrorLog, operators.ErrorLog = d.connectionLog(), d.connectionLog()
 	group, groupCtx := errgroup.WithContext(running)
 	group.Go(func() error { d.loop.Run(running, x); return nil })
 	d.startReaders(running, group, dialer)
--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -16,6 +17,7 @@
 	"carobshunt/internal/settings"
 	"carobshunt/internal/stream"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 )
@@ -83,6 +85,11 @@
 	})
 }
 
+// connectionLog takes what the HTTP library says of single connections, which is no change of state.
+func (d *Daemon) connectionLog() *log.Logger {
+	return d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+}
+
 // serveHTTP serves until the context ends, and returns when the open answers have ended too.
 func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
 	ended := make(chan struct{})
--- a/internal/docscheck/pages_test.go
+++ b/internal/docscheck/pages_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"carobshunt/api"
 	"carobshunt/internal/ctl"
 	"carobshunt/internal/daemon"
 	"carobshunt/internal/fakecmd"
@@ -288,3 +289,22 @@
 		assert.Equal(t, ctl.Main([]string{"check", kind, file}, &out, &out), ctl.ExitOK, out.String())
 	}
 }
+
+var headerName = regexp.MustCompile(`\bCarob-[A-Z][A-Za-z-]*`)
+
+func TestHeadersAndOutcomesOfTheCallersPageAreThoseOfTheProtocol(t *testing.T) {
+	source, err := os.ReadFile(filepath.Join(root, "api/api.go"))
+	assert.NilError(t, err)
+	for _, p := range readPages(t) {
+		for _, name := range headerName.FindAllString(p.text, -1) {
+			assert.Assert(t, strings.Contains(string(source), `"`+name+`"`), "%s: no header %s", p.path, name)
+		}
+	}
+	raw, err := os.ReadFile(filepath.Join(root, "docs/CALLERS.md"))
+	assert.NilError(t, err)
+	for _, outcome := range []api.Outcome{
+		api.OutcomeDone, api.OutcomeFailed, api.OutcomeNotRun, api.OutcomeUnknown, api.OutcomePending,
+	} {
+		assert.Assert(t, strings.Contains(string(raw), "| `"+string(outcome)+"` |"), outcome)
+	}
+}
--- a/internal/docscheck/reference_test.go
+++ b/internal/docscheck/reference_test.go
@@ -221,6 +221,7 @@
 func metricRows(t *testing.T) []metricRow {
 	t.Helper()
 	s := &state{snapshot: node.Snapshot{Status: api.Status{
+		Warnings: []api.Warning{api.WarningBehind},
 		Config:   api.ConfigStatus{Preset: "ordinary"},
 		Targets:  []api.TargetStatus{{Kind: "engine"}},
 		Requests: api.RequestsStatus{Outcomes: []api.OutcomeCount{{Outcome: api.OutcomeDone, Count: 1}}},
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"sync"
 
 	"carobshunt/internal/strictjson"
@@ -44,9 +43,7 @@
 	}
 	for i, p := range doc.Placements {
 		for j, engine := range p.Engines {
-			if _, err := netip.ParseAddrPort(engine); err != nil {
-				add(fmt.Sprintf("/placements/%d/engines/%d", i, j), "must be an IP address and port")
-			}
+			faults = append(faults, strictjson.AddressFaults(fmt.Sprintf("/placements/%d/engines/%d", i, j), engine)...)
 		}
 	}
 	return faults
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 
 // Register adds the routes.
 func (g *Gateway) Register(e *echo.Echo) {
+	e.HTTPErrorHandler = unknownPath
 	e.Use(g.nameHost, g.countRefusals, g.authorize)
 	e.GET(api.PathHosts, g.lookup)
 	e.POST(api.PathRequests, g.submit)
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -40,6 +40,14 @@
 	return http.StatusServiceUnavailable
 }
 
+// unknownPath answers what no route takes.
+func unknownPath(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	_ = writeError(c, malformed(c.Request().Method+" "+c.Request().URL.Path+": "+err.Error()))
+}
+
 // unreadBodyTimeout bounds how long a connection waits for the rest of a body that nobody reads, after the answer.
 const unreadBodyTimeout = time.Second
 
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"sync"
 
 	"carobshunt/internal/strictjson"
@@ -34,25 +33,25 @@
 // List is one version of the published list.
 type List struct {
 	// Version rises with every change.
-	Version uint64 `json:"version" jsonschema:"minimum=1"`
+	Version uint64 `json:"version" jsonschema:"minimum=1,description=rises with every change"`
 	Hosts   []Host `json:"hosts"`
 }
 
 // Host is one line of the list.
 type Host struct {
 	// Address is where callers, or for a target the entry hosts, connect: an IP address and port.
-	Address string `json:"address" jsonschema:"minLength=1"`
+	Address string `json:"address" jsonschema:"minLength=1,description=IP address and port where callers or for a target the entry hosts connect"`
 	// Peer is where other entry hosts connect; entry hosts only.
-	Peer  string `json:"peer,omitempty"`
-	Zone  string `json:"zone" jsonschema:"minLength=1"`
-	Role  Role   `json:"role" jsonschema:"enum=entry,enum=engine,enum=service"`
-	State State  `json:"state" jsonschema:"enum=live,enum=leaving"`
+	Peer  string `json:"peer,omitempty" jsonschema:"description=IP address and port where other entry hosts connect; entry hosts only"`
+	Zone  string `json:"zone" jsonschema:"minLength=1,description=availability zone"`
+	Role  Role   `json:"role" jsonschema:"enum=entry,enum=engine,enum=service,description=what the host does"`
+	State State  `json:"state" jsonschema:"enum=live,enum=leaving,description=the host's place in its life"`
 	// Models are the models, or for a service its name, that the target answers for.
-	Models []string `json:"models,omitempty"`
+	Models []string `json:"models,omitempty" jsonschema:"description=models or a service's name that the target answers for"`
 	// MemoryTokens is an engine's KV memory in tokens.
-	MemoryTokens int64 `json:"memory_tokens,omitempty" jsonschema:"minimum=0"`
+	MemoryTokens int64 `json:"memory_tokens,omitempty" jsonschema:"minimum=0,description=an engine's KV memory in tokens"`
 	// ChecksFencing tells whether an engine refuses an order with an old fencing number.
-	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	ChecksFencing bool `json:"checks_fencing,omitempty" jsonschema:"description=whether an engine refuses an order with an old fencing number"`
 }
 
 var schema = sync.OnceValue(func() *strictjson.Schema { return strictjson.MustReflect(&List{}) })
@@ -69,9 +68,7 @@
 func badAddresses(list *List) []strictjson.Fault {
 	var faults []strictjson.Fault
 	check := func(path, address string) {
-		if _, err := netip.ParseAddrPort(address); err != nil {
-			faults = append(faults, strictjson.Fault{Path: path, Reason: "must be an IP address and port"})
-		}
+		faults = append(faults, strictjson.AddressFaults(path, address)...)
 	}
 	for i, h := range list.Hosts {
 		check(fmt.Sprintf("/hosts/%d/address", i), h.Address)
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -12,6 +12,7 @@
 	source Source
 	stats  []stateMetric
 	preset *prometheus.Desc
+	warns  *prometheus.Desc
 	ended  *prometheus.Desc
 	sweeps *prometheus.Desc
 	groups *prometheus.Desc
@@ -41,12 +42,21 @@
 			gauge("platform_silent_seconds", "Time since the platform was last heard; -1 for never.", platformSilent),
 			total("documents_rejected_total", "Published documents refused as invalid.",
 				func(s *api.Status) float64 { return float64(s.Config.Rejected) }),
+			total("document_conflicts_total", "Times that two documents were heard under the revision in force.",
+				func(s *api.Status) float64 { return float64(s.Config.Conflicts) }),
+			gauge("known_revision", "Highest revision that a peer or a target is known to have.",
+				func(s *api.Status) float64 { return float64(s.Config.KnownRevision) }),
+			gauge("host_list_version", "Version of the host list in force.",
+				func(s *api.Status) float64 { return float64(s.Config.HostsVersion) }),
+			gauge("platform_reader", "1 when this host watches the platform itself.",
+				func(s *api.Status) float64 { return boolean(s.Config.Reads) }),
 			gauge("requests_queued", "Requests waiting for a target.", func(s *api.Status) float64 { return float64(s.Requests.Queued) }),
 			gauge("requests_running", "Requests received or at a target.", func(s *api.Status) float64 { return float64(s.Requests.Running) }),
 			gauge("records", "Request records kept.", func(s *api.Status) float64 { return float64(s.Requests.Records) }),
 			gauge("body_bytes", "Request bodies held.", func(s *api.Status) float64 { return float64(s.Requests.BodyBytes) }),
 		},
 		preset: describe("preset_info", "Always 1; the label names the preset in force.", "preset"),
+		warns:  describe("warning", "1 for each warning that the host shows in its status.", "warning"),
 		ended:  describe("outcomes_total", "Requests answered by outcome, refused ones among them.", labelOutcome),
 		sweeps: describe("sweeps_total", "Leftovers that engines were told to drop, by reason.", "reason"),
 		groups: describe("engine_groups_total", "Tries to reserve several engines for one prompt, by step.", "step"),
@@ -95,6 +105,7 @@
 		out <- m.desc
 	}
 	out <- c.preset
+	out <- c.warns
 	out <- c.ended
 	out <- c.sweeps
 	out <- c.groups
@@ -113,6 +124,9 @@
 	if status.Config.Preset != "" {
 		out <- prometheus.MustNewConstMetric(c.preset, prometheus.GaugeValue, 1, status.Config.Preset)
 	}
+	for _, w := range status.Warnings {
+		out <- prometheus.MustNewConstMetric(c.warns, prometheus.GaugeValue, 1, string(w))
+	}
 	for _, o := range status.Requests.Outcomes {
 		out <- prometheus.MustNewConstMetric(c.ended, prometheus.CounterValue, float64(o.Count), string(o.Outcome))
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -50,6 +50,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	h := &handlers{Options: o}
+	e.HTTPErrorHandler = unknownPath
 	e.Use(h.authorize)
 	h.registerQueries(e)
 	h.registerCommands(e)
@@ -76,6 +77,16 @@
 	}
 }
 
+// unknownPath answers what no route takes.
+func unknownPath(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	_ = c.JSON(http.StatusNotFound, &api.Error{
+		Outcome: api.OutcomeNotRun, Code: api.CodeMalformed, Message: c.Request().Method + " " + c.Request().URL.Path + ": " + err.Error(),
+	})
+}
+
 // record names the request of the path. It is asked about as an idempotent one, so that the question closes nothing.
 func record(c echo.Context) core.Request {
 	key := core.Key{Team: c.QueryParam("team"), ID: strings.TrimSpace(c.Param("id"))}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -70,7 +70,7 @@
 			return errors.Trace(err)
 		}
 		stream := newStream(conn)
-		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle))
+		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle), quiet)
 	}
 }
 
@@ -254,7 +254,7 @@
 		return errors.Trace(err)
 	}
 	stream := newStream(deadlineConn{conn})
-	l.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls))
+	l.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls), quiet)
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,9 +122,7 @@
 func badAddresses(s *Settings) []strictjson.Fault {
 	var faults []strictjson.Fault
 	check := func(path, address string) {
-		if _, err := netip.ParseAddrPort(address); err != nil {
-			faults = append(faults, strictjson.Fault{Path: path, Reason: "must be an IP address and port"})
-		}
+		faults = append(faults, strictjson.AddressFaults(path, address)...)
 	}
 	check("/listen/callers", s.Listen.Callers)
 	check("/listen/operators", s.Listen.Operators)
@@ -139,6 +137,21 @@
 	for i, p := range s.Peers {
 		check(fmt.Sprintf("/peers/%d", i), p)
 	}
+	return append(faults, unreachable(s)...)
+}
+
+// unreachable reports addresses that stand for all of a host's addresses where others must be told a single one.
+func unreachable(s *Settings) []strictjson.Fault {
+	var faults []strictjson.Fault
+	for _, one := range []struct{ path, advertised string }{
+		{"/advertise/callers", cmp.Or(s.Advertise.Callers, s.Listen.Callers)},
+		{"/advertise/peers", cmp.Or(s.Advertise.Peers, s.Listen.Peers)},
+	} {
+		address, err := netip.ParseAddrPort(one.advertised)
+		if err == nil && address.Addr().IsUnspecified() {
+			faults = append(faults, strictjson.Fault{Path: one.path, Reason: "must be the IP address under which others reach this host"})
+		}
+	}
 	return faults
 }
 
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"sort"
 	"strings"
 
@@ -50,6 +51,14 @@
 	return path
 }
 
+// AddressFaults checks that a text is an IP address and port, which is how hosts are named everywhere.
+func AddressFaults(path, address string) []Fault {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return []Fault{{Path: path, Reason: "must be an IP address and port"}}
+	}
+	return nil
+}
+
 // Schema checks texts of one Go type.
 type Schema struct {
 	text     []byte
--- a/test/process/secure_test.go
+++ b/test/process/secure_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -277,3 +278,14 @@
 	assert.Assert(t, strings.Contains(string(answer), string(api.OutcomeNotRun)), "%s", answer)
 	c.hosts[0].waitFor(func(s api.Status) bool { return s.Requests.BodyBytes == 0 && s.Requests.Running == 0 })
 }
+
+func TestUnknownPathsGetATypedError(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	for _, address := range []string{c.hosts[0].callers, c.hosts[0].operator} {
+		_, text := get(t, "http://"+address+"/v1/no-such-path", "")
+		var refused api.Error
+		assert.NilError(t, json.Unmarshal([]byte(text), &refused))
+		assert.Equal(t, refused.Outcome, api.OutcomeNotRun)
+		assert.Equal(t, refused.Code, api.CodeMalformed)
+	}
+}
