--- a/test/configuration/scenarios_test.go
+++ b/test/configuration/scenarios_test.go
@@ -88,7 +88,7 @@
 	post := h.Poster()
 	h.Submit(req, func(decision node.Decision) {
 		if decision.Kind == node.Admit {
-			post(node.BodyEnded{Key: req.Key})
+			post(node.BodyEnded{Key: req.Key, Attempt: req.Attempt})
 		}
 	})
 }
@@ -308,9 +308,9 @@
 	h := d.Hosts()[0]
 	req := core.Request{
 		Key: core.Key{Team: "desk", ID: "bound-request"}, Attempt: 1, Model: modelName, PromptTokens: 100, AnswerTokens: 10,
-		Home: h.Self(), Budget: 6 * time.Second,
+		Home: h.Self(), Deadline: h.Clock() + 6*time.Second,
 	}
-	h.Submit(req, func(node.Decision) { h.Post(node.BodyEnded{Key: req.Key}) })
+	h.Submit(req, func(node.Decision) { h.Post(node.BodyEnded{Key: req.Key, Attempt: req.Attempt}) })
 	d.Run(d.Now() + 100*time.Millisecond)
 	h.Post(node.Drain{})
 	d.Run(d.Now() + 3*time.Second)
