--- a/test/configuration/scenarios_test.go
+++ b/test/configuration/scenarios_test.go
@@ -83,7 +83,7 @@
 func (d *deployment) submit(h *virtual.Host, id string) {
 	req := core.Request{
 		Key: core.Key{Team: "desk", ID: id}, Attempt: 1, Model: modelName, PromptTokens: 100, AnswerTokens: 10,
-		Idempotent: true, Budget: time.Hour,
+		Idempotent: true, Budget: 15 * time.Minute,
 	}
 	post := h.Poster()
 	h.Submit(req, func(decision node.Decision) {
