--- a/test/process/memory_test.go
+++ b/test/process/memory_test.go
@@ -52,16 +52,17 @@
 	return sum
 }
 
-// hold lets a host run a prompt, in tokens, and returns when the engines hold so much more.
-func (c *cluster) hold(via *host, id string, prompt int64) {
+// hold lets a host run a prompt, in tokens, and returns when the engines hold so much more. The caller gives up with
+// the context.
+func (c *cluster) hold(ctx context.Context, via *host, id string, prompt int64) {
 	c.t.Helper()
 	want := c.usedTokens() + prompt
 	go func() {
-		for attempt := range 50 {
+		for attempt := 0; ctx.Err() == nil; attempt++ {
 			req := request(fmt.Sprintf("%s-000-%d", id, attempt), modelName, true)
 			req.Via = via.callers
 			req.PromptTokens, req.AnswerTokens, req.Budget = prompt, 8000, 15*time.Second
-			if got, _ := c.client().Do(context.Background(), req); got.Target != "" {
+			if got, _ := c.client().Do(ctx, req); got.Target != "" {
 				return
 			}
 		}
@@ -78,8 +79,11 @@
 	t.Parallel()
 	c := newLargeCluster(t, 4, 4)
 	// The group first, then a stream that must find the one engine that is left; it may be refused a few times.
-	c.hold(c.hosts[0], "contract", 1_000_000)
-	c.hold(c.hosts[1], "notes", 300_000)
+	callers, giveUp := context.WithCancel(context.Background())
+	defer giveUp()
+	c.hold(callers, c.hosts[0], "contract", 1_000_000)
+	c.hold(callers, c.hosts[1], "notes", 300_000)
+	giveUp()
 	c.hosts[0].kill()
 	c.hosts[1].kill()
 	c.hosts[1].start()
