Another host goes on with the stream of a dead home

Cause: an idempotent request whose home died was run anew, and its old stream held memory until it was swept.

Change: frames name the target and the stream; a caller whose answer broke off and can't be resumed at its home submits the request again elsewhere and names the stream; that host follows it at the engine from its start, and runs the request anew when the engine does not have it. Only a stream of the same team and identifier can be adopted.

Ruled out: adopting from the caller's offset. The answer's checksum covers the whole text, and the caller drops what another process sent; the engine still has the text, so nothing is computed again.

Measured with real processes: home killed and started again in the middle of an answer: done at another host, whole, one stream started in all, not swept though its incarnation was gone for longer than the grace.

--- a/api/api.go
+++ b/api/api.go
@@ -37,6 +37,10 @@
 	HeaderRevision = "Carob-Revision"
 	// HeaderForwarded is set by a host that passes a request on to its home; such a request is not passed on again.
 	HeaderForwarded = "Carob-Forwarded"
+	// HeaderAdoptTarget and HeaderAdoptStream name the engine and the stream of an answer that broke off with its
+	// home. The host that is asked next goes on with that stream if it can, and else runs the request anew.
+	HeaderAdoptTarget = "Carob-Adopt-Target"
+	HeaderAdoptStream = "Carob-Adopt-Stream"
 	// HeaderHost is set on every answer: the address and incarnation of the host that decided.
 	HeaderHost = "Carob-Host"
 )
@@ -157,6 +161,9 @@
 	Attempt uint32 `json:"attempt"`
 	// Dispatch rises when the answer starts over at another target; what came under a lower number is void.
 	Dispatch uint32 `json:"dispatch"`
+	// Target and Stream are set on the first frame of a dispatch: what makes the answer, and its name there.
+	Target string `json:"target,omitempty"`
+	Stream string `json:"stream,omitempty"`
 	// Offset is the position of Text in the whole answer, in bytes.
 	Offset int64  `json:"offset"`
 	Text   string `json:"text,omitempty"`
--- a/client/assembly.go
+++ b/client/assembly.go
@@ -24,6 +24,9 @@
 	host     string
 	dispatch uint32
 	text     []byte
+	// target and stream are what makes the answer.
+	target string
+	stream string
 }
 
 // from names the process whose frames follow. What another process sent is of another run.
@@ -48,6 +51,9 @@
 		if len(a.text) == 0 && frame.Text != "" {
 			first()
 		}
+		if frame.Stream != "" {
+			a.target, a.stream = frame.Target, frame.Stream
+		}
 		a.add(frame)
 		if frame.Last != nil {
 			return frame.Last, a.verify(frame.Last)
--- a/client/submit.go
+++ b/client/submit.go
@@ -96,6 +96,8 @@
 	lost   bool
 	result Result
 	answer assembly
+	// adopt is the engine's stream that an answer which broke off came from, and the host that served it.
+	adopt adoption
 }
 
 // bind chooses the host, which for a request that is not idempotent becomes its home.
@@ -255,6 +257,7 @@
 	s.answer.from(s.result.Host)
 	last, err := s.answer.read(resp.Body, s.req.ID, func() { s.result.FirstToken = time.Since(s.start) })
 	if err != nil {
+		s.adopt.learn(&s.answer, s.host, s.req.Idempotent)
 		return broken
 	}
 	s.result.Outcome = last.Outcome
@@ -307,6 +310,7 @@
 	h.Set(api.HeaderPromptTokens, strconv.FormatInt(s.req.PromptTokens, 10))
 	h.Set(api.HeaderAnswerTokens, strconv.FormatInt(s.req.AnswerTokens, 10))
 	h.Set(api.HeaderBodyChecksum, stream.Checksum(s.req.Prompt))
+	s.adopt.setHeaders(h, s.host)
 	if s.req.Prefix != "" {
 		h.Set(api.HeaderPrefix, s.req.Prefix)
 		h.Set(api.HeaderPrefixTokens, strconv.FormatInt(s.req.PrefixTokens, 10))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,10 +72,24 @@
 	BodyChecksum string
 	// Revision is the configuration revision of the caller's look-up; 0 if unknown.
 	Revision uint64
+	// Adopt is the stream that a home which is gone left behind; only of an idempotent request.
+	Adopt Adoption
 	// Forwarded marks a request that another host passed on.
 	Forwarded bool
 }
 
+// Adoption names a stream at an engine that another host started for the same request.
+type Adoption struct {
+	Target string
+	Stream string
+}
+
+// Belongs tells whether the stream is one of the request's: a caller can adopt none of another caller's.
+func (a Adoption) Belongs(req *Request) bool {
+	s, err := ParseStream(a.Stream)
+	return err == nil && req.Idempotent && s.Key == req.Key
+}
+
 // SameBody tells whether two submits of one key ask for the same thing.
 func (r *Request) SameBody(other *Request) bool {
 	return r.Model == other.Model &&
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -68,7 +68,10 @@
 	Group []string
 	// Reservation names what is held on each of the Group.
 	Reservation core.Reservation
-	Work        core.Work
+	// Adopt is the name of a stream that runs at the target already and is to be followed from its start; empty for a
+	// new one.
+	Adopt string
+	Work  core.Work
 }
 
 // AbortDispatch gives up a dispatch: its frames are dropped and its stream is cancelled at the engine.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -78,6 +78,8 @@
 	groups groupState
 	orders orderState
 
+	adoptions AdoptionCounts
+
 	drain         drainState
 	ready         bool
 	alive         map[string]bool
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -191,6 +191,9 @@
 	if n.needsGroup(&rec.Request) {
 		return n.dispatchGroup(rec)
 	}
+	if n.adopts(rec) {
+		return n.dispatchAdopted(rec)
+	}
 	t := n.router.Pick(n.now, rec, n.targets.All())
 	if t == nil {
 		return false
@@ -249,7 +252,9 @@
 	if rec == nil || rec.State != ledger.Dispatched || rec.Dispatches != in.Dispatch {
 		return
 	}
-	n.judgeEnding(rec, in)
+	if !n.adoptionFailed(rec, in) {
+		n.judgeEnding(rec, in)
+	}
 	n.pump()
 }
 
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -37,6 +37,8 @@
 	Sweeps SweepCounts
 	Groups GroupCounts
 	Orders OrderCounts
+	// Adoptions counts streams taken over from hosts that are gone.
+	Adoptions AdoptionCounts
 
 	directory *directory
 }
@@ -60,6 +62,7 @@
 		Sweeps:          n.sweeps.counts,
 		Groups:          n.groupCounts(),
 		Orders:          n.orders.counts,
+		Adoptions:       n.adoptions,
 		directory:       n.directory,
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -122,7 +122,7 @@
 		Message:  message,
 	})
 	if order.Role == hostlist.RoleEngine && ending == node.EndedLost {
-		d.cancelStream(order.Target, order.Stream.Name())
+		d.cancelStream(order.Target, streamName(order))
 	}
 }
 
@@ -141,6 +141,14 @@
 	}
 }
 
+// streamName is the name of the stream at the engine.
+func streamName(order node.StartDispatch) string {
+	if order.Adopt != "" {
+		return order.Adopt
+	}
+	return order.Stream.Name()
+}
+
 type run struct {
 	dispatcher *Dispatcher
 	order      node.StartDispatch
@@ -203,7 +211,16 @@
 // keepRedirect hands a redirect back as an answer; targets have none to give.
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+// adoption asks for a stream that another host started, from its start.
+func (r *run) adoption(ctx context.Context) (*http.Request, error) {
+	address := "http://" + r.order.Target + PathStreams + "/" + url.PathEscape(r.order.Adopt) + "/resume?offset=0"
+	return http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+}
+
 func (r *run) request(ctx context.Context, body []byte) (*http.Request, error) {
+	if r.order.Adopt != "" {
+		return r.adoption(ctx)
+	}
 	path := PathStreams
 	if r.order.Role == hostlist.RoleService {
 		path = PathCalls
@@ -237,7 +254,7 @@
 func (r *run) copyAnswer(body io.Reader) (node.Ending, string) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4096), maxFrameBytes)
-	r.exchange.Answer.Start(r.order.Dispatch)
+	r.exchange.Answer.Start(r.order.Dispatch, r.source())
 	text := newTally()
 	for lines.Scan() {
 		var frame TargetFrame
@@ -258,6 +275,14 @@
 	return node.EndedLost, "the answer broke off"
 }
 
+// source is what callers are told of where their answer is made.
+func (r *run) source() stream.Source {
+	if r.order.Role != hostlist.RoleEngine {
+		return stream.Source{Target: r.order.Target}
+	}
+	return stream.Source{Target: r.order.Target, Stream: streamName(r.order)}
+}
+
 // noteFrame reports the first frame and observes the time since the one before.
 func (r *run) noteFrame() {
 	now := time.Now()
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -44,6 +44,7 @@
 	memory  *memory
 	streams map[string]*engineStream
 	unnamed uint64
+	started int
 	orders  orderBook
 }
 
@@ -122,6 +123,9 @@
 		if !g.waitForMemory(c, s) {
 			return c.NoContent(http.StatusTooManyRequests)
 		}
+		g.mu.Lock()
+		g.started++
+		g.mu.Unlock()
 		go g.run(s)
 	}
 	return g.follow(c, running, 0)
@@ -236,6 +240,7 @@
 	g.attach(s, 1)
 	defer g.attach(s, -1)
 	w := newAnswerWriter(c.Response(), offset)
+	c.Response().Flush() // the stream is accepted
 	for {
 		text, done, changed := s.read(w.offset)
 		switch {
@@ -314,6 +319,13 @@
 	return c.JSON(http.StatusOK, report)
 }
 
+// Started counts the streams that got their memory.
+func (g *Engine) Started() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.started
+}
+
 // UsedTokens is the KV memory in use, in tokens.
 func (g *Engine) UsedTokens() int64 {
 	g.mu.Lock()
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -71,6 +71,8 @@
 	control  *http.ResponseController
 	encoder  *json.Encoder
 	req      core.Request
+	// source is what was last named to the caller.
+	source stream.Source
 }
 
 func newFrameWriter(response *echo.Response, req core.Request) *frameWriter {
@@ -95,6 +97,10 @@
 		Text:     chunk.Text,
 		Last:     chunk.Last,
 	}
+	if chunk.Source != w.source {
+		w.source = chunk.Source
+		frame.Target, frame.Stream = chunk.Source.Target, chunk.Source.Stream
+	}
 	if err := w.encoder.Encode(frame); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/stream/buffer.go
+++ b/internal/stream/buffer.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex
 	text     []byte
 	dispatch uint32
+	source   Source
 	last     *api.Last
 	changed  chan struct{}
 }
@@ -31,14 +32,21 @@
 // NewBuffer returns an empty buffer.
 func NewBuffer() *Buffer { return &Buffer{changed: make(chan struct{})} }
 
+// Source is what makes an answer: a target, and the name of the stream there.
+type Source struct {
+	Target string
+	Stream string
+}
+
 // Start begins a dispatch. It reports false when the answer is final or a later dispatch has begun.
-func (b *Buffer) Start(dispatch uint32) bool {
+func (b *Buffer) Start(dispatch uint32, source Source) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.last != nil || dispatch <= b.dispatch {
 		return false
 	}
 	b.dispatch = dispatch
+	b.source = source
 	b.text = nil
 	b.wake()
 	return true
@@ -87,12 +95,14 @@
 	// At is where Text begins.
 	At   Position
 	Text string
+	// Source makes the answer from At on.
+	Source Source
 	// Last is set when nothing follows.
 	Last *api.Last
 }
 
 // Next waits for something behind the position and returns it. A reader of an earlier dispatch is taken to the
-// start of the present one. Its error is the context's.
+// start of the present one at once, so that it learns of the source before the first text. Its error is the context's.
 func (b *Buffer) Next(ctx context.Context, at Position) (Chunk, error) {
 	for {
 		chunk, changed, ok := b.poll(at)
@@ -110,12 +120,13 @@
 func (b *Buffer) poll(at Position) (Chunk, <-chan struct{}, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if at.Dispatch != b.dispatch {
+	begins := at.Dispatch != b.dispatch
+	if begins {
 		at = Position{Dispatch: b.dispatch}
 	}
 	at.Offset = min(at.Offset, int64(len(b.text)))
-	chunk := Chunk{At: at, Text: string(b.text[at.Offset:]), Last: b.last}
-	return chunk, b.changed, chunk.Text != "" || chunk.Last != nil
+	chunk := Chunk{At: at, Text: string(b.text[at.Offset:]), Source: b.source, Last: b.last}
+	return chunk, b.changed, begins || chunk.Text != "" || chunk.Last != nil
 }
 
 // Beyond tells whether a position lies behind the end of a final answer.
--- a/test/process/memory_test.go
+++ b/test/process/memory_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/client"
 	"carobshunt/internal/core/order"
 	"carobshunt/internal/document"
 
@@ -107,6 +109,53 @@
 	})
 }
 
+// A stream whose home is killed in the middle of the answer, and started again at once, goes on at another host. It
+// takes longer than the sweep's grace, and is not swept, since it is read.
+func TestAnotherHostGoesOnWithTheStreamOfADeadHome(t *testing.T) {
+	t.Parallel()
+	c := newLargeCluster(t, 3, 2)
+	req := request("digest-0001", modelName, true)
+	req.Via = c.hosts[0].callers
+	req.PromptTokens, req.AnswerTokens, req.Budget = 100_000, 8_000, 60*time.Second
+	type ending struct {
+		result client.Result
+		err    error
+	}
+	ended := make(chan ending, 1)
+	go func() {
+		result, err := c.client().Do(context.Background(), req)
+		ended <- ending{result, err}
+	}()
+	c.waitStarted(1)
+	time.Sleep(time.Second) // let some of the answer pass
+	c.hosts[0].kill()
+	c.hosts[0].start()
+	got := <-ended
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.result.Outcome, api.OutcomeDone, "%+v", got.result)
+	assert.Equal(t, strings.Count(got.result.Text, "token"), 8_000)
+	assert.Assert(t, strings.HasSuffix(got.result.Text, "token7999 "))
+	c.waitStarted(1)
+	c.waitEngines(readyWithin, func(i int) (bool, string) {
+		return c.engines[i].UsedTokens() == 0, fmt.Sprintf("%+v", c.engines[i].Holdings())
+	})
+}
+
+// waitStarted waits until the engines together have started so many streams.
+func (c *cluster) waitStarted(want int) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		started := 0
+		for _, e := range c.engines {
+			started += e.Started()
+		}
+		if started != want {
+			return poll.Continue("%d streams started", started)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(readyWithin), poll.WithDelay(10*time.Millisecond))
+}
+
 // place publishes a revision that wants these versions of the model on every engine.
 func (c *cluster) place(versions ...string) {
 	c.doc.Revision++
