--- a/internal/core/node/directory_test.go
+++ b/internal/core/node/directory_test.go
@@ -78,6 +78,12 @@
 	})
 }
 
+// The engines of these tests.
+const (
+	draftModel   = "draft"
+	engineMemory = 450_000
+)
+
 // submitOne submits a request of the team and returns 1 if the host takes it.
 func submitOne(t *testing.T, h *virtual.Host) int {
 	t.Helper()
--- a/internal/core/node/engine_test.go
+++ b/test/memory/engine_test.go
@@ -1,4 +1,4 @@
-package node_test
+package memory
 
 import (
 	"cmp"
--- a/internal/core/node/groups_test.go
+++ b/test/memory/groups_test.go
@@ -1,4 +1,4 @@
-package node_test
+package memory
 
 import (
 	"fmt"
@@ -101,7 +101,7 @@
 	w.run(time.Second)
 	var got []node.Decision
 	req := core.Request{
-		Key: core.Key{Team: limitedTeam, ID: "too-large"}, Attempt: 1, Model: draftModel,
+		Key: core.Key{Team: teamName, ID: "too-large"}, Attempt: 1, Model: draftModel,
 		PromptTokens: longPrompt, AnswerTokens: 50, Idempotent: true, Budget: time.Minute, BodyBytes: 100,
 	}
 	w.hosts[0].Submit(req, func(d node.Decision) { got = append(got, d) })
--- a/internal/core/node/memory_test.go
+++ b/test/memory/memory_test.go
@@ -1,4 +1,4 @@
-package node_test
+package memory
 
 import (
 	"encoding/json"
@@ -66,6 +66,7 @@
 const (
 	engineMemory = 450_000
 	draftModel   = "draft"
+	teamName     = "desk"
 )
 
 func newMemoryWorld(t *testing.T, seed uint64, hosts, engines int) *memoryWorld {
@@ -79,8 +80,7 @@
 		impaired: make(map[string]time.Duration),
 		expire:   true, cancels: true, ages: true,
 	}
-	w.doc = limitedDocument()
-	w.doc.Teams = []document.Team{{Name: limitedTeam, Weight: 1, TokensPerSecond: 1 << 40}}
+	w.doc = unlimitedDocument()
 	w.world = virtual.New(w.network)
 	for i := range hosts {
 		w.list.Hosts = append(w.list.Hosts, hostlist.Host{
@@ -113,6 +113,20 @@
 	return w
 }
 
+func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:2", i+1) }
+
+// unlimitedDocument has one team whose limit is never met.
+func unlimitedDocument() document.Document {
+	preset := document.Preset{
+		Budgets:            document.Budgets{ShortMs: 10_000, MiddleMs: 120_000, LongMs: 900_000},
+		FirstTokenTargetMs: 750, ShortPromptTokens: 4_000, MiddlePromptTokens: 100_000, RetryPercent: 10,
+	}
+	return document.Document{
+		Revision: 1, Active: "ordinary", Presets: map[string]document.Preset{"ordinary": preset},
+		Teams: []document.Team{{Name: teamName, Weight: 1, TokensPerSecond: 1 << 40}},
+	}
+}
+
 // inform tells a host what is published.
 func (w *memoryWorld) inform(h *virtual.Host) {
 	raw, err := json.Marshal(w.doc)
@@ -130,7 +144,7 @@
 func (w *memoryWorld) submit(h *virtual.Host, prompt int64, budget time.Duration) core.Key {
 	w.serial++
 	req := core.Request{
-		Key: core.Key{Team: limitedTeam, ID: fmt.Sprintf("request-%d", w.serial)}, Attempt: 1, Model: draftModel,
+		Key: core.Key{Team: teamName, ID: fmt.Sprintf("request-%d", w.serial)}, Attempt: 1, Model: draftModel,
 		PromptTokens: prompt, AnswerTokens: 50, Idempotent: true, Budget: budget, BodyBytes: 100,
 	}
 	post := h.Poster()
