--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -54,7 +54,7 @@
 // Timings of the peer protocol.
 const (
 	// Interval is the time between heartbeats to one peer, at up to fewPeers peers.
-	Interval = 250 * time.Millisecond
+	Interval = 450 * time.Millisecond
 	// Silence is the least time without a heartbeat after which a peer counts as gone.
 	Silence = 1500 * time.Millisecond
 	// fewPeers is the number of peers that are sent a heartbeat each Interval. With more, the interval grows in
@@ -71,7 +71,7 @@
 
 // IntervalFor is the time between heartbeats to one of that many peers.
 func IntervalFor(peers int) time.Duration {
-	return Interval * time.Duration(max(peers, fewPeers)) / fewPeers
+	return Interval * time.Duration(min(max(peers, fewPeers), Degree)) / fewPeers
 }
 
 // Peer is another entry host.
--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -70,21 +70,22 @@
 		at[string(piece)] = i
 	}
 	d := Delta{Old: from.Digest, New: to.Digest}
-	next := 0
+	next, end, inserted := 0, 0, 0
 	for _, piece := range split(to.Raw) {
-		if next < len(old) && string(old[next]) == string(piece) {
-			d.copy(next)
-			next++
-			continue
+		start := end
+		end += len(piece)
+		same := next < len(old) && string(old[next]) == string(piece)
+		if i, ok := at[string(piece)]; ok && !same {
+			next, same = i, true
 		}
-		if i, ok := at[string(piece)]; ok {
-			d.copy(i)
-			next = i + 1
-			continue
+		if same {
+			d.insert(to.Raw[inserted:start])
+			inserted = end
+			d.copy(next)
 		}
-		d.insert(piece)
 		next++
 	}
+	d.insert(to.Raw[inserted:])
 	return d
 }
 
@@ -98,12 +99,10 @@
 	d.Edits = append(d.Edits, Edit{From: piece, Count: 1})
 }
 
-func (d *Delta) insert(piece []byte) {
-	if n := len(d.Edits); n > 0 && d.Edits[n-1].Count == 0 {
-		d.Edits[n-1].Insert += string(piece)
-		return
+func (d *Delta) insert(text []byte) {
+	if len(text) > 0 {
+		d.Edits = append(d.Edits, Edit{Insert: string(text)})
 	}
-	d.Edits = append(d.Edits, Edit{Insert: string(piece)})
 }
 
 // Apply returns the new text, or an error when the old one is not the delta's base or the result is not its end.
