--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -53,11 +53,11 @@
 
 // fleet is a number of nodes in virtual time. A message takes messageDelay; what a node computes takes none.
 type fleet struct {
-	hosts   []*peerHost
-	byPeer  map[string]*peerHost
-	now     core.Time
-	mail    []message
-	reads   int
+	hosts  []*peerHost
+	byPeer map[string]*peerHost
+	now    core.Time
+	mail   []message
+	reads  int
 }
 
 type message struct {
