Reservations and groups in the model engine and the replay

Cause: prompts over one engine's memory run on groups whose memory the core reserves; the model could not hold reservations. Change: reservations stand in the engine's line of streams, expire, and are not preempted; parts of a group run on them.

--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -52,10 +52,12 @@
 	rng     *rand.Rand
 	cache   *cache
 	streams []*stream
-	held    int64
-	serial  uint64
-	busy    bool
-	dead    bool
+	// reserved are the reservations by name; each stands in the line of streams too.
+	reserved map[string]*reservation
+	held     int64
+	serial   uint64
+	busy     bool
+	dead     bool
 	// OnEvent is called with each cache event that is not lost, late.
 	OnEvent func(CacheEvent)
 	// Preemptions counts streams that lost their memory.
@@ -81,11 +83,15 @@
 	// group is set on a part of a stream that runs on several engines.
 	group *group
 	gone  bool
+	// reserves is set on a reservation's place in the line; it never runs.
+	reserves bool
+	// spare is reserved memory that the stream has not used yet.
+	spare int64
 }
 
 // New returns an idle engine; the seed decides which cache events are late and lost.
 func New(clock Clock, params Params, seed uint64) *Engine {
-	e := &Engine{params: params, clock: clock, rng: rand.New(rand.NewPCG(seed, 0x656e67))}
+	e := &Engine{params: params, clock: clock, reserved: make(map[string]*reservation), rng: rand.New(rand.NewPCG(seed, 0x656e67))}
 	e.cache = newCache(e.publish)
 	return e
 }
@@ -99,6 +105,11 @@
 	if e.dead || s.spec.PromptTokens+s.spec.AnswerTokens > e.params.MemoryTokens {
 		return false
 	}
+	e.insert(s)
+	return true
+}
+
+func (e *Engine) insert(s *stream) {
 	if s.spec.Scale == 0 {
 		s.spec.Scale = 1
 	}
@@ -107,9 +118,11 @@
 	at, _ := slices.BinarySearchFunc(e.streams, s, byRank)
 	e.streams = slices.Insert(e.streams, at, s)
 	e.wake()
-	return true
 }
 
+// protected tells whether a stream's memory was promised by a reservation.
+func (s *stream) protected() bool { return s.reserves || s.group != nil }
+
 // byRank orders streams by priority, then by arrival.
 func byRank(a, b *stream) int {
 	if a.spec.Priority != b.spec.Priority {
@@ -143,8 +156,10 @@
 	e.dead = true
 	for _, s := range e.streams {
 		s.gone = true
+		s.resident = false
 	}
 	e.streams = nil
+	clear(e.reserved)
 }
 
 // Dead tells whether the engine was killed.
@@ -152,8 +167,12 @@
 
 // Load returns the engine's load at this instant.
 func (e *Engine) Load() Load {
-	load := Load{Streams: len(e.streams), UsedTokens: e.held + e.cache.pinned}
+	load := Load{UsedTokens: e.held + e.cache.pinned}
 	for _, s := range e.streams {
+		if s.reserves {
+			continue
+		}
+		load.Streams++
 		if s.answered == 0 {
 			load.QueuedTokens += s.spec.PromptTokens - s.position
 		}
@@ -165,13 +184,15 @@
 func (e *Engine) Names() []string {
 	var out []string
 	for _, s := range e.streams {
-		out = append(out, s.spec.Name)
+		if !s.reserves {
+			out = append(out, s.spec.Name)
+		}
 	}
 	return out
 }
 
 func (e *Engine) find(name string) *stream {
-	at := slices.IndexFunc(e.streams, func(s *stream) bool { return s.spec.Name == name })
+	at := slices.IndexFunc(e.streams, func(s *stream) bool { return s.spec.Name == name && !s.reserves })
 	if at < 0 {
 		return nil
 	}
--- a/internal/model/group.go
+++ b/internal/model/group.go
@@ -1,15 +1,20 @@
 package model
 
+import "fmt"
+
 // StartGroup runs one stream on several engines together: each member prefills and holds its share, enlarged by what
 // a group loses, and the first member writes the answer while all shares are prefilled. Every part carries the
-// stream's name; cancelling it on all members ends the group. It reports false, with nothing started, when a share
-// can never fit.
-func StartGroup(members []*Engine, spec Spec, listener Listener) bool {
+// stream's name; cancelling it on all members ends the group. With a reservation's name, every part runs on the memory
+// that its engine holds under it. It reports false, with nothing started, when a share can never fit or is not held.
+func StartGroup(members []*Engine, spec Spec, reservation string, listener Listener) bool {
 	share := groupShare(members[0].params, spec, len(members))
 	for _, e := range members {
 		if e.dead || share.PromptTokens+share.AnswerTokens > e.params.MemoryTokens {
 			return false
 		}
+		if reservation != "" && !e.holds(reservation) {
+			return false
+		}
 	}
 	g := &group{members: members}
 	ended := listener.Ended
@@ -19,13 +24,20 @@
 			ended()
 		}
 	}
-	for i, e := range members {
+	for i := range members {
 		part := &stream{spec: share, group: g}
 		if i == 0 {
 			part.listener = listener
 		}
+		if part.spec.Prefix != "" {
+			part.spec.Prefix = fmt.Sprintf("%s/%d-of-%d", spec.Prefix, i+1, len(members))
+		}
 		g.parts = append(g.parts, part)
-		e.add(part)
+	}
+	for i, e := range members {
+		if reservation == "" || !e.adopt(g.parts[i], reservation) {
+			e.add(g.parts[i])
+		}
 	}
 	return true
 }
--- a/internal/model/iteration.go
+++ b/internal/model/iteration.go
@@ -40,10 +40,10 @@
 		if len(steps) == e.params.IterationStreams {
 			break
 		}
-		if !s.resident && budget > 0 && !blocked {
+		if !s.resident && (budget > 0 || s.reserves) && !blocked {
 			blocked = !e.admit(s)
 		}
-		if !s.resident || s.waitsForGroup() {
+		if !s.resident || s.reserves || s.waitsForGroup() {
 			continue
 		}
 		chunk := min(budget, s.spec.PromptTokens-s.position)
--- a/internal/model/memory.go
+++ b/internal/model/memory.go
@@ -39,7 +39,7 @@
 		if v.spec.Priority >= s.spec.Priority {
 			break
 		}
-		if v.resident {
+		if v.resident && !v.protected() {
 			free += v.hold
 		}
 		victims++
@@ -48,8 +48,8 @@
 		return false
 	}
 	for i := len(e.streams) - victims; i < len(e.streams); i++ {
-		if e.streams[i].resident {
-			e.preempt(e.streams[i])
+		if v := e.streams[i]; v.resident && !v.protected() {
+			e.preempt(v)
 		}
 	}
 	e.cache.shrink(e.params.MemoryTokens - e.held - need)
@@ -70,6 +70,7 @@
 func (e *Engine) release(s *stream) {
 	e.held -= s.hold
 	s.hold = 0
+	s.spare = 0
 	s.resident = false
 	if s.entry != nil {
 		e.cache.unpin(s.entry)
@@ -79,8 +80,12 @@
 
 // grow gives a stream memory for one more token, preempting the lowest in rank when there is none.
 func (e *Engine) grow(s *stream) {
+	if s.spare > 0 {
+		s.spare--
+		return
+	}
 	for e.held+e.cache.pinned >= e.params.MemoryTokens {
-		victim := e.lowestResident()
+		victim := e.victim(s)
 		e.preempt(victim)
 		if victim == s {
 			return
@@ -91,12 +96,14 @@
 	s.hold++
 }
 
-func (e *Engine) lowestResident() *stream {
-	for i := len(e.streams) - 1; ; i-- {
-		if e.streams[i].resident {
-			return e.streams[i]
+// victim is the lowest stream in rank whose memory was not promised, or the one that grows itself.
+func (e *Engine) victim(growing *stream) *stream {
+	for i := len(e.streams) - 1; i >= 0; i-- {
+		if v := e.streams[i]; v.resident && !v.protected() {
+			return v
 		}
 	}
+	return growing
 }
 
 // cachePrefix hands the prefix part of a stream's memory to the cache.
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -166,7 +166,7 @@
 		members = append(members, model.New(w, p, uint64(i)))
 	}
 	var s seen
-	assert.Assert(t, model.StartGroup(members, model.Spec{Name: "g", PromptTokens: 1_000_000, AnswerTokens: 100}, watch(w, &s)))
+	assert.Assert(t, model.StartGroup(members, model.Spec{Name: "g", PromptTokens: 1_000_000, AnswerTokens: 100}, "", watch(w, &s)))
 	// The work is 1,000,000 + 1,000,000^2/400,000 = 3,500,000 at 3*0.8*20,000 a second, and 814 iterations of 15.2 ms.
 	want := (72_917 * time.Millisecond) + 814*15_200*time.Microsecond
 	w.Run(10 * time.Minute)
@@ -177,6 +177,50 @@
 	}
 }
 
+// Two reservations of 300,000 tokens don't fit together: the second waits until the first is released or expires.
+func TestReservationsWaitInLineAndExpire(t *testing.T) {
+	w := virtual.New(nil)
+	e := model.New(w, model.Reference(), 1)
+	reserve := func(name string, renewal bool) (bool, bool) { return e.Reserve(name, 300_000, 15*time.Second, renewal) }
+	known, held := reserve("a", false)
+	assert.Assert(t, known && held)
+	known, held = reserve("b", false)
+	assert.Assert(t, known && !held)
+	known, _ = reserve("c", true)
+	assert.Assert(t, !known, "a renewal makes nothing")
+	w.Run(10 * time.Second)
+	_, held = reserve("b", true)
+	assert.Assert(t, !held)
+	w.Run(16 * time.Second)
+	known, held = reserve("b", true)
+	assert.Assert(t, known && held, "the first one has expired")
+	assert.DeepEqual(t, e.Reservations(), []string{"b"})
+	assert.Assert(t, e.Release("b") && !e.Release("b"))
+	assert.Equal(t, e.Load(), model.Load{})
+}
+
+func TestGroupRunsOnReservedMemoryThatNobodyPreempts(t *testing.T) {
+	w := virtual.New(nil)
+	members := []*model.Engine{model.New(w, model.Reference(), 1), model.New(w, model.Reference(), 2)}
+	spec := model.Spec{Name: "g", PromptTokens: 600_000, AnswerTokens: 100}
+	assert.Assert(t, !model.StartGroup(members, spec, "r", model.Listener{}), "nothing is reserved")
+	for _, e := range members {
+		_, held := e.Reserve("r", 380_000, time.Hour, false)
+		assert.Assert(t, held)
+	}
+	var s, high seen
+	assert.Assert(t, model.StartGroup(members, spec, "r", watch(w, &s)))
+	for _, e := range members {
+		e.Start(model.Spec{Name: "high", Priority: 2, PromptTokens: 200_000, AnswerTokens: 2}, watch(w, &high))
+	}
+	w.Run(20 * time.Minute)
+	assert.Assert(t, s.ended > 0 && high.first > s.ended && members[0].Preemptions == 0)
+	for _, e := range members {
+		e.Release("r")
+		assert.Equal(t, e.Load(), model.Load{})
+	}
+}
+
 func TestCancelFreesMemoryAndResumeKeepsTheStream(t *testing.T) {
 	w := virtual.New(nil)
 	e := model.New(w, model.Reference(), 1)
--- /dev/null
+++ b/internal/replay/memory.go
@@ -0,0 +1,49 @@
+package replay
+
+import (
+	"carobshunt/internal/core/group"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/sweep"
+	"carobshunt/internal/virtual"
+)
+
+// Reserve implements virtual.MemoryTarget.
+func (t *engineTarget) Reserve(_ *virtual.World, order node.Reserve) group.Answer {
+	if t.engine.Dead() {
+		return group.Unreachable
+	}
+	known, held := t.engine.Reserve(order.Reservation.Name(), order.Tokens, order.Expiry, order.Renewal)
+	switch {
+	case held:
+		return group.Held
+	case known:
+		return group.Waiting
+	}
+	return group.Refused
+}
+
+// Release implements virtual.MemoryTarget.
+func (t *engineTarget) Release(_ *virtual.World, order node.Release) {
+	t.engine.Release(order.Reservation.Name())
+}
+
+// Holdings implements virtual.MemoryTarget.
+func (t *engineTarget) Holdings(*virtual.World) []sweep.Holding {
+	var out []sweep.Holding
+	for _, name := range t.engine.Names() {
+		out = append(out, sweep.Holding{Kind: sweep.KindStream, Name: name, Attached: true})
+	}
+	for _, name := range t.engine.Reservations() {
+		out = append(out, sweep.Holding{Kind: sweep.KindReservation, Name: name, Attached: true})
+	}
+	return out
+}
+
+// CancelHolding implements virtual.MemoryTarget.
+func (t *engineTarget) CancelHolding(_ *virtual.World, order node.CancelHolding) {
+	if order.Kind == sweep.KindReservation {
+		t.engine.Release(order.Name)
+		return
+	}
+	t.engine.Cancel(order.Name)
+}
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -71,8 +71,8 @@
 	Within float64 `json:"within_percent"`
 }
 
-// group collects one group's figures.
-type group struct {
+// collector collects one group's figures.
+type collector struct {
 	figures   Figures
 	first     *tally
 	slowdown  *tally
@@ -80,8 +80,8 @@
 	attempted int
 }
 
-func newGroup(kind Kind, name string) *group {
-	return &group{figures: Figures{Kind: kind, Name: name}, first: newTally(), slowdown: newTally()}
+func newGroup(kind Kind, name string) *collector {
+	return &collector{figures: Figures{Kind: kind, Name: name}, first: newTally(), slowdown: newTally()}
 }
 
 func (r *run) report() *Report {
@@ -99,10 +99,10 @@
 	return out
 }
 
-func (r *run) groups() []*group {
-	byName := make(map[Kind]map[string]*group)
+func (r *run) groups() []*collector {
+	byName := make(map[Kind]map[string]*collector)
 	for _, kind := range []Kind{KindAll, KindBand, KindClass, KindTeam} {
-		byName[kind] = make(map[string]*group)
+		byName[kind] = make(map[string]*collector)
 	}
 	from := warmup + time.Duration(r.opts.Trace.Header.MeasureFromMs)*time.Millisecond
 	for _, c := range r.calls {
@@ -120,9 +120,9 @@
 			r.add(g, c)
 		}
 	}
-	var out []*group
+	var out []*collector
 	for _, kind := range []Kind{KindAll, KindBand, KindClass, KindTeam} {
-		var some []*group
+		var some []*collector
 		for _, g := range byName[kind] {
 			some = append(some, g)
 		}
@@ -139,7 +139,7 @@
 	return r.doc.Preset().Classify(c.req.PromptTokens)
 }
 
-func (r *run) add(g *group, c *call) {
+func (r *run) add(g *collector, c *call) {
 	f := &g.figures
 	f.Requests++
 	g.countOutcome(c)
@@ -162,7 +162,7 @@
 	}
 }
 
-func (g *group) countOutcome(c *call) {
+func (g *collector) countOutcome(c *call) {
 	f := &g.figures
 	refused := c.outcome == api.OutcomeNotRun && c.ended == c.decided
 	switch c.outcome {
@@ -200,7 +200,7 @@
 	return total
 }
 
-func (r *run) close(g *group) Figures {
+func (r *run) close(g *collector) Figures {
 	f := g.figures
 	f.FirstMs = g.first.quantiles()
 	f.Slowdown = g.slowdown.quantiles()
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -29,10 +29,12 @@
 	hosts   []*virtual.Host
 	zones   map[*virtual.Host]string
 	cutZone string
-	calls   []*call
-	byKey   map[core.Key]*call
-	open    int
-	gaps    *gapTally
+	// zoneAt holds the zones by peer address and by target address.
+	zoneAt map[string]string
+	calls  []*call
+	byKey  map[core.Key]*call
+	open   int
+	gaps   *gapTally
 }
 
 // Run replays a trace and returns the report.
@@ -43,6 +45,7 @@
 		rng:     rand.New(rand.NewPCG(opts.Seed, 0x72756e)),
 		engines: make(map[string]*engineTarget),
 		zones:   make(map[*virtual.Host]string),
+		zoneAt:  make(map[string]string),
 		byKey:   make(map[core.Key]*call),
 		gaps:    newGapTally(),
 	}
@@ -77,8 +80,7 @@
 
 // Delay implements virtual.Network.
 func (r *run) Delay(_ virtual.Time, from, to string) (time.Duration, bool) {
-	a, b := r.world.HostAt(from), r.world.HostAt(to)
-	if a == nil || b == nil || r.cut(r.zones[a], r.zones[b]) {
+	if r.cut(r.zoneAt[from], r.zoneAt[to]) {
 		return 0, false
 	}
 	return hopTime, true
@@ -93,6 +95,8 @@
 
 func (r *run) addTargets() {
 	for i, host := range r.opts.Hosts.Hosts {
+		r.zoneAt[host.Address] = host.Zone
+		r.zoneAt[host.Peer] = host.Zone
 		switch host.Role {
 		case hostlist.RoleEngine:
 			r.addEngine(host, uint64(i))
--- a/internal/replay/targets.go
+++ b/internal/replay/targets.go
@@ -25,6 +25,8 @@
 	from *virtual.Host
 	post func(node.Input)
 	end  node.DispatchEnded
+	// members are the engines of a group, this one first.
+	members []*model.Engine
 }
 
 // Start implements virtual.Target.
@@ -68,13 +70,36 @@
 		Prefix:       req.Prefix,
 		PrefixTokens: req.PrefixTokens,
 	}
-	if !t.engine.Start(spec, listener) {
+	if !t.startStream(s, spec, order, listener) {
 		t.forget(s)
 		s.end.Ending = node.EndedFailed
 		t.deliver(w, s, s.end)
 	}
 }
 
+// startStream starts the stream here, or on the order's group with this engine as the one that answers.
+func (t *engineTarget) startStream(s *engineStream, spec model.Spec, order node.StartDispatch, listener model.Listener) bool {
+	if len(order.Group) == 0 {
+		return t.engine.Start(spec, listener)
+	}
+	s.members = append(s.members, t.engine)
+	for _, address := range order.Group {
+		if address != t.address {
+			s.members = append(s.members, t.run.engines[address].engine)
+		}
+	}
+	return model.StartGroup(s.members, spec, order.Reservation.Name(), listener)
+}
+
+// cancel ends a stream on every engine that it runs on.
+func (t *engineTarget) cancel(s *engineStream) {
+	t.forget(s)
+	t.engine.Cancel(s.name)
+	for _, e := range s.members {
+		e.Cancel(s.name)
+	}
+}
+
 // deliver hands an input to the host that dispatched; during a cut it waits, as bytes on a connection do.
 func (t *engineTarget) deliver(w *virtual.World, s *engineStream, in node.Input) {
 	if t.run.cut(t.run.zoneOf(s.from), t.zone) {
@@ -103,8 +128,7 @@
 		w.After(recheck, func() { t.Abort(w, from, abort) })
 		return
 	}
-	t.engine.Cancel(s.name)
-	t.forget(s)
+	t.cancel(s)
 	s.end.Ending = node.EndedLost
 	w.After(hopTime, func() { s.post(s.end) })
 }
@@ -113,8 +137,7 @@
 func (t *engineTarget) hostDied(h *virtual.Host) {
 	for _, s := range slices.Clone(t.streams) {
 		if s.from == h {
-			t.engine.Cancel(s.name)
-			t.forget(s)
+			t.cancel(s)
 		}
 	}
 }
