Route by predicted time in lanes of engines, queue by class and team

Cause: with prompts over one engine's memory served, the pending-tokens router sends short work to engines that are reserved or run long prefills: short first token p95 689 ms and 59 ms between tokens missed at times. Groups claimed engines that were busy, held others idle meanwhile, and gave 12 of 17 claims up. Ruled out: lanes sized by the preset alone (the long lane was too small or middle work spilled into the short lane at once), and choosing a group's engines by free memory (they are busy with prefill, not full). Change: predicted first token from the work of all hosts (a digest in heartbeats), cached prefixes and measured rates; lanes sized from offered work; bounded work on an engine; near-ties drawn; groups take blocks of three engines that single long prompts leave whole while a group waits; queue by class, weighted team and deadline.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -187,5 +187,9 @@
 	Class document.Class
 	// PrefillTokens is the prompt length less what is expected to be cached.
 	PrefillTokens int64
-	AnswerTokens  int64
+	// PrefillWork is the same with each token weighted by its position, in tokens of weight 1.
+	PrefillWork int64
+	// Group is set when no single engine can hold the request.
+	Group        bool
+	AnswerTokens int64
 }
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -52,6 +52,8 @@
 	Aborted bool
 	// Revision is the configuration revision that the request was admitted under.
 	Revision uint64
+	// SlowdownWeight is how much that revision weighs the time of a short answer against its first token, 0 to 1.
+	SlowdownWeight float64
 	// reachedBefore is what Reached was before the last dispatch.
 	reachedBefore bool
 	// attempts is the highest attempt that the record answers for.
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -11,6 +11,7 @@
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/limit"
+	"carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
 )
 
@@ -39,6 +40,9 @@
 	// PlatformAgesMs are the times since the platform answered the first hosts of the sender's availability zone, by
 	// their rank as readers, as far as the sender knows, in milliseconds; -1 for never.
 	PlatformAgesMs []int64 `json:"platform_ages_ms,omitempty"`
+	// Loads is what the sender has placed at the targets of its host list, as target.Table.Digest makes it.
+	Loads []byte `json:"loads,omitempty"`
+	Work  Work   `json:"work"`
 }
 
 // Config is the version of the configuration in force at the sender.
@@ -51,6 +55,16 @@
 	return conf.Version{Revision: h.HostsVersion, Digest: h.HostsDigest}
 }
 
+// Work is what a host knows of the work of its own requests, by lane of engines.
+type Work struct {
+	// Offered is the averaged offered prefill work, in tokens of weight 1 a second.
+	Offered [target.Lanes]int64 `json:"offered"`
+	// Queued is the prefill work that waits for a target, in tokens.
+	Queued [target.Lanes]int64 `json:"queued"`
+	// Groups is the number of requests that wait for several engines.
+	Groups int `json:"groups,omitempty"`
+}
+
 // Timings of the peer protocol.
 const (
 	// Interval is the time between heartbeats to one peer, at up to fewPeers peers.
--- /dev/null
+++ b/internal/core/node/demand.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"math"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/route"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+)
+
+// demandWindow is the time over which offered work is averaged.
+const demandWindow = 90 * time.Second
+
+// demand averages the work that is offered to this host.
+type demand struct {
+	sum     route.Demand
+	updated core.Time
+}
+
+// decay brings the sums to an instant.
+func (d *demand) decay(now core.Time) {
+	keep := math.Exp(-float64(now-d.updated) / float64(demandWindow))
+	for i := range d.sum {
+		d.sum[i] *= keep
+	}
+	d.updated = now
+}
+
+func (d *demand) add(now core.Time, lane target.Lane, work int64) {
+	d.decay(now)
+	d.sum[lane] += float64(work)
+}
+
+// rates returns the averages. A process that is younger than the window has seen less of it.
+func (d *demand) rates(now core.Time) route.Demand {
+	d.decay(now)
+	seen := float64(demandWindow) * (1 - math.Exp(-float64(now)/float64(demandWindow)))
+	var out route.Demand
+	for i := range out {
+		out[i] = d.sum[i] / max(seen/float64(time.Second), 1)
+	}
+	return out
+}
+
+// laneOf is the lane that a class belongs to.
+func laneOf(c document.Class) target.Lane {
+	switch c {
+	case document.ClassShort:
+		return target.LaneShort
+	case document.ClassMiddle:
+		return target.LaneMiddle
+	}
+	return target.LaneLong
+}
+
+// offered counts a request's work, less what of its prompt some engine has cached.
+func (n *Node) offered(rec *ledger.Record) {
+	if rec.Work.Class == document.ClassService {
+		return
+	}
+	if rec.Work.Group {
+		n.demand.add(n.now, target.LaneLong, rec.Work.PrefillWork*percent/groupPercent)
+		return
+	}
+	cached := int64(0)
+	for _, t := range n.targets.All() {
+		cached = max(cached, t.CachedTokens(&rec.Request))
+	}
+	n.demand.add(n.now, laneOf(rec.Work.Class), target.PrefillWork(cached, rec.Request.PromptTokens))
+}
+
+// fleetDemand is the work that is offered to all hosts that are heard.
+func (n *Node) fleetDemand() route.Demand {
+	sum := n.demand.rates(n.now)
+	n.eachPeerWork(func(w member.Work) {
+		for i := range sum {
+			sum[i] += float64(w.Offered[i])
+		}
+	})
+	return sum
+}
+
+// fleetQueued is the prefill work of a class that waits at all hosts that are heard, in tokens.
+func (n *Node) fleetQueued(class document.Class) int64 {
+	sum := n.queue.Tokens(class)
+	n.eachPeerWork(func(w member.Work) { sum += w.Queued[laneOf(class)] })
+	return sum
+}
+
+func (n *Node) eachPeerWork(f func(member.Work)) {
+	for _, address := range n.peers.Addresses() {
+		if p := n.peers.Get(address); p.Alive(n.now) {
+			f(p.Last.Work)
+		}
+	}
+}
+
+// ownWork is what this host tells its peers of its requests.
+func (n *Node) ownWork() member.Work {
+	var w member.Work
+	rates := n.demand.rates(n.now)
+	for i := range rates {
+		w.Offered[i] = int64(rates[i])
+	}
+	for _, class := range []document.Class{document.ClassShort, document.ClassMiddle, document.ClassLong} {
+		w.Queued[laneOf(class)] = n.queue.Tokens(class)
+	}
+	w.Groups = n.queue.Groups()
+	return w
+}
+
+// groupsWait tells whether a request waits for several engines at a host that is heard.
+func (n *Node) groupsWait() bool {
+	waiting := n.queue.Groups()
+	n.eachPeerWork(func(w member.Work) { waiting += w.Groups })
+	return waiting > 0
+}
+
+// laneInterval is the time between two looks at the lanes.
+const laneInterval = time.Second
+
+// sizeLanes fits the lanes of each model's engines to the demand.
+func (n *Node) sizeLanes() {
+	if !n.predicts() || n.config.Document() == nil || n.now-n.lanesSized < laneInterval {
+		return
+	}
+	n.lanesSized = n.now
+	demand := n.fleetDemand()
+	protect := n.config.Document().Preset().ProtectShortPercent
+	block := 1
+	for _, engines := range n.enginesByModel() {
+		route.AssignLanes(engines, route.LaneSizes(len(engines), demand, protect))
+		block = route.AssignBlocks(engines, block)
+	}
+}
+
+// enginesByModel groups the engines by the first model that they serve, in the table's order.
+func (n *Node) enginesByModel() [][]*target.Target {
+	var out [][]*target.Target
+	at := make(map[string]int)
+	for _, t := range n.targets.All() {
+		if t.Role != hostlist.RoleEngine || len(t.Models) == 0 {
+			continue
+		}
+		i, ok := at[t.Models[0]]
+		if !ok {
+			i = len(out)
+			at[t.Models[0]] = i
+			out = append(out, nil)
+		}
+		out[i] = append(out[i], t)
+	}
+	return out
+}
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -8,6 +8,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/route"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
 )
@@ -99,7 +100,7 @@
 		out = append(out, group.Engine{
 			Address:      t.Address,
 			MemoryTokens: t.MemoryTokens,
-			FreeTokens:   t.MemoryTokens - t.Report.UsedTokens,
+			FreeTokens:   min(t.MemoryTokens-t.Report.UsedTokens, t.FreeTokens()),
 		})
 	}
 	return out
@@ -139,14 +140,14 @@
 		return false
 	}
 	number := n.ledger.Dispatch(n.now, rec, lead.Address)
-	lead.Begin(target.Dispatch{Key: key, Number: number}, rec.Work.PrefillTokens)
+	lead.Begin(n.now, target.Dispatch{Key: key, Number: number}, target.Job{})
 	n.do(StartDispatch{
 		Key:         key,
 		Dispatch:    number,
 		Target:      lead.Address,
 		Role:        lead.Role,
 		Stream:      n.streamOf(rec, number),
-		Priority:    priority(rec.Work.Class),
+		Priority:    route.Priority(rec.Work.Class),
 		Deadline:    rec.Request.Deadline,
 		Request:     rec.Request,
 		Work:        rec.Work,
@@ -162,7 +163,7 @@
 	if n.now < n.groups.failed[key].again {
 		return
 	}
-	plan, ok := group.Choose(memoryNeed(&rec.Request), n.groupEngines(rec.Request.Model, true))
+	plan, ok := n.chooseGroup(rec)
 	if !ok {
 		return
 	}
@@ -171,9 +172,82 @@
 	reservation := core.Reservation{Stream: n.streamOf(rec, rec.Dispatches+1), Try: n.groups.tries}
 	claim := group.NewClaim(n.now, plan, reservation)
 	n.groups.claims[key] = claim
+	n.placeGroup(rec, claim)
 	n.ask(key, claim)
 }
 
+// chooseGroup picks the members of a group. In the policy in force they are a block without long prefills; a fleet
+// without blocks, and the baselines, take the engines with the most free memory.
+func (n *Node) chooseGroup(rec *ledger.Record) (group.Plan, bool) {
+	need := memoryNeed(&rec.Request)
+	engines := n.groupEngines(rec.Request.Model, true)
+	plan, ok := group.Choose(need, engines)
+	if !n.predicts() || !ok {
+		return plan, ok
+	}
+	var candidates []*target.Target
+	for _, e := range engines {
+		candidates = append(candidates, n.targets.Get(e.Address))
+	}
+	members, blocks := route.PickMembers(candidates, len(plan.Engines), n.hostTurn())
+	if !blocks {
+		return plan, true
+	}
+	plan.Engines = nil
+	for _, t := range members {
+		plan.Engines = append(plan.Engines, t.Address)
+	}
+	slices.Sort(plan.Engines)
+	return plan, len(members) > 0
+}
+
+// hostTurn is this host's place among the hosts that are heard.
+func (n *Node) hostTurn() int {
+	live := n.liveHosts()
+	slices.Sort(live)
+	return slices.Index(live, n.opts.Peer)
+}
+
+// placeGroup accounts for a group at its members from the claim on, so that no other long work is sent there.
+func (n *Node) placeGroup(rec *ledger.Record, claim *group.Claim) {
+	members := int64(len(claim.Plan.Engines))
+	work := target.PrefillWork(0, rec.Request.PromptTokens) * percent / (members * groupPercent)
+	for _, address := range claim.Plan.Engines {
+		if t := n.targets.Get(address); t != nil {
+			t.Begin(n.now, reservedAt(rec.Request.Key, claim), target.Job{Work: work, Memory: claim.Plan.Tokens, Deep: true})
+		}
+	}
+}
+
+// groupPercent is what a group has of its members' prefill rate.
+const groupPercent = 80
+
+// reservedAt identifies a claim at its members; no dispatch has a number that high.
+func reservedAt(key core.Key, claim *group.Claim) target.Dispatch {
+	return target.Dispatch{Key: key, Number: ^claim.Reservation.Try}
+}
+
+// groupPrefilled accounts for the first token of a group.
+func (n *Node) groupPrefilled(key core.Key) {
+	claim := n.groups.claims[key]
+	if claim == nil {
+		return
+	}
+	for _, address := range claim.Plan.Engines {
+		if t := n.targets.Get(address); t != nil {
+			t.Prefilled(n.now, reservedAt(key, claim))
+		}
+	}
+}
+
+func (n *Node) liftGroup(key core.Key, claim *group.Claim) {
+	for _, address := range claim.Plan.Engines {
+		if t := n.targets.Get(address); t != nil {
+			t.End(reservedAt(key, claim))
+		}
+	}
+}
+
 // ask sends what is due for a claim.
 func (n *Node) ask(key core.Key, claim *group.Claim) {
 	for _, ask := range claim.Due(n.now) {
@@ -258,6 +332,7 @@
 		return
 	}
 	delete(n.groups.claims, key)
+	n.liftGroup(key, claim)
 	for _, engine := range claim.Plan.Engines {
 		n.do(Release{Key: key, Target: engine, Reservation: claim.Reservation})
 	}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -63,7 +63,7 @@
 	peers   *member.Table
 	targets *target.Table
 	ledger  *ledger.Ledger
-	queue   *queue.Queue
+	queue   queue.Queue
 	router  *route.Router
 	limits  *limit.Limiter
 	retries *retry.Budget
@@ -86,19 +86,21 @@
 	knowledge     knowledge
 	wake          wakeState
 	cache         statusCache
+	// demand is the work offered to this host; lanesSized is when the lanes were last fitted to it.
+	demand     demand
+	lanesSized core.Time
 }
 
 // New returns the Node of a process that has just started: its clock stands at zero.
 func New(opts Options) *Node {
 	rng := rand.New(rand.NewPCG(opts.Seed, opts.Seed))
-	return &Node{
+	n := &Node{
 		opts:          opts,
 		config:        conf.New(),
 		hostsHistory:  &delta.History{},
 		peers:         member.NewTable(opts.Peer, opts.Zone, opts.Seeds),
 		targets:       target.NewTable(),
 		ledger:        ledger.NewLedger(opts.Records),
-		queue:         queue.New(),
 		router:        newRouter(opts.Policy, rng),
 		limits:        limit.New(opts.Peer),
 		retries:       retry.New(),
@@ -111,7 +113,10 @@
 		lastHeartbeat: -time.Hour,
 		outcomes:      make(map[api.Outcome]uint64),
 		knowledge:     newKnowledge(),
+		lanesSized:    -laneInterval,
 	}
+	n.queue = newQueue(opts.Policy, n.teamWeight)
+	return n
 }
 
 // never marks an event that has not happened.
@@ -177,6 +182,7 @@
 	n.sweepTick()
 	n.groupsTick()
 	n.ordersTick()
+	n.sizeLanes()
 	n.pump()
 	n.stopWhenDrained()
 }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -36,6 +36,8 @@
 	hb := n.ownHeartbeat()
 	hb.Demands = n.limits.Demands(n.now)
 	hb.Grants = n.limits.Lend(n.now, n.borrowers())
+	hb.Loads = n.targets.Digest()
+	hb.Work = n.ownWork()
 	return hb
 }
 
@@ -68,6 +70,9 @@
 	hb := in.Heartbeat
 	hearing := n.peers.Hear(n.now, hb)
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
+	if hb.HostsVersion == n.targets.Version() {
+		n.targets.HearDigest(hb.Peer, hb.Loads)
+	}
 	n.wake.fresh = n.wake.fresh || hearing.Fresh
 	n.noteZonePlatform(&hb)
 	if hearing.Started && n.peers.Get(hb.Peer) != nil {
@@ -177,6 +182,9 @@
 		}
 		n.alive[address] = alive
 		event := EventPeerGone
+		if !alive {
+			n.targets.ForgetPeer(address)
+		}
 		if alive {
 			event = EventPeerAlive
 		}
--- a/internal/core/node/policy.go
+++ b/internal/core/node/policy.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"carobshunt/internal/core/queue"
 	"carobshunt/internal/core/route"
 )
 
@@ -11,6 +12,8 @@
 
 // The policies.
 const (
+	// PolicyInForce predicts times, keeps lanes of engines and queues by class and team.
+	PolicyInForce Policy = ""
 	// PolicyRoundRobin takes the targets in turn.
 	PolicyRoundRobin Policy = "round-robin"
 	// PolicyFewestInFlight takes the target with the fewest dispatches of this host.
@@ -21,7 +24,7 @@
 
 // Policies lists all names.
 func Policies() []Policy {
-	return []Policy{PolicyPendingTokens, PolicyFewestInFlight, PolicyRoundRobin}
+	return []Policy{PolicyInForce, PolicyPendingTokens, PolicyFewestInFlight, PolicyRoundRobin}
 }
 
 func newRouter(policy Policy, rng *rand.Rand) *route.Router {
@@ -30,6 +33,28 @@
 		return route.NewRoundRobin(rng)
 	case PolicyFewestInFlight:
 		return route.NewFewestInFlight(rng)
+	case PolicyPendingTokens:
+		return route.NewPendingTokens(rng)
 	}
-	return route.New(rng)
+	return route.NewPredicted(rng)
+}
+
+func newQueue(policy Policy, weight func(team string) int64) queue.Queue {
+	if policy == PolicyInForce {
+		return queue.NewFair(weight)
+	}
+	return queue.NewEDF()
+}
+
+// predicts tells whether the policy in force decides, not a baseline.
+func (n *Node) predicts() bool { return n.opts.Policy == PolicyInForce }
+
+// teamWeight is a team's published share among waiting requests.
+func (n *Node) teamWeight(name string) int64 {
+	if doc := n.config.Document(); doc != nil {
+		if t, ok := doc.Team(name); ok {
+			return t.Weight
+		}
+	}
+	return 1
 }
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -7,6 +7,7 @@
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/route"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
@@ -114,6 +115,8 @@
 	}
 	rec := n.ledger.Admit(n.now, req, n.workOf(&req), n.config.Revision())
 	n.active[req.Key] = rec
+	rec.SlowdownWeight = float64(n.config.Document().Preset().ProtectShortPercent) / percent
+	n.offered(rec)
 	n.retries.Earn(n.config.Document().Preset().RetryPercent)
 	n.bodyBytes += req.BodyBytes
 	n.do(Open{Key: req.Key})
@@ -144,8 +147,14 @@
 }
 
 func (n *Node) workOf(req *core.Request) core.Work {
-	work := core.Work{Class: document.ClassService, PrefillTokens: req.PromptTokens, AnswerTokens: req.AnswerTokens}
+	work := core.Work{
+		Class:         document.ClassService,
+		PrefillTokens: req.PromptTokens,
+		PrefillWork:   target.PrefillWork(0, req.PromptTokens),
+		AnswerTokens:  req.AnswerTokens,
+	}
 	if !n.isService(req.Model) {
+		work.Group = n.needsGroup(req)
 		work.Class = n.config.Document().Preset().Classify(req.PromptTokens)
 	}
 	return work
@@ -179,16 +188,15 @@
 	if n.catchingUp() {
 		return
 	}
-	n.queue.Each(func(rec *ledger.Record) (take, more bool) {
-		return n.dispatch(rec), true
-	})
+	n.router.GroupsWait(n.groupsWait())
+	n.queue.Each(n.dispatch)
 }
 
 func (n *Node) dispatch(rec *ledger.Record) bool {
 	if !n.ledger.MayDispatch(n.now, rec) {
 		return false
 	}
-	if n.needsGroup(&rec.Request) {
+	if rec.Work.Group {
 		return n.dispatchGroup(rec)
 	}
 	t := n.router.Pick(n.now, rec, n.targets.All())
@@ -196,14 +204,14 @@
 		return false
 	}
 	number := n.ledger.Dispatch(n.now, rec, t.Address)
-	t.Begin(target.Dispatch{Key: rec.Request.Key, Number: number}, rec.Work.PrefillTokens)
+	t.Begin(n.now, target.Dispatch{Key: rec.Request.Key, Number: number}, jobOf(rec, t))
 	n.do(StartDispatch{
 		Key:      rec.Request.Key,
 		Dispatch: number,
 		Target:   t.Address,
 		Role:     t.Role,
 		Stream:   n.streamOf(rec, number),
-		Priority: priority(rec.Work.Class),
+		Priority: route.Priority(rec.Work.Class),
 		Deadline: rec.Request.Deadline,
 		Request:  rec.Request,
 		Work:     rec.Work,
@@ -220,36 +228,41 @@
 	}
 }
 
-// priority is the engine's priority of a class; higher goes first.
-func priority(c document.Class) int {
-	switch c {
-	case document.ClassShort:
-		return 2
-	case document.ClassMiddle:
-		return 1
+// jobOf is what a dispatch of the record brings to a target.
+func jobOf(rec *ledger.Record, t *target.Target) target.Job {
+	return target.Job{
+		Priority: route.Priority(rec.Work.Class),
+		Work:     route.UncachedWork(rec, t),
+		Memory:   memoryNeed(&rec.Request),
+		Deep:     route.IsDeep(rec),
 	}
-	return 0
 }
 
+// percent is the whole in percentages.
+const percent = 100
+
 func (n *Node) firstToken(in DispatchFirstToken) {
 	rec := n.active[in.Key]
 	if rec == nil || rec.Dispatches != in.Dispatch || rec.Timing.FirstToken != 0 {
 		return
 	}
 	rec.Timing.FirstToken = n.now
+	n.groupPrefilled(in.Key)
 	if t := n.targets.Get(rec.Target); t != nil {
-		t.Prefilled(target.Dispatch{Key: in.Key, Number: in.Dispatch})
+		t.Prefilled(n.now, target.Dispatch{Key: in.Key, Number: in.Dispatch})
+		if rec.Request.Prefix != "" && !rec.Work.Group {
+			t.HearCache(target.CacheEvent{Prefix: rec.Request.Prefix, Tokens: rec.Request.PrefixTokens})
+		}
 	}
 }
 
 func (n *Node) dispatchEnded(in DispatchEnded) {
 	n.releaseTarget(in)
 	n.endDispatchGroup(in.Key, in.Dispatch)
-	rec := n.active[in.Key]
-	if rec == nil || rec.State != ledger.Dispatched || rec.Dispatches != in.Dispatch {
+	if !n.awaits(in) {
 		return
 	}
-	n.judgeEnding(rec, in)
+	n.judgeEnding(n.active[in.Key], in)
 	n.pump()
 }
 
@@ -263,8 +276,24 @@
 	switch in.Ending {
 	case EndedDone:
 		t.Answered()
+		n.sampleGap(t, in)
 	case EndedNotWritten, EndedRefused, EndedLost:
-		t.Failed(n.now)
+		if n.awaits(in) && !n.active[in.Key].Aborted {
+			t.Failed(n.now)
+		}
+	}
+}
+
+// awaits tells whether the request still waits for this dispatch; one that was aborted says nothing of its target.
+func (n *Node) awaits(in DispatchEnded) bool {
+	rec := n.active[in.Key]
+	return rec != nil && rec.State == ledger.Dispatched && rec.Dispatches == in.Dispatch
+}
+
+// sampleGap measures the time between tokens by an answer that is whole.
+func (n *Node) sampleGap(t *target.Target, in DispatchEnded) {
+	if rec := n.active[in.Key]; n.awaits(in) && rec.Timing.FirstToken != 0 {
+		t.SampleGap(rec.Work.AnswerTokens, n.now-rec.Timing.FirstToken)
 	}
 }
 
--- /dev/null
+++ b/internal/core/queue/edf.go
@@ -0,0 +1,64 @@
+package queue
+
+import (
+	"sort"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/document"
+)
+
+// EDF holds waiting records in one line, earliest deadline first. It is not safe for concurrent use.
+type EDF struct {
+	waiting []*ledger.Record
+	tokens  int64
+}
+
+// NewEDF returns an empty queue.
+func NewEDF() *EDF { return &EDF{} }
+
+// Len implements Queue.
+func (q *EDF) Len() int { return len(q.waiting) }
+
+// Tokens implements Queue; the line knows no classes.
+func (q *EDF) Tokens(document.Class) int64 { return q.tokens }
+
+// Groups implements Queue; the line doesn't tell them apart.
+func (q *EDF) Groups() int { return 0 }
+
+// Push implements Queue.
+func (q *EDF) Push(rec *ledger.Record) {
+	at := sort.Search(len(q.waiting), func(i int) bool {
+		return q.waiting[i].Request.Deadline > rec.Request.Deadline
+	})
+	q.waiting = append(q.waiting, nil)
+	copy(q.waiting[at+1:], q.waiting[at:])
+	q.waiting[at] = rec
+	q.tokens += rec.Work.PrefillWork
+}
+
+// Remove implements Queue.
+func (q *EDF) Remove(key core.Key) bool {
+	for i, rec := range q.waiting {
+		if rec.Request.Key == key {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			q.tokens -= rec.Work.PrefillWork
+			return true
+		}
+	}
+	return false
+}
+
+// Each implements Queue: it offers every record.
+func (q *EDF) Each(f func(*ledger.Record) (take bool)) {
+	kept := q.waiting[:0]
+	for _, rec := range q.waiting {
+		if f(rec) {
+			q.tokens -= rec.Work.PrefillWork
+			continue
+		}
+		kept = append(kept, rec)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
--- /dev/null
+++ b/internal/core/route/blocks.go
@@ -0,0 +1,100 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/document"
+)
+
+// blockSize is the number of engines that the largest prompts need together.
+const blockSize = 3
+
+// AssignBlocks numbers the engines of one model's long lane by threes, from the last one on, and returns the next
+// number. What is left over is no block.
+func AssignBlocks(engines []*target.Target, next int) int {
+	var long []*target.Target
+	for _, t := range engines {
+		t.Block = 0
+		if t.Lane == target.LaneLong {
+			long = append(long, t)
+		}
+	}
+	slices.Reverse(long)
+	whole := len(long) / blockSize
+	for i, t := range long[:whole*blockSize] {
+		t.Block = next + i/blockSize
+	}
+	return next + whole
+}
+
+// PickMembers picks engines for a request that needs so many of them together: all from one block, none with a long
+// prefill, from a block that is broken already if one will do. Hosts with the same view begin at different blocks,
+// by their turn. It reports false when no block has so many, and whether there are blocks at all.
+func PickMembers(engines []*target.Target, members, turn int) (picked []*target.Target, blocks bool) {
+	free := make(map[int][]*target.Target)
+	var order []int
+	for _, t := range engines {
+		if t.Block == 0 {
+			continue
+		}
+		if _, seen := free[t.Block]; !seen {
+			order = append(order, t.Block)
+			free[t.Block] = nil
+		}
+		if !isDeep(t) {
+			free[t.Block] = append(free[t.Block], t)
+		}
+	}
+	if len(order) == 0 {
+		return nil, false
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(len(free[a]), len(free[b])), cmp.Compare((a+turn)%len(order), (b+turn)%len(order)))
+	})
+	for _, block := range order {
+		if len(free[block]) >= members {
+			return mostFree(free[block], members), true
+		}
+	}
+	return nil, true
+}
+
+// mostFree returns the engines with the most free memory.
+func mostFree(engines []*target.Target, n int) []*target.Target {
+	slices.SortStableFunc(engines, func(a, b *target.Target) int { return cmp.Compare(b.FreeTokens(), a.FreeTokens()) })
+	return engines[:n]
+}
+
+func isDeep(t *target.Target) bool {
+	load := t.Total()
+	return load.Deep > 0
+}
+
+// wholeBlockFilter keeps long prefills of single engines out of blocks in which no long prefill runs, while requests
+// wait that need a block.
+type wholeBlockFilter struct {
+	groupsWait bool
+	broken     map[int]bool
+}
+
+// Prepare implements preparer.
+func (f *wholeBlockFilter) Prepare(rec *ledger.Record, targets []*target.Target) {
+	if !f.groupsWait || rec.Work.Class != document.ClassLong {
+		return
+	}
+	f.broken = make(map[int]bool)
+	for _, t := range targets {
+		if t.Block > 0 && isDeep(t) {
+			f.broken[t.Block] = true
+		}
+	}
+}
+
+// Keep implements Filter.
+func (f *wholeBlockFilter) Keep(_ core.Time, rec *ledger.Record, t *target.Target) bool {
+	return !f.groupsWait || rec.Work.Class != document.ClassLong || t.Block == 0 || f.broken[t.Block]
+}
--- /dev/null
+++ b/internal/core/route/lanes.go
@@ -0,0 +1,52 @@
+package route
+
+import (
+	"math"
+
+	"carobshunt/internal/core/target"
+)
+
+// Demand is offered prefill work by lane, in tokens of weight 1 a second.
+type Demand [target.Lanes]float64
+
+// Spare room that a lane is given over its demand, as a factor. Short work is given most: its time between tokens is
+// what its engines' prefill leaves.
+var laneRoom = Demand{4.0, 1.9, 1.0}
+
+// LaneSizes splits so many engines into lanes in proportion to the demand. At least protectPercent of the engines
+// take no long prefill, and each lane has an engine while there are enough.
+func LaneSizes(engines int, demand Demand, protectPercent int64) [target.Lanes]int {
+	if engines < target.Lanes {
+		return [target.Lanes]int{target.LaneLong: engines}
+	}
+	sum := 0.0
+	for i := range demand {
+		sum += demand[i] * laneRoom[i]
+	}
+	share := func(lane target.Lane) int {
+		if sum == 0 {
+			return engines / target.Lanes
+		}
+		return int(math.Round(float64(engines) * demand[lane] * laneRoom[lane] / sum))
+	}
+	protected := int(math.Ceil(float64(engines) * float64(protectPercent) / 100))
+	maxLong := max(min(engines-protected, engines-2), 1)
+	long := min(max(share(target.LaneLong), 1), maxLong)
+	short := min(max(share(target.LaneShort), 1), engines-long-1)
+	return [target.Lanes]int{short, engines - long - short, long}
+}
+
+// AssignLanes gives each engine of one model its lane: the first ones in order are for short work, the last for long.
+// All hosts know the same order, so they differ by as little as their views of the demand do.
+func AssignLanes(engines []*target.Target, sizes [target.Lanes]int) {
+	for i, t := range engines {
+		switch {
+		case i < sizes[target.LaneShort]:
+			t.Lane = target.LaneShort
+		case i < sizes[target.LaneShort]+sizes[target.LaneMiddle]:
+			t.Lane = target.LaneMiddle
+		default:
+			t.Lane = target.LaneLong
+		}
+	}
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -16,6 +16,11 @@
 	Keep(now core.Time, rec *ledger.Record, t *target.Target) bool
 }
 
+// preparer is a filter that looks at all targets before it judges single ones.
+type preparer interface {
+	Prepare(rec *ledger.Record, targets []*target.Target)
+}
+
 // Scorer rates targets.
 type Scorer interface {
 	// Score returns the cost of placing the request there; lower is better.
@@ -29,10 +34,13 @@
 	rng     *rand.Rand
 	// tie is the cost difference below which two targets count as equal.
 	tie float64
+	// blocks is among the filters of the router in force.
+	blocks *wholeBlockFilter
 }
 
-// New returns the router in force; rng breaks ties and must be seeded by the caller.
-func New(rng *rand.Rand) *Router {
+// NewPendingTokens returns a baseline: the target with the least prefill work that this host or the target knows of.
+// The rng breaks ties and must be seeded by the caller.
+func NewPendingTokens(rng *rand.Rand) *Router {
 	return &Router{
 		filters: []Filter{eligibleFilter{}, modelFilter{}, inFlightFilter{limit: maxInFlight}},
 		scorers: []Scorer{pendingTokensScorer{}},
@@ -43,7 +51,7 @@
 
 // NewFewestInFlight returns a baseline: the target with the fewest dispatches of this host.
 func NewFewestInFlight(rng *rand.Rand) *Router {
-	r := New(rng)
+	r := NewPendingTokens(rng)
 	r.scorers = []Scorer{inFlightScorer{}}
 	r.tie = 0
 	return r
@@ -51,7 +59,7 @@
 
 // NewRoundRobin returns a baseline: the targets in turn.
 func NewRoundRobin(rng *rand.Rand) *Router {
-	r := New(rng)
+	r := NewPendingTokens(rng)
 	r.scorers = []Scorer{&turnScorer{}}
 	r.tie = 0
 	return r
@@ -63,8 +71,20 @@
 // nearTie is the cost difference, in tokens, below which two targets count as equal.
 const nearTie = 256
 
+// GroupsWait tells the router whether some request waits for several engines.
+func (r *Router) GroupsWait(waiting bool) {
+	if r.blocks != nil {
+		r.blocks.groupsWait = waiting
+	}
+}
+
 // Pick returns the target for the request, or nil when none can take it now.
 func (r *Router) Pick(now core.Time, rec *ledger.Record, targets []*target.Target) *target.Target {
+	for _, f := range r.filters {
+		if p, ok := f.(preparer); ok {
+			p.Prepare(rec, targets)
+		}
+	}
 	var best []*target.Target
 	bestCost := 0.0
 	for _, t := range targets {
--- /dev/null
+++ b/internal/core/target/load.go
@@ -0,0 +1,182 @@
+package target
+
+import (
+	"encoding/binary"
+	"time"
+)
+
+// Priorities is the number of engine priorities; higher ones are served first.
+const Priorities = 3
+
+// Load is work that hosts have placed at one target.
+type Load struct {
+	// Pending is the prefill work that has no first token yet, by priority, in tokens of weight 1.
+	Pending [Priorities]int64
+	// Held is the KV memory, reservations among it, in tokens.
+	Held int64
+	// Streams are the dispatches that have not ended.
+	Streams int64
+	// Deep are the prefills that reach positions at which they slow the other streams.
+	Deep int64
+}
+
+func (l *Load) add(o Load) {
+	for i := range l.Pending {
+		l.Pending[i] += o.Pending[i]
+	}
+	l.Held += o.Held
+	l.Streams += o.Streams
+	l.Deep += o.Deep
+}
+
+func (l *Load) subtract(o Load) {
+	for i := range l.Pending {
+		l.Pending[i] -= o.Pending[i]
+	}
+	l.Held -= o.Held
+	l.Streams -= o.Streams
+	l.Deep -= o.Deep
+}
+
+// Ahead is the pending work that goes before new work of a priority.
+func (l *Load) Ahead(priority int) int64 {
+	sum := int64(0)
+	for i := max(priority, 0); i < Priorities; i++ {
+		sum += l.Pending[i]
+	}
+	return sum
+}
+
+// loadFields is the number of integers of a Load on the wire.
+const loadFields = Priorities + 3
+
+func (l *Load) fields() [loadFields]int64 {
+	return [loadFields]int64{l.Pending[0], l.Pending[1], l.Pending[2], l.Held, l.Streams, l.Deep}
+}
+
+// Digest is the load that one host has placed at all targets, as it goes to peers: for each target with any load its
+// place in the table and its fields, as variable-length integers.
+func (tb *Table) Digest() []byte {
+	var out []byte
+	for i, t := range tb.ordered {
+		if t.own == (Load{}) {
+			continue
+		}
+		out = binary.AppendUvarint(out, uint64(i))
+		for _, v := range t.own.fields() {
+			out = binary.AppendUvarint(out, uint64(max(v, 0)))
+		}
+	}
+	return out
+}
+
+// HearDigest takes a peer's digest, which was made from the same version of the host list. One that is cut short
+// is taken as far as it goes.
+func (tb *Table) HearDigest(peer string, digest []byte) {
+	tb.ForgetPeer(peer)
+	for len(digest) > 0 {
+		var v [loadFields + 1]uint64
+		for i := range v {
+			n := 0
+			if v[i], n = binary.Uvarint(digest); n <= 0 {
+				return
+			}
+			digest = digest[n:]
+		}
+		if v[0] < uint64(len(tb.ordered)) {
+			tb.ordered[v[0]].setPeer(peer, loadOf(v))
+		}
+	}
+}
+
+func loadOf(v [loadFields + 1]uint64) Load {
+	return Load{
+		Pending: [Priorities]int64{int64(v[1]), int64(v[2]), int64(v[3])},
+		Held:    int64(v[4]),
+		Streams: int64(v[5]),
+		Deep:    int64(v[6]),
+	}
+}
+
+// ForgetPeer drops what a peer has told; its dispatches end with its connections.
+func (tb *Table) ForgetPeer(peer string) {
+	for _, t := range tb.ordered {
+		if old, ok := t.peers[peer]; ok {
+			t.others.subtract(old)
+			delete(t.peers, peer)
+		}
+	}
+}
+
+func (t *Target) setPeer(peer string, load Load) {
+	if old, ok := t.peers[peer]; ok {
+		t.others.subtract(old)
+	}
+	t.peers[peer] = load
+	t.others.add(load)
+}
+
+// Total is the load of all hosts that is known.
+func (t *Target) Total() Load {
+	sum := t.own
+	sum.add(t.others)
+	return sum
+}
+
+// FreeTokens is the KV memory that no host is known to hold.
+func (t *Target) FreeTokens() int64 { return t.MemoryTokens - t.own.Held - t.others.Held }
+
+// Rates of a target before anything was measured.
+const (
+	firstPrefillRate = 11_000.0
+	firstTokenGap    = 25 * time.Millisecond
+	// smoothing is the part that a new sample has in a measured rate.
+	smoothing = 0.1
+	// minSampleTokens is the least prefill work whose time says something about the rate.
+	minSampleTokens = 1_000
+)
+
+// measured are the rates of a target as this host has seen them.
+type measured struct {
+	rate float64
+	gap  float64
+}
+
+// PrefillRate is the measured prefill rate, in tokens of weight 1 a second.
+func (t *Target) PrefillRate() float64 {
+	if t.measured.rate == 0 {
+		return firstPrefillRate
+	}
+	return t.measured.rate
+}
+
+// TokenGap is the measured time between two tokens of one stream.
+func (t *Target) TokenGap() time.Duration {
+	if t.measured.gap == 0 {
+		return firstTokenGap
+	}
+	return time.Duration(t.measured.gap)
+}
+
+// sampleRate takes the time in which work was prefilled.
+func (t *Target) sampleRate(tokens int64, d time.Duration) {
+	if tokens < minSampleTokens || d <= 0 {
+		return
+	}
+	smooth(&t.measured.rate, float64(tokens)/d.Seconds())
+}
+
+// SampleGap takes the time between the first and the last token of an answer.
+func (t *Target) SampleGap(tokens int64, d time.Duration) {
+	if tokens > 1 && d > 0 {
+		smooth(&t.measured.gap, float64(d)/float64(tokens-1))
+	}
+}
+
+func smooth(value *float64, sample float64) {
+	if *value == 0 {
+		*value = sample
+		return
+	}
+	*value += smoothing * (sample - *value)
+}
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -23,10 +23,19 @@
 // Target is one target.
 type Target struct {
 	hostlist.Host
-	// inFlight are this host's dispatches that have not ended, with the prefill work that has no first token yet,
-	// in tokens.
-	inFlight      map[Dispatch]int64
-	pendingTokens int64
+	// inFlight are this host's dispatches and reservations that have not ended.
+	inFlight map[Dispatch]*placed
+	// own is their sum, others the sum of what peers have told, by peer in peers.
+	own    Load
+	others Load
+	peers  map[string]Load
+	// Lane is the work that the target is kept for.
+	Lane Lane
+	// Block numbers the engines of the long lane by threes, from 1; a request for several engines takes them from one
+	// block. 0 stands for none.
+	Block    int
+	measured measured
+	prefixes prefixes
 	// Report is the last load report, heard at Reported; Reported is 0 before the first.
 	Report   Report
 	Reported core.Time
@@ -44,29 +53,67 @@
 	Number uint32
 }
 
+// Job is what one dispatch brings to a target.
+type Job struct {
+	Priority int
+	// Work is prefill work in tokens of weight 1, Memory the KV memory, in tokens.
+	Work   int64
+	Memory int64
+	// Deep is set when the prefill reaches positions at which it slows the other streams.
+	Deep bool
+}
+
+// placed is a dispatch that has not ended.
+type placed struct {
+	load      Load
+	begun     core.Time
+	ahead     int64
+	prefilled bool
+}
+
 // InFlight counts this host's dispatches that have not ended.
 func (t *Target) InFlight() int { return len(t.inFlight) }
 
-// PendingTokens is this host's prefill work there that has no first token yet, in tokens.
-func (t *Target) PendingTokens() int64 { return t.pendingTokens }
+// PendingTokens is this host's prefill work there that has no first token yet, in tokens of weight 1.
+func (t *Target) PendingTokens() int64 { return t.own.Ahead(0) }
 
 // Begin accounts for a new dispatch.
-func (t *Target) Begin(d Dispatch, prefillTokens int64) {
-	t.inFlight[d] = prefillTokens
-	t.pendingTokens += prefillTokens
+func (t *Target) Begin(now core.Time, d Dispatch, job Job) {
+	p := &placed{load: Load{Held: job.Memory, Streams: 1}, begun: now}
+	p.load.Pending[job.Priority] = job.Work
+	if job.Deep {
+		p.load.Deep = 1
+	}
+	total := t.Total()
+	p.ahead = total.Ahead(job.Priority) + job.Work
+	t.inFlight[d] = p
+	t.own.add(p.load)
 }
 
 // Prefilled accounts for a dispatch's first token.
-func (t *Target) Prefilled(d Dispatch) {
-	if tokens, ok := t.inFlight[d]; ok {
-		t.pendingTokens -= tokens
-		t.inFlight[d] = 0
+func (t *Target) Prefilled(now core.Time, d Dispatch) {
+	p := t.inFlight[d]
+	if p == nil || p.prefilled {
+		return
 	}
+	t.sampleRate(p.ahead, now-p.begun)
+	t.clearPending(p)
+}
+
+func (t *Target) clearPending(p *placed) {
+	p.prefilled = true
+	done := Load{Pending: p.load.Pending, Deep: p.load.Deep}
+	t.own.subtract(done)
+	p.load.subtract(done)
 }
 
 // End accounts for the end of a dispatch.
 func (t *Target) End(d Dispatch) {
-	t.Prefilled(d)
+	p := t.inFlight[d]
+	if p == nil {
+		return
+	}
+	t.own.subtract(p.load)
 	delete(t.inFlight, d)
 }
 
@@ -135,7 +182,12 @@
 		t.Host = host
 		return
 	}
-	tb.byAddress[host.Address] = &Target{Host: host, inFlight: make(map[Dispatch]int64), evidence: tb.evidence}
+	tb.byAddress[host.Address] = &Target{
+		Host:     host,
+		inFlight: make(map[Dispatch]*placed),
+		peers:    make(map[string]Load),
+		evidence: tb.evidence,
+	}
 }
 
 func (tb *Table) reorder() {
--- a/internal/ctl/replay.go
+++ b/internal/ctl/replay.go
@@ -30,6 +30,7 @@
 	reportLag  time.Duration
 	eventLoss  int64
 	without    []string
+	teamLimits bool
 }
 
 func newReplay(out io.Writer) *cobra.Command {
@@ -53,6 +54,7 @@
 	flags.BoolVar(&f.compare, "compare", false, "compare two runs")
 	flags.DurationVar(&f.reportLag, "report-lag", model.Reference().ReportLag, "how late load reports arrive")
 	flags.Int64Var(&f.eventLoss, "event-loss-percent", model.Reference().EventLossPercent, "cache events that are lost")
+	flags.BoolVar(&f.teamLimits, "team-limits", false, "keep the teams' limits of the document")
 	flags.StringSliceVar(&f.without, "without", nil, "bands of prompt length to leave out")
 	return cmd
 }
@@ -103,6 +105,7 @@
 		return nil, errors.Trace(err)
 	}
 	opts := replay.Options{Trace: t, EntryHosts: f.hosts, Policy: policy, Seed: seed, Engine: model.Reference(), Without: f.without}
+	opts.NoTeamLimits = !f.teamLimits
 	opts.Engine.ReportLag = f.reportLag
 	opts.Engine.EventLossPercent = f.eventLoss
 	dir := filepath.Join(f.deployment, t.Header.Deployment)
--- a/internal/replay/options.go
+++ b/internal/replay/options.go
@@ -24,6 +24,8 @@
 	Seed       uint64
 	// Engine holds the engines' rates; the zero value means the reference engine.
 	Engine model.Params
+	// NoTeamLimits lifts the teams' limits, so that only the policy under load decides.
+	NoTeamLimits bool
 	// Without leaves out the requests of these bands, for comparisons.
 	Without []string
 }
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -54,6 +55,9 @@
 		return nil, errors.Trace(err)
 	}
 	r.doc = doc
+	if opts.NoTeamLimits {
+		r.liftTeamLimits()
+	}
 	r.world = virtual.New(r)
 	r.addTargets()
 	r.addHosts()
@@ -65,6 +69,18 @@
 	return r.report(), nil
 }
 
+// noLimit is a team limit that no trace reaches, in tokens a second.
+const noLimit = 1_000_000_000
+
+func (r *run) liftTeamLimits() {
+	for i := range r.doc.Teams {
+		r.doc.Teams[i].TokensPerSecond = noLimit
+	}
+	if raw, err := json.Marshal(r.doc); err == nil {
+		r.opts.Document = raw
+	}
+}
+
 // warmup is the time before the trace begins, in which hosts hear the platform and each other.
 const warmup = time.Second
 
--- a/internal/trace/capacity.go
+++ b/internal/trace/capacity.go
@@ -15,15 +15,17 @@
 	Percent float64
 	// Shared is the part of each prompt that earlier prompts of the team had too.
 	Shared float64
-	Budget time.Duration
+	// Documents is the number of shared beginnings of each team.
+	Documents int
+	Budget    time.Duration
 }
 
 // Bands returns the reference mix.
 func Bands() []Band {
 	return []Band{
 		{Name: "1k-4k", From: 1_000, To: 4_000, Percent: 70, Budget: 10 * time.Second},
-		{Name: "4k-100k", From: 4_000, To: 100_000, Percent: 28, Shared: 0.5, Budget: 120 * time.Second},
-		{Name: "100k-1M", From: 100_000, To: 1_000_000, Percent: 2, Shared: 0.5, Budget: 900 * time.Second},
+		{Name: "4k-100k", From: 4_000, To: 100_000, Percent: 28, Shared: 0.5, Documents: 3, Budget: 120 * time.Second},
+		{Name: "100k-1M", From: 100_000, To: 1_000_000, Percent: 2, Shared: 0.5, Documents: 1, Budget: 900 * time.Second},
 	}
 }
 
@@ -39,8 +41,9 @@
 type Load struct {
 	// Work is weighted prefill work, Raw the prompt tokens that need prefill.
 	Work, Raw float64
-	// GroupWork is Work with what groups of engines lose added.
-	GroupWork float64
+	// BusyWork and BusyRaw are the same with what groups of engines lose: a part of their rate, and all sharing, since
+	// their reservations leave no memory for what earlier prompts left cached.
+	BusyWork, BusyRaw float64
 	// Answer is the mean answer length in tokens.
 	Answer float64
 	// MemorySeconds is the mean of the KV memory that a request holds times the time for which it does, in
@@ -76,7 +79,12 @@
 			decode := l.Answer * p.Iteration(meanStreams, 0).Seconds()
 			l.Work += share * work
 			l.Raw += share * (tokens - cached)
-			l.GroupWork += share * work / efficiency
+			alone := tokens - cached
+			if members > 1 {
+				work, alone = p.Work(0, int64(tokens)), tokens
+			}
+			l.BusyWork += share * work / efficiency
+			l.BusyRaw += share * alone
 			l.MemorySeconds += share * tokens / efficiency * (prefill + decode)
 		})
 	}
@@ -102,8 +110,8 @@
 	n := float64(engines)
 	iteration := p.Iteration(meanStreams, 0).Seconds()
 	prefillSeconds := l.Work / p.PrefillTokensPerSecond
-	iterations := l.Raw / float64(p.IterationPrefillTokens)
-	busySeconds := l.GroupWork/p.PrefillTokensPerSecond + iterations*iteration
+	iterations := l.BusyRaw / float64(p.IterationPrefillTokens)
+	busySeconds := l.BusyWork/p.PrefillTokensPerSecond + iterations*iteration
 	c := Capacity{
 		Prefill:    n / prefillSeconds,
 		Memory:     n * float64(p.MemoryTokens) / l.MemorySeconds,
--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -45,8 +45,6 @@
 const (
 	largeTeams       = 3
 	largeTeamPercent = 70
-	// documentsPerTeam is how many shared beginnings a team's prompts above 4,000 tokens have.
-	documentsPerTeam = 3
 	serviceTokens    = 100
 	serviceBudget    = 10 * time.Second
 )
@@ -156,7 +154,7 @@
 		BudgetMs:     b.Budget.Milliseconds(),
 	}
 	if b.Shared > 0 {
-		r.Prefix = fmt.Sprintf("%s-%s-%d", r.Team, b.Name, g.rng.IntN(documentsPerTeam))
+		r.Prefix = fmt.Sprintf("%s-%s-%d", r.Team, b.Name, g.rng.IntN(b.Documents))
 		r.PrefixTokens = int64(float64(tokens) * b.Shared)
 	}
 	return r
--- a/internal/trace/scenario.go
+++ b/internal/trace/scenario.go
@@ -64,6 +64,7 @@
 	burstPercent   = 150
 	rushFactor     = 3
 	notesPercent   = 60
+	notesShare     = 20
 	measureAfter   = 4 // a quarter of the trace, to fill queues and caches
 	faultAt        = 2 // the middle of the trace
 	cutLength      = 30 * time.Second
@@ -138,7 +139,9 @@
 // notesBands replaces the middle band with route notes that are longer, fewer and share more of a prompt.
 func notesBands() []Band {
 	bands := Bands()
-	bands[1] = Band{Name: bands[1].Name, From: 20_000, To: 100_000, Percent: 20, Shared: notesPercent / 100.0, Budget: bands[1].Budget}
+	bands[1].From = 20_000
+	bands[1].Percent = notesShare
+	bands[1].Shared = notesPercent / 100.0
 	bands[2].Percent = 0
 	return bands
 }
