Refuse at once what can't end in time

Change: admission predicts the end of a request (what waits at all hosts, prefill, answer at the measured time between tokens) and refuses with a time to come back; a waiting request that can't make it is given up before dispatch.

--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -17,6 +17,7 @@
 		n.checkNames,
 		n.checkMemory,
 		n.checkRoom,
+		n.checkFeasible,
 		n.checkTeamLimit,
 	}
 	for _, check := range checks {
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -203,6 +203,9 @@
 	if t == nil {
 		return false
 	}
+	if n.tooLate(rec, t) {
+		return true
+	}
 	number := n.ledger.Dispatch(n.now, rec, t.Address)
 	t.Begin(n.now, target.Dispatch{Key: rec.Request.Key, Number: number}, jobOf(rec, t))
 	n.do(StartDispatch{
@@ -410,7 +413,11 @@
 // giveUp ends a request that has no whole answer, with the outcome that is certain.
 func (n *Node) giveUp(rec *ledger.Record, code api.Code, message string) {
 	n.abort(rec)
-	n.finish(rec, core.Result{Outcome: certainOutcome(rec), Code: code, Message: message})
+	result := core.Result{Outcome: certainOutcome(rec), Code: code, Message: message}
+	if code == api.CodeDeadline {
+		result.RetryAfter = n.retryAfter(afterOverload)
+	}
+	n.finish(rec, result)
 }
 
 // certainOutcome is what can be said of a record that ends without a whole answer.
--- a/internal/core/queue/fair.go
+++ b/internal/core/queue/fair.go
@@ -11,8 +11,8 @@
 	"carobshunt/internal/document"
 )
 
-// Fair keeps one line for each class and model, with requests that need several engines in a line of their own, and in it one for each team. Classes are served in order: plain
-// services, short, middle, long. Between teams of one line the work served is kept in proportion to their weights;
+// Fair keeps one line for each class and model, with requests that need several engines in a line of their own, and
+// in each line one for each team. Classes are served in order: plain services, short, middle, long. Between teams of one line the work served is kept in proportion to their weights;
 // within a team the earliest deadline goes first. The head of a line that finds no target holds up its own line only,
 // so large requests are not passed by small ones of their own class for ever. It is not safe for concurrent use.
 type Fair struct {
