Serve groups in the order in which they waited, and give short work room by the preset

Demand counted admitted requests only, so the short lane shrank with every refusal; a team of small weight waited past its deadline. Change: one order for groups over all hosts by time waited; members need the memory free; the third engine of a block whose others are busy is open to singles; demand counts what is offered; teams' weights stop to matter after half of the budget; middle work enters the short lane only after half of its budget; the short lane's room grows with protect_short_percent.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -63,6 +63,8 @@
 	Queued [target.Lanes]int64 `json:"queued"`
 	// Groups is the number of requests that wait for several engines.
 	Groups int `json:"groups,omitempty"`
+	// GroupWaitMs is how long the next of them has waited, in milliseconds; 0 while it reserves its engines.
+	GroupWaitMs int64 `json:"group_wait_ms,omitempty"`
 }
 
 // Timings of the peer protocol.
--- a/internal/core/node/demand.go
+++ b/internal/core/node/demand.go
@@ -59,10 +59,11 @@
 }
 
 // offered counts a request's work, less what of its prompt some engine has cached.
-func (n *Node) offered(rec *ledger.Record) {
-	if rec.Work.Class == document.ClassService {
+func (n *Node) offered(req *core.Request) {
+	if n.notReady() != "" || n.isService(req.Model) {
 		return
 	}
+	rec := &ledger.Record{Request: *req, Work: n.workOf(req)}
 	if rec.Work.Group {
 		n.demand.add(n.now, target.LaneLong, rec.Work.PrefillWork*percent/groupPercent)
 		return
@@ -111,6 +112,9 @@
 		w.Queued[laneOf(class)] = n.queue.Tokens(class)
 	}
 	w.Groups = n.queue.Groups()
+	if w.Groups > 0 && n.groups.next != nil {
+		w.GroupWaitMs = (n.now - n.groups.next.Timing.Admitted).Milliseconds()
+	}
 	return w
 }
 
--- a/internal/core/node/feasible.go
+++ b/internal/core/node/feasible.go
@@ -40,7 +40,7 @@
 	case document.ClassMiddle:
 		return 0.8
 	}
-	return 0.7
+	return 0.5
 }
 
 // predictTotal is the predicted time from now to the request's last token.
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -66,6 +66,8 @@
 	// failed are the requests whose last claim was given up.
 	failed map[core.Key]failedClaims
 	tries  uint32
+	// next is the request that is to reserve its engines next; nil while one does.
+	next   *ledger.Record
 	counts GroupCounts
 }
 
@@ -128,7 +130,10 @@
 	key := rec.Request.Key
 	claim := n.groups.claims[key]
 	if claim == nil {
-		n.claimGroup(rec)
+		n.groups.next = rec
+		if n.firstInLine(rec) {
+			n.claimGroup(rec)
+		}
 		return false
 	}
 	if !claim.Complete() {
@@ -172,10 +177,27 @@
 	reservation := core.Reservation{Stream: n.streamOf(rec, rec.Dispatches+1), Try: n.groups.tries}
 	claim := group.NewClaim(n.now, plan, reservation)
 	n.groups.claims[key] = claim
+	n.groups.next = nil
 	n.placeGroup(rec, claim)
 	n.ask(key, claim)
 }
 
+// firstInLine tells whether no peer has a group that has waited longer. Without it, the host whose group ends would
+// know first of the free engines each time and keep them.
+func (n *Node) firstInLine(rec *ledger.Record) bool {
+	if !n.predicts() {
+		return true
+	}
+	waited := n.now - rec.Timing.Admitted
+	for _, address := range n.peers.Addresses() {
+		p := n.peers.Get(address)
+		if p.Alive(n.now) && p.Last.Work.GroupWaitMs > waited.Milliseconds() {
+			return false
+		}
+	}
+	return true
+}
+
 // chooseGroup picks the members of a group. In the policy in force they are a block without long prefills; a fleet
 // without blocks, and the baselines, take the engines with the most free memory.
 func (n *Node) chooseGroup(rec *ledger.Record) (group.Plan, bool) {
@@ -189,7 +211,7 @@
 	for _, e := range engines {
 		candidates = append(candidates, n.targets.Get(e.Address))
 	}
-	members, blocks := route.PickMembers(candidates, len(plan.Engines), n.hostTurn())
+	members, blocks := route.PickMembers(candidates, len(plan.Engines), plan.Tokens, n.hostTurn())
 	if !blocks {
 		return plan, true
 	}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -97,6 +97,12 @@
 	Report target.Report
 }
 
+// CacheHeard is a target's word on a cached prefix; it comes late, and some never do.
+type CacheHeard struct {
+	Target string
+	Event  target.CacheEvent
+}
+
 // Tick lets time pass; it comes every TickInterval.
 type Tick struct{}
 
@@ -114,5 +120,6 @@
 func (HostsHeard) input()         {}
 func (PlatformAnswered) input()   {}
 func (LoadHeard) input()          {}
+func (CacheHeard) input()         {}
 func (Tick) input()               {}
 func (Drain) input()              {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -158,6 +158,8 @@
 		n.platformAnswered()
 	case LoadHeard:
 		n.loadHeard(in)
+	case CacheHeard:
+		n.cacheHeard(in)
 	case Tick:
 		n.tick()
 	case Drain:
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -173,6 +173,12 @@
 	}
 }
 
+func (n *Node) cacheHeard(in CacheHeard) {
+	if t := n.targets.Get(in.Target); t != nil {
+		t.HearCache(in.Event)
+	}
+}
+
 // notePeers reports peers that fell silent or came back.
 func (n *Node) notePeers() {
 	for _, address := range n.peers.Addresses() {
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -109,6 +109,7 @@
 }
 
 func (n *Node) submitNew(ticket Ticket, req core.Request) {
+	n.offered(&req)
 	if result, refused := n.admission(&req); refused {
 		n.closeAndRefuse(ticket, req, result)
 		return
@@ -116,7 +117,6 @@
 	rec := n.ledger.Admit(n.now, req, n.workOf(&req), n.config.Revision())
 	n.active[req.Key] = rec
 	rec.SlowdownWeight = float64(n.config.Document().Preset().ProtectShortPercent) / percent
-	n.offered(rec)
 	n.retries.Earn(n.config.Document().Preset().RetryPercent)
 	n.bodyBytes += req.BodyBytes
 	n.do(Open{Key: req.Key})
@@ -189,7 +189,7 @@
 		return
 	}
 	n.router.GroupsWait(n.groupsWait())
-	n.queue.Each(n.dispatch)
+	n.queue.Each(n.now, n.dispatch)
 }
 
 func (n *Node) dispatch(rec *ledger.Record) bool {
--- a/internal/core/queue/edf.go
+++ b/internal/core/queue/edf.go
@@ -50,7 +50,7 @@
 }
 
 // Each implements Queue: it offers every record.
-func (q *EDF) Each(f func(*ledger.Record) (take bool)) {
+func (q *EDF) Each(_ core.Time, f func(*ledger.Record) (take bool)) {
 	kept := q.waiting[:0]
 	for _, rec := range q.waiting {
 		if f(rec) {
--- a/internal/core/queue/fair.go
+++ b/internal/core/queue/fair.go
@@ -12,9 +12,10 @@
 )
 
 // Fair keeps one line for each class and model, with requests that need several engines in a line of their own, and
-// in each line one for each team. Classes are served in order: plain services, short, middle, long. Between teams of one line the work served is kept in proportion to their weights;
-// within a team the earliest deadline goes first. The head of a line that finds no target holds up its own line only,
-// so large requests are not passed by small ones of their own class for ever. It is not safe for concurrent use.
+// in each line one for each team. Classes are served in order: plain services, short, middle, long. Between teams of
+// one line the work served is kept in proportion to their weights; within a team the earliest deadline goes first. The
+// head of a line that finds no target holds up its own line only, so large requests are not passed by small ones of
+// their own class for ever. It is not safe for concurrent use.
 type Fair struct {
 	weight func(team string) int64
 	lines  []*line
@@ -108,9 +109,9 @@
 }
 
 // Each implements Queue: it offers the head of each line until it is not taken.
-func (q *Fair) Each(f func(*ledger.Record) (take bool)) {
+func (q *Fair) Each(now core.Time, f func(*ledger.Record) (take bool)) {
 	for _, l := range q.lines {
-		for it := l.head(); it != nil && f(it.rec); it = l.head() {
+		for it := l.head(now); it != nil && f(it.rec); it = l.head(now) {
 			if q.Remove(it.rec.Request.Key) {
 				l.charge(it.team, float64(it.rec.Work.PrefillWork)/float64(max(q.weight(it.team.name), 1)))
 			}
@@ -150,18 +151,34 @@
 	return l.teams[at]
 }
 
-// head is the request to serve next: the earliest deadline of the team that was served least.
-func (l *line) head() *item {
-	var best *teamLine
+// head is the request to serve next: the earliest deadline among those that have waited for half of their budget,
+// and without any, the earliest deadline of the team that was served least.
+func (l *line) head(now core.Time) *item {
+	var best, aged *item
 	for _, t := range l.teams {
-		if len(t.byTime) > 0 && (best == nil || t.served < best.served) {
-			best = t
+		if len(t.byTime) == 0 {
+			continue
+		}
+		it := t.byTime[0]
+		if best == nil || t.served < best.team.served {
+			best = it
+		}
+		if isAged(now, it.rec) && (aged == nil || it.rec.Request.Deadline < aged.rec.Request.Deadline) {
+			aged = it
 		}
 	}
-	if best == nil {
-		return nil
+	if aged != nil {
+		return aged
 	}
-	return best.byTime[0]
+	return best
+}
+
+// agedPart is the part of its budget that a request may wait before teams' weights stop to matter for it, as a divisor.
+const agedPart = 2
+
+func isAged(now core.Time, rec *ledger.Record) bool {
+	budget := rec.Request.Deadline - rec.Timing.Admitted
+	return now-rec.Timing.Admitted >= budget/agedPart
 }
 
 func (l *line) charge(t *teamLine, work float64) {
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -21,5 +21,5 @@
 	Groups() int
 	// Each offers waiting records in order of service; those for which f returns true leave the queue. What f finishes
 	// it must not remove itself.
-	Each(f func(*ledger.Record) (take bool))
+	Each(now core.Time, f func(*ledger.Record) (take bool))
 }
--- a/internal/core/route/blocks.go
+++ b/internal/core/route/blocks.go
@@ -31,10 +31,10 @@
 	return next + whole
 }
 
-// PickMembers picks engines for a request that needs so many of them together: all from one block, none with a long
-// prefill, from a block that is broken already if one will do. Hosts with the same view begin at different blocks,
+// PickMembers picks engines for a request that needs so many of them together, with so many tokens of memory free on
+// each: all from one block, none with a long prefill, from a block that is broken already if one will do. Hosts with the same view begin at different blocks,
 // by their turn. It reports false when no block has so many, and whether there are blocks at all.
-func PickMembers(engines []*target.Target, members, turn int) (picked []*target.Target, blocks bool) {
+func PickMembers(engines []*target.Target, members int, each int64, turn int) (picked []*target.Target, blocks bool) {
 	free := make(map[int][]*target.Target)
 	var order []int
 	for _, t := range engines {
@@ -45,7 +45,7 @@
 			order = append(order, t.Block)
 			free[t.Block] = nil
 		}
-		if !isDeep(t) {
+		if !isDeep(t) && t.FreeTokens() >= each {
 			free[t.Block] = append(free[t.Block], t)
 		}
 	}
@@ -74,27 +74,34 @@
 	return load.Deep > 0
 }
 
-// wholeBlockFilter keeps long prefills of single engines out of blocks in which no long prefill runs, while requests
-// wait that need a block.
+// wholeBlockFilter keeps the long and middle requests of single engines out of blocks while requests wait that need
+// several engines of one. The last engine of a block whose others are busy is no use to them and stays open, so a
+// block that was broken becomes whole again.
 type wholeBlockFilter struct {
 	groupsWait bool
-	broken     map[int]bool
+	// busy counts the engines with a long prefill in each block.
+	busy map[int]int
 }
 
 // Prepare implements preparer.
 func (f *wholeBlockFilter) Prepare(rec *ledger.Record, targets []*target.Target) {
-	if !f.groupsWait || rec.Work.Class != document.ClassLong {
+	if !f.concerns(rec) {
 		return
 	}
-	f.broken = make(map[int]bool)
+	f.busy = make(map[int]int)
 	for _, t := range targets {
 		if t.Block > 0 && isDeep(t) {
-			f.broken[t.Block] = true
+			f.busy[t.Block]++
 		}
 	}
 }
 
 // Keep implements Filter.
 func (f *wholeBlockFilter) Keep(_ core.Time, rec *ledger.Record, t *target.Target) bool {
-	return !f.groupsWait || rec.Work.Class != document.ClassLong || t.Block == 0 || f.broken[t.Block]
+	return !f.concerns(rec) || t.Block == 0 || f.busy[t.Block] >= blockSize-1
+}
+
+// concerns tells whether the request is one of those that would break a block.
+func (f *wholeBlockFilter) concerns(rec *ledger.Record) bool {
+	return f.groupsWait && (rec.Work.Class == document.ClassLong || rec.Work.Class == document.ClassMiddle)
 }
--- a/internal/core/route/feasible.go
+++ b/internal/core/route/feasible.go
@@ -61,19 +61,27 @@
 	return need <= free
 }
 
-// patienceFilter keeps middle requests in their own lane until they have waited for a part of their budget.
+// patienceFilter keeps middle requests in their own lane until they have waited for a part of their budget; longest
+// out of the lane of short ones.
 type patienceFilter struct{}
 
-// patiencePart is that part of the budget, as a divisor.
-const patiencePart = 10
+// Those parts of the budget, as divisors.
+const (
+	longLanePatience  = 10
+	shortLanePatience = 2
+)
 
 // Keep implements Filter.
 func (patienceFilter) Keep(now core.Time, rec *ledger.Record, t *target.Target) bool {
 	if rec.Work.Class != document.ClassMiddle || t.Lane == target.LaneMiddle || !isEngine(t) {
 		return true
 	}
+	part := core.Time(longLanePatience)
+	if t.Lane == target.LaneShort {
+		part = shortLanePatience
+	}
 	budget := rec.Request.Deadline - rec.Timing.Admitted
-	return now-rec.Timing.Admitted >= budget/patiencePart
+	return now-rec.Timing.Admitted >= budget/part
 }
 
 // boundedWorkFilter hands an engine only as much work as keeps its batch full; the rest waits at the entry hosts,
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -9,25 +9,31 @@
 // Demand is offered prefill work by lane, in tokens of weight 1 a second.
 type Demand [target.Lanes]float64
 
-// Spare room that a lane is given over its demand, as a factor. Short work is given most: its time between tokens is
-// what its engines' prefill leaves.
-var laneRoom = Demand{4.0, 1.9, 1.0}
+// Room that a lane is given over its demand, as a factor. Short work is given most, since its time between tokens is
+// what its engines' prefill leaves; how much more is the preset's.
+const (
+	shortRoom           = 2.5
+	shortRoomPerPercent = 0.08
+	middleRoom          = 2.0
+	longRoom            = 1.0
+)
 
-// LaneSizes splits so many engines into lanes in proportion to the demand. At least protectPercent of the engines
-// take no long prefill, and each lane has an engine while there are enough.
+// LaneSizes splits so many engines into lanes in proportion to the demand and the room over it. At least
+// protectPercent of the engines take no long prefill, and each lane has an engine while there are enough.
 func LaneSizes(engines int, demand Demand, protectPercent int64) [target.Lanes]int {
 	if engines < target.Lanes {
 		return [target.Lanes]int{target.LaneLong: engines}
 	}
+	room := Demand{shortRoom + shortRoomPerPercent*float64(protectPercent), middleRoom, longRoom}
 	sum := 0.0
 	for i := range demand {
-		sum += demand[i] * laneRoom[i]
+		sum += demand[i] * room[i]
 	}
 	share := func(lane target.Lane) int {
 		if sum == 0 {
 			return engines / target.Lanes
 		}
-		return int(math.Round(float64(engines) * demand[lane] * laneRoom[lane] / sum))
+		return int(math.Round(float64(engines) * demand[lane] * room[lane] / sum))
 	}
 	protected := int(math.Ceil(float64(engines) * float64(protectPercent) / 100))
 	maxLong := max(min(engines-protected, engines-2), 1)
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/target"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/model"
@@ -125,6 +126,10 @@
 func (r *run) addEngine(host hostlist.Host, serial uint64) {
 	t := &engineTarget{run: r, address: host.Address, zone: host.Zone}
 	t.engine = model.New(r.world, r.params, r.opts.Seed*1000+serial)
+	t.engine.OnEvent = func(e model.CacheEvent) {
+		event := target.CacheEvent{Prefix: e.Prefix, Tokens: e.Tokens}
+		t.broadcast(r.world, 0, node.CacheHeard{Target: t.address, Event: event})
+	}
 	r.engines[host.Address] = t
 	r.order = append(r.order, t)
 	r.world.Targets[host.Address] = t
