--- a/internal/core/node/feasible.go
+++ b/internal/core/node/feasible.go
@@ -57,15 +57,19 @@
 			best = total
 		}
 	}
-	if best < 0 {
+	if best <= 0 {
 		return 0
 	}
 	waiting := float64(n.fleetQueued(rec.Work.Class))
 	return best + time.Duration(waiting/rate*float64(time.Second))
 }
 
-// predictAt is the predicted time at one engine; for a group it is that of the engine as a member.
+// predictAt is the predicted time at one engine; for a group it is that of the engine as a member. Nothing is refused
+// on a guess: an engine that this host has not measured counts as one that takes no time.
 func (n *Node) predictAt(rec *ledger.Record, t *target.Target) time.Duration {
+	if !t.Measured() {
+		return 0
+	}
 	if !rec.Work.Group {
 		return route.Predict(rec, t).Total
 	}
@@ -78,7 +82,7 @@
 
 // tooLate gives up a waiting request that can't end in time any more at the best target there is.
 func (n *Node) tooLate(rec *ledger.Record, t *target.Target) bool {
-	if !n.predicts() || t.Role != hostlist.RoleEngine {
+	if !n.predicts() || t.Role != hostlist.RoleEngine || !t.Measured() {
 		return false
 	}
 	left := rec.Request.Deadline - n.now
--- a/internal/core/node/memory.go
+++ b/internal/core/node/memory.go
@@ -107,9 +107,13 @@
 	}
 }
 
-// applyEngineInput takes what engines answer about their memory and their orders.
+// applyEngineInput takes what engines report, and what they answer about their memory and their orders.
 func (n *Node) applyEngineInput(in Input) {
 	switch in := in.(type) {
+	case LoadHeard:
+		n.loadHeard(in)
+	case CacheHeard:
+		n.cacheHeard(in)
 	case MemoryListed:
 		n.memoryListed(in)
 	case ReservationAnswered:
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -156,10 +156,6 @@
 		n.hostsHeard(in)
 	case PlatformAnswered:
 		n.platformAnswered()
-	case LoadHeard:
-		n.loadHeard(in)
-	case CacheHeard:
-		n.cacheHeard(in)
 	case Tick:
 		n.tick()
 	case Drain:
--- a/internal/core/route/blocks.go
+++ b/internal/core/route/blocks.go
@@ -32,8 +32,8 @@
 }
 
 // PickMembers picks engines for a request that needs so many of them together, with so many tokens of memory free on
-// each: all from one block, none with a long prefill, from a block that is broken already if one will do. Hosts with the same view begin at different blocks,
-// by their turn. It reports false when no block has so many, and whether there are blocks at all.
+// each: all from one block, none with a long prefill, from a block that is broken already if one will do. Hosts with
+// the same view begin at different blocks, by their turn. It reports false when there are no blocks at all.
 func PickMembers(engines []*target.Target, members int, each int64, turn int) (picked []*target.Target, blocks bool) {
 	free := make(map[int][]*target.Target)
 	var order []int
--- a/internal/core/target/load.go
+++ b/internal/core/target/load.go
@@ -158,6 +158,9 @@
 	return time.Duration(t.measured.gap)
 }
 
+// Measured tells whether both rates come from measurements.
+func (t *Target) Measured() bool { return t.measured.rate > 0 && t.measured.gap > 0 }
+
 // sampleRate takes the time in which work was prefilled.
 func (t *Target) sampleRate(tokens int64, d time.Duration) {
 	if tokens < minSampleTokens || d <= 0 {
--- /dev/null
+++ b/internal/core/target/load_test.go
@@ -0,0 +1,102 @@
+package target_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/hostlist"
+
+	"gotest.tools/v3/assert"
+)
+
+func table(n int) *target.Table {
+	list := &hostlist.List{Version: 1}
+	for i := range n {
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Address: fmt.Sprintf("e%03d", i), Role: hostlist.RoleEngine, State: hostlist.StateLive, MemoryTokens: 450_000,
+		})
+	}
+	tb := target.NewTable()
+	tb.Apply(list)
+	return tb
+}
+
+// A host that hears its peer's digest after every change sees the peer's load exactly, whatever begins and ends.
+func TestDigestCarriesALoadWhole(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	mine, theirs := table(20), table(20)
+	open := make(map[target.Dispatch]*target.Target)
+	for step := range 5_000 {
+		d := target.Dispatch{Key: core.Key{ID: fmt.Sprint(step)}, Number: 1}
+		engine := theirs.All()[rng.IntN(20)]
+		switch rng.IntN(3) {
+		case 0:
+			engine.Begin(0, d, target.Job{Priority: rng.IntN(3), Work: rng.Int64N(1e6), Memory: rng.Int64N(4e5), Deep: rng.IntN(2) == 0})
+			open[d] = engine
+		case 1:
+			for d, e := range open {
+				e.Prefilled(time.Second, d)
+				break
+			}
+		case 2:
+			for d, e := range open {
+				e.End(d)
+				delete(open, d)
+				break
+			}
+		}
+		mine.HearDigest("peer", theirs.Digest())
+		for i := range mine.All() {
+			assert.Equal(t, mine.All()[i].Total(), theirs.All()[i].Total())
+		}
+	}
+	mine.ForgetPeer("peer")
+	for _, e := range mine.All() {
+		assert.Equal(t, e.Total(), target.Load{})
+	}
+}
+
+func TestBrokenDigestIsTakenAsFarAsItGoes(t *testing.T) {
+	mine, theirs := table(3), table(3)
+	for i, e := range theirs.All() {
+		e.Begin(0, target.Dispatch{Number: uint32(i)}, target.Job{Memory: 1_000})
+	}
+	whole := theirs.Digest()
+	for n := range whole {
+		mine.HearDigest("peer", whole[:n])
+	}
+	mine.HearDigest("peer", []byte{200, 1, 1, 1, 1, 1, 1, 1})
+	mine.HearDigest("peer", []byte{255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255})
+	for _, e := range mine.All() {
+		assert.Equal(t, e.Total(), target.Load{})
+	}
+}
+
+// 20 busy engines fit into 300 bytes, so that a host's digests to three peers, four times a second, take under
+// 5 KB/s as base64.
+func TestDigestIsSmall(t *testing.T) {
+	tb := table(20)
+	for i, e := range tb.All() {
+		e.Begin(0, target.Dispatch{Number: uint32(i)}, target.Job{Priority: 1, Work: 400_000, Memory: 400_000, Deep: true})
+	}
+	assert.Assert(t, len(tb.Digest()) <= 300, "%d bytes", len(tb.Digest()))
+}
+
+func TestMeasuredRatesFollowTheSamples(t *testing.T) {
+	e := table(1).All()[0]
+	assert.Assert(t, !e.Measured())
+	for i := range 200 {
+		d := target.Dispatch{Number: uint32(i)}
+		e.Begin(0, d, target.Job{Work: 10_000})
+		e.Prefilled(time.Second, d)
+		e.End(d)
+		e.SampleGap(101, 3*time.Second)
+	}
+	assert.Assert(t, e.Measured())
+	assert.Assert(t, e.PrefillRate() > 9_990 && e.PrefillRate() < 10_010)
+	assert.Equal(t, e.TokenGap().Round(time.Millisecond), 30*time.Millisecond)
+}
