--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -11,6 +11,7 @@
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/limit"
+	"carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
 )
 
@@ -39,8 +40,12 @@
 	// PlatformAgesMs are the times since the platform answered the first hosts of the sender's availability zone, by
 	// their rank as readers, as far as the sender knows, in milliseconds; -1 for never.
 	PlatformAgesMs []int64 `json:"platform_ages_ms,omitempty"`
-	// State rises whenever any of the sender's state above changes, but for the clock, the configuration and the
-	// platform's ages, which every heartbeat carries.
+	// Loads is what the sender has placed at the targets of its host list, as target.Table.Digest makes it, and Work
+	// what waits. They concern the hosts of the sender's cell only, and every heartbeat to them carries them.
+	Loads []byte `json:"loads,omitempty"`
+	Work  Work   `json:"work,omitzero"`
+	// State rises whenever any of the sender's state above changes, but for the clock, the configuration, the
+	// platform's ages and the loads, which every heartbeat carries.
 	State uint64 `json:"state,omitempty"`
 	// Repeats marks a brief heartbeat: the state is that of the last full one with the same State, and left out.
 	Repeats bool `json:"repeats,omitempty"`
@@ -63,6 +68,7 @@
 	h.ClockMs, h.PlatformAgesMs, h.State, h.Ask = 0, nil, 0, false
 	h.Revision, h.Digest = 0, 0
 	h.Demands, h.Grants = nil, nil
+	h.Loads, h.Work = nil, Work{}
 	return h
 }
 
@@ -70,10 +76,22 @@
 func (h Heartbeat) Brief() Heartbeat {
 	return Heartbeat{
 		Peer: h.Peer, Incarnation: h.Incarnation, ClockMs: h.ClockMs, PlatformAgesMs: h.PlatformAgesMs,
-		Revision: h.Revision, Digest: h.Digest, State: h.State, Repeats: true,
+		Revision: h.Revision, Digest: h.Digest, Loads: h.Loads, Work: h.Work, State: h.State, Repeats: true,
 	}
 }
 
+// Work is what a host knows of the work of its own requests, by lane of engines.
+type Work struct {
+	// Offered is the averaged offered prefill work, in tokens of weight 1 a second.
+	Offered [target.Lanes]int64 `json:"offered"`
+	// Queued is the prefill work that waits for a target, in tokens.
+	Queued [target.Lanes]int64 `json:"queued"`
+	// Groups is the number of requests that wait for several engines.
+	Groups int `json:"groups,omitempty"`
+	// GroupWaitMs is how long the next of them has waited, in milliseconds; 0 while it reserves its engines.
+	GroupWaitMs int64 `json:"group_wait_ms,omitempty"`
+}
+
 // Timings of the peer protocol.
 const (
 	// Interval is the time between heartbeats to one peer, at up to fewPeers peers.
@@ -264,6 +282,7 @@
 	whole := p.Last.Content()
 	whole.ClockMs, whole.PlatformAgesMs, whole.State = hb.ClockMs, hb.PlatformAgesMs, hb.State
 	whole.Revision, whole.Digest = hb.Revision, hb.Digest
+	whole.Loads, whole.Work = hb.Loads, hb.Work
 	return whole, true
 }
 
--- a/internal/core/node/adopt.go
+++ b/internal/core/node/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/route"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
 )
@@ -26,21 +27,10 @@
 // dispatchAdopted follows the stream at its engine, also at one that takes no new work.
 func (n *Node) dispatchAdopted(rec *ledger.Record) bool {
 	t := n.targets.Get(rec.Request.Adopt.Target)
-	number := n.ledger.Dispatch(n.now, rec, t.Address)
-	t.Begin(target.Dispatch{Key: rec.Request.Key, Number: number}, 0)
 	n.adoptions.Tried++
-	n.do(StartDispatch{
-		Key:      rec.Request.Key,
-		Dispatch: number,
-		Target:   t.Address,
-		Role:     t.Role,
-		Stream:   n.streamOf(rec, number),
-		Adopt:    rec.Request.Adopt.Stream,
-		Priority: priority(rec.Work.Class),
-		Deadline: rec.Request.Deadline,
-		Request:  rec.Request,
-		Work:     rec.Work,
-	})
+	order := n.begin(rec, t, target.Job{Priority: route.Priority(rec.Work.Class), Memory: memoryNeed(&rec.Request)})
+	order.Adopt = rec.Request.Adopt.Stream
+	n.do(order)
 	return true
 }
 
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -63,7 +63,7 @@
 	peers   *member.Table
 	targets *target.Table
 	ledger  *ledger.Ledger
-	queue   *queue.Queue
+	queue   queue.Queue
 	router  *route.Router
 	limits  *limit.Limiter
 	retries *retry.Budget
@@ -89,19 +89,21 @@
 	wake          wakeState
 	sent          sentState
 	cache         statusCache
+	// demand is the work offered to this host; lanesSized is when the lanes were last fitted to it.
+	demand     demand
+	lanesSized core.Time
 }
 
 // New returns the Node of a process that has just started: its clock stands at zero.
 func New(opts Options) *Node {
 	rng := rand.New(rand.NewPCG(opts.Seed, opts.Seed))
-	return &Node{
+	n := &Node{
 		opts:          opts,
 		config:        conf.New(),
 		hostsHistory:  &delta.History{},
 		peers:         member.NewTable(opts.Peer, opts.Zone, opts.Seeds),
 		targets:       target.NewTable(),
 		ledger:        ledger.NewLedger(opts.Records),
-		queue:         queue.New(),
 		router:        newRouter(opts.Policy, rng),
 		limits:        limit.New(opts.Peer),
 		retries:       retry.New(),
@@ -114,7 +116,10 @@
 		lastHeartbeat: -time.Hour,
 		outcomes:      make(map[api.Outcome]uint64),
 		knowledge:     newKnowledge(),
+		lanesSized:    -laneInterval,
 	}
+	n.queue = newQueue(opts.Policy, n.teamWeight)
+	return n
 }
 
 // never marks an event that has not happened.
@@ -154,8 +159,6 @@
 		n.hostsHeard(in)
 	case PlatformAnswered:
 		n.platformAnswered()
-	case LoadHeard:
-		n.loadHeard(in)
 	case Tick:
 		n.tick()
 	case Drain:
@@ -180,6 +183,7 @@
 	n.sweepTick()
 	n.groupsTick()
 	n.ordersTick()
+	n.sizeLanes()
 	n.pump()
 	n.stopWhenDrained()
 }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -28,16 +28,31 @@
 	hb := n.fullHeartbeat()
 	for _, address := range n.peers.Addresses() {
 		if p := n.peers.Get(address); needs(p) {
-			n.do(SendHeartbeat{Peer: address, Heartbeat: p.Next(n.now, hb)})
+			n.do(SendHeartbeat{Peer: address, Heartbeat: p.Next(n.now, n.addressed(hb, address))})
 		}
 	}
 }
 
+// addressed leaves out of a heartbeat what concerns the hosts of this host's cell only, for a peer of another one.
+func (n *Node) addressed(hb member.Heartbeat, peer string) member.Heartbeat {
+	if !n.sameCell(peer) {
+		hb.Loads, hb.Work = nil, member.Work{}
+	}
+	return hb
+}
+
+// sameCell tells whether a peer is in this host's cell, and so has the same targets.
+func (n *Node) sameCell(peer string) bool {
+	return n.cells != nil && n.cells.Of(peer) == n.cells.Of(n.opts.Peer)
+}
+
 // fullHeartbeat is this host's state with what it asks and lends of the teams' limits.
 func (n *Node) fullHeartbeat() member.Heartbeat {
 	hb := n.ownHeartbeat()
 	hb.Demands = n.limits.Demands(n.now)
 	hb.Grants = n.limits.Lend(n.now, n.borrowers())
+	hb.Loads = n.targets.Digest()
+	hb.Work = n.ownWork()
 	if content := hb.Content(); !reflect.DeepEqual(content, n.sent.content) {
 		n.sent.content = content
 		n.sent.state++
@@ -87,6 +102,9 @@
 	}
 	hearing := n.peers.Hear(n.now, hb)
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
+	if hb.HostsVersion == n.targets.Version() && n.sameCell(hb.Peer) {
+		n.targets.HearDigest(hb.Peer, hb.Loads)
+	}
 	n.wake.fresh = n.wake.fresh || hearing.Fresh
 	n.noteZonePlatform(&hb)
 	if (hearing.Started || hb.Ask) && n.peers.Get(hb.Peer) != nil {
@@ -187,6 +205,12 @@
 	}
 }
 
+func (n *Node) cacheHeard(in CacheHeard) {
+	if t := n.targets.Get(in.Target); t != nil {
+		t.HearCache(in.Event)
+	}
+}
+
 // notePeers reports peers that fell silent or came back.
 func (n *Node) notePeers() {
 	for _, address := range n.peers.Addresses() {
@@ -196,6 +220,9 @@
 		}
 		n.alive[address] = alive
 		event := EventPeerGone
+		if !alive {
+			n.targets.ForgetPeer(address)
+		}
 		if alive {
 			event = EventPeerAlive
 		}
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -8,6 +9,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/target"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/model"
@@ -29,10 +31,12 @@
 	hosts   []*virtual.Host
 	zones   map[*virtual.Host]string
 	cutZone string
-	calls   []*call
-	byKey   map[core.Key]*call
-	open    int
-	gaps    *gapTally
+	// zoneAt holds the zones by peer address and by target address.
+	zoneAt map[string]string
+	calls  []*call
+	byKey  map[core.Key]*call
+	open   int
+	gaps   *gapTally
 }
 
 // Run replays a trace and returns the report.
@@ -43,6 +47,7 @@
 		rng:     rand.New(rand.NewPCG(opts.Seed, 0x72756e)),
 		engines: make(map[string]*engineTarget),
 		zones:   make(map[*virtual.Host]string),
+		zoneAt:  make(map[string]string),
 		byKey:   make(map[core.Key]*call),
 		gaps:    newGapTally(),
 	}
@@ -51,6 +56,9 @@
 		return nil, errors.Trace(err)
 	}
 	r.doc = doc
+	if opts.NoTeamLimits {
+		r.liftTeamLimits()
+	}
 	r.world = virtual.New(r)
 	r.addTargets()
 	r.addHosts()
@@ -62,6 +70,18 @@
 	return r.report(), nil
 }
 
+// noLimit is a team limit that no trace reaches, in tokens a second.
+const noLimit = 1_000_000_000
+
+func (r *run) liftTeamLimits() {
+	for i := range r.doc.Teams {
+		r.doc.Teams[i].TokensPerSecond = noLimit
+	}
+	if raw, err := json.Marshal(r.doc); err == nil {
+		r.opts.Document = raw
+	}
+}
+
 // warmup is the time before the trace begins, in which hosts hear the platform and each other.
 const warmup = time.Second
 
@@ -77,8 +97,7 @@
 
 // Delay implements virtual.Network.
 func (r *run) Delay(_ virtual.Time, from, to string) (time.Duration, bool) {
-	a, b := r.world.HostAt(from), r.world.HostAt(to)
-	if a == nil || b == nil || r.cut(r.zones[a], r.zones[b]) {
+	if r.cut(r.zoneAt[from], r.zoneAt[to]) {
 		return 0, false
 	}
 	return hopTime, true
@@ -93,6 +112,8 @@
 
 func (r *run) addTargets() {
 	for i, host := range r.opts.Hosts.Hosts {
+		r.zoneAt[host.Address] = host.Zone
+		r.zoneAt[host.Peer] = host.Zone
 		switch host.Role {
 		case hostlist.RoleEngine:
 			r.addEngine(host, uint64(i))
@@ -105,6 +126,10 @@
 func (r *run) addEngine(host hostlist.Host, serial uint64) {
 	t := &engineTarget{run: r, address: host.Address, zone: host.Zone}
 	t.engine = model.New(r.world, r.params, r.opts.Seed*1000+serial)
+	t.engine.OnEvent = func(e model.CacheEvent) {
+		event := target.CacheEvent{Prefix: e.Prefix, Tokens: e.Tokens}
+		t.broadcast(r.world, 0, node.CacheHeard{Target: t.address, Event: event})
+	}
 	r.engines[host.Address] = t
 	r.order = append(r.order, t)
 	r.world.Targets[host.Address] = t
