--- a/internal/core/queue/fair_test.go
+++ b/internal/core/queue/fair_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -149,10 +151,11 @@
 			held[rec.Request.Key] = rec
 			q.Push(rec)
 		case 1:
-			for key := range held {
+			if len(held) > 0 {
+				keys := slices.SortedFunc(maps.Keys(held), core.Key.Compare)
+				key := keys[rng.IntN(len(keys))]
 				assert.Assert(t, q.Remove(key) && !q.Remove(key))
 				delete(held, key)
-				break
 			}
 		case 2:
 			q.Each(time.Duration(rng.IntN(100)), func(rec *ledger.Record) bool {
