Orders: schedules that fail without the read fencing number and without the sleep check

Cause: with those two taken out, the schedules still passed: the only test that saw the pause check was one of the unit.

Change: a pause at each of 330 points of an order with a newer revision meanwhile, and a cut in which one part has not heard of the newest revision, with engines that hold models from the start so that no load has to be waited for. The share of a new process needs no mark of its own: it begins with 0.

--- a/internal/core/order/pace.go
+++ b/internal/core/order/pace.go
@@ -36,10 +36,10 @@
 // not safe for concurrent use.
 type Pace struct {
 	share int64
-	// ended are the shares that were in force within the window, with the time at which each ended.
-	ended  []endedShare
-	spent  []core.Time
-	setYet bool
+	// ended are the shares that were in force within the window, with the time at which each ended. A new process
+	// begins with a share of 0.
+	ended []endedShare
+	spent []core.Time
 }
 
 type endedShare struct {
@@ -49,10 +49,6 @@
 
 // Set puts a share into force.
 func (p *Pace) Set(now core.Time, share int64) {
-	if !p.setYet {
-		p.setYet = true
-		p.ended = append(p.ended, endedShare{share: 0, at: now})
-	}
 	if share == p.share {
 		return
 	}
@@ -71,9 +67,6 @@
 }
 
 func (p *Pace) allowed() int64 {
-	if !p.setYet {
-		return 0
-	}
 	least := p.share
 	for _, e := range p.ended {
 		least = min(least, e.share)
--- a/test/memory/orders_test.go
+++ b/test/memory/orders_test.go
@@ -105,9 +105,7 @@
 		w.world.After(5*time.Second, w.fail)
 		w.world.After(6*time.Second, w.fail)
 		w.run(loadedFor + faultLength + 5*time.Second)
-		for _, h := range w.hosts {
-			w.inform(h)
-		}
+		w.informAll()
 		for !w.settled() && w.world.Now() < loadedFor+faultLength+settleWithin {
 			w.run(w.world.Now() + time.Second)
 		}
@@ -130,6 +128,95 @@
 	assert.Assert(t, loads > 0)
 }
 
+// wantEverywhere makes a new revision that wants these versions of the model on every engine.
+func (w *memoryWorld) wantEverywhere(versions ...string) {
+	w.doc.Revision++
+	w.doc.Placements = nil
+	for _, v := range versions {
+		p := document.Placement{Model: draftModel, Version: v}
+		for _, e := range w.engines {
+			p.Engines = append(p.Engines, e.address)
+		}
+		w.doc.Placements = append(w.doc.Placements, p)
+	}
+	preset := w.doc.Preset()
+	preset.WeightLoadsPerMinute = 600
+	w.doc.Presets = map[string]document.Preset{w.doc.Active: preset}
+}
+
+func (w *memoryWorld) informAll() {
+	for _, h := range w.hosts {
+		w.inform(h)
+	}
+}
+
+// hold makes every engine hold these versions of the model.
+func (w *memoryWorld) hold(versions ...string) {
+	for _, e := range w.engines {
+		for _, v := range versions {
+			e.state.Models = append(e.state.Models, order.Model{Model: draftModel, Version: v})
+		}
+	}
+}
+
+// A host that is paused at any point of an order and wakes after a newer revision was ordered sends nothing old.
+func TestPausedCommanderSendsNothingOld(t *testing.T) {
+	const step = 7 * time.Millisecond
+	for point := range schedules(t, 330) {
+		w := newMemoryWorld(t, uint64(point), 2, 4)
+		w.hold("1", "2", "3")
+		w.wantEverywhere("1", "2", "3")
+		w.informAll()
+		w.run(8 * time.Second)
+		w.wantEverywhere("1", "2")
+		w.informAll()
+		paused, other := w.hosts[point%2], w.hosts[1-point%2]
+		w.run(w.world.Now() + time.Duration(point)*step)
+		paused.Pause()
+		w.run(w.world.Now() + time.Second)
+		w.wantEverywhere("1")
+		w.inform(other)
+		for w.world.Now() < time.Minute && !w.settled() {
+			w.run(w.world.Now() + time.Second)
+		}
+		assert.Assert(t, w.settled(), "point %d", point)
+		paused.Resume()
+		w.run(w.world.Now() + 15*time.Second)
+		assert.Assert(t, w.settled(), "point %d", point)
+		for _, e := range w.engines {
+			assert.Equal(t, e.outOfOrder(), 0, "point %d: %s took an old order", point, e.address)
+		}
+	}
+}
+
+// While entry hosts are cut into two parts, one of which has not heard of the newest revision, the newest stays in
+// force on all engines, also on those that ignore fencing numbers.
+func TestCutCommandersLeaveTheNewestRevisionInForce(t *testing.T) {
+	for seed := range schedules(t, 30) {
+		w := newMemoryWorld(t, uint64(seed), 4, 6)
+		w.hold("1", "2")
+		w.wantEverywhere("1", "2")
+		w.informAll()
+		w.run(80 * time.Second) // every host may load by now
+		for _, a := range w.hosts[:2] {
+			for _, b := range w.hosts[2:] {
+				w.cut(a.Peer(), b.Peer())
+			}
+		}
+		w.wantEverywhere("1")
+		w.inform(w.hosts[2])
+		w.inform(w.hosts[3])
+		for w.world.Now() < 100*time.Second && !w.settled() {
+			w.run(w.world.Now() + checkInterval)
+		}
+		for w.world.Now() < 3*time.Minute {
+			w.run(w.world.Now() + checkInterval)
+			assert.Assert(t, w.settled(), "seed %d at %v", seed, w.world.Now())
+		}
+		assert.Equal(t, len(w.loads), 0, "seed %d: the old revision was loaded again", seed)
+	}
+}
+
 // After a pause of the commander in the middle of an order and a new revision meanwhile, the newest document wins,
 // on engines that check fencing numbers and on those that do not.
 func TestPausedCommanderDoesNotBringBackAnOldRevision(t *testing.T) {
