--- a/internal/core/node/orders.go
+++ b/internal/core/node/orders.go
@@ -109,17 +109,25 @@
 	return out
 }
 
-// commanders are the live hosts that have a share of the weight store's rate.
+// commanders are the live hosts that have a share of the weight store's rate and are not draining.
 func (n *Node) commanders() []string {
 	var out []string
 	for _, address := range n.liveHosts() {
-		if n.orders.shares[address] > 0 {
+		if n.orders.shares[address] > 0 && !n.isDraining(address) {
 			out = append(out, address)
 		}
 	}
 	return out
 }
 
+// isDraining tells whether a live host, this one or a peer, is stopping.
+func (n *Node) isDraining(address string) bool {
+	if address == n.opts.Peer {
+		return n.drain.active
+	}
+	return n.peers.Get(address).Last.Draining
+}
+
 // ordersTick brings the rights to order up to date and reads the engines that this host commands.
 func (n *Node) ordersTick() {
 	if n.notReady() != "" {
@@ -137,7 +145,7 @@
 		if t.Role != hostlist.RoleEngine {
 			continue
 		}
-		first := !n.drain.active && rendezvous.Position("order "+t.Address, n.opts.Peer, n.inCellOf(t.Address, commanders)) == 0
+		first := rendezvous.Position("order "+t.Address, n.opts.Peer, n.inCellOf(t.Address, commanders)) == 0
 		n.tenure(t.Address).Step(n.now, first)
 		if due && n.mayOrder(t) {
 			n.do(ReadOrders{Target: t.Address})
--- a/test/memory/engine_test.go
+++ b/test/memory/engine_test.go
@@ -122,6 +122,11 @@
 		reply(node.EndedNotWritten)
 		return
 	}
+	if order.Adopt != "" {
+		e.world.adopted = append(e.world.adopted, order.Adopt)
+		reply(node.EndedFailed) // the stream is not there any more
+		return
+	}
 	h := &hold{id: holdID{sweep.KindStream, order.Stream.Name()}, since: w.Now()}
 	h.run = &vrun{from: from, home: from.Self(), order: order}
 	tokens := order.Request.PromptTokens + order.Request.AnswerTokens
--- a/test/memory/memory_test.go
+++ b/test/memory/memory_test.go
@@ -37,6 +37,8 @@
 	swept    map[sweep.Reason]int
 	loads    []time.Duration
 	serial   int
+	// adopted are the streams that hosts asked engines to go on with.
+	adopted []string
 	// impaired is until when a host is paused or cut from an engine.
 	impaired map[string]time.Duration
 
--- a/test/memory/orders_test.go
+++ b/test/memory/orders_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"carobshunt/internal/core/node"
 	"carobshunt/internal/core/order"
 	"carobshunt/internal/document"
 
@@ -189,6 +190,27 @@
 	}
 }
 
+// A host that drains for long, since a request still runs, hands its engines over to the others.
+func TestDrainingCommanderHandsItsEnginesOver(t *testing.T) {
+	for i := range 3 {
+		w := newMemoryWorld(t, uint64(i), 3, 6)
+		w.hold("1", "2")
+		w.wantEverywhere("1", "2")
+		w.informAll()
+		w.run(8 * time.Second)
+		draining := w.hosts[i]
+		w.submit(draining, 400_000, 2*time.Minute)
+		w.run(9 * time.Second)
+		draining.Post(node.Drain{})
+		w.run(10 * time.Second)
+		w.wantEverywhere("1")
+		w.informAll()
+		w.run(25 * time.Second)
+		assert.Assert(t, draining.Alive())
+		assert.Assert(t, w.settled())
+	}
+}
+
 // While entry hosts are cut into two parts, one of which has not heard of the newest revision, the newest stays in
 // force on all engines, also on those that ignore fencing numbers.
 func TestCutCommandersLeaveTheNewestRevisionInForce(t *testing.T) {
