--- /dev/null
+++ b/internal/core/node/requests_test.go
@@ -0,0 +1,500 @@
+package node_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+
+	"gotest.tools/v3/assert"
+)
+
+// lone is one Node whose inputs and clock a test drives by hand.
+type lone struct {
+	t       *testing.T
+	node    *node.Node
+	now     core.Time
+	tickets node.Ticket
+	actions []node.Action
+}
+
+var loneSelf = core.Home{Address: "10.0.0.1:1", Incarnation: "i1"}
+
+const (
+	loneStart   = 10 * time.Second
+	loneBudget  = 2 * time.Second
+	loneRecords = 4
+	loneTarget  = "10.0.1.1:1"
+	otherTarget = "10.0.1.2:1"
+)
+
+func newLone(t *testing.T) *lone {
+	t.Helper()
+	n := node.New(node.Options{
+		Self: loneSelf, Peer: "10.0.0.1:2", Zone: "a", Records: loneRecords, BodyBytes: 1 << 20, Seed: 1,
+		Seeds: []string{"10.0.0.2:2"},
+	})
+	l := &lone{t: t, node: n, now: loneStart - time.Second}
+	preset := document.Preset{
+		Budgets:            document.Budgets{ShortMs: 10_000, MiddleMs: 10_000, LongMs: 10_000},
+		FirstTokenTargetMs: 750, ShortPromptTokens: 4_000, MiddlePromptTokens: 100_000, RetryPercent: 100,
+	}
+	raw, err := json.Marshal(document.Document{
+		Revision: 1, Active: "ordinary", Presets: map[string]document.Preset{"ordinary": preset},
+		Teams: []document.Team{{Name: "desk", Weight: 1, TokensPerSecond: 1_000_000}},
+	})
+	assert.NilError(t, err)
+	l.step(node.DocumentHeard{Raw: raw, Source: "platform"})
+	list := &hostlist.List{Version: 1, Hosts: []hostlist.Host{
+		{Address: loneSelf.Address, Peer: "10.0.0.1:2", Zone: "a", Role: hostlist.RoleEntry, State: hostlist.StateLive},
+	}}
+	for _, address := range []string{loneTarget, otherTarget} {
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Address: address, Zone: "a", Role: hostlist.RoleService, State: hostlist.StateLive, Models: []string{"orders"},
+		})
+	}
+	l.step(node.HostsHeard{List: list, Source: "platform"})
+	l.after(time.Second).step(node.Tick{}) // the team's share grows from nothing
+	return l
+}
+
+func (l *lone) step(in node.Input) []node.Action {
+	l.actions = l.node.Step(l.now, in)
+	return l.actions
+}
+
+func (l *lone) after(d time.Duration) *lone {
+	l.now += d
+	return l
+}
+
+// ask hands in a question and returns the decision.
+func (l *lone) ask(in func(node.Ticket) node.Input) node.Decision {
+	l.t.Helper()
+	l.tickets++
+	for _, a := range l.step(in(l.tickets)) {
+		if d, ok := a.(node.Decide); ok {
+			assert.Equal(l.t, d.Ticket, l.tickets)
+			return d.Decision
+		}
+	}
+	l.t.Fatal("no decision")
+	return node.Decision{}
+}
+
+func (l *lone) submit(req core.Request) node.Decision {
+	l.t.Helper()
+	return l.ask(func(t node.Ticket) node.Input { return node.Submit{Ticket: t, Request: req} })
+}
+
+func (l *lone) query(req core.Request) node.Decision {
+	l.t.Helper()
+	req.Attempt = 0
+	return l.ask(func(t node.Ticket) node.Input { return node.Query{Ticket: t, Request: req} })
+}
+
+func (l *lone) cancel(req core.Request) node.Decision {
+	l.t.Helper()
+	req.Attempt = 0
+	return l.ask(func(t node.Ticket) node.Input { return node.Cancel{Ticket: t, Request: req} })
+}
+
+// body delivers a body and returns the dispatch that it leads to, if any.
+func (l *lone) body(req core.Request, fault api.Code) *node.StartDispatch {
+	l.step(node.BodyEnded{Key: req.Key, Attempt: req.Attempt, Fault: fault})
+	return l.started()
+}
+
+// dispatched submits a request with its body and returns its dispatch.
+func (l *lone) dispatched(req core.Request) node.StartDispatch {
+	l.t.Helper()
+	assert.Equal(l.t, l.submit(req).Kind, node.Admit)
+	started := l.body(req, "")
+	assert.Assert(l.t, started != nil)
+	return *started
+}
+
+// started is the dispatch among the last step's actions.
+func (l *lone) started() *node.StartDispatch {
+	for _, a := range l.actions {
+		if s, ok := a.(node.StartDispatch); ok {
+			return &s
+		}
+	}
+	return nil
+}
+
+// ended is the result among the last step's actions.
+func (l *lone) ended() *core.Result {
+	for _, a := range l.actions {
+		if f, ok := a.(node.Finish); ok {
+			return &f.Result
+		}
+	}
+	return nil
+}
+
+func (l *lone) end(d node.StartDispatch, ending node.Ending) {
+	l.step(node.DispatchEnded{Key: d.Key, Dispatch: d.Dispatch, Target: d.Target, Ending: ending})
+}
+
+func (l *lone) wantResult(outcome api.Outcome, code api.Code) {
+	l.t.Helper()
+	result := l.ended()
+	assert.Assert(l.t, result != nil, "the request has not ended")
+	assert.Equal(l.t, result.Outcome, outcome)
+	assert.Equal(l.t, result.Code, code)
+}
+
+// order is a request that is not idempotent, draft one that is.
+func order(attempt uint32) core.Request {
+	return core.Request{
+		Key: core.Key{Team: "desk", ID: "request-1"}, Attempt: attempt, Model: "orders", PromptTokens: 10, AnswerTokens: 5,
+		Home: loneSelf, Deadline: loneStart + loneBudget, BodyBytes: 100, BodyChecksum: "sum",
+	}
+}
+
+func draft(attempt uint32) core.Request {
+	req := order(attempt)
+	req.Idempotent = true
+	return req
+}
+
+func TestAttemptThatJoinedIsClosedWithItsRecord(t *testing.T) {
+	l := newLone(t)
+	assert.Equal(t, l.submit(order(1)).Kind, node.Admit)
+	assert.Equal(t, l.submit(order(3)).Kind, node.Attach)
+	l.body(order(1), api.CodeTruncated)
+	l.wantResult(api.OutcomeNotRun, api.CodeTruncated)
+	for attempt := uint32(1); attempt <= 3; attempt++ {
+		d := l.submit(order(attempt))
+		assert.Equal(t, d.Kind, node.Refuse)
+		assert.Equal(t, d.Result.Code, api.CodeClosed)
+	}
+	assert.Equal(t, l.submit(order(4)).Kind, node.Admit)
+}
+
+func TestQueryAnsweredNotRunClosesEveryAttempt(t *testing.T) {
+	l := newLone(t)
+	unseen := l.query(order(0))
+	assert.Equal(t, unseen.Result.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, l.submit(order(7)).Result.Code, api.CodeClosed)
+
+	other := order(1)
+	other.ID = "request-2"
+	l.submit(other)
+	l.body(other, api.CodeChecksum)
+	assert.Equal(t, l.query(other).Result.Outcome, api.OutcomeNotRun)
+	other.Attempt = 2
+	assert.Equal(t, l.submit(other).Result.Code, api.CodeClosed)
+}
+
+func TestCancelClosesWhatHasNotArrived(t *testing.T) {
+	l := newLone(t)
+	d := l.cancel(order(0))
+	assert.Equal(t, d.Result.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, d.Result.Code, api.CodeCanceled)
+	assert.Equal(t, l.submit(order(1)).Result.Code, api.CodeClosed)
+}
+
+func TestCancelOfADispatchedCallIsUnknownUntilItIsSeenToRun(t *testing.T) {
+	l := newLone(t)
+	l.dispatched(order(1))
+	assert.Equal(t, l.cancel(order(0)).Result.Outcome, api.OutcomeUnknown)
+	assert.Equal(t, l.submit(order(2)).Kind, node.Attach)
+
+	l = newLone(t)
+	started := l.dispatched(order(1))
+	l.step(node.DispatchFirstToken{Key: started.Key, Dispatch: started.Dispatch})
+	assert.Equal(t, l.cancel(order(0)).Result.Outcome, api.OutcomeFailed)
+}
+
+func TestIdempotentThatReachedATargetOnceIsNeverNotRun(t *testing.T) {
+	l := newLone(t)
+	first := l.dispatched(draft(1))
+	l.end(first, node.EndedLost)
+	second := l.started()
+	assert.Assert(t, second != nil, "no second dispatch")
+	l.end(*second, node.EndedNotWritten)
+	l.after(loneBudget).step(node.Tick{})
+	l.wantResult(api.OutcomeFailed, api.CodeDeadline)
+}
+
+func TestIdempotentThatFailedGoesToAnotherTarget(t *testing.T) {
+	l := newLone(t)
+	first := l.dispatched(draft(1))
+	l.end(first, node.EndedFailed)
+	assert.Assert(t, l.started() != nil)
+}
+
+func TestCallThatReachedItsTargetIsNotDispatchedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		ending  node.Ending
+		first   bool
+		outcome api.Outcome
+		code    api.Code
+	}{
+		"lost":                        {node.EndedLost, false, api.OutcomeUnknown, api.CodeTargetLost},
+		"lost after its first bytes":  {node.EndedLost, true, api.OutcomeFailed, api.CodeTargetLost},
+		"failed":                      {node.EndedFailed, false, api.OutcomeFailed, api.CodeTargetFailed},
+		"answered":                    {node.EndedDone, true, api.OutcomeDone, ""},
+		"answered without first byte": {node.EndedDone, false, api.OutcomeDone, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone(t)
+			started := l.dispatched(order(1))
+			if c.first {
+				l.step(node.DispatchFirstToken{Key: started.Key, Dispatch: started.Dispatch})
+			}
+			l.end(started, c.ending)
+			l.wantResult(c.outcome, c.code)
+			assert.Assert(t, l.started() == nil)
+			assert.Equal(t, l.submit(order(2)).Kind, node.Attach)
+		})
+	}
+}
+
+func TestCallThatNeverReachedItsTargetGoesToAnother(t *testing.T) {
+	for name, ending := range map[string]node.Ending{"not written": node.EndedNotWritten, "refused": node.EndedRefused} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone(t)
+			first := l.dispatched(order(1))
+			l.end(first, ending)
+			second := l.started()
+			assert.Assert(t, second != nil)
+			assert.Assert(t, second.Target != first.Target, "the target that did not take it is asked again at once")
+			assert.Equal(t, second.Dispatch, first.Dispatch+1)
+		})
+	}
+}
+
+func TestLastWordOfADispatchDecidesAtTheDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		ending  node.Ending
+		outcome api.Outcome
+	}{
+		"not written": {node.EndedNotWritten, api.OutcomeNotRun},
+		"written":     {node.EndedLost, api.OutcomeUnknown},
+		"answered":    {node.EndedDone, api.OutcomeDone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone(t)
+			started := l.dispatched(order(1))
+			l.after(loneBudget + time.Minute).step(node.Tick{}) // the process woke late
+			assert.Assert(t, l.ended() == nil)
+			l.end(started, c.ending)
+			assert.Equal(t, l.ended().Outcome, c.outcome)
+		})
+	}
+}
+
+func TestDispatchWithoutALastWordEndsAtTheNextTick(t *testing.T) {
+	l := newLone(t)
+	l.dispatched(order(1))
+	l.after(loneBudget - ledger.LastMoment).step(node.Tick{})
+	assert.Assert(t, l.ended() == nil)
+	l.after(node.TickInterval).step(node.Tick{})
+	l.wantResult(api.OutcomeUnknown, api.CodeDeadline)
+}
+
+func TestCallIsNotDispatchedInItsLastMoment(t *testing.T) {
+	l := newLone(t)
+	l.submit(order(1))
+	l.after(loneBudget - ledger.LastMoment)
+	assert.Assert(t, l.body(order(1), "") == nil)
+	l.after(ledger.LastMoment).step(node.Tick{})
+	l.wantResult(api.OutcomeNotRun, api.CodeDeadline)
+}
+
+func TestBodyOfAnEarlierAttemptDoesNotEndALaterOne(t *testing.T) {
+	l := newLone(t)
+	l.submit(order(1))
+	assert.Equal(t, l.cancel(draft(0)).Result.Outcome, api.OutcomeNotRun)
+
+	l = newLone(t)
+	l.submit(order(1))
+	l.body(order(1), api.CodeTruncated)
+	assert.Equal(t, l.submit(order(2)).Kind, node.Admit)
+	assert.Assert(t, l.body(order(1), "") == nil)
+	l.body(order(1), api.CodeTruncated)
+	assert.Assert(t, l.ended() == nil)
+	assert.Assert(t, l.body(order(2), "") != nil)
+}
+
+func TestDispatchNumbersGoOnInANewRecordOfTheSameKey(t *testing.T) {
+	l := newLone(t)
+	first := l.dispatched(order(1))
+	l.after(loneBudget - ledger.LastMoment).step(node.Tick{})
+	l.end(first, node.EndedNotWritten)
+	l.wantResult(api.OutcomeNotRun, api.CodeDeadline)
+	again := order(2)
+	again.Deadline += loneBudget
+	second := l.dispatched(again)
+	assert.Assert(t, second.Dispatch > first.Dispatch)
+	l.end(first, node.EndedNotWritten)
+	assert.Assert(t, l.started() == nil && l.ended() == nil)
+}
+
+func TestDeadlinesThatNoBudgetExplainsAreRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		change  func(*core.Request)
+		outcome api.Outcome
+	}{
+		"none":                   {func(r *core.Request) { r.Deadline = 0 }, api.OutcomeNotRun},
+		"none on a later submit": {func(r *core.Request) { r.Deadline, r.Attempt = 0, 2 }, api.OutcomeUnknown},
+		"a day ahead":            {func(r *core.Request) { r.Deadline += 24 * time.Hour }, api.OutcomeNotRun},
+		"a day's budget":         {func(r *core.Request) { r.Idempotent, r.Deadline, r.Budget = true, 0, 24*time.Hour }, api.OutcomeNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone(t)
+			req := order(1)
+			c.change(&req)
+			d := l.submit(req)
+			assert.Equal(t, d.Kind, node.Refuse)
+			assert.Equal(t, d.Result.Code, api.CodeMalformed)
+			assert.Equal(t, d.Result.Outcome, c.outcome)
+		})
+	}
+}
+
+func TestNoCallerPinsARecordForADay(t *testing.T) {
+	l := newLone(t)
+	req := order(1)
+	req.Deadline += 24 * time.Hour
+	l.query(req)
+	assert.Equal(t, l.node.Snapshot().Status.Requests.Records, 1)
+	l.after(ledger.MaxBudget + ledger.Retention).step(node.Tick{})
+	assert.Equal(t, l.node.Snapshot().Status.Requests.Records, 0)
+}
+
+func TestDeadlineOnTheClockOfAnotherProcessIsNotTaken(t *testing.T) {
+	for name, home := range map[string]core.Home{
+		"another host":   {Address: "10.0.0.2:1", Incarnation: "i1"},
+		"before restart": {Address: loneSelf.Address, Incarnation: "i0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone(t)
+			req := draft(1)
+			req.Home, req.Deadline, req.Budget = home, 30*24*time.Hour, loneBudget
+			d := l.submit(req)
+			assert.Equal(t, d.Kind, node.Admit)
+			assert.Equal(t, d.Deadline, loneStart+loneBudget)
+		})
+	}
+}
+
+func TestOnlyTheHomeSpeaksOfACall(t *testing.T) {
+	elsewhere := core.Home{Address: "10.0.0.2:1", Incarnation: "i1"}
+	for name, c := range map[string]struct {
+		change func(*core.Request)
+		kind   node.DecisionKind
+		code   api.Code
+	}{
+		"no home":            {func(r *core.Request) { r.Home = core.Home{} }, node.Refuse, api.CodeHomeRequired},
+		"home restarted":     {func(r *core.Request) { r.Home.Incarnation = "i0" }, node.Refuse, api.CodeHomeGone},
+		"home elsewhere":     {func(r *core.Request) { r.Home = elsewhere }, node.Forward, ""},
+		"forwarded to wrong": {func(r *core.Request) { r.Home, r.Forwarded = elsewhere, true }, node.Refuse, api.CodeHomeGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone(t)
+			req := order(2)
+			c.change(&req)
+			for what, ask := range map[string]func(core.Request) node.Decision{"submit": l.submit, "query": l.query, "cancel": l.cancel} {
+				d := ask(req)
+				assert.Equal(t, d.Kind, c.kind, what)
+				assert.Equal(t, d.Result.Code, c.code, what)
+				if d.Kind == node.Refuse {
+					assert.Equal(t, d.Result.Outcome, api.OutcomeUnknown, what)
+				}
+			}
+		})
+	}
+}
+
+func TestHomeIsAskedEvenWhenAnOlderHeartbeatNamesAnotherProcess(t *testing.T) {
+	l := newLone(t)
+	l.step(node.HeartbeatHeard{Heartbeat: member.Heartbeat{Address: "10.0.0.2:1", Peer: "10.0.0.2:2", Incarnation: "i1"}})
+	req := order(1)
+	req.Home = core.Home{Address: "10.0.0.2:1", Incarnation: "i2"}
+	assert.Equal(t, l.submit(req).Kind, node.Forward)
+}
+
+func TestQuestionAboutAnIdempotentRequestGoesToItsHolder(t *testing.T) {
+	l := newLone(t)
+	req := draft(1)
+	req.Home = core.Home{Address: "10.0.0.2:1", Incarnation: "i1"}
+	assert.Equal(t, l.query(req).Kind, node.Forward)
+	req.Forwarded = true
+	assert.Equal(t, l.query(req).Result.Code, api.CodeNotFound)
+}
+
+func TestFullLedgerEvictsNothingAndPromisesNothing(t *testing.T) {
+	l := newLone(t)
+	req := order(1)
+	for i := range loneRecords {
+		req.ID = "request-" + string(rune('a'+i))
+		assert.Equal(t, l.submit(req).Kind, node.Admit)
+	}
+	req.ID = "request-x"
+	d := l.submit(req)
+	assert.Equal(t, d.Kind, node.Refuse)
+	assert.Equal(t, d.Result.Code, api.CodeRecordsFull)
+	assert.Equal(t, d.Result.Outcome, api.OutcomeUnknown, "nothing remembers that it was refused")
+	assert.Assert(t, d.Result.RetryAfter > 0)
+	assert.Equal(t, l.query(req).Result.Outcome, api.OutcomeUnknown)
+	req.ID = "request-a"
+	assert.Equal(t, l.submit(req).Kind, node.Attach)
+	l.after(loneBudget + ledger.Retention - 1).step(node.Tick{})
+	assert.Equal(t, l.node.Snapshot().Status.Requests.Records, loneRecords)
+	l.after(1).step(node.Tick{})
+	assert.Equal(t, l.node.Snapshot().Status.Requests.Records, 0)
+}
+
+func TestLateCopyIsToldWhatIsCertain(t *testing.T) {
+	for name, c := range map[string]struct {
+		late    time.Duration
+		outcome api.Outcome
+		code    api.Code
+	}{
+		"in its time":        {loneBudget - 1, api.OutcomePending, ""},
+		"past its deadline":  {loneBudget, api.OutcomeNotRun, api.CodeDeadline},
+		"past the retention": {loneBudget + ledger.Retention, api.OutcomeUnknown, api.CodeRecordExpired},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone(t)
+			d := l.after(c.late).submit(order(1))
+			if c.code == "" {
+				assert.Equal(t, d.Kind, node.Admit)
+				return
+			}
+			assert.Equal(t, d.Result.Outcome, c.outcome)
+			assert.Equal(t, d.Result.Code, c.code)
+		})
+	}
+}
+
+func TestAnotherBodyUnderTheSameIdentifierIsRefused(t *testing.T) {
+	l := newLone(t)
+	l.dispatched(order(1))
+	other := order(2)
+	other.BodyChecksum = "other"
+	assert.Equal(t, l.submit(other).Result.Code, api.CodeConflict)
+}
+
+func TestHostWithoutConfigurationSaysSo(t *testing.T) {
+	n := node.New(node.Options{Self: loneSelf, Peer: "10.0.0.1:2", Records: 4, BodyBytes: 1000, Seed: 1})
+	l := &lone{t: t, node: n, now: time.Second}
+	req := draft(1)
+	req.Deadline = 0
+	d := l.submit(req)
+	assert.Equal(t, d.Result.Code, api.CodeNotReady)
+	assert.Equal(t, d.Result.Outcome, api.OutcomeNotRun)
+	assert.Assert(t, d.Result.RetryAfter > 0)
+}
--- a/test/outcomes/outcomes_test.go
+++ b/test/outcomes/outcomes_test.go
@@ -29,8 +29,10 @@
 
 // tally sums up what callers took away from the schedules of one kind.
 type tally struct {
-	calls, unknown, unknownArrived int
-	byCode                         map[api.Code]int
+	calls, unknownArrived int
+	byOutcome             map[api.Outcome]int
+	// unknown counts unknown outcomes by code.
+	unknown map[api.Code]int
 }
 
 // runAll runs schedules, numbered in steps, on all processors and returns what the oracles found, in order.
@@ -60,7 +62,7 @@
 		faults = append(faults, found[i]...)
 		name := kindOf(first + i*step).name
 		if tallies[name] == nil {
-			tallies[name] = &tally{byCode: make(map[api.Code]int)}
+			tallies[name] = &tally{byOutcome: make(map[api.Outcome]int), unknown: make(map[api.Code]int)}
 		}
 		tallies[name].add(finals[i])
 	}
@@ -73,9 +75,9 @@
 			continue
 		}
 		t.calls++
+		t.byOutcome[f.outcome]++
 		if f.outcome == api.OutcomeUnknown {
-			t.unknown++
-			t.byCode[f.code]++
+			t.unknown[f.code]++
 			if len(o.arrivals[f.key]) > 0 {
 				t.unknownArrived++
 			}
@@ -92,9 +94,11 @@
 	sort.Strings(names)
 	for _, name := range names {
 		ta := tallies[name]
-		t.Logf("%-22s %6d calls that may not be repeated, %5d unknown (%.2f%%), of these %5d arrived, by code %v",
-			name, ta.calls, ta.unknown, 100*float64(ta.unknown)/float64(ta.calls), ta.unknownArrived, ta.byCode)
+		t.Logf("%-22s %5d calls: %v; unknown %.1f%%, of these %d arrived, by code %v", name, ta.calls, ta.byOutcome,
+			100*float64(ta.byOutcome[api.OutcomeUnknown])/float64(ta.calls), ta.unknownArrived, ta.unknown)
 	}
+	quiet := tallies["no fault"]
+	assert.Assert(t, quiet.byOutcome[api.OutcomeDone]*10 > quiet.calls*8, "the schedules run too little: %v", quiet.byOutcome)
 	show(t, faults)
 	assert.Equal(t, len(faults), 0)
 }
