Process tests of outcomes and of whole answers

Change: tests with real processes: a connection that dies after the body was written, a home killed between dispatch and answer, a home stopped past the budget between admission and dispatch, a body that stalls, a look-up from before a restart, duplicates to all hosts at once, an answer cut in the middle and resumed at the same or through another host, an answer that starts over at another target under two readers.

--- /dev/null
+++ b/test/process/answers_test.go
@@ -0,0 +1,97 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/client"
+
+	"gotest.tools/v3/assert"
+)
+
+// streamedTokens is the length of an answer that takes about 0.8 s.
+const streamedTokens = 1000
+
+func streamedText() string {
+	var text strings.Builder
+	for i := range streamedTokens {
+		fmt.Fprintf(&text, "token%d ", i)
+	}
+	return text.String()
+}
+
+// doInBackground submits and hands over the result.
+func doInBackground(c *cluster, req client.Request) <-chan client.Result {
+	got := make(chan client.Result, 1)
+	go func() {
+		r, _ := c.client().Do(context.Background(), req)
+		got <- r
+	}()
+	return got
+}
+
+// waitStreaming waits until a host streams an answer, and a little longer.
+func waitStreaming(h *host) {
+	h.waitFor(func(s api.Status) bool { return s.Requests.Running == 1 })
+	time.Sleep(200 * time.Millisecond)
+}
+
+func TestBrokenAnswerIsResumedWithoutAnotherSubmit(t *testing.T) {
+	for _, mended := range []bool{true, false} {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("mended %v idempotent %v", mended, idempotent), func(t *testing.T) {
+				c := newCluster(t, 2, 1)
+				front := newPipe(t, c.ip(200)+callersPort, c.hosts[0].callers)
+				lookup, err := c.client().Lookup(context.Background())
+				assert.NilError(t, err)
+				req := request("draft-2001", modelName, idempotent)
+				req.AnswerTokens = streamedTokens
+				req.Via = c.ip(200) + callersPort
+				for _, h := range lookup.Hosts {
+					if h.Address == c.hosts[0].callers {
+						req.Home = h.Home()
+						req.Deadline = time.Duration(h.ClockMs)*time.Millisecond + req.Budget
+					}
+				}
+				got := doInBackground(c, req)
+				waitStreaming(c.hosts[0])
+				front.Cut("")
+				if mended {
+					front.Mend("")
+				}
+				result := <-got
+				assert.Equal(t, result.Outcome, api.OutcomeDone, "%+v", result)
+				assert.Equal(t, result.Text, streamedText())
+				assert.Equal(t, result.Attempts, 1)
+			})
+		}
+	}
+}
+
+func TestAnswerThatStartsOverAtAnotherTargetIsWholeForEveryReader(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	req := request("draft-2002", modelName, true)
+	req.AnswerTokens = streamedTokens
+	first := doInBackground(c, req)
+	waitStreaming(c.hosts[0])
+	second := doInBackground(c, req)
+	time.Sleep(100 * time.Millisecond)
+	for i := range c.engines {
+		s, err := c.hosts[0].status()
+		assert.NilError(t, err)
+		for _, target := range s.Targets {
+			if target.InFlight > 0 && target.Address == c.list.Hosts[i].Address {
+				c.enginePipes[i].Cut("")
+			}
+		}
+	}
+	for _, got := range []<-chan client.Result{first, second} {
+		result := <-got
+		assert.Equal(t, result.Outcome, api.OutcomeDone, "%+v", result)
+		assert.Equal(t, result.Text, streamedText())
+	}
+}
--- /dev/null
+++ b/test/process/outcomes_test.go
@@ -0,0 +1,258 @@
+package process
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/client"
+	"carobshunt/internal/hostlist"
+	"carobshunt/internal/stream"
+
+	"gotest.tools/v3/assert"
+)
+
+// fragileName is the plain service whose answers a test scripts.
+const fragileName = "fragile"
+
+// fragile is a plain service that counts arrivals and then does what the test says.
+type fragile struct {
+	mu       sync.Mutex
+	arrivals int
+	// arrived gets one value for each arrival.
+	arrived chan struct{}
+	// reply answers the call, with its number from 1; returning false breaks the connection.
+	reply func(w http.ResponseWriter, number int) bool
+}
+
+// ServeHTTP implements http.Handler.
+func (f *fragile) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	f.mu.Lock()
+	f.arrivals++
+	number := f.arrivals
+	f.mu.Unlock()
+	f.arrived <- struct{}{}
+	if !f.reply(w, number) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (f *fragile) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.arrivals
+}
+
+func answerWell(w http.ResponseWriter) bool {
+	_, err := fmt.Fprintf(w, `{"offset":0,"text":"well"}`+"\n"+`{"offset":4,"end":true,"checksum":%q}`+"\n", stream.Checksum([]byte("well")))
+	return err == nil
+}
+
+// newFragileCluster is a cluster with one more plain service.
+func newFragileCluster(t *testing.T, hosts int, reply func(http.ResponseWriter, int) bool) (*cluster, *fragile) {
+	t.Helper()
+	c := prepareCluster(t, hosts, 1)
+	f := &fragile{arrived: make(chan struct{}, 100), reply: reply}
+	c.serve(c.ip(91), f)
+	c.list.Hosts = append(c.list.Hosts, hostlist.Host{
+		Address: c.ip(91) + pipePort, Zone: "a", Role: hostlist.RoleService, State: hostlist.StateLive, Models: []string{fragileName},
+	})
+	c.list.Version++
+	c.publishHosts()
+	for _, h := range c.hosts {
+		h.start()
+	}
+	c.waitReady()
+	return c, f
+}
+
+func TestConnectionThatDiesAfterTheBodyWasWrittenIsNotTriedAgain(t *testing.T) {
+	c, f := newFragileCluster(t, 1, func(w http.ResponseWriter, number int) bool {
+		return number == 1 && answerWell(w)
+	})
+	// The first call leaves whatever connections are kept; the second one dies on its own or on a kept one.
+	first, err := c.client().Do(context.Background(), request("order-1001", fragileName, false))
+	assert.NilError(t, err)
+	assert.Equal(t, first.Outcome, api.OutcomeDone, "%+v", first)
+	second, err := c.client().Do(context.Background(), request("order-1002", fragileName, false))
+	assert.NilError(t, err)
+	assert.Equal(t, second.Outcome, api.OutcomeUnknown, "%+v", second)
+	assert.Equal(t, second.Code, api.CodeTargetLost, "%+v", second)
+	assert.Equal(t, f.count(), 2)
+}
+
+func TestHomeKilledBetweenDispatchAndAnswerLeavesOneArrival(t *testing.T) {
+	release := make(chan struct{})
+	c, f := newFragileCluster(t, 3, func(http.ResponseWriter, int) bool {
+		<-release
+		return false
+	})
+	defer close(release)
+	home := c.hosts[0]
+	req := request("order-1003", fragileName, false)
+	req.Via = home.callers
+	req.Budget = 5 * time.Second
+	got := make(chan client.Result, 1)
+	go func() {
+		r, _ := c.client().Do(context.Background(), req)
+		got <- r
+	}()
+	<-f.arrived
+	home.kill()
+	home.start()
+	c.waitReady()
+	result := <-got
+	assert.Equal(t, result.Outcome, api.OutcomeUnknown, "%+v", result)
+	req.Home, req.Deadline = result.Home, result.Deadline
+	for _, h := range c.hosts {
+		req.Via = h.callers
+		again, err := c.client().Do(context.Background(), req)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Outcome, api.OutcomeUnknown, "%+v", again)
+	}
+	assert.Equal(t, f.count(), 1)
+}
+
+// rawSubmit sends a submit's headers by hand and waits for "100 Continue".
+func rawSubmit(t *testing.T, h *host, id, body string, budget time.Duration) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	lookup, err := h.c.client().Lookup(context.Background())
+	assert.NilError(t, err)
+	var self api.Host
+	for _, one := range lookup.Hosts {
+		if one.Address == h.callers {
+			self = one
+		}
+	}
+	conn, err := net.Dial("tcp", h.callers)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	headers := [][2]string{
+		{"Host", h.callers}, {"Expect", "100-continue"}, {"Content-Length", strconv.Itoa(len(body))},
+		{api.HeaderRequest, id}, {api.HeaderAttempt, "1"}, {api.HeaderTeam, teamName}, {api.HeaderModel, serviceName},
+		{api.HeaderPromptTokens, "10"}, {api.HeaderAnswerTokens, "5"}, {api.HeaderIdempotent, "false"},
+		{api.HeaderBodyChecksum, stream.Checksum([]byte(body))}, {api.HeaderHome, self.Home()},
+		{api.HeaderDeadline, strconv.FormatInt(self.ClockMs+budget.Milliseconds(), 10)},
+	}
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\n", api.PathRequests)
+	assert.NilError(t, err)
+	for _, header := range headers {
+		_, err = fmt.Fprintf(conn, "%s: %s\r\n", header[0], header[1])
+		assert.NilError(t, err)
+	}
+	_, err = io.WriteString(conn, "\r\n")
+	assert.NilError(t, err)
+	reader := bufio.NewReader(conn)
+	status, err := reader.ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, status, "HTTP/1.1 100 Continue\r\n")
+	_, err = reader.ReadString('\n')
+	assert.NilError(t, err)
+	return conn, reader
+}
+
+func TestHomeStoppedBetweenAdmissionAndDispatchPastTheBudgetRunsNothing(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	home := c.hosts[0]
+	const body = "a body that waits in the socket"
+	const budget = 500 * time.Millisecond
+	conn, reader := rawSubmit(t, home, "order-1004", body, budget)
+	home.pause()
+	_, err := io.WriteString(conn, body)
+	assert.NilError(t, err)
+	time.Sleep(budget + 200*time.Millisecond)
+	home.resume()
+	answer, err := io.ReadAll(reader)
+	if err == nil || len(answer) > 0 {
+		assert.Assert(t, !contains(answer, `"outcome":"done"`), "%s", answer)
+		assert.Assert(t, contains(answer, `"outcome":"not_run"`), "%s", answer)
+	}
+	home.waitFor(func(s api.Status) bool { return s.Requests.Running+s.Requests.Queued == 0 })
+	assert.Equal(t, c.service.Arrived(teamName, "order-1004"), 0)
+}
+
+func TestStalledBodyIsGivenUpAtTheDeadline(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	conn, reader := rawSubmit(t, c.hosts[0], "order-1005", "a body of which one half stays away", 500*time.Millisecond)
+	_, err := io.WriteString(conn, "a body of")
+	assert.NilError(t, err)
+	answer, _ := io.ReadAll(reader)
+	assert.Assert(t, contains(answer, `"outcome":"not_run"`), "%s", answer)
+	c.hosts[0].waitFor(func(s api.Status) bool { return s.Requests.BodyBytes == 0 })
+	assert.Equal(t, c.service.Arrived(teamName, "order-1005"), 0)
+}
+
+func contains(text []byte, part string) bool {
+	for i := 0; i+len(part) <= len(text); i++ {
+		if string(text[i:i+len(part)]) == part {
+			return true
+		}
+	}
+	return false
+}
+
+func TestLookUpFromBeforeARestartStillServesARequestThatWasNeverSent(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	caller := c.client()
+	lookup, err := caller.Lookup(context.Background())
+	assert.NilError(t, err)
+	stale := lookup.Hosts[0]
+	for _, h := range c.hosts {
+		if h.callers == stale.Address {
+			h.kill()
+			h.start()
+		}
+	}
+	c.waitReady()
+	req := request("order-1006", serviceName, false)
+	got, err := caller.Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeDone, "%+v", got)
+	assert.Assert(t, got.Home != stale.Home())
+	assert.Equal(t, c.service.Arrived(teamName, req.ID), 1)
+
+	// With the old home kept, as by a process that may have sent the body, nobody can tell.
+	req.ID = "order-1007"
+	req.Home, req.Deadline = stale.Home(), time.Minute
+	got, err = caller.Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeUnknown, "%+v", got)
+	assert.Equal(t, c.service.Arrived(teamName, req.ID), 0)
+}
+
+func TestDuplicatesToAllHostsAtOnceArriveOnce(t *testing.T) {
+	c := newCluster(t, 4, 1)
+	lookup, err := c.client().Lookup(context.Background())
+	assert.NilError(t, err)
+	home := lookup.Hosts[0]
+	var wg sync.WaitGroup
+	results := make([]client.Result, 4*len(c.hosts))
+	for i := range results {
+		req := request("order-1008", serviceName, false)
+		req.Home = home.Home()
+		req.Deadline = time.Duration(home.ClockMs)*time.Millisecond + req.Budget
+		req.Via = c.hosts[i%len(c.hosts)].callers
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			results[i], _ = c.client().Do(context.Background(), req)
+		}()
+	}
+	wg.Wait()
+	for _, r := range results {
+		assert.Equal(t, r.Outcome, api.OutcomeDone, "%+v", r)
+		assert.Equal(t, r.Text, "call desk/order-1008 arrival 1")
+	}
+	assert.Equal(t, c.service.Arrived(teamName, "order-1008"), 1)
+}
