--- a/internal/core/node/requests_test.go
+++ b/internal/core/node/requests_test.go
@@ -61,7 +61,7 @@
 		})
 	}
 	l.step(node.HostsHeard{List: list, Source: "platform"})
-	l.after(time.Second).step(node.Tick{}) // the team's share grows from nothing
+	l.run(time.Second) // the team's share grows from nothing
 	return l
 }
 
@@ -75,6 +75,13 @@
 	return l
 }
 
+// run lets time pass as it does for a process that is awake.
+func (l *lone) run(d time.Duration) {
+	for end := l.now + d; l.now < end; {
+		l.after(node.TickInterval).step(node.Tick{})
+	}
+}
+
 // ask hands in a question and returns the decision.
 func (l *lone) ask(in func(node.Ticket) node.Input) node.Decision {
 	l.t.Helper()
@@ -153,8 +160,8 @@
 	assert.Equal(l.t, result.Code, code)
 }
 
-// order is a request that is not idempotent, draft one that is.
-func order(attempt uint32) core.Request {
+// call is a request that is not idempotent, draft one that is.
+func call(attempt uint32) core.Request {
 	return core.Request{
 		Key: core.Key{Team: "desk", ID: "request-1"}, Attempt: attempt, Model: "orders", PromptTokens: 10, AnswerTokens: 5,
 		Home: loneSelf, Deadline: loneStart + loneBudget, BodyBytes: 100, BodyChecksum: "sum",
@@ -162,32 +169,32 @@
 }
 
 func draft(attempt uint32) core.Request {
-	req := order(attempt)
+	req := call(attempt)
 	req.Idempotent = true
 	return req
 }
 
 func TestAttemptThatJoinedIsClosedWithItsRecord(t *testing.T) {
 	l := newLone(t)
-	assert.Equal(t, l.submit(order(1)).Kind, node.Admit)
-	assert.Equal(t, l.submit(order(3)).Kind, node.Attach)
-	l.body(order(1), api.CodeTruncated)
+	assert.Equal(t, l.submit(call(1)).Kind, node.Admit)
+	assert.Equal(t, l.submit(call(3)).Kind, node.Attach)
+	l.body(call(1), api.CodeTruncated)
 	l.wantResult(api.OutcomeNotRun, api.CodeTruncated)
 	for attempt := uint32(1); attempt <= 3; attempt++ {
-		d := l.submit(order(attempt))
+		d := l.submit(call(attempt))
 		assert.Equal(t, d.Kind, node.Refuse)
 		assert.Equal(t, d.Result.Code, api.CodeClosed)
 	}
-	assert.Equal(t, l.submit(order(4)).Kind, node.Admit)
+	assert.Equal(t, l.submit(call(4)).Kind, node.Admit)
 }
 
 func TestQueryAnsweredNotRunClosesEveryAttempt(t *testing.T) {
 	l := newLone(t)
-	unseen := l.query(order(0))
+	unseen := l.query(call(0))
 	assert.Equal(t, unseen.Result.Outcome, api.OutcomeNotRun)
-	assert.Equal(t, l.submit(order(7)).Result.Code, api.CodeClosed)
+	assert.Equal(t, l.submit(call(7)).Result.Code, api.CodeClosed)
 
-	other := order(1)
+	other := call(1)
 	other.ID = "request-2"
 	l.submit(other)
 	l.body(other, api.CodeChecksum)
@@ -198,22 +205,22 @@
 
 func TestCancelClosesWhatHasNotArrived(t *testing.T) {
 	l := newLone(t)
-	d := l.cancel(order(0))
+	d := l.cancel(call(0))
 	assert.Equal(t, d.Result.Outcome, api.OutcomeNotRun)
 	assert.Equal(t, d.Result.Code, api.CodeCanceled)
-	assert.Equal(t, l.submit(order(1)).Result.Code, api.CodeClosed)
+	assert.Equal(t, l.submit(call(1)).Result.Code, api.CodeClosed)
 }
 
 func TestCancelOfADispatchedCallIsUnknownUntilItIsSeenToRun(t *testing.T) {
 	l := newLone(t)
-	l.dispatched(order(1))
-	assert.Equal(t, l.cancel(order(0)).Result.Outcome, api.OutcomeUnknown)
-	assert.Equal(t, l.submit(order(2)).Kind, node.Attach)
+	l.dispatched(call(1))
+	assert.Equal(t, l.cancel(call(0)).Result.Outcome, api.OutcomeUnknown)
+	assert.Equal(t, l.submit(call(2)).Kind, node.Attach)
 
 	l = newLone(t)
-	started := l.dispatched(order(1))
+	started := l.dispatched(call(1))
 	l.step(node.DispatchFirstToken{Key: started.Key, Dispatch: started.Dispatch})
-	assert.Equal(t, l.cancel(order(0)).Result.Outcome, api.OutcomeFailed)
+	assert.Equal(t, l.cancel(call(0)).Result.Outcome, api.OutcomeFailed)
 }
 
 func TestIdempotentThatReachedATargetOnceIsNeverNotRun(t *testing.T) {
@@ -249,14 +256,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLone(t)
-			started := l.dispatched(order(1))
+			started := l.dispatched(call(1))
 			if c.first {
 				l.step(node.DispatchFirstToken{Key: started.Key, Dispatch: started.Dispatch})
 			}
 			l.end(started, c.ending)
 			l.wantResult(c.outcome, c.code)
 			assert.Assert(t, l.started() == nil)
-			assert.Equal(t, l.submit(order(2)).Kind, node.Attach)
+			assert.Equal(t, l.submit(call(2)).Kind, node.Attach)
 		})
 	}
 }
@@ -265,7 +272,7 @@
 	for name, ending := range map[string]node.Ending{"not written": node.EndedNotWritten, "refused": node.EndedRefused} {
 		t.Run(name, func(t *testing.T) {
 			l := newLone(t)
-			first := l.dispatched(order(1))
+			first := l.dispatched(call(1))
 			l.end(first, ending)
 			second := l.started()
 			assert.Assert(t, second != nil)
@@ -286,7 +293,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLone(t)
-			started := l.dispatched(order(1))
+			started := l.dispatched(call(1))
 			l.after(loneBudget + time.Minute).step(node.Tick{}) // the process woke late
 			assert.Assert(t, l.ended() == nil)
 			l.end(started, c.ending)
@@ -297,7 +304,7 @@
 
 func TestDispatchWithoutALastWordEndsAtTheNextTick(t *testing.T) {
 	l := newLone(t)
-	l.dispatched(order(1))
+	l.dispatched(call(1))
 	l.after(loneBudget - ledger.LastMoment).step(node.Tick{})
 	assert.Assert(t, l.ended() == nil)
 	l.after(node.TickInterval).step(node.Tick{})
@@ -306,35 +313,35 @@
 
 func TestCallIsNotDispatchedInItsLastMoment(t *testing.T) {
 	l := newLone(t)
-	l.submit(order(1))
+	l.submit(call(1))
 	l.after(loneBudget - ledger.LastMoment)
-	assert.Assert(t, l.body(order(1), "") == nil)
+	assert.Assert(t, l.body(call(1), "") == nil)
 	l.after(ledger.LastMoment).step(node.Tick{})
 	l.wantResult(api.OutcomeNotRun, api.CodeDeadline)
 }
 
 func TestBodyOfAnEarlierAttemptDoesNotEndALaterOne(t *testing.T) {
 	l := newLone(t)
-	l.submit(order(1))
+	l.submit(call(1))
 	assert.Equal(t, l.cancel(draft(0)).Result.Outcome, api.OutcomeNotRun)
 
 	l = newLone(t)
-	l.submit(order(1))
-	l.body(order(1), api.CodeTruncated)
-	assert.Equal(t, l.submit(order(2)).Kind, node.Admit)
-	assert.Assert(t, l.body(order(1), "") == nil)
-	l.body(order(1), api.CodeTruncated)
+	l.submit(call(1))
+	l.body(call(1), api.CodeTruncated)
+	assert.Equal(t, l.submit(call(2)).Kind, node.Admit)
+	assert.Assert(t, l.body(call(1), "") == nil)
+	l.body(call(1), api.CodeTruncated)
 	assert.Assert(t, l.ended() == nil)
-	assert.Assert(t, l.body(order(2), "") != nil)
+	assert.Assert(t, l.body(call(2), "") != nil)
 }
 
 func TestDispatchNumbersGoOnInANewRecordOfTheSameKey(t *testing.T) {
 	l := newLone(t)
-	first := l.dispatched(order(1))
-	l.after(loneBudget - ledger.LastMoment).step(node.Tick{})
+	first := l.dispatched(call(1))
+	l.run(loneBudget - ledger.LastMoment)
 	l.end(first, node.EndedNotWritten)
 	l.wantResult(api.OutcomeNotRun, api.CodeDeadline)
-	again := order(2)
+	again := call(2)
 	again.Deadline += loneBudget
 	second := l.dispatched(again)
 	assert.Assert(t, second.Dispatch > first.Dispatch)
@@ -354,7 +361,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLone(t)
-			req := order(1)
+			req := call(1)
 			c.change(&req)
 			d := l.submit(req)
 			assert.Equal(t, d.Kind, node.Refuse)
@@ -366,7 +373,7 @@
 
 func TestNoCallerPinsARecordForADay(t *testing.T) {
 	l := newLone(t)
-	req := order(1)
+	req := call(1)
 	req.Deadline += 24 * time.Hour
 	l.query(req)
 	assert.Equal(t, l.node.Snapshot().Status.Requests.Records, 1)
@@ -404,7 +411,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLone(t)
-			req := order(2)
+			req := call(2)
 			c.change(&req)
 			for what, ask := range map[string]func(core.Request) node.Decision{"submit": l.submit, "query": l.query, "cancel": l.cancel} {
 				d := ask(req)
@@ -421,7 +428,7 @@
 func TestHomeIsAskedEvenWhenAnOlderHeartbeatNamesAnotherProcess(t *testing.T) {
 	l := newLone(t)
 	l.step(node.HeartbeatHeard{Heartbeat: member.Heartbeat{Address: "10.0.0.2:1", Peer: "10.0.0.2:2", Incarnation: "i1"}})
-	req := order(1)
+	req := call(1)
 	req.Home = core.Home{Address: "10.0.0.2:1", Incarnation: "i2"}
 	assert.Equal(t, l.submit(req).Kind, node.Forward)
 }
@@ -437,7 +444,7 @@
 
 func TestFullLedgerEvictsNothingAndPromisesNothing(t *testing.T) {
 	l := newLone(t)
-	req := order(1)
+	req := call(1)
 	for i := range loneRecords {
 		req.ID = "request-" + string(rune('a'+i))
 		assert.Equal(t, l.submit(req).Kind, node.Admit)
@@ -469,7 +476,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLone(t)
-			d := l.after(c.late).submit(order(1))
+			d := l.after(c.late).submit(call(1))
 			if c.code == "" {
 				assert.Equal(t, d.Kind, node.Admit)
 				return
@@ -482,8 +489,8 @@
 
 func TestAnotherBodyUnderTheSameIdentifierIsRefused(t *testing.T) {
 	l := newLone(t)
-	l.dispatched(order(1))
-	other := order(2)
+	l.dispatched(call(1))
+	other := call(2)
 	other.BodyChecksum = "other"
 	assert.Equal(t, l.submit(other).Result.Code, api.CodeConflict)
 }
--- a/internal/gateway/authorize.go
+++ b/internal/gateway/authorize.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+
 	"carobshunt/api"
 	"carobshunt/internal/secure"
 
@@ -30,12 +32,16 @@
 		if name := header.Get(api.HeaderTeam); name == "" || g.keyMatches(name, secure.BearerKey(header)) {
 			return next(c)
 		}
-		return writeError(c, &api.Error{
+		e := &api.Error{
 			Request: header.Get(api.HeaderRequest),
 			Outcome: api.OutcomeNotRun,
 			Code:    api.CodeUnauthorized,
 			Message: "the key is not the team's",
-		})
+		}
+		if c.Request().Method != http.MethodPost {
+			e = untold(e)
+		}
+		return writeError(c, e)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,15 +230,21 @@
 	p := &parser{header: c.Request().Header}
 	req := parseCommon(p)
 	if p.fault != nil {
-		return req, node.Decision{}, named(p.fault, req)
+		return req, node.Decision{}, untold(named(p.fault, req))
 	}
 	decision, err := g.control.Ask(c.Request().Context(), in(req))
 	if err != nil {
-		return req, decision, stopping(req)
+		return req, decision, untold(stopping(req))
 	}
 	return req, decision, nil
 }
 
+// untold is the refusal of a question: it says nothing of the request that was asked about.
+func untold(e *api.Error) *api.Error {
+	e.Outcome = api.OutcomeUnknown
+	return e
+}
+
 func (g *Gateway) answerState(c echo.Context, req core.Request, d node.Decision) error {
 	switch d.Kind {
 	case node.Forward:
--- /dev/null
+++ b/internal/strictjson/duplicates.go
@@ -0,0 +1,59 @@
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+)
+
+// duplicates lists the fields that stand twice in one object. The standard decoder silently takes the last one, so
+// that a document could name two values and nobody would know which was meant. The text must be valid JSON.
+func duplicates(data []byte) []Fault {
+	d := &duplicateFinder{decoder: json.NewDecoder(bytes.NewReader(data))}
+	d.decoder.UseNumber()
+	d.value("")
+	return d.found
+}
+
+type duplicateFinder struct {
+	decoder *json.Decoder
+	found   []Fault
+}
+
+// value reads one value that begins at the next token.
+func (d *duplicateFinder) value(path string) {
+	token, err := d.decoder.Token()
+	if err != nil {
+		return
+	}
+	switch token {
+	case json.Delim('{'):
+		d.object(path)
+	case json.Delim('['):
+		d.array(path)
+	}
+}
+
+func (d *duplicateFinder) object(path string) {
+	seen := make(map[string]bool)
+	for d.decoder.More() {
+		token, err := d.decoder.Token()
+		name, ok := token.(string)
+		if err != nil || !ok {
+			return
+		}
+		if seen[name] {
+			d.found = append(d.found, Fault{Path: path + "/" + name, Reason: "stands twice"})
+		}
+		seen[name] = true
+		d.value(path + "/" + name)
+	}
+	_, _ = d.decoder.Token()
+}
+
+func (d *duplicateFinder) array(path string) {
+	for i := 0; d.decoder.More(); i++ {
+		d.value(path + "/" + strconv.Itoa(i))
+	}
+	_, _ = d.decoder.Token()
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -99,6 +99,9 @@
 	if err != nil {
 		return NewFaults(Fault{Reason: "not JSON: " + err.Error()})
 	}
+	if found := duplicates(data); len(found) > 0 {
+		return NewFaults(found...)
+	}
 	err = s.compiled.Validate(value)
 	if err == nil {
 		return nil
