--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,196 @@
+package client
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/stream"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+const testPromptBytes = 8 << 20
+
+// lookupFor answers look-ups that name one host.
+func lookupFor(t *testing.T, address string) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(api.Lookup{
+			Hosts: []api.Host{{Address: address, Zone: "a", Incarnation: "i1", ClockMs: 1}}, Revision: 1, KeepMs: 10_000,
+		})
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func testRequest(idempotent bool, budget time.Duration) Request {
+	return Request{
+		ID: "request-1", Model: "draft", Prompt: make([]byte, testPromptBytes), PromptTokens: testPromptBytes / 4, AnswerTokens: 5,
+		Idempotent: idempotent, Budget: budget,
+	}
+}
+
+// silentHost takes connections, reads the headers of each request, says what it is told to and counts what follows.
+func silentHost(t *testing.T, says string) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var body atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				reader := bufio.NewReader(conn)
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, says)
+				n, _ := io.Copy(io.Discard, reader)
+				body.Add(n)
+			}()
+		}
+	}()
+	return l.Addr().String(), &body
+}
+
+func TestHostThatNeverAsksForTheBodyGetsNoByteOfIt(t *testing.T) {
+	refusal := `{"outcome":"not_run","code":"overloaded","message":"full","retry_after_ms":700}`
+	for name, c := range map[string]struct {
+		says string
+		code api.Code
+	}{
+		"silent": {"", api.CodeDeadline},
+		"refuses": {
+			fmt.Sprintf("HTTP/1.1 429 Too Many Requests\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(refusal), refusal),
+			api.CodeOverloaded,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, body := silentHost(t, c.says)
+			entry := strings.TrimPrefix(lookupFor(t, address).URL, "http://")
+			got, err := New(Options{Entries: []string{entry}, Team: "desk"}).Do(context.Background(), testRequest(false, 400*time.Millisecond))
+			assert.NilError(t, err)
+			assert.Equal(t, got.Outcome, api.OutcomeNotRun)
+			assert.Equal(t, got.Code, c.code)
+			assert.Equal(t, body.Load(), int64(0))
+		})
+	}
+}
+
+func TestCallWhoseHomeWasKeptIsUnknownWhenNobodyAnswers(t *testing.T) {
+	address, _ := silentHost(t, "")
+	entry := strings.TrimPrefix(lookupFor(t, address).URL, "http://")
+	req := testRequest(false, 300*time.Millisecond)
+	req.Home, req.Deadline = address+"/i1", time.Second
+	got, err := New(Options{Entries: []string{entry}, Team: "desk"}).Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeUnknown)
+}
+
+func TestSettleSaysOnlyWhatTheCallerKnows(t *testing.T) {
+	for name, c := range map[string]struct {
+		idempotent, sent, lost bool
+		outcome                api.Outcome
+		code                   api.Code
+		want                   api.Outcome
+	}{
+		"home gone, body never left":        {false, false, false, api.OutcomeUnknown, api.CodeHomeGone, api.OutcomeNotRun},
+		"home gone, body left":              {false, true, false, api.OutcomeUnknown, api.CodeHomeGone, api.OutcomeUnknown},
+		"no room to remember, never left":   {false, false, false, api.OutcomeUnknown, api.CodeRecordsFull, api.OutcomeNotRun},
+		"joined another's lost call":        {false, false, false, api.OutcomeUnknown, api.CodeTargetLost, api.OutcomeUnknown},
+		"refused after a lost attempt":      {true, true, true, api.OutcomeNotRun, api.CodeOverloaded, api.OutcomeFailed},
+		"refused, no attempt was lost":      {true, true, false, api.OutcomeNotRun, api.CodeTruncated, api.OutcomeNotRun},
+		"home refused a call it knows of":   {false, true, true, api.OutcomeNotRun, api.CodeTruncated, api.OutcomeNotRun},
+		"done stays done whatever was lost": {true, true, true, api.OutcomeDone, "", api.OutcomeDone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &submission{req: Request{Idempotent: c.idempotent}, sent: c.sent, lost: c.lost}
+			s.result.Outcome, s.result.Code = c.outcome, c.code
+			s.settle()
+			assert.Equal(t, s.result.Outcome, c.want)
+		})
+	}
+}
+
+func TestSealedBodyLeavesNoMore(t *testing.T) {
+	unread := newSealedBody([]byte("body"))
+	assert.Assert(t, !unread.seal())
+	_, err := unread.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, errSealed))
+	read := newSealedBody([]byte("body"))
+	_, err = read.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Assert(t, read.seal())
+}
+
+// frames is a streamed answer of the given frames.
+func frames(list ...api.Frame) io.Reader {
+	var out strings.Builder
+	for _, f := range list {
+		if f.Request == "" {
+			f.Request = "request-1"
+		}
+		_ = json.NewEncoder(&out).Encode(f)
+	}
+	return strings.NewReader(out.String())
+}
+
+func last(text string) *api.Last {
+	return &api.Last{Outcome: api.OutcomeDone, Length: int64(len(text)), Checksum: stream.Checksum([]byte(text))}
+}
+
+func TestAssemblyTakesWholeAnswersOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		frames []api.Frame
+		text   string
+		err    error
+	}{
+		"in order": {[]api.Frame{{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 2, Text: "cd"}, {Dispatch: 1, Offset: 4, Last: last("abcd")}}, "abcd", nil},
+		"a frame twice": {[]api.Frame{
+			{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 1, Text: "bcd"}, {Dispatch: 1, Offset: 4, Last: last("abcd")},
+		}, "abcd", nil},
+		"started over at another target": {[]api.Frame{
+			{Dispatch: 1, Text: "xyz"}, {Dispatch: 2, Text: "ab"}, {Dispatch: 2, Offset: 2, Text: "cd", Last: last("abcd")},
+		}, "abcd", nil},
+		"a late frame of an earlier target": {[]api.Frame{
+			{Dispatch: 2, Text: "ab"}, {Dispatch: 1, Offset: 2, Text: "zz"}, {Dispatch: 2, Offset: 2, Text: "cd", Last: last("abcd")},
+		}, "abcd", nil},
+		"a frame is missing": {[]api.Frame{{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 3, Text: "d"}, {Dispatch: 1, Offset: 4, Last: last("abcd")}}, "", ErrTruncated},
+		"no last frame":      {[]api.Frame{{Dispatch: 1, Text: "ab"}}, "ab", ErrTruncated},
+		"wrong checksum":     {[]api.Frame{{Dispatch: 1, Text: "abce", Last: last("abcd")}}, "", ErrTruncated},
+		"another request's":  {[]api.Frame{{Dispatch: 1, Text: "ab"}, {Request: "request-2", Dispatch: 1, Offset: 2, Text: "cd"}}, "ab", ErrCrossed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a assembly
+			_, err := a.read(frames(c.frames...), "request-1", func() {})
+			assert.Assert(t, errors.Is(err, c.err), "%v", err)
+			assert.Equal(t, string(a.text), c.text)
+		})
+	}
+}
+
+func TestAssemblyNeverMixesTheAnswersOfTwoProcesses(t *testing.T) {
+	var a assembly
+	a.from("10.0.0.1:1/i1")
+	_, _ = a.read(frames(api.Frame{Dispatch: 1, Text: "xy"}), "request-1", func() {})
+	a.from("10.0.0.2:1/i1")
+	_, err := a.read(frames(api.Frame{Dispatch: 1, Text: "abcd", Last: last("abcd")}), "request-1", func() {})
+	assert.NilError(t, err)
+	assert.Equal(t, string(a.text), "abcd")
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -164,7 +164,10 @@
 	if body == nil {
 		return node.EndedNotWritten, "the request ended before it was sent"
 	}
-	req, err := r.request(httptrace.WithClientTrace(ctx, gate.trace()), body)
+	if r.order.Request.Idempotent {
+		ctx = httptrace.WithClientTrace(ctx, gate.trace())
+	}
+	req, err := r.request(ctx, body)
 	if err != nil {
 		return node.EndedNotWritten, err.Error()
 	}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -35,8 +35,9 @@
 	return nil
 }
 
-// trace notes the first write on a connection that does not pass through the gate. It sees the headers leave, not
-// single bytes, which is enough for a request that may be sent again.
+// trace notes the first write on a connection that does not pass through the gate. It sees the headers enter the
+// connection's buffer, which is enough for a request that may be sent again. On a connection that does pass through,
+// it would open the gate before the deadline is checked.
 func (g *writeGate) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { g.opened.Store(true) }}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -94,8 +94,14 @@
 	return req
 }
 
+// reply is what stands before the body of an answer.
+type reply struct {
+	status     int
+	retryAfter string
+}
+
 // refused sends a request and returns the typed error of its answer.
-func refused(t *testing.T, req *http.Request) (*http.Response, api.Error) {
+func refused(t *testing.T, req *http.Request) (reply, api.Error) {
 	t.Helper()
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
@@ -105,7 +111,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, json.Unmarshal(raw, &e), "%s", raw)
 	assert.Equal(t, resp.Header.Get(api.HeaderHost), testSelf.String())
-	return resp, e
+	return reply{status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After")}, e
 }
 
 func TestBadSubmitIsRefusedBeforeAnythingIsDecided(t *testing.T) {
@@ -149,7 +155,7 @@
 			req := f.submit(t, testBody)
 			c.spoil(req)
 			resp, e := refused(t, req)
-			assert.Assert(t, resp.StatusCode >= 400 && resp.StatusCode < 500, resp.Status)
+			assert.Assert(t, resp.status >= 400 && resp.status < 500, resp.status)
 			assert.Equal(t, e.Outcome, api.OutcomeNotRun)
 			assert.Equal(t, e.Code, c.code)
 			assert.Assert(t, strings.Contains(e.Message, c.says), e.Message)
@@ -171,8 +177,8 @@
 		Outcome: api.OutcomeNotRun, Code: api.CodeOverloaded, Message: "full", RetryAfter: 1500 * time.Millisecond,
 	}))
 	resp, e := refused(t, f.submit(t, testBody))
-	assert.Equal(t, resp.StatusCode, http.StatusTooManyRequests)
-	assert.Equal(t, resp.Header.Get("Retry-After"), "2")
+	assert.Equal(t, resp.status, http.StatusTooManyRequests)
+	assert.Equal(t, resp.retryAfter, "2")
 	assert.Equal(t, e.RetryAfterMs, int64(1500))
 	assert.DeepEqual(t, e.Alternatives, []string{"10.0.0.2:1"})
 	assert.Equal(t, e.Request, "request-1")
