--- a/client/client_test.go
+++ b/client/client_test.go
@@ -161,9 +161,12 @@
 		text   string
 		err    error
 	}{
-		"in order": {[]api.Frame{{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 2, Text: "cd"}, {Dispatch: 1, Offset: 4, Last: last("abcd")}}, "abcd", nil},
+		"in order": {[]api.Frame{
+			{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 2, Text: "cd"}, {Dispatch: 1, Offset: 4, Last: last("abcd")},
+		}, "abcd", nil},
 		"a frame twice": {[]api.Frame{
-			{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 1, Text: "bcd"}, {Dispatch: 1, Offset: 4, Last: last("abcd")},
+			{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Text: "ab"},
+			{Dispatch: 1, Offset: 1, Text: "bcd"}, {Dispatch: 1, Offset: 4, Last: last("abcd")},
 		}, "abcd", nil},
 		"started over at another target": {[]api.Frame{
 			{Dispatch: 1, Text: "xyz"}, {Dispatch: 2, Text: "ab"}, {Dispatch: 2, Offset: 2, Text: "cd", Last: last("abcd")},
@@ -171,10 +174,14 @@
 		"a late frame of an earlier target": {[]api.Frame{
 			{Dispatch: 2, Text: "ab"}, {Dispatch: 1, Offset: 2, Text: "zz"}, {Dispatch: 2, Offset: 2, Text: "cd", Last: last("abcd")},
 		}, "abcd", nil},
-		"a frame is missing": {[]api.Frame{{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 3, Text: "d"}, {Dispatch: 1, Offset: 4, Last: last("abcd")}}, "", ErrTruncated},
-		"no last frame":      {[]api.Frame{{Dispatch: 1, Text: "ab"}}, "ab", ErrTruncated},
-		"wrong checksum":     {[]api.Frame{{Dispatch: 1, Text: "abce", Last: last("abcd")}}, "", ErrTruncated},
-		"another request's":  {[]api.Frame{{Dispatch: 1, Text: "ab"}, {Request: "request-2", Dispatch: 1, Offset: 2, Text: "cd"}}, "ab", ErrCrossed},
+		"a frame is missing": {[]api.Frame{
+			{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 3, Text: "d"}, {Dispatch: 1, Offset: 4, Last: last("abcd")},
+		}, "", ErrTruncated},
+		"no last frame":  {[]api.Frame{{Dispatch: 1, Text: "ab"}}, "ab", ErrTruncated},
+		"wrong checksum": {[]api.Frame{{Dispatch: 1, Text: "abce", Last: last("abcd")}}, "", ErrTruncated},
+		"another request's": {[]api.Frame{
+			{Dispatch: 1, Text: "ab"}, {Request: "request-2", Dispatch: 1, Offset: 2, Text: "cd"},
+		}, "ab", ErrCrossed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var a assembly
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -120,7 +120,7 @@
 		"broke in the answer":    {writing(`{"offset":0,"text":"we"}` + "\n"), node.EndedLost},
 		"not JSON":               {writing("well\n"), node.EndedLost},
 		"a gap":                  {writing(`{"offset":0,"text":"we"}` + "\n" + `{"offset":3,"text":"l"}` + "\n"), node.EndedLost},
-		"wrong checksum":         {writing(`{"offset":0,"text":"well"}` + "\n" + `{"offset":4,"end":true,"checksum":"0"}` + "\n"), node.EndedLost},
+		"wrong checksum":         {writing(`{"text":"well"}` + "\n" + `{"offset":4,"end":true,"checksum":"0"}` + "\n"), node.EndedLost},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, idempotent := range []bool{false, true} {
