--- a/client/client_test.go
+++ b/client/client_test.go
@@ -201,3 +201,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(a.text), "abcd")
 }
+
+func TestResumeAsksTheHolderWithTheTeamsKey(t *testing.T) {
+	const text = "abcd"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(api.HeaderHost, "10.0.0.1:1/i1")
+		if r.Header.Get("Authorization") != "Bearer key" || r.Header.Get(api.HeaderHome) != "10.0.0.1:1/i1" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		if r.URL.Query().Get("offset") != "2" || r.URL.Query().Get("dispatch") != "3" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = io.Copy(w, frames(api.Frame{Dispatch: 3, Offset: 2, Text: "cd", Last: last(text)}))
+	}))
+	defer server.Close()
+	s := &submission{client: New(Options{Team: "desk", Key: "key"}), req: testRequest(true, time.Second), start: time.Now()}
+	s.answer = assembly{host: "10.0.0.1:1/i1", dispatch: 3, text: []byte("ab")}
+	v := s.resume(context.Background(), strings.TrimPrefix(server.URL, "http://"), "10.0.0.1:1/i1")
+	assert.Equal(t, v, finished)
+	assert.Equal(t, s.result.Text, text)
+}
--- a/client/submit.go
+++ b/client/submit.go
@@ -56,12 +56,17 @@
 	Last       api.Last
 }
 
-// maxAnswerMargin bounds AnswerMargin.
-const maxAnswerMargin = 250 * time.Millisecond
+// Bounds of AnswerMargin. A host looks at deadlines every 50 ms, and its answer takes a moment on the way.
+const (
+	leastAnswerMargin = 75 * time.Millisecond
+	maxAnswerMargin   = 250 * time.Millisecond
+)
 
 // AnswerMargin is how much earlier than the end of a budget the deadline at the host lies, so that the host's last
 // word still reaches the caller in time.
-func AnswerMargin(budget time.Duration) time.Duration { return min(budget/10, maxAnswerMargin) }
+func AnswerMargin(budget time.Duration) time.Duration {
+	return min(max(budget/10, leastAnswerMargin), budget/4, maxAnswerMargin)
+}
 
 // Do submits a request and returns what became of it. The error is non-nil only when nothing could be asked of any
 // host, in which case nothing ran.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -304,7 +304,7 @@
 		return node.Decision{Kind: node.Report, Result: core.Result{Outcome: api.OutcomeDone}}, nil
 	})
 	ex := f.exchanges.Open(core.Key{Team: "desk", ID: "request-1"})
-	ex.Answer.Start(1)
+	ex.Answer.Start(1, stream.Source{})
 	ex.Answer.Append(1, 0, "well")
 	ex.Answer.Finish(api.Last{Outcome: api.OutcomeDone})
 	for query, code := range map[string]api.Code{
--- a/test/outcomes/outcomes_test.go
+++ b/test/outcomes/outcomes_test.go
@@ -99,6 +99,7 @@
 	}
 	quiet := tallies["no fault"]
 	assert.Assert(t, quiet.byOutcome[api.OutcomeDone]*10 > quiet.calls*8, "the schedules run too little: %v", quiet.byOutcome)
+	assert.Equal(t, quiet.byOutcome[api.OutcomeUnknown], quiet.unknownArrived, "without a fault a run can be excluded")
 	show(t, faults)
 	assert.Equal(t, len(faults), 0)
 }
--- a/test/outcomes/traffic_test.go
+++ b/test/outcomes/traffic_test.go
@@ -34,7 +34,9 @@
 		return
 	}
 	taken := s.spoilt(req, at)
+	decided := false
 	at.Submit(taken, func(d node.Decision) {
+		decided = true
 		switch d.Kind {
 		case node.Refuse:
 			s.oracle.said(req, d.Result, s.world.Now())
@@ -51,6 +53,9 @@
 			s.wait(at, req, answer)
 		}
 	})
+	if !decided && !at.Paused() {
+		s.oracle.faultf("%v was not decided on at once", req.Key)
+	}
 }
 
 // forward passes a request on; a home that can't be reached is told as such.
