A later attempt brings the body that an earlier one did not

Cause: an attempt that came while an earlier one's body stalled joined it and waited until the deadline, and one that came before that body broke off was told "not run" for a body that was not its own. Change: a later attempt is asked for the body too, if there is room for a second one; the first whole body counts, and only a fault of the last attempt asked ends the request. The gateway answers a body's fault when the request has ended, so that "not run" is true. A body that comes after its request has ended is not kept: it was held until the record went, outside of every bound. The library submits again when it joined a body that broke off. Ruled out: waiting with the request's context, which ends with the body's read deadline and left an empty answer.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -223,3 +223,32 @@
 	assert.Equal(t, v, finished)
 	assert.Equal(t, s.result.Text, text)
 }
+
+func TestAttemptThatJoinedABrokenBodyIsSubmittedAgain(t *testing.T) {
+	var attempts []string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_ = json.NewEncoder(w).Encode(api.Lookup{
+				Hosts: []api.Host{{Address: r.Host, Incarnation: "i1", ClockMs: 1}}, Revision: 1, KeepMs: 10_000,
+			})
+			return
+		}
+		attempts = append(attempts, r.Header.Get(api.HeaderAttempt))
+		w.Header().Set(api.HeaderHost, r.Host+"/i1")
+		if len(attempts) == 1 {
+			broken := api.Last{Outcome: api.OutcomeNotRun, Code: api.CodeTruncated, Checksum: stream.Checksum(nil)}
+			_, _ = io.Copy(w, frames(api.Frame{Last: &broken}))
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.Copy(w, frames(api.Frame{Dispatch: 1, Text: "well", Last: last("well")}))
+	}))
+	defer server.Close()
+	req := testRequest(false, 5*time.Second)
+	req.Prompt, req.PromptTokens = []byte("a prompt"), 10
+	c := New(Options{Entries: []string{strings.TrimPrefix(server.URL, "http://")}, Team: "desk"})
+	got, err := c.Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeDone, "%+v", got)
+	assert.DeepEqual(t, attempts, []string{"1", "2"})
+}
--- a/client/submit.go
+++ b/client/submit.go
@@ -272,9 +272,15 @@
 	s.result.Text = string(s.answer.text)
 	s.result.RetryAfter = time.Duration(last.RetryAfterMs) * time.Millisecond
 	s.result.Last = *last
+	if last.Outcome == api.OutcomeNotRun && last.Code == api.CodeTruncated && !s.bodyRead() {
+		return again // it joined an earlier attempt whose body broke off; now its own may be asked for
+	}
 	return finished
 }
 
+// bodyRead tells whether the present attempt's body was asked for.
+func (s *submission) bodyRead() bool { return s.body != nil && s.body.seal() }
+
 func (s *submission) judgeRefusal(err error) verdict {
 	var refused *api.Error
 	if !errors.As(err, &refused) {
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -54,6 +54,9 @@
 	Revision uint64
 	// SlowdownWeight is how much that revision weighs the time of a short answer against its first token, 0 to 1.
 	SlowdownWeight float64
+	// Receiver is the attempt whose body is awaited; Bodies counts the attempts that were asked for theirs.
+	Receiver uint32
+	Bodies   int64
 	// reachedBefore is what Reached was before the last dispatch.
 	reachedBefore bool
 	// attempts is the highest attempt that the record answers for.
@@ -227,6 +230,8 @@
 		Timing:        core.Timing{Admitted: now},
 		Dispatches:    dispatches,
 		Revision:      revision,
+		Receiver:      req.Attempt,
+		Bodies:        1,
 		attempts:      req.Attempt,
 		closedThrough: closed,
 		expires:       expiry(now, &req),
@@ -262,6 +267,12 @@
 	return true
 }
 
+// Receive makes a later attempt bring the body, which an earlier one has not brought yet.
+func (l *Ledger) Receive(rec *Record, attempt uint32) {
+	rec.Receiver = attempt
+	rec.Bodies++
+}
+
 // Queue marks the body as received.
 func (l *Ledger) Queue(rec *Record) { rec.State = Queued }
 
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -71,7 +71,7 @@
 
 	// active are the unfinished records.
 	active map[core.Key]*ledger.Record
-	// bodyBytes is the sum of the bodies of active records.
+	// bodyBytes is the sum of the bodies that active records were given room for.
 	bodyBytes int64
 
 	sweeps sweepState
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -29,7 +29,7 @@
 	}
 	switch verdict {
 	case ledger.Join:
-		n.do(Decide{Ticket: in.Ticket, Decision: Decision{Kind: Attach, Deadline: rec.Request.Deadline}})
+		n.do(Decide{Ticket: in.Ticket, Decision: n.join(rec, &req)})
 	case ledger.Refuse:
 		n.refuse(in.Ticket, req.Team, result)
 	case ledger.New:
@@ -37,6 +37,19 @@
 	}
 }
 
+// join attaches a submit to the record of its key. A later attempt is asked for the body when the earlier one has not
+// brought it: its caller has turned away from a connection on which nothing may ever come.
+func (n *Node) join(rec *ledger.Record, req *core.Request) Decision {
+	decision := Decision{Kind: Attach, Deadline: rec.Request.Deadline}
+	room := n.bodyBytes+req.BodyBytes <= n.opts.BodyBytes
+	if rec.State == ledger.Receiving && req.Attempt > rec.Receiver && room {
+		n.ledger.Receive(rec, req.Attempt)
+		n.bodyBytes += req.BodyBytes
+		decision.Kind = Admit
+	}
+	return decision
+}
+
 // decideHome says what becomes of a request that only another process may execute.
 func (n *Node) decideHome(req *core.Request) (Decision, bool) {
 	if req.Idempotent || req.Home == n.opts.Self {
@@ -169,9 +182,14 @@
 	return false
 }
 
+// bodyEnded goes on with a request whose body has come, from whichever attempt. It ends one whose last asked attempt
+// failed to bring it. Attempts before the one that was admitted are another record's.
 func (n *Node) bodyEnded(in BodyEnded) {
 	rec := n.active[in.Key]
-	if rec == nil || rec.State != ledger.Receiving || rec.Request.Attempt != in.Attempt {
+	if rec == nil || rec.State != ledger.Receiving || in.Attempt < rec.Request.Attempt {
+		return
+	}
+	if in.Fault != "" && in.Attempt != rec.Receiver {
 		return
 	}
 	if in.Fault != "" {
@@ -383,7 +401,7 @@
 	delete(n.active, key)
 	n.queue.Remove(key)
 	n.endGroup(key)
-	n.bodyBytes -= rec.Request.BodyBytes
+	n.bodyBytes -= rec.Request.BodyBytes * rec.Bodies
 	if result.Outcome == api.OutcomeNotRun {
 		n.refund(rec)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,8 +118,12 @@
 	case node.Refuse:
 		return writeError(c, refusal(req, decision))
 	case node.Admit:
-		if fault := g.receive(c, req, decision.Deadline); fault != nil {
-			return writeError(c, fault)
+		ex := g.exchanges.Get(req.Key)
+		if ex == nil {
+			break // it ended while this goroutine was held up
+		}
+		if fault := g.receive(c, req, ex, decision.Deadline); fault != "" {
+			return g.answerFault(c, req, ex, fault, decision.Deadline)
 		}
 	case node.Attach, node.Report:
 	}
@@ -155,25 +159,44 @@
 // receive reads the body of an admitted request; reading it is what sends "100 Continue". A body that stalls is
 // given up at the request's deadline. The exchange is the one that the admission opened: a later one of the same
 // identifier is another attempt's.
-func (g *Gateway) receive(c echo.Context, req core.Request, deadline core.Time) *api.Error {
-	ex := g.exchanges.Get(req.Key)
+func (g *Gateway) receive(c echo.Context, req core.Request, ex *stream.Exchange, deadline core.Time) api.Code {
 	control := http.NewResponseController(c.Response().Writer)
 	_ = control.SetReadDeadline(time.Now().Add(deadline - g.control.Now()))
 	body, fault := readBody(c.Request().Body, req)
-	if fault == "" && ex != nil {
+	if fault == "" {
 		_ = control.SetReadDeadline(time.Time{})
 		ex.SetBody(body)
 	}
 	g.control.Post(node.BodyEnded{Key: req.Key, Attempt: req.Attempt, Fault: fault})
-	if fault == "" {
-		return nil
-	}
-	return &api.Error{
+	return fault
+}
+
+// answerFault answers an attempt whose body did not come. A later attempt may bring it; only when the request has
+// ended without a run is "not run" true of this one. The request's context does not do for the wait: it ends with the
+// body's read deadline.
+func (g *Gateway) answerFault(c echo.Context, req core.Request, ex *stream.Exchange, fault api.Code, deadline core.Time) error {
+	e := &api.Error{
 		Request: req.ID, Attempt: req.Attempt,
 		Outcome: api.OutcomeNotRun, Code: fault, Message: "the body did not arrive whole",
 	}
+	wait := max(deadline-g.control.Now(), 0) + lastWordTimeout
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), wait)
+	defer cancel()
+	chunk, err := ex.Answer.Next(ctx, stream.Position{})
+	switch {
+	case err != nil && req.Idempotent:
+		e.Outcome = api.OutcomeFailed
+	case err != nil:
+		e.Outcome = api.OutcomeUnknown
+	case chunk.Last == nil || chunk.Last.Outcome != api.OutcomeNotRun:
+		return g.streamAnswer(c, req, stream.Position{})
+	}
+	return writeError(c, e)
 }
 
+// lastWordTimeout is how long after its deadline a request surely has its final result.
+const lastWordTimeout = time.Second
+
 // readBody returns the body, or the code of its fault.
 func readBody(r io.Reader, req core.Request) ([]byte, api.Code) {
 	body := make([]byte, req.BodyBytes)
--- a/internal/stream/exchange.go
+++ b/internal/stream/exchange.go
@@ -11,18 +11,21 @@
 type Exchange struct {
 	Answer *Buffer
 
-	mu     sync.Mutex
-	body   []byte
-	aborts map[uint32]context.CancelFunc
+	mu       sync.Mutex
+	body     []byte
+	released bool
+	aborts   map[uint32]context.CancelFunc
 	// aborted is the highest dispatch that was aborted or has ended; dispatches of one request follow one another.
 	aborted uint32
 }
 
-// SetBody hands over the body.
+// SetBody hands over the body; one that comes after Release is not kept.
 func (e *Exchange) SetBody(body []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.body = body
+	if !e.released {
+		e.body = body
+	}
 }
 
 // Body returns the body, or nil once the request is finished.
@@ -32,8 +35,13 @@
 	return e.body
 }
 
-// Release frees the body.
-func (e *Exchange) Release() { e.SetBody(nil) }
+// Release frees the body for good.
+func (e *Exchange) Release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.body = nil
+	e.released = true
+}
 
 // OnAbort registers how to end a dispatch; one that was aborted before is ended at once.
 func (e *Exchange) OnAbort(dispatch uint32, abort context.CancelFunc) {
--- a/test/outcomes/traffic_test.go
+++ b/test/outcomes/traffic_test.go
@@ -107,8 +107,11 @@
 	})
 }
 
-// open makes the exchange of an admitted request.
+// open makes the exchange of an admitted request; a later attempt that is asked for the body finds it.
 func (s *schedule) open(h *virtual.Host, key core.Key, deadline core.Time) {
+	if ex := s.exchange(h, key); ex != nil && ex.result == nil {
+		return
+	}
 	if s.exchanges[h.Self()] == nil {
 		s.exchanges[h.Self()] = make(map[core.Key]*exchange)
 	}
