--- a/test/memory/engine_test.go
+++ b/test/memory/engine_test.go
@@ -11,6 +11,8 @@
 	"carobshunt/internal/core/order"
 	"carobshunt/internal/core/sweep"
 	"carobshunt/internal/virtual"
+
+	"gotest.tools/v3/assert"
 )
 
 // memoryEngine is a fake engine that counts its memory. A stream goes on when its home is gone, and keeps its memory
@@ -146,11 +148,28 @@
 		}
 	}
 	e.put(h)
+	e.export(w, order)
 	weight := 1 + float64(tokens)/400_000
 	took := time.Duration(float64(tokens)*weight/speed*float64(time.Second)) + time.Duration(order.Request.AnswerTokens)*16*time.Millisecond
 	w.After(took, func() { e.end(h, node.EndedDone) })
 }
 
+// Exports are made of one stream in so many, and hold so many tokens.
+const (
+	exportOneIn  = 10
+	exportTokens = 5_000
+)
+
+// export leaves a KV export of some streams behind, which nobody asks for again.
+func (e *memoryEngine) export(w *virtual.World, order node.StartDispatch) {
+	if e.world.rng.IntN(exportOneIn) != 0 || len(e.line) > 0 || e.used()+exportTokens > e.total {
+		return
+	}
+	name := core.Export{Stream: order.Stream, Number: 1}.Name()
+	e.put(&hold{id: holdID{sweep.KindExport, name}, tokens: exportTokens, since: w.Now()})
+	e.world.exports++
+}
+
 // end ends a stream towards its home. When the home can't hear it, a stream that is done waits to be fetched.
 func (e *memoryEngine) end(h *hold, ending node.Ending) {
 	if h.run.ended || e.holds[h.id] != h {
@@ -255,10 +274,16 @@
 
 // live tells whether a request that can still end well depends on a hold.
 func (e *memoryEngine) live(h *hold) bool {
-	if h.run == nil {
+	switch h.id.kind {
+	case sweep.KindStream:
+		return e.world.liveRun(h.run)
+	case sweep.KindReservation:
 		return e.liveReservation(h)
 	}
-	return e.world.liveRun(h.run)
+	owner, err := core.ParseOwner(h.id.name)
+	assert.NilError(e.world.t, err)
+	stream := e.holds[holdID{sweep.KindStream, owner.Name()}]
+	return stream != nil && e.world.liveRun(stream.run)
 }
 
 func (e *memoryEngine) liveReservation(h *hold) bool {
--- a/test/memory/memory_test.go
+++ b/test/memory/memory_test.go
@@ -39,6 +39,7 @@
 	serial   int
 	// adopted are the streams that hosts asked engines to go on with.
 	adopted []string
+	exports int
 	// impaired is until when a host is paused or cut from an engine.
 	impaired map[string]time.Duration
 
@@ -302,7 +303,7 @@
 func TestNothingOutlivesItsBudgetAndNothingLiveIsSwept(t *testing.T) {
 	swept := make(map[sweep.Reason]int)
 	outcomes := make(map[api.Outcome]int)
-	completed := uint64(0)
+	completed, exports := uint64(0), 0
 	for seed := range schedules(t, 24) {
 		w := newMemoryWorld(t, uint64(seed), 4, 5)
 		w.ages = seed%2 == 0
@@ -313,6 +314,7 @@
 		for _, e := range w.engines {
 			assert.Equal(t, len(e.holds), 0, "seed %d: %s still holds something", seed, e.address)
 		}
+		exports += w.exports
 		for reason, n := range w.swept {
 			swept[reason] += n
 		}
@@ -323,7 +325,7 @@
 			completed += h.Snapshot().Groups.Completed
 		}
 	}
-	t.Logf("swept %v, outcomes %v, groups completed %d", swept, outcomes, completed)
+	t.Logf("swept %v, outcomes %v, groups completed %d, exports %d", swept, outcomes, completed, exports)
 	assert.Assert(t, swept[sweep.ReasonOrphaned] > 0)
 	assert.Assert(t, completed > 0)
 }
--- a/test/memory/orders_test.go
+++ b/test/memory/orders_test.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/core/order"
 	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
 
 	"gotest.tools/v3/assert"
 )
@@ -40,6 +41,22 @@
 	w.inform(w.hosts[w.rng.IntN(len(w.hosts))])
 }
 
+// relist publishes a host list without one entry host, or with all of them.
+func (w *memoryWorld) relist(all []hostlist.Host) {
+	left := w.rng.IntN(2 * len(w.hosts)) // half of the lists leave none out
+	list := &hostlist.List{Version: w.list.Version + 1}
+	for i, host := range all {
+		if i != left || host.Role != hostlist.RoleEntry {
+			list.Hosts = append(list.Hosts, host)
+		}
+	}
+	w.list = list
+	w.inform(w.hosts[w.rng.IntN(len(w.hosts))])
+	if w.world.Now() < loadedFor {
+		w.world.After(time.Duration(w.rng.Int64N(int64(30*time.Second))), func() { w.relist(all) })
+	}
+}
+
 // loadsInAnyMinute is the most loads that began within one minute.
 func (w *memoryWorld) loadsInAnyMinute() int {
 	worst := 0
@@ -103,6 +120,7 @@
 		w := newMemoryWorld(t, uint64(seed), 4, 6)
 		w.run(time.Second)
 		w.publishOften(rate, loadedFor)
+		w.world.After(10*time.Second, func() { w.relist(w.list.Hosts) })
 		w.world.After(5*time.Second, w.fail)
 		w.world.After(6*time.Second, w.fail)
 		w.run(loadedFor + faultLength + 5*time.Second)
