Proofs of engine memory and orders; exports only in the schedules that are about them

Cause: with exports in all tests, a home that died and never came back left one for its whole budget, which is what is promised, and the test of group prompts counted it as held by the group.

--- a/test/memory/memory_test.go
+++ b/test/memory/memory_test.go
@@ -39,7 +39,9 @@
 	serial   int
 	// adopted are the streams that hosts asked engines to go on with.
 	adopted []string
-	exports int
+	// exporting makes streams leave exports behind; exports counts them.
+	exporting bool
+	exports   int
 	// impaired is until when a host is paused or cut from an engine.
 	impaired map[string]time.Duration
 
@@ -307,6 +309,7 @@
 	for seed := range schedules(t, 24) {
 		w := newMemoryWorld(t, uint64(seed), 4, 5)
 		w.ages = seed%2 == 0
+		w.exporting = true
 		w.world.After(time.Second, w.offer)
 		w.world.After(5*time.Second, w.fail)
 		w.world.After(6*time.Second, w.fail)
