The sleep test's target leaves while the host sleeps; hosts that were cut hear each other soon after

Cause: run without the waiting after a sleep, the test passed: the host list had reached the host before it slept.

--- a/test/configuration/scenarios_test.go
+++ b/test/configuration/scenarios_test.go
@@ -289,6 +289,7 @@
 		d.Run(2 * time.Second)
 		sleeper := d.Hosts()[int(seed)%4]
 		sleeper.Pause()
+		d.Run(d.Now() + time.Second)
 		d.leave("10.2.0.2:1")
 		d.Run(d.Now() + 30*time.Second)
 		for i := range 20 {
@@ -301,6 +302,27 @@
 	}
 }
 
+func TestHostsThatWereCutHearEachOtherSoonAfter(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.Run(2 * time.Second)
+	one, other := d.Hosts()[0], d.Hosts()[1]
+	d.network.set(one.Peer(), other.Peer(), true)
+	d.addEngine("10.2.0.1:1")
+	d.Run(d.Now() + 5*time.Second)
+	alive := func() bool {
+		for _, p := range one.Snapshot().Status.Peers {
+			if p.Address == other.Peer() {
+				return p.Alive
+			}
+		}
+		return false
+	}
+	assert.Assert(t, !alive())
+	d.network.set(one.Peer(), other.Peer(), false)
+	d.Run(d.Now() + time.Second)
+	assert.Assert(t, alive())
+}
+
 func TestPlannedStopWaitsForTheCallersThatMayComeBack(t *testing.T) {
 	d := deploy(1, 4, 3)
 	e := d.addEngine("10.2.0.1:1")
