--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -1,10 +1,16 @@
 package capacity
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +18,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/limit"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/core/target"
@@ -452,3 +459,107 @@
 	})
 	t.Logf("memory of one record: %d bytes", memory/records)
 }
+
+// The letter's size.
+const (
+	letterNodes   = 2000
+	letterTargets = 6800
+	letterTeams   = 2200
+)
+
+// TestCapacityOfNodeAtTheLettersSize runs one node that knows the whole fleet.
+func TestCapacityOfNodeAtTheLettersSize(t *testing.T) {
+	list := hostList(letterNodes, letterTargets)
+	first, _ := json.Marshal(config(1, letterTeams))
+	var n *node.Node
+	build := func() any {
+		n = node.New(node.Options{
+			Self: core.Home{Address: list.Hosts[0].Address, Incarnation: "0123456789abcdef"},
+			Peer: list.Hosts[0].Peer, Zone: list.Hosts[0].Zone, Records: 16384, BodyBytes: 1 << 28,
+		})
+		raw, _ := json.Marshal(list)
+		own, _ := hostlist.Parse(raw)
+		n.Step(0, node.HostsHeard{List: own, Source: conf.SourcePlatform})
+		n.Step(0, node.DocumentHeard{Raw: first, Source: conf.SourcePlatform})
+		return n
+	}
+	memory := heapOf(build)
+	snap := n.Snapshot()
+	now := settle
+	tick := timeOf(func() {
+		now += node.TickInterval
+		n.Step(now, node.Tick{})
+		n.Snapshot()
+	})
+	var texts [][]byte
+	for revision := range uint64(timedCalls) {
+		texts = append(texts, changed(revision+2, letterTeams))
+	}
+	change := timeOf(func() {
+		n.Step(now, node.DocumentHeard{Raw: texts[0], Source: conf.SourcePlatform})
+		texts = texts[1:]
+	})
+	hosts := timeOf(func() {
+		list.Version++
+		n.Step(now, node.HostsHeard{List: list, Source: conf.SourcePlatform})
+	})
+	t.Logf("memory %d bytes, %d peers, %d engines whose load is read", memory, len(snap.Status.Peers), len(snap.TargetAddresses))
+	status, _ := json.Marshal(snap.Status)
+	t.Logf("status %d bytes", len(status))
+	t.Logf("tick and snapshot %v, a changed document %v, a changed host list %v", tick, change, hosts)
+	assert.Assert(t, memory <= budgetMemory, "%d bytes", memory)
+}
+
+// budgetMemory is what the control state of a node may take, in bytes.
+const budgetMemory = 32 << 20
+
+// countingConn counts the bytes of a connection in both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func TestCapacityOfLoadReport(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(target.Report{QueuedTokens: 123_456, Streams: 120, UsedTokens: 345_678})
+	}))
+	defer server.Close()
+	var bytes atomic.Int64
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countingConn{conn, &bytes}, err
+	}
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: dial}}
+	const polls = 10
+	for range polls {
+		resp, err := client.Get(server.URL + "/v1/load")
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, resp.Body.Close())
+	}
+	t.Logf("one load report: %d bytes of HTTP", bytes.Load()/polls)
+}
+
+func TestCapacityOfHeartbeat(t *testing.T) {
+	f := newFleet(4, 20, 10)
+	f.run(settle)
+	full := f.hosts[0].snapshot.Heartbeat
+	lending := full
+	for i := range 32 {
+		lending.Demands = append(lending.Demands, limit.Demand{Team: fmt.Sprintf("team-%04d", i), Want: 12345.5})
+	}
+	t.Logf("heartbeat: brief %d bytes, full %d, with the demands of 32 teams %d",
+		len(request("heartbeat", full.Brief())), len(request("heartbeat", full)), len(request("heartbeat", lending)))
+}
--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// longAnswerTokens make an answer that takes the better part of a second, so that a stop finds it unfinished.
+const longAnswerTokens = 800
+
 // ended is what became of one request under load.
 type ended struct {
 	id     string
@@ -150,7 +153,7 @@
 	for caller := range callers {
 		var entries []string
 		for i := range c.hosts {
-			entries = append(entries, c.hosts[(i+caller/2)%len(c.hosts)].callers)
+			entries = append(entries, c.hosts[(i+caller)%len(c.hosts)].callers)
 		}
 		asked := client.New(client.Options{Entries: entries, Team: teamName})
 		wait.Go(func() {
@@ -161,8 +164,11 @@
 				default:
 				}
 				req := request(fmt.Sprintf("rolling-%02d-%06d", caller, i), modelName, true)
-				if caller%2 == 1 {
+				switch caller % 3 {
+				case 1:
 					req.Model, req.Idempotent, req.Budget = serviceName, false, 3*time.Second
+				case 2:
+					req.AnswerTokens, req.Idempotent, req.Budget = longAnswerTokens, false, 5*time.Second
 				}
 				result, err := asked.Do(context.Background(), req)
 				mu.Lock()
@@ -179,7 +185,7 @@
 	c := newCluster(t, 4, 2)
 	stop := make(chan struct{})
 	results := make(chan []ended, 1)
-	go func() { results <- c.loadUntil(stop, 8) }()
+	go func() { results <- c.loadUntil(stop, 12) }()
 	begin := time.Now()
 	for _, h := range c.hosts {
 		h.terminate()
