Check only the entries of a document and a host list that differ from the last one's

Ruled out: trusting a peer's check, since a host may run a stricter schema. Change: entries that stood byte for byte in the last valid text are not checked again; all rules beyond the schema are.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -399,12 +399,15 @@
 }
 
 func TestCapacityOfHostList(t *testing.T) {
-	t.Logf("%8s %12s %14s %14s %14s %14s %12s", "targets", "text bytes", "parse", "apply", "tick+snapshot", "pick of one", "memory")
+	t.Logf("%8s %12s %14s %14s %14s %14s %14s %12s",
+		"targets", "text bytes", "first read", "read again", "apply", "tick+snapshot", "pick of one", "memory")
 	for _, targets := range []int{20, 200, 2000, 6800} {
 		entries := max(4, targets*2000/6800)
 		list := hostList(entries, targets)
 		raw, _ := json.Marshal(list)
-		parse := timeOf(func() { _, _ = hostlist.Parse(raw) })
+		whole := timeOf(func() { _, _ = hostlist.Parse(raw) })
+		reader := hostlist.NewReader()
+		parse := timeOf(func() { _, _ = reader.Read(raw) })
 		f := newFleet(4, 0, 10)
 		h := f.hosts[0]
 		apply := timeOf(func() {
@@ -428,8 +431,9 @@
 			held.Apply(parsed)
 			return held
 		})
-		t.Logf("%8d %12d %14v %14v %14v %14v %12d", targets, len(raw), parse.Round(time.Microsecond), apply.Round(time.Microsecond),
-			tick.Round(time.Microsecond), pick.Round(100*time.Nanosecond), memory)
+		t.Logf("%8d %12d %14v %14v %14v %14v %14v %12d", targets, len(raw), whole.Round(time.Microsecond),
+			parse.Round(time.Microsecond), apply.Round(time.Microsecond), tick.Round(time.Microsecond),
+			pick.Round(100*time.Nanosecond), memory)
 	}
 }
 
--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -44,6 +44,7 @@
 
 // Config is the configuration of one host. It is not safe for concurrent use.
 type Config struct {
+	reader    *document.Reader
 	doc       *document.Document
 	history   *delta.History
 	since     core.Time
@@ -60,7 +61,7 @@
 }
 
 // New returns a configuration that has heard nothing.
-func New() *Config { return &Config{history: &delta.History{}} }
+func New() *Config { return &Config{reader: document.NewReader(), history: &delta.History{}} }
 
 // Verdict is what became of an offered document.
 type Verdict int
@@ -97,7 +98,7 @@
 }
 
 func (c *Config) judge(now core.Time, raw []byte, source string) Verdict {
-	doc, text, err := parse(raw)
+	doc, text, err := c.read(raw)
 	if err != nil {
 		c.rejected++
 		c.rejection = err.Error()
@@ -115,8 +116,9 @@
 	return Applied
 }
 
-func parse(raw []byte) (*document.Document, delta.Text, error) {
-	doc, err := document.Parse(raw)
+// read returns the document with its canonical text.
+func (c *Config) read(raw []byte) (*document.Document, delta.Text, error) {
+	doc, err := c.reader.Read(raw)
 	if err != nil {
 		return nil, delta.Text{}, err
 	}
--- /dev/null
+++ b/internal/document/reader_test.go
@@ -0,0 +1,83 @@
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"carobshunt/internal/strictjson"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+func validText(t *testing.T, teams int) string {
+	t.Helper()
+	preset := Preset{
+		Budgets:            Budgets{ShortMs: 10_000, MiddleMs: 120_000, LongMs: 900_000},
+		FirstTokenTargetMs: 750, ShortPromptTokens: 4_000, MiddlePromptTokens: 100_000,
+	}
+	doc := Document{Revision: 1, Active: "ordinary", Presets: map[string]Preset{"ordinary": preset}}
+	for i := range teams {
+		doc.Teams = append(doc.Teams, Team{Name: fmt.Sprintf("team-%d", i), Weight: 1, TokensPerSecond: 1000})
+	}
+	raw, err := json.Marshal(doc)
+	assert.NilError(t, err)
+	return string(raw)
+}
+
+// TestReaderAgreesWithParse damages documents in ways that a schema, a decoder and the rules beyond it each see.
+func TestReaderAgreesWithParse(t *testing.T) {
+	edits := [][2]string{
+		{`"weight":1`, `"weight":0`}, {`"weight":1`, `"weight":7`}, {`"weight":1`, `"weight":"1"`}, {`"weight":1,`, ``},
+		{`"name":"team-1"`, `"name":"team-0"`}, {`"name":"team-2"`, `"name":""`}, {`"name":"team-2"`, `"Name":"team-2"`},
+		{`"teams"`, `"Teams"`}, {`"revision":1`, `"revision":2`}, {`"revision":1`, `"revision":-1`}, {`"active":"ordinary"`, `"active":"peak"`},
+		{`"short_prompt_tokens":4000`, `"short_prompt_tokens":400000`}, {`"retry_percent":0`, `"retry_percent":101`},
+		{`"retry_percent":0,`, ``}, {`{"name"`, `{"color":1,"name"`}, {`"tokens_per_second":1000`, `"tokens_per_second":2000`},
+		{`}`, ``}, {`:`, ` : `}, {`"revision":1`, `"revision":1,"teams":[]`},
+	}
+	valid := validText(t, 5)
+	for seed := range uint64(500) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		reader := NewReader()
+		for range 6 {
+			text := valid
+			for range rng.IntN(3) {
+				edit := edits[rng.IntN(len(edits))]
+				text = replaceOne(rng, text, edit[0], edit[1])
+			}
+			want, wantErr := Parse([]byte(text))
+			got, gotErr := reader.Read([]byte(text))
+			assert.Equal(t, wantErr == nil, gotErr == nil, "seed %d: %s", seed, text)
+			if wantErr != nil {
+				assert.DeepEqual(t, paths(t, gotErr), paths(t, wantErr))
+				continue
+			}
+			assert.DeepEqual(t, got, want)
+		}
+	}
+}
+
+// paths are the places of an error's faults.
+func paths(t *testing.T, err error) []string {
+	t.Helper()
+	var faults *strictjson.Faults
+	assert.Assert(t, errors.As(err, &faults), "%v", err)
+	var out []string
+	for _, fault := range faults.List {
+		out = append(out, fault.Path)
+	}
+	return out
+}
+
+// replaceOne replaces one of the places at which a text stands.
+func replaceOne(rng *rand.Rand, text, old, replacement string) string {
+	parts := strings.Split(text, old)
+	if len(parts) == 1 {
+		return text
+	}
+	at := 1 + rng.IntN(len(parts)-1)
+	return strings.Join(parts[:at], old) + replacement + strings.Join(parts[at:], old)
+}
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -3,7 +3,7 @@
 package hostlist
 
 import (
-	"fmt"
+	"strconv"
 	"sync"
 
 	"carobshunt/internal/strictjson"
@@ -71,13 +71,15 @@
 		faults = append(faults, strictjson.AddressFaults(path, address)...)
 	}
 	for i, h := range list.Hosts {
-		check(fmt.Sprintf("/hosts/%d/address", i), h.Address)
+		check(hostPath(i, "address"), h.Address)
 		if h.Role == RoleEntry {
-			check(fmt.Sprintf("/hosts/%d/peer", i), h.Peer)
+			check(hostPath(i, "peer"), h.Peer)
 		}
 	}
 	return faults
 }
 
+func hostPath(i int, field string) string { return "/hosts/" + strconv.Itoa(i) + "/" + field }
+
 // Reference returns the JSON schema of a list.
 func Reference() []byte { return schema().Text() }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -118,13 +118,14 @@
 type Pool struct {
 	control Control
 	dialer  netdial.Dialer
+	lists   *hostlist.Reader
 	mu      sync.Mutex
 	links   map[string]*link
 }
 
 // NewPool returns a pool without connections.
 func NewPool(control Control, dialer netdial.Dialer) *Pool {
-	return &Pool{control: control, dialer: dialer, links: make(map[string]*link)}
+	return &Pool{control: control, dialer: dialer, lists: hostlist.NewReader(), links: make(map[string]*link)}
 }
 
 // Heartbeat sends a heartbeat; one that still waits for a slow peer is replaced.
@@ -147,7 +148,7 @@
 	defer p.mu.Unlock()
 	l := p.links[address]
 	if l == nil {
-		l = &link{control: p.control, dialer: p.dialer, address: address, wake: make(chan struct{}, 1)}
+		l = &link{control: p.control, dialer: p.dialer, lists: p.lists, address: address, wake: make(chan struct{}, 1)}
 		p.links[address] = l
 		go l.run(ctx)
 	}
@@ -185,6 +186,7 @@
 type link struct {
 	control Control
 	dialer  netdial.Dialer
+	lists   *hostlist.Reader
 	address string
 	conn    *jsonrpc2.Conn
 
@@ -293,7 +295,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	list, err := hostlist.Parse(text.Raw)
+	list, err := l.lists.Read(text.Raw)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -86,10 +86,11 @@
 
 // WatchHosts passes host lists on until the context ends.
 func (r *Reader) WatchHosts(ctx context.Context) {
+	lists := hostlist.NewReader()
 	r.watch(ctx, PathHosts,
 		func() uint64 { return r.poster.Snapshot().Heartbeat.HostsVersion },
 		func(raw []byte) {
-			if list, err := hostlist.Parse(raw); err == nil {
+			if list, err := lists.Read(raw); err == nil {
 				r.poster.Post(node.HostsHeard{List: list, Source: conf.SourcePlatform})
 			}
 		})
