--- a/client/client.go
+++ b/client/client.go
@@ -56,6 +56,8 @@
 
 	mu     sync.Mutex
 	lookup *kept
+	// revision is the highest configuration revision that a look-up named.
+	revision uint64
 	turn   int
 }
 
@@ -145,6 +147,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lookup = &kept{answer: answer, at: time.Now()}
+	c.revision = max(c.revision, answer.Revision)
 }
 
 // entries are the configured entries, starting with another one each time, followed by hosts learned earlier.
@@ -195,3 +198,10 @@
 	}
 	return e
 }
+
+// seenRevision is the highest configuration revision that a look-up named; hosts that are behind it say so.
+func (c *Client) seenRevision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
--- a/client/submit.go
+++ b/client/submit.go
@@ -323,6 +323,9 @@
 	secure.SetBearerKey(h, s.client.opts.Key)
 	h.Set(api.HeaderRequest, s.req.ID)
 	h.Set(api.HeaderTeam, s.client.opts.Team)
+	if revision := s.client.seenRevision(); revision > 0 {
+		h.Set(api.HeaderRevision, strconv.FormatUint(revision, 10))
+	}
 	h.Set(api.HeaderIdempotent, strconv.FormatBool(s.req.Idempotent))
 	h.Set(api.HeaderHome, s.req.Home)
 	h.Set(api.HeaderDeadline, strconv.FormatInt(s.req.Deadline.Milliseconds(), 10))
--- a/test/configuration/scenarios_test.go
+++ b/test/configuration/scenarios_test.go
@@ -132,6 +132,21 @@
 	assert.Assert(t, d.allReady())
 }
 
+func TestRevisionThatOnlyACallerEchoedIsShownAndKeepsNobodyFromStarting(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.Run(2 * time.Second)
+	h := d.Hosts()[0]
+	req := core.Request{Key: core.Key{Team: "desk", ID: "echo-request"}, Attempt: 1, Model: modelName, Revision: 99, Idempotent: true}
+	h.Submit(req, func(node.Decision) {})
+	assert.DeepEqual(t, h.Snapshot().Status.Warnings, []api.Warning{api.WarningCallersAhead})
+	assert.Equal(t, h.Snapshot().Status.Config.CallersRevision, uint64(99))
+	h.Kill()
+	d.start(h)
+	h.Submit(req, func(node.Decision) {})
+	d.Run(d.Now() + convergeWithin)
+	assert.Assert(t, h.Snapshot().Ready)
+}
+
 func TestHostThatHearsNobodyServesNothingAtStart(t *testing.T) {
 	d := deploy(1, 4, 3)
 	alone := d.Hosts()[0]
--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -203,3 +204,50 @@
 	assert.Assert(t, len(all) > 100, "%d requests", len(all))
 	t.Logf("%d requests while four hosts were replaced in %v", len(all), time.Since(begin).Round(time.Millisecond))
 }
+
+// backWithin is the bound for work after the mend of a host's own link.
+const backWithin = time.Second
+
+func TestHostCutFromAllTargetsIsBackSoonAfterTheMend(t *testing.T) {
+	c := newCluster(t, 2, 6)
+	h := c.hosts[0]
+	for _, p := range c.enginePipes {
+		p.Cut(h.ip)
+	}
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() { c.tryUntil(stop, h) })
+	h.waitFor(func(s api.Status) bool { return slices.Contains(s.Warnings, api.WarningLink) })
+	time.Sleep(5 * time.Second)
+	close(stop)
+	wait.Wait()
+	for _, p := range c.enginePipes {
+		p.Mend(h.ip)
+	}
+	time.Sleep(backWithin)
+	s, err := h.status()
+	assert.NilError(t, err)
+	for _, target := range s.Targets {
+		assert.Assert(t, target.Eligible, "%+v", target)
+	}
+	req := request("after-the-mend", modelName, true)
+	req.Via = h.callers
+	got, err := c.client().Do(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Outcome, api.OutcomeDone, "%+v", got)
+	h.waitFor(func(s api.Status) bool { return !slices.Contains(s.Warnings, api.WarningLink) })
+}
+
+// tryUntil submits short requests to one host, whatever becomes of them, until stop is closed.
+func (c *cluster) tryUntil(stop <-chan struct{}, h *host) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		req := request(fmt.Sprintf("while-cut-%06d", i), modelName, true)
+		req.Via, req.Budget = h.callers, 300*time.Millisecond
+		_, _ = c.client().Do(context.Background(), req)
+	}
+}
