--- a/client/client.go
+++ b/client/client.go
@@ -58,7 +58,7 @@
 	lookup *kept
 	// revision is the highest configuration revision that a look-up named.
 	revision uint64
-	turn   int
+	turn     int
 }
 
 // kept is a look-up answer and when it came.
