--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,268 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/delta"
+	"carobshunt/internal/hostlist"
+	"carobshunt/internal/netdial"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Pool sends to other hosts, over one connection each. It is safe for concurrent use and never blocks its callers.
+type Pool struct {
+	control Control
+	dialer  netdial.Dialer
+	lists   *hostlist.Reader
+	// idle is the time without an order after which a connection is given up.
+	idle  time.Duration
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// idleTimeout is longer than any time between two heartbeats to one peer: what is idle for longer is a peer no more.
+const idleTimeout = time.Minute
+
+// NewPool returns a pool without connections.
+func NewPool(control Control, dialer netdial.Dialer) *Pool {
+	return &Pool{control: control, dialer: dialer, lists: hostlist.NewReader(), idle: idleTimeout, links: make(map[string]*link)}
+}
+
+// Heartbeat sends a heartbeat; one that still waits for a slow peer is replaced.
+func (p *Pool) Heartbeat(ctx context.Context, address string, hb member.Heartbeat) {
+	p.offer(ctx, address, order{heartbeat: &hb})
+}
+
+// PullDocument asks a peer for its document and posts it.
+func (p *Pool) PullDocument(ctx context.Context, address string) {
+	p.offer(ctx, address, order{document: true})
+}
+
+// PullHosts asks a peer for its host list and posts it.
+func (p *Pool) PullHosts(ctx context.Context, address string) {
+	p.offer(ctx, address, order{hosts: true})
+}
+
+func (p *Pool) offer(ctx context.Context, address string, o order) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[address]
+	if l == nil {
+		l = &link{pool: p, address: address, wake: make(chan struct{}, 1)}
+		p.links[address] = l
+		go l.run(ctx)
+	}
+	l.offer(o)
+}
+
+// retire forgets a link that has nothing to send, and reports whether it did.
+func (p *Pool) retire(l *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.waits() {
+		return false
+	}
+	delete(p.links, l.address)
+	return true
+}
+
+// order is what is to be sent; merging orders keeps the newest heartbeat and every pull.
+type order struct {
+	heartbeat *member.Heartbeat
+	document  bool
+	hosts     bool
+}
+
+func (o order) merge(later order) order {
+	if later.heartbeat != nil {
+		o.heartbeat = mergeHeartbeats(o.heartbeat, later.heartbeat)
+	}
+	o.document = o.document || later.document
+	o.hosts = o.hosts || later.hosts
+	return o
+}
+
+// mergeHeartbeats returns the one heartbeat that stands for two. A brief one only moves the clock of a full one on.
+func mergeHeartbeats(earlier, later *member.Heartbeat) *member.Heartbeat {
+	if earlier == nil || earlier.Repeats || !later.Repeats {
+		return later
+	}
+	merged := *earlier
+	merged.ClockMs = later.ClockMs
+	merged.PlatformAgesMs = later.PlatformAgesMs
+	merged.Revision, merged.Digest = later.Revision, later.Digest
+	return &merged
+}
+
+// link is the connection to one peer.
+type link struct {
+	pool    *Pool
+	address string
+	conn    *jsonrpc2.Conn
+
+	mu      sync.Mutex
+	pending order
+	wake    chan struct{}
+}
+
+func (l *link) offer(o order) {
+	l.mu.Lock()
+	l.pending = l.pending.merge(o)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) take() order {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.pending
+	l.pending = order{}
+	return o
+}
+
+// waits tells whether there is anything to send.
+func (l *link) waits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pending != order{}
+}
+
+func (l *link) run(ctx context.Context) {
+	defer l.close()
+	idle := time.NewTimer(l.pool.idle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle.C:
+			if l.pool.retire(l) {
+				return
+			}
+		case <-l.wake:
+			if err := l.send(ctx, l.take()); err != nil {
+				l.close()
+			}
+		}
+		idle.Reset(l.pool.idle)
+	}
+}
+
+func (l *link) close() {
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+func (l *link) send(ctx context.Context, o order) error {
+	if err := l.connect(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	if o.heartbeat != nil {
+		if err := l.notify(ctx, o.heartbeat); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if o.document {
+		if err := l.pullDocument(ctx); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if o.hosts {
+		return errors.Trace(l.pullHosts(ctx))
+	}
+	return nil
+}
+
+func (l *link) connect(ctx context.Context) error {
+	if l.conn != nil {
+		select {
+		case <-l.conn.DisconnectNotify():
+			l.close()
+		default:
+			return nil
+		}
+	}
+	conn, err := l.pool.dialer.WithTimeout(dialTimeout)(ctx, "tcp", l.address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	stream := newStream(deadlineConn{conn})
+	l.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls), quiet)
+	return nil
+}
+
+// refuseCalls answers calls that come back over an outgoing connection; there are none in this protocol.
+func refuseCalls(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+}
+
+func (l *link) notify(ctx context.Context, hb *member.Heartbeat) error {
+	return errors.Trace(l.conn.Notify(ctx, methodHeartbeat, hb))
+}
+
+func (l *link) pullDocument(ctx context.Context) error {
+	text, err := l.pull(ctx, methodDocument, l.pool.control.Snapshot().Documents)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l.pool.control.Post(node.DocumentHeard{Raw: text.Raw, Source: l.address})
+	return nil
+}
+
+func (l *link) pullHosts(ctx context.Context) error {
+	text, err := l.pull(ctx, methodHosts, l.pool.control.Snapshot().HostLists)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	list, err := l.pool.lists.Read(text.Raw)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l.pool.control.Post(node.HostsHeard{List: list, Source: l.address})
+	return nil
+}
+
+// pull fetches the peer's newest text, as deltas if it can; when they don't fit it asks for the whole text.
+func (l *link) pull(ctx context.Context, method string, history *delta.History) (delta.Text, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	base := history.Newest()
+	var got Published
+	if err := l.conn.Call(ctx, method, Have{Digest: base.Digest}, &got); err != nil {
+		return delta.Text{}, errors.Trace(err)
+	}
+	if len(got.Raw) > 0 {
+		return delta.NewText(got.Raw), nil
+	}
+	if text, err := delta.ApplyAll(base, got.Deltas); err == nil && text.Digest == got.Digest {
+		return text, nil
+	}
+	got = Published{}
+	if err := l.conn.Call(ctx, method, Have{}, &got); err != nil {
+		return delta.Text{}, errors.Trace(err)
+	}
+	return delta.NewText(got.Raw), nil
+}
+
+// deadlineConn bounds each write, so that a peer that is paused does not hold up the sender.
+type deadlineConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c deadlineConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, errors.Trace(err)
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/internal/peer/pool_test.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/delta"
+	"carobshunt/internal/netdial"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// recorder is a control loop that keeps its inputs.
+type recorder struct {
+	inputs    chan node.Input
+	documents *delta.History
+}
+
+func (r *recorder) Post(in node.Input) { r.inputs <- in }
+
+func (r *recorder) Snapshot() *node.Snapshot {
+	return &node.Snapshot{Documents: r.documents, HostLists: &delta.History{}}
+}
+
+func newRecorder(texts ...string) *recorder {
+	r := &recorder{inputs: make(chan node.Input, 16), documents: &delta.History{}}
+	for _, text := range texts {
+		r.documents = r.documents.Add(delta.NewText([]byte(text)))
+	}
+	return r
+}
+
+// serve answers for a control loop, and returns the address.
+func serve(t *testing.T, control Control) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(func() { stop(); _ = listener.Close() })
+	go func() { _ = NewServer(control).Serve(ctx, listener) }()
+	return listener.Addr().String()
+}
+
+func TestPullBringsTheNewestTextFromAnyBase(t *testing.T) {
+	texts := []string{`{"a":1,"b":[1,2,3]}`, `{"a":2,"b":[1,2,3]}`, `{"a":2,"b":[1,3]}`}
+	address := serve(t, newRecorder(texts...))
+	for _, base := range []*recorder{newRecorder(), newRecorder(texts[:1]...), newRecorder(texts[:2]...), newRecorder(`{"a":9}`)} {
+		ctx, stop := context.WithCancel(context.Background())
+		pool := NewPool(base, netdial.From("127.0.0.1:1"))
+		pool.PullDocument(ctx, address)
+		heard := (<-base.inputs).(node.DocumentHeard)
+		assert.Equal(t, string(heard.Raw), texts[2])
+		assert.Equal(t, heard.Source, address)
+		stop()
+	}
+}
+
+func TestLinkWithoutOrdersIsGivenUpAndMadeAgain(t *testing.T) {
+	receiver := newRecorder()
+	address := serve(t, receiver)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	pool := NewPool(newRecorder(), netdial.From("127.0.0.1:1"))
+	pool.idle = 20 * time.Millisecond
+	for beat := range int64(3) {
+		pool.Heartbeat(ctx, address, member.Heartbeat{Peer: "127.0.0.1:2", ClockMs: beat})
+		heard := (<-receiver.inputs).(node.HeartbeatHeard)
+		assert.Equal(t, heard.Heartbeat.ClockMs, beat)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			if len(pool.links) == 0 {
+				return poll.Success()
+			}
+			return poll.Continue("%d links", len(pool.links))
+		}, poll.WithDelay(time.Millisecond))
+	}
+}
+
+func TestBriefHeartbeatDoesNotReplaceAFullOneThatWaits(t *testing.T) {
+	full := member.Heartbeat{Peer: "p", Incarnation: "i", Zone: "a", ClockMs: 1, Revision: 1, State: 3, Ready: true}
+	later := full
+	later.ClockMs, later.Revision = 5, 2
+	brief := later.Brief()
+	merged := order{heartbeat: &full}.merge(order{heartbeat: &brief, hosts: true})
+	assert.DeepEqual(t, *merged.heartbeat, later)
+	assert.Assert(t, merged.hosts)
+	merged = order{heartbeat: &brief}.merge(order{heartbeat: &full})
+	assert.DeepEqual(t, *merged.heartbeat, full)
+}
