--- a/test/configuration/fuzz_test.go
+++ b/test/configuration/fuzz_test.go
@@ -348,7 +348,12 @@
 	assert.Equal(t, highest.Revision, d.platform.revision, "seed %d", seed)
 	for _, h := range d.Hosts() {
 		assert.Equal(t, d.version(h), highest, "seed %d: %s", seed, h.Peer())
-		assert.Assert(t, h.Snapshot().Ready, "seed %d: %s: %s", seed, h.Peer(), h.Snapshot().Status.NotReadyReason)
+		snap := h.Snapshot()
+		assert.Assert(t, snap.Ready, "seed %d: %s: %s", seed, h.Peer(), snap.Status.NotReadyReason)
+		for _, peer := range snap.Status.Peers {
+			assert.Assert(t, peer.Alive, "seed %d: %s does not hear %s", seed, h.Peer(), peer.Address)
+		}
+		assert.Equal(t, len(snap.Hosts), len(snap.Status.Peers)+1, "seed %d: look-up of %s", seed, h.Peer())
 	}
 }
 
