Read the platform while the host list names no live host

Cause: when all hosts are being replaced and the list calls all of them leaving, nobody had a rank as a reader, and a switched preset reached nobody. Change: all read while no live host is listed.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -160,7 +160,9 @@
 	contacts []string
 	// zoneRanks are the listed live entry hosts of the own availability zone, in order of preference as readers.
 	zoneRanks []string
-	listed    bool
+	// anyLive tells whether the host list names a live entry host.
+	anyLive bool
+	listed  bool
 }
 
 // NewTable returns a table for the host with that peer address and availability zone, seeded with peer addresses
@@ -190,6 +192,9 @@
 func (t *Table) Apply(now core.Time, list *hostlist.List, cells *cell.Map) {
 	t.listed = true
 	t.zoneRanks = rankZone(list, t.zone)
+	t.anyLive = slices.ContainsFunc(list.Hosts, func(h hostlist.Host) bool {
+		return h.Role == hostlist.RoleEntry && h.State == hostlist.StateLive
+	})
 	neighbours := Neighbours(list, cells, t.self, t.zone)
 	for _, p := range t.peers {
 		p.neighbour = false
@@ -354,3 +359,7 @@
 // Rank is this host's place among the listed live hosts of its availability zone in the order in which they are to
 // read the platform, from 0; -1 when it is not listed.
 func (t *Table) Rank() int { return slices.Index(t.zoneRanks, t.self) }
+
+// AnyLive tells whether the host list names a live entry host. While it names none, as when all are being replaced and
+// the list lags, nobody has a rank.
+func (t *Table) AnyLive() bool { return t.anyLive }
--- a/internal/core/node/readers.go
+++ b/internal/core/node/readers.go
@@ -46,9 +46,9 @@
 
 // reads tells whether this host is to watch the platform. The hosts of a zone stand in order of rendezvous hash; one
 // reads while the platform answers fewer than zoneReaders of those before it. A host that lacks a configuration or a
-// host list reads in any case.
+// host list reads in any case, and so do all while the list names no live host.
 func (n *Node) reads() bool {
-	if n.hosts == nil || n.config.Document() == nil {
+	if n.hosts == nil || n.config.Document() == nil || !n.peers.AnyLive() {
 		return true
 	}
 	rank := n.peers.Rank()
--- a/test/configuration/scenarios_test.go
+++ b/test/configuration/scenarios_test.go
@@ -240,6 +240,20 @@
 	}
 }
 
+func TestConfigurationIsReadWhileTheListNamesNoLiveHost(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.Run(2 * time.Second)
+	for _, line := range d.platform.hosts.Hosts {
+		d.leave(line.Address)
+	}
+	d.Run(d.Now() + 2*time.Second)
+	d.platform.publish(2, "peak")
+	d.Run(d.Now() + convergeWithin)
+	for _, h := range d.Hosts() {
+		assert.Equal(t, d.version(h).Revision, uint64(2))
+	}
+}
+
 // unlist publishes a host list without the hosts that are dead.
 func (d *deployment) unlist() {
 	next := &hostlist.List{Version: d.platform.hosts.Version + 1}
--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -42,18 +42,32 @@
 
 func TestPresetSwitchIsInForceOnFourHosts(t *testing.T) {
 	c := newCluster(t, 4, 1)
-	c.publishRevision(2, "peak")
-	c.waitRevision(2, c.hosts...)
+	t.Logf("with the platform: at most %v", c.switchPresets(2))
 	for _, h := range c.hosts[1:] {
 		c.platformPipe.Cut(h.ip)
 	}
-	c.publishRevision(3, "maintenance")
-	c.waitRevision(3, c.hosts...)
+	t.Logf("three of four hosts cut from it: at most %v", c.switchPresets(2+presetSwitches))
 	for _, h := range c.hosts {
 		s, err := h.status()
 		assert.NilError(t, err)
-		assert.Equal(t, s.Config.Preset, "maintenance")
+		assert.Equal(t, s.Config.Preset, c.doc.Active)
+	}
+}
+
+const presetSwitches = 10
+
+// switchPresets publishes revisions from a first one on, one after the other, and returns the longest time that one took
+// until it was in force on all hosts.
+func (c *cluster) switchPresets(first uint64) time.Duration {
+	c.t.Helper()
+	var longest time.Duration
+	for i := range uint64(presetSwitches) {
+		begin := time.Now()
+		c.publishRevision(first+i, []string{"peak", "maintenance", "ordinary"}[i%3])
+		c.waitRevision(first+i, c.hosts...)
+		longest = max(longest, time.Since(begin))
 	}
+	return longest.Round(time.Millisecond)
 }
 
 func TestPlatformDownAtStart(t *testing.T) {
