--- a/test/configuration/scenarios_test.go
+++ b/test/configuration/scenarios_test.go
@@ -132,6 +132,21 @@
 	assert.Assert(t, d.allReady())
 }
 
+func TestRevisionThatOnlyACallerEchoedIsShownAndKeepsNobodyFromStarting(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.Run(2 * time.Second)
+	h := d.Hosts()[0]
+	req := core.Request{Key: core.Key{Team: "desk", ID: "echo-request"}, Attempt: 1, Model: modelName, Revision: 99, Idempotent: true}
+	h.Submit(req, func(node.Decision) {})
+	assert.DeepEqual(t, h.Snapshot().Status.Warnings, []api.Warning{api.WarningCallersAhead})
+	assert.Equal(t, h.Snapshot().Status.Config.CallersRevision, uint64(99))
+	h.Kill()
+	d.start(h)
+	h.Submit(req, func(node.Decision) {})
+	d.Run(d.Now() + convergeWithin)
+	assert.Assert(t, h.Snapshot().Ready)
+}
+
 func TestHostThatHearsNobodyServesNothingAtStart(t *testing.T) {
 	d := deploy(1, 4, 3)
 	alone := d.Hosts()[0]
@@ -225,6 +240,20 @@
 	}
 }
 
+func TestConfigurationIsReadWhileTheListNamesNoLiveHost(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.Run(2 * time.Second)
+	for _, line := range d.platform.hosts.Hosts {
+		d.leave(line.Address)
+	}
+	d.Run(d.Now() + 2*time.Second)
+	d.platform.publish(2, "peak")
+	d.Run(d.Now() + convergeWithin)
+	for _, h := range d.Hosts() {
+		assert.Equal(t, d.version(h).Revision, uint64(2))
+	}
+}
+
 // unlist publishes a host list without the hosts that are dead.
 func (d *deployment) unlist() {
 	next := &hostlist.List{Version: d.platform.hosts.Version + 1}
@@ -289,6 +318,7 @@
 		d.Run(2 * time.Second)
 		sleeper := d.Hosts()[int(seed)%4]
 		sleeper.Pause()
+		d.Run(d.Now() + time.Second)
 		d.leave("10.2.0.2:1")
 		d.Run(d.Now() + 30*time.Second)
 		for i := range 20 {
@@ -301,6 +331,27 @@
 	}
 }
 
+func TestHostsThatWereCutHearEachOtherSoonAfter(t *testing.T) {
+	d := deploy(1, 4, 3)
+	d.Run(2 * time.Second)
+	one, other := d.Hosts()[0], d.Hosts()[1]
+	d.network.set(one.Peer(), other.Peer(), true)
+	d.addEngine("10.2.0.1:1")
+	d.Run(d.Now() + 5*time.Second)
+	alive := func() bool {
+		for _, p := range one.Snapshot().Status.Peers {
+			if p.Address == other.Peer() {
+				return p.Alive
+			}
+		}
+		return false
+	}
+	assert.Assert(t, !alive())
+	d.network.set(one.Peer(), other.Peer(), false)
+	d.Run(d.Now() + time.Second)
+	assert.Assert(t, alive())
+}
+
 func TestPlannedStopWaitsForTheCallersThatMayComeBack(t *testing.T) {
 	d := deploy(1, 4, 3)
 	e := d.addEngine("10.2.0.1:1")
