--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(shell $(GO) env GOPATH)/bin/golangci-lint
 
-.PHONY: build demo demo-up walkthrough reference test format lint tools
+.PHONY: build demo demo-up demo-secure walkthrough reference test format lint tools
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -13,6 +13,9 @@
 demo-up: build
 	scripts/demo.sh --keep
 
+demo-secure: build
+	scripts/demo.sh --secure
+
 walkthrough: build
 	scripts/walkthrough.sh
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,17 +1,29 @@
 #!/usr/bin/env bash
 # Runs the main job on loopback: a platform, four engines, a plain service and four entry hosts, then requests of
 # each kind, one line for each. Exits non-zero when one does not end as it should. Ends every process that it started.
-# With --keep it sends nothing and leaves everything running until it is interrupted.
+# With --keep it sends nothing and leaves everything running until it is interrupted. With --secure all interfaces
+# speak TLS, and the team and the operators have keys; that needs openssl.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=bin
 net=${CAROB_DEMO_NET:-127.20} # the first half of the loopback addresses that the demo uses
-keep=${1:-}
+keep=no secure=no
+for option in "$@"; do
+  case "$option" in
+  --keep) keep=yes ;;
+  --secure) secure=yes ;;
+  *)
+    echo "usage: $0 [--keep] [--secure]" >&2
+    exit 2
+    ;;
+  esac
+done
 logs=$(mktemp -d)
 demo=$logs/settings
 mkdir "$demo"
 for file in deploy/demo/*.json; do sed "s/127\.20\./$net./g" "$file" >"$demo/${file##*/}"; done
 export CAROBCTL_DEPLOYMENT=$demo/carobctl.json
+if [ "$secure" = yes ]; then scripts/secure-settings.sh "$demo" "$net"; fi
 pids=()
 
 finish() {
@@ -46,7 +58,7 @@
 for i in 1 2 3 4; do start "host$i" "$bin/carobshuntd" --settings "$demo/host$i.json"; done
 wait_ready
 
-if [ "$keep" = --keep ]; then
+if [ "$keep" = yes ]; then
   "$bin/carobctl" status
   echo "running until interrupted; logs and settings are in $logs"
   wait
