--- a/internal/docscheck/pages_test.go
+++ b/internal/docscheck/pages_test.go
@@ -308,3 +308,22 @@
 		assert.Assert(t, strings.Contains(string(raw), "| `"+string(outcome)+"` |"), outcome)
 	}
 }
+
+func TestArchitectureNamesEveryPackage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs/ARCHITECTURE.md"))
+	assert.NilError(t, err)
+	packages := make(map[string]bool)
+	for _, top := range []string{"api", "client", "cmd", "internal", "test"} {
+		err := filepath.WalkDir(filepath.Join(root, top), func(path string, _ os.DirEntry, err error) error {
+			if err == nil && strings.HasSuffix(path, ".go") {
+				packages[strings.TrimPrefix(filepath.ToSlash(filepath.Dir(path)), root+"/")] = true
+			}
+			return err
+		})
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, len(packages) > 30)
+	for name := range packages {
+		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), "docs/ARCHITECTURE.md does not name %s", name)
+	}
+}
