Peers that take no answer are cut off; bytes between hosts are a metric

Change: the peers' listener ends a stalled connection after 10 s; carobshunt_peer_bytes_total counts both directions on the wire, of incoming and outgoing links.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,8 @@
 	log      hclog.Logger
 	loop     *control.Loop
 	self     core.Home
+	// peerTraffic counts the bytes between entry hosts.
+	peerTraffic netdial.Traffic
 }
 
 // New returns a daemon that has not started.
@@ -68,6 +70,7 @@
 		return errors.Trace(err)
 	}
 	m := metrics.New(d.settings.Metrics, d.loop)
+	m.WatchPeerTraffic(&d.peerTraffic)
 	listeners, err := d.listen(keys, m)
 	if err != nil {
 		return errors.Trace(err)
@@ -82,7 +85,7 @@
 		exchanges:  exchanges,
 		engines:    engines.New(d.loop, dialer),
 		dispatcher: dispatch.New(d.loop, dialer, m),
-		peers:      peer.NewPool(d.loop, secured(dialer, keys.peers)),
+		peers:      peer.NewPool(d.loop, secured(dialer.WithTraffic(&d.peerTraffic), keys.peers)),
 		log:        d.log,
 		metrics:    m,
 		stop:       stop,
--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -38,7 +38,7 @@
 	}{
 		{"callers", s.Listen.Callers, secure.Bounds{Connections: s.Limits.CallerConnections}, keys.callers, &out.callers},
 		{"operators", s.Listen.Operators, secure.Bounds{Connections: s.Limits.OperatorConnections}, keys.operators, &out.operators},
-		{"peers", s.Listen.Peers, secure.Bounds{Connections: s.Limits.PeerConnections, Idle: peerIdle}, keys.peers, &out.peers},
+		{"peers", s.Listen.Peers, d.peerBounds(), keys.peers, &out.peers},
 	} {
 		inner, err := net.Listen("tcp", one.address)
 		if err != nil {
@@ -54,13 +54,25 @@
 	return out, nil
 }
 
+// peerBounds are the bounds of the peers' interface, whose traffic is counted together with that of outgoing links.
+func (d *Daemon) peerBounds() secure.Bounds {
+	return secure.Bounds{
+		Connections: d.settings.Limits.PeerConnections,
+		Idle:        peerIdle,
+		Stall:       peerStall,
+		Traffic:     &d.peerTraffic,
+	}
+}
+
 // Timeouts and sizes of the callers' and the peers' interface.
 const (
 	// headerTimeout bounds how long a caller may take to send its headers.
 	headerTimeout = 5 * time.Second
-	// callerIdle ends a kept-alive connection without requests, peerIdle one without heartbeats.
+	// callerIdle ends a kept-alive connection without requests, peerIdle one without heartbeats, and peerStall one
+	// whose other side takes no answer.
 	callerIdle     = 60 * time.Second
 	peerIdle       = 30 * time.Second
+	peerStall      = 10 * time.Second
 	maxHeaderBytes = 16 << 10
 )
 
--- a/internal/docscheck/reference_test.go
+++ b/internal/docscheck/reference_test.go
@@ -18,6 +18,7 @@
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/metrics"
+	"carobshunt/internal/netdial"
 	"carobshunt/internal/settings"
 
 	"github.com/spf13/cobra"
@@ -228,6 +229,7 @@
 	}}}
 	m := metrics.New(settings.Example().Metrics, s)
 	m.WatchListener("callers", noConnections{})
+	m.WatchPeerTraffic(&netdial.Traffic{})
 	key := core.Key{Team: "desk", ID: "request-1"}
 	work := core.Work{Class: document.ClassShort, PrefillTokens: 1}
 	m.Dispatched(node.StartDispatch{Key: key, Dispatch: 1, Work: work})
--- /dev/null
+++ b/internal/metrics/connections.go
@@ -0,0 +1,42 @@
+package metrics
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Connections is a listener that counts its connections.
+type Connections interface {
+	Open() int64
+	Refused() uint64
+}
+
+// WatchListener adds the connection counts of an interface.
+func (m *Metrics) WatchListener(name string, c Connections) {
+	labels := prometheus.Labels{"interface": name}
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "connections", Help: "Connections open now.", ConstLabels: labels,
+		}, func() float64 { return float64(c.Open()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "connections_refused_total", Help: "Connections closed at once: too many were open.",
+			ConstLabels: labels,
+		}, func() float64 { return float64(c.Refused()) }),
+	)
+}
+
+// Traffic counts bytes.
+type Traffic interface {
+	In() uint64
+	Out() uint64
+}
+
+// WatchPeerTraffic adds the bytes that are exchanged with other entry hosts.
+func (m *Metrics) WatchPeerTraffic(t Traffic) {
+	for _, one := range []struct {
+		direction string
+		read      func() uint64
+	}{{"in", t.In}, {"out", t.Out}} {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "peer_bytes_total", Help: "Bytes exchanged with other entry hosts, on the wire.",
+			ConstLabels: prometheus.Labels{"direction": one.direction},
+		}, func() float64 { return float64(one.read()) }))
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -191,23 +191,3 @@
 	alone := r.start.Seconds() + float64(prefillTokens)/r.tokensPerSecond
 	return first.Seconds() / alone
 }
-
-// Connections is a listener that counts its connections.
-type Connections interface {
-	Open() int64
-	Refused() uint64
-}
-
-// WatchListener adds the connection counts of an interface.
-func (m *Metrics) WatchListener(name string, c Connections) {
-	labels := prometheus.Labels{"interface": name}
-	m.registry.MustRegister(
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "connections", Help: "Connections open now.", ConstLabels: labels,
-		}, func() float64 { return float64(c.Open()) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: namespace, Name: "connections_refused_total", Help: "Connections closed at once: too many were open.",
-			ConstLabels: labels,
-		}, func() float64 { return float64(c.Refused()) }),
-	)
-}
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -14,8 +14,9 @@
 
 // Dialer connects from one IP address.
 type Dialer struct {
-	source netip.Addr
-	secure func() *tls.Config
+	source  netip.Addr
+	secure  func() *tls.Config
+	traffic *Traffic
 }
 
 // From returns a dialer for the IP address of a listening address; one that is not valid, or that stands for all
@@ -35,28 +36,47 @@
 	return d
 }
 
+// WithTraffic returns a dialer that counts the bytes of its connections, as they are on the wire.
+func (d Dialer) WithTraffic(traffic *Traffic) Dialer {
+	d.traffic = traffic
+	return d
+}
+
 // WithTimeout returns a dial function for transports; the timeout covers the TLS handshake too.
-func (d Dialer) WithTimeout(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+func (d Dialer) WithTimeout(timeout time.Duration) dialFunc {
 	dialer := &net.Dialer{Timeout: timeout}
 	if d.source.IsValid() {
 		dialer.LocalAddr = &net.TCPAddr{IP: d.source.AsSlice()}
 	}
+	dial := dialer.DialContext
+	if d.traffic != nil {
+		dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{Conn: conn, traffic: d.traffic}, nil
+		}
+	}
 	if d.secure == nil {
-		return dialer.DialContext
+		return dial
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		return dialTLS(ctx, dialer, d.secure(), network, address)
+		return dialTLS(ctx, dial, d.secure(), network, address)
 	}
 }
 
-func dialTLS(ctx context.Context, dialer *net.Dialer, config *tls.Config, network, address string) (net.Conn, error) {
+// dialFunc connects.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+func dialTLS(ctx context.Context, dial dialFunc, config *tls.Config, network, address string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	conn, err := dialer.DialContext(ctx, network, address)
+	conn, err := dial(ctx, network, address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/secure/listener.go
+++ b/internal/secure/listener.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"carobshunt/internal/netdial"
 )
 
 // Bounds limit the connections of a listener.
@@ -14,6 +16,10 @@
 	Connections int
 	// Idle ends a connection on which nothing arrives for that long; 0 for no such end.
 	Idle time.Duration
+	// Stall ends a connection whose other side takes nothing for that long; 0 for no such end.
+	Stall time.Duration
+	// Traffic counts the bytes of the connections; nil counts nothing.
+	Traffic *netdial.Traffic
 }
 
 // Listener bounds another listener.
@@ -64,7 +70,21 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.listener.bounds.Traffic.AddIn(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *boundConn) Write(p []byte) (int, error) {
+	if stall := c.listener.bounds.Stall; stall > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(stall)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Write(p)
+	c.listener.bounds.Traffic.AddOut(n)
+	return n, err
 }
 
 // Close implements net.Conn.
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -269,6 +269,22 @@
 	})
 }
 
+func TestConnectionWhoseOtherSideTakesNothingEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		traffic := &netdial.Traffic{}
+		conn := &boundConn{Conn: near, listener: &Listener{bounds: Bounds{Stall: time.Minute, Traffic: traffic}}}
+		go func() { _, _ = io.ReadFull(far, make([]byte, 3)) }()
+		start := time.Now()
+		n, err := conn.Write([]byte("12345"))
+		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+		assert.Equal(t, n, 3)
+		assert.Equal(t, time.Since(start), time.Minute)
+		assert.Equal(t, traffic.Out(), uint64(3))
+	})
+}
+
 // script is a Reloader whose answers are given.
 type script struct {
 	answers []error
--- a/test/process/secure_test.go
+++ b/test/process/secure_test.go
@@ -252,7 +252,12 @@
 	} {
 		assert.Assert(t, strings.Contains(text, line), "no %s in:\n%s", line, text)
 	}
-	assert.Assert(t, !strings.Contains(text, "carobshunt_documents_rejected_total 0"))
+	for _, zero := range []string{
+		`carobshunt_documents_rejected_total 0`, `carobshunt_peer_bytes_total{direction="in"} 0`,
+		`carobshunt_peer_bytes_total{direction="out"} 0`, `carobshunt_connections{interface="peers"} 0`,
+	} {
+		assert.Assert(t, !strings.Contains(text, zero+"\n"), "%s", zero)
+	}
 }
 
 func TestSlowBodyIsCutOffAtTheDeadline(t *testing.T) {
