--- a/internal/docscheck/pages_test.go
+++ b/internal/docscheck/pages_test.go
@@ -302,6 +302,9 @@
 	}
 	raw, err := os.ReadFile(filepath.Join(root, "docs/CALLERS.md"))
 	assert.NilError(t, err)
+	for _, m := range regexp.MustCompile(`"(Carob-[A-Za-z-]+)"`).FindAllStringSubmatch(string(source), -1) {
+		assert.Assert(t, strings.Contains(string(raw), "`"+m[1]+"`"), "the page lacks %s", m[1])
+	}
 	for _, outcome := range []api.Outcome{
 		api.OutcomeDone, api.OutcomeFailed, api.OutcomeNotRun, api.OutcomeUnknown, api.OutcomePending,
 	} {
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -17,6 +17,7 @@
 	sweeps *prometheus.Desc
 	groups *prometheus.Desc
 	orders *prometheus.Desc
+	adopts *prometheus.Desc
 	peers  *prometheus.Desc
 	target *prometheus.Desc
 }
@@ -61,6 +62,7 @@
 		sweeps: describe("sweeps_total", "Leftovers that engines were told to drop, by reason.", "reason"),
 		groups: describe("engine_groups_total", "Tries to reserve several engines for one prompt, by step.", "step"),
 		orders: describe("orders_total", "Orders to engines, by step.", "step"),
+		adopts: describe("adoptions_total", "Streams taken over from hosts that are gone, by step.", "step"),
 		peers:  describe("peers", "Other entry hosts, by whether they were heard lately.", "alive"),
 		target: describe("targets", "Targets by kind, and by whether new work may go there.", "kind", "eligible"),
 	}
@@ -110,6 +112,7 @@
 	out <- c.sweeps
 	out <- c.groups
 	out <- c.orders
+	out <- c.adopts
 	out <- c.peers
 	out <- c.target
 }
@@ -149,6 +152,7 @@
 		{"claimed", snap.Groups.Claims}, {"completed", snap.Groups.Completed},
 		{"given_up", snap.Groups.GivenUp}, {"lost", snap.Groups.Lost},
 	})
+	collectSteps(out, c.adopts, []step{{"tried", snap.Adoptions.Tried}, {"failed", snap.Adoptions.Failed}})
 	collectSteps(out, c.orders, []step{
 		{"sent", snap.Orders.Sent}, {"taken", snap.Orders.Taken}, {"refused", snap.Orders.Refused},
 		{"lost", snap.Orders.Lost}, {"loads", snap.Orders.Loads}, {"paced", snap.Orders.Paced}, {"behind", snap.Orders.Behind},
