--- a/internal/docscheck/reference_test.go
+++ b/internal/docscheck/reference_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"sort"
 	"strings"
 	"testing"
@@ -65,7 +66,7 @@
 	if cmd.HasParent() {
 		fmt.Fprintf(out, "\n### %s\n\n", cmd.CommandPath())
 	}
-	fmt.Fprintf(out, "```text\n%s\n```\n\n%s\n", cmd.UseLine(), strings.ReplaceAll(description(cmd), "Exit statuses:\n", "Exit statuses:\n\n"))
+	fmt.Fprintf(out, "```text\n%s\n```\n\n%s\n", cmd.UseLine(), description(cmd))
 	rows := 0
 	cmd.LocalFlags().VisitAll(func(f *pflag.Flag) {
 		if f.Name == "help" {
@@ -84,9 +85,13 @@
 	}
 }
 
+// statusLine is a line of the help text on exit statuses.
+var statusLine = regexp.MustCompile(`(?m)^  (\d)  `)
+
 func description(cmd *cobra.Command) string {
 	if cmd.Long != "" {
-		return cmd.Long
+		list := statusLine.ReplaceAllString(cmd.Long, "- `$1`: ")
+		return strings.ReplaceAll(list, "Exit statuses:\n", "Exit statuses:\n\n")
 	}
 	return cmd.Short + "."
 }
