--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -135,24 +135,26 @@
 	operatorKeys *secure.KeyList
 }
 
+// loadKeys reads the files; its error is a *SettingsError with the path of the setting that names the file.
 func loadKeys(s settings.Security) (*keys, error) {
 	k := &keys{}
 	for _, one := range []struct {
+		path     string
 		enabled  bool
 		files    secure.Files
 		identity **secure.Identity
 	}{
-		{s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.Callers.ClientAuthorityFile), &k.callers},
-		{s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.AuthorityFile), &k.entry},
-		{s.Operators.Enabled(), filesOf(s.Operators.Certificate, s.Operators.ClientAuthorityFile), &k.operators},
-		{s.Peers.Enabled(), filesOf(s.Peers, s.AuthorityFile), &k.peers},
+		{"/security/callers", s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.Callers.ClientAuthorityFile), &k.callers},
+		{"/security/callers", s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.AuthorityFile), &k.entry},
+		{"/security/operators", s.Operators.Enabled(), filesOf(s.Operators.Certificate, s.Operators.ClientAuthorityFile), &k.operators},
+		{"/security/peers", s.Peers.Enabled(), filesOf(s.Peers, s.AuthorityFile), &k.peers},
 	} {
 		if !one.enabled {
 			continue
 		}
 		identity, err := secure.LoadIdentity(one.files)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return nil, &SettingsError{Cause: errors.Annotate(err, one.path)}
 		}
 		*one.identity = identity
 	}
@@ -160,8 +162,10 @@
 		return k, nil
 	}
 	var err error
-	k.operatorKeys, err = secure.LoadKeyList(s.Operators.KeysFile)
-	return k, errors.Trace(err)
+	if k.operatorKeys, err = secure.LoadKeyList(s.Operators.KeysFile); err != nil {
+		return nil, &SettingsError{Cause: errors.Annotate(err, "/security/operators/keys_file")}
+	}
+	return k, nil
 }
 
 func filesOf(c settings.Certificate, authority string) secure.Files {
