--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -38,7 +38,7 @@
 	}{
 		{"callers", s.Listen.Callers, secure.Bounds{Connections: s.Limits.CallerConnections}, keys.callers, &out.callers},
 		{"operators", s.Listen.Operators, secure.Bounds{Connections: s.Limits.OperatorConnections}, keys.operators, &out.operators},
-		{"peers", s.Listen.Peers, secure.Bounds{Connections: s.Limits.PeerConnections, Idle: peerIdle}, keys.peers, &out.peers},
+		{"peers", s.Listen.Peers, d.peerBounds(), keys.peers, &out.peers},
 	} {
 		inner, err := net.Listen("tcp", one.address)
 		if err != nil {
@@ -54,13 +54,25 @@
 	return out, nil
 }
 
+// peerBounds are the bounds of the peers' interface, whose traffic is counted together with that of outgoing links.
+func (d *Daemon) peerBounds() secure.Bounds {
+	return secure.Bounds{
+		Connections: d.settings.Limits.PeerConnections,
+		Idle:        peerIdle,
+		Stall:       peerStall,
+		Traffic:     &d.peerTraffic,
+	}
+}
+
 // Timeouts and sizes of the callers' and the peers' interface.
 const (
 	// headerTimeout bounds how long a caller may take to send its headers.
 	headerTimeout = 5 * time.Second
-	// callerIdle ends a kept-alive connection without requests, peerIdle one without heartbeats.
+	// callerIdle ends a kept-alive connection without requests, peerIdle one without heartbeats, and peerStall one
+	// whose other side takes no answer.
 	callerIdle     = 60 * time.Second
 	peerIdle       = 30 * time.Second
+	peerStall      = 10 * time.Second
 	maxHeaderBytes = 16 << 10
 )
 
@@ -123,24 +135,26 @@
 	operatorKeys *secure.KeyList
 }
 
+// loadKeys reads the files; its error is a *SettingsError with the path of the setting that names the file.
 func loadKeys(s settings.Security) (*keys, error) {
 	k := &keys{}
 	for _, one := range []struct {
+		path     string
 		enabled  bool
 		files    secure.Files
 		identity **secure.Identity
 	}{
-		{s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.Callers.ClientAuthorityFile), &k.callers},
-		{s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.AuthorityFile), &k.entry},
-		{s.Operators.Enabled(), filesOf(s.Operators.Certificate, s.Operators.ClientAuthorityFile), &k.operators},
-		{s.Peers.Enabled(), filesOf(s.Peers, s.AuthorityFile), &k.peers},
+		{"/security/callers", s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.Callers.ClientAuthorityFile), &k.callers},
+		{"/security/callers", s.Callers.Enabled(), filesOf(s.Callers.Certificate, s.AuthorityFile), &k.entry},
+		{"/security/operators", s.Operators.Enabled(), filesOf(s.Operators.Certificate, s.Operators.ClientAuthorityFile), &k.operators},
+		{"/security/peers", s.Peers.Enabled(), filesOf(s.Peers, s.AuthorityFile), &k.peers},
 	} {
 		if !one.enabled {
 			continue
 		}
 		identity, err := secure.LoadIdentity(one.files)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return nil, &SettingsError{Cause: errors.Annotate(err, one.path)}
 		}
 		*one.identity = identity
 	}
@@ -148,8 +162,10 @@
 		return k, nil
 	}
 	var err error
-	k.operatorKeys, err = secure.LoadKeyList(s.Operators.KeysFile)
-	return k, errors.Trace(err)
+	if k.operatorKeys, err = secure.LoadKeyList(s.Operators.KeysFile); err != nil {
+		return nil, &SettingsError{Cause: errors.Annotate(err, "/security/operators/keys_file")}
+	}
+	return k, nil
 }
 
 func filesOf(c settings.Certificate, authority string) secure.Files {
--- a/internal/docscheck/pages_test.go
+++ b/internal/docscheck/pages_test.go
@@ -302,9 +302,31 @@
 	}
 	raw, err := os.ReadFile(filepath.Join(root, "docs/CALLERS.md"))
 	assert.NilError(t, err)
+	for _, m := range regexp.MustCompile(`"(Carob-[A-Za-z-]+)"`).FindAllStringSubmatch(string(source), -1) {
+		assert.Assert(t, strings.Contains(string(raw), "`"+m[1]+"`"), "the page lacks %s", m[1])
+	}
 	for _, outcome := range []api.Outcome{
 		api.OutcomeDone, api.OutcomeFailed, api.OutcomeNotRun, api.OutcomeUnknown, api.OutcomePending,
 	} {
 		assert.Assert(t, strings.Contains(string(raw), "| `"+string(outcome)+"` |"), outcome)
 	}
 }
+
+func TestArchitectureNamesEveryPackage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs/ARCHITECTURE.md"))
+	assert.NilError(t, err)
+	packages := make(map[string]bool)
+	for _, top := range []string{"api", "client", "cmd", "internal", "test"} {
+		err := filepath.WalkDir(filepath.Join(root, top), func(path string, _ os.DirEntry, err error) error {
+			if err == nil && strings.HasSuffix(path, ".go") {
+				packages[strings.TrimPrefix(filepath.ToSlash(filepath.Dir(path)), root+"/")] = true
+			}
+			return err
+		})
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, len(packages) > 30)
+	for name := range packages {
+		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), "docs/ARCHITECTURE.md does not name %s", name)
+	}
+}
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -61,8 +61,8 @@
 		ended:  describe("outcomes_total", "Requests answered by outcome, refused ones among them.", labelOutcome),
 		sweeps: describe("sweeps_total", "Leftovers that engines were told to drop, by reason.", "reason"),
 		groups: describe("engine_groups_total", "Tries to reserve several engines for one prompt, by step.", "step"),
-		adopts: describe("adoptions_total", "Streams of hosts that are gone which this host went on with, by step.", "step"),
 		orders: describe("orders_total", "Orders to engines, by step.", "step"),
+		adopts: describe("adoptions_total", "Streams taken over from hosts that are gone, by step.", "step"),
 		peers:  describe("peers", "Other entry hosts, by whether they were heard lately.", "alive"),
 		target: describe("targets", "Targets by kind, and by whether new work may go there.", "kind", "eligible"),
 	}
