Leave silent engines out, take work off them, and keep a floor for the short lane

Change: an engine that stops to report while others go on is left out, and what may be repeated is taken off it as far as the retry budget goes; the short lane has an engine for each 4,000 tokens a second of its demand.

--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -198,7 +198,9 @@
 	}
 	var candidates []*target.Target
 	for _, e := range engines {
-		candidates = append(candidates, n.targets.Get(e.Address))
+		if !n.silent[e.Address] {
+			candidates = append(candidates, n.targets.Get(e.Address))
+		}
 	}
 	members, blocks := route.PickMembers(candidates, len(plan.Engines), plan.Tokens, n.hostTurn())
 	if !blocks {
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -92,6 +92,8 @@
 	// demand is the work offered to this host; lanesSized is when the lanes were last fitted to it.
 	demand     demand
 	lanesSized core.Time
+	// silent are the engines that had stopped to report at the last tick.
+	silent map[string]bool
 }
 
 // New returns the Node of a process that has just started: its clock stands at zero.
@@ -184,6 +186,7 @@
 	n.groupsTick()
 	n.ordersTick()
 	n.sizeLanes()
+	n.rescue()
 	n.pump()
 	n.stopWhenDrained()
 }
--- /dev/null
+++ b/internal/core/node/silence.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/route"
+	"carobshunt/internal/core/target"
+)
+
+// rescue takes requests that may be repeated off engines that have just fallen silent, as far as the retry budget
+// goes; those with the earliest deadline first. The others wait for their connection to tell.
+func (n *Node) rescue() {
+	if !n.predicts() {
+		return
+	}
+	silent := make(map[string]bool)
+	for _, t := range route.Silent(n.now, n.targets.All()) {
+		silent[t.Address] = true
+		if !n.silent[t.Address] {
+			n.rescueFrom(t)
+		}
+	}
+	n.silent = silent
+}
+
+func (n *Node) rescueFrom(t *target.Target) {
+	var stuck []*ledger.Record
+	for _, rec := range n.active {
+		if rec.State == ledger.Dispatched && rec.Target == t.Address && rec.Request.Idempotent && !rec.Work.Group {
+			stuck = append(stuck, rec)
+		}
+	}
+	slices.SortFunc(stuck, func(a, b *ledger.Record) int {
+		return cmp.Or(cmp.Compare(a.Request.Deadline, b.Request.Deadline), a.Request.Compare(b.Request.Key))
+	})
+	for _, rec := range stuck {
+		if !n.retries.Spend() {
+			return
+		}
+		n.abort(rec)
+		n.ledger.Requeue(rec)
+		rec.Timing.FirstToken = 0
+		n.queue.Push(rec)
+	}
+}
--- a/internal/core/route/blocks.go
+++ b/internal/core/route/blocks.go
@@ -84,7 +84,7 @@
 }
 
 // Prepare implements preparer.
-func (f *wholeBlockFilter) Prepare(rec *ledger.Record, targets []*target.Target) {
+func (f *wholeBlockFilter) Prepare(_ core.Time, rec *ledger.Record, targets []*target.Target) {
 	if !f.concerns(rec) {
 		return
 	}
--- a/internal/core/route/lanes.go
+++ b/internal/core/route/lanes.go
@@ -18,6 +18,13 @@
 	longRoom            = 1.0
 )
 
+// The short lane has an engine for each shortLaneRate of its demand, in tokens of weight 1 a second, however much other
+// work there is, but no more than a part of all engines, as a divisor.
+const (
+	shortLaneRate = 4_000
+	shortLanePart = 3
+)
+
 // LaneSizes splits so many engines into lanes in proportion to the demand and the room over it. At least
 // protectPercent of the engines take no long prefill, and each lane has an engine while there are enough.
 func LaneSizes(engines int, demand Demand, protectPercent int64) [target.Lanes]int {
@@ -38,7 +45,9 @@
 	protected := int(math.Ceil(float64(engines) * float64(protectPercent) / 100))
 	maxLong := max(min(engines-protected, engines-2), 1)
 	long := min(max(share(target.LaneLong), 1), maxLong)
-	short := min(max(share(target.LaneShort), 1), engines-long-1)
+	least := min(int(math.Ceil(demand[target.LaneShort]/shortLaneRate)), engines/shortLanePart)
+	short := min(max(share(target.LaneShort), least, 1), engines-2)
+	long = min(long, engines-short-1)
 	return [target.Lanes]int{short, engines - long - short, long}
 }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -18,7 +18,7 @@
 
 // preparer is a filter that looks at all targets before it judges single ones.
 type preparer interface {
-	Prepare(rec *ledger.Record, targets []*target.Target)
+	Prepare(now core.Time, rec *ledger.Record, targets []*target.Target)
 }
 
 // Scorer rates targets.
@@ -82,7 +82,7 @@
 func (r *Router) Pick(now core.Time, rec *ledger.Record, targets []*target.Target) *target.Target {
 	for _, f := range r.filters {
 		if p, ok := f.(preparer); ok {
-			p.Prepare(rec, targets)
+			p.Prepare(now, rec, targets)
 		}
 	}
 	var best []*target.Target
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -99,14 +99,18 @@
 	return out
 }
 
+// measured is the instant from which arrivals count.
+func (r *run) measured() time.Duration {
+	return warmup + time.Duration(r.opts.Trace.Header.MeasureFromMs)*time.Millisecond
+}
+
 func (r *run) groups() []*collector {
 	byName := make(map[Kind]map[string]*collector)
 	for _, kind := range []Kind{KindAll, KindBand, KindClass, KindTeam} {
 		byName[kind] = make(map[string]*collector)
 	}
-	from := warmup + time.Duration(r.opts.Trace.Header.MeasureFromMs)*time.Millisecond
 	for _, c := range r.calls {
-		if c.started < from {
+		if c.started < r.measured() {
 			continue
 		}
 		names := map[Kind]string{KindBand: c.band, KindClass: string(r.classOf(c)), KindTeam: c.key.Team}
--- a/internal/replay/windows.go
+++ b/internal/replay/windows.go
@@ -24,7 +24,7 @@
 		tallies[i] = newTally()
 	}
 	for _, c := range r.calls {
-		if c.band != trace.Bands()[0].Name {
+		if c.band != trace.Bands()[0].Name || c.started < r.measured() {
 			continue
 		}
 		r.addToWindow(c, out, tallies, within)
