--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -54,6 +54,8 @@
 	Revision uint64
 	// SlowdownWeight is how much that revision weighs the time of a short answer against its first token, 0 to 1.
 	SlowdownWeight float64
+	// FirstTokenTarget is that revision's aim for the first token of a short prompt.
+	FirstTokenTarget time.Duration
 	// reachedBefore is what Reached was before the last dispatch.
 	reachedBefore bool
 	// attempts is the highest attempt that the record answers for.
--- a/internal/core/node/feasible.go
+++ b/internal/core/node/feasible.go
@@ -43,41 +43,80 @@
 	return 0.5
 }
 
-// predictTotal is the predicted time from now to the request's last token.
+// predictTotal is the predicted time from now to the request's last token at the best engine of its lane, after what
+// waits for that lane at all hosts. Nothing is refused on a guess: without any engine that this host has measured it is
+// zero.
 func (n *Node) predictTotal(rec *ledger.Record) time.Duration {
-	lane := laneOf(rec.Work.Class)
-	rate := 0.0
+	engines := n.laneEngines(rec)
+	rates := meanRates(engines)
+	if rates.measured == 0 {
+		return 0
+	}
 	best := time.Duration(-1)
+	for _, t := range engines {
+		if total := n.predictAt(rec, t, rates); best < 0 || total < best {
+			best = total
+		}
+	}
+	waiting := float64(n.fleetQueued(rec.Work.Class)) / (rates.prefill * float64(len(engines)))
+	return best + time.Duration(waiting*float64(time.Second))
+}
+
+// laneEngines are the engines of the request's own lane that take new work.
+func (n *Node) laneEngines(rec *ledger.Record) []*target.Target {
+	var out []*target.Target
 	for _, t := range n.targets.All() {
-		if t.Role != hostlist.RoleEngine || !t.Serves(rec.Request.Model) || !t.Eligible(n.now) || t.Lane != lane {
-			continue
+		wanted := t.Role == hostlist.RoleEngine && t.Lane == laneOf(rec.Work.Class) && t.Serves(rec.Request.Model)
+		if wanted && t.Eligible(n.now) && !n.silent[t.Address] {
+			out = append(out, t)
 		}
-		rate += t.PrefillRate()
-		if total := n.predictAt(rec, t); best < 0 || total < best {
-			best = total
+	}
+	return out
+}
+
+// engineRates are mean rates over the engines that this host has measured.
+type engineRates struct {
+	measured int
+	// prefill is in tokens of weight 1 a second.
+	prefill float64
+	gap     time.Duration
+}
+
+func meanRates(engines []*target.Target) engineRates {
+	var r engineRates
+	for _, t := range engines {
+		if t.Measured() {
+			r.measured++
+			r.prefill += t.PrefillRate()
+			r.gap += t.TokenGap()
 		}
 	}
-	if best <= 0 {
-		return 0
+	if r.measured > 0 {
+		r.prefill /= float64(r.measured)
+		r.gap /= time.Duration(r.measured)
 	}
-	waiting := float64(n.fleetQueued(rec.Work.Class))
-	return best + time.Duration(waiting/rate*float64(time.Second))
+	return r
 }
 
-// predictAt is the predicted time at one engine; for a group it is that of the engine as a member. Nothing is refused
-// on a guess: an engine that this host has not measured counts as one that takes no time.
-func (n *Node) predictAt(rec *ledger.Record, t *target.Target) time.Duration {
-	if !t.Measured() {
-		return 0
+// predictAt is the predicted time at one engine, at its own rates or, where they are not measured, the mean ones; for
+// a group it is that of the engine as a member.
+func (n *Node) predictAt(rec *ledger.Record, t *target.Target, rates engineRates) time.Duration {
+	if t.Measured() {
+		rates.prefill, rates.gap = t.PrefillRate(), t.TokenGap()
 	}
+	load := t.Total()
+	work := load.Ahead(route.Priority(rec.Work.Class)) + n.ownWorkAt(rec, t)
+	first := time.Duration(float64(work) / rates.prefill * float64(time.Second))
+	return first + time.Duration(max(rec.Work.AnswerTokens-1, 0))*rates.gap
+}
+
+// ownWorkAt is the prefill work that a request brings to an engine, alone or as a member of a group.
+func (n *Node) ownWorkAt(rec *ledger.Record, t *target.Target) int64 {
 	if !rec.Work.Group {
-		return route.Predict(rec, t).Total
+		return route.UncachedWork(rec, t)
 	}
-	load := t.Total()
 	members := (memoryNeed(&rec.Request)*percent/groupPercent + t.MemoryTokens - 1) / max(t.MemoryTokens, 1)
-	work := load.Ahead(0) + rec.Work.PrefillWork*percent/(groupPercent*max(members, 1))
-	first := time.Duration(float64(work) / t.PrefillRate() * float64(time.Second))
-	return first + time.Duration(rec.Work.AnswerTokens)*t.TokenGap()
+	return rec.Work.PrefillWork * percent / (groupPercent * max(members, 1))
 }
 
 // tooLate gives up a waiting request that can't end in time any more at the best target there is.
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -116,7 +116,9 @@
 	}
 	rec := n.ledger.Admit(n.now, req, n.workOf(&req), n.config.Revision())
 	n.active[req.Key] = rec
-	rec.SlowdownWeight = float64(n.config.Document().Preset().ProtectShortPercent) / percent
+	preset := n.config.Document().Preset()
+	rec.SlowdownWeight = float64(preset.ProtectShortPercent) / percent
+	rec.FirstTokenTarget = time.Duration(preset.FirstTokenTargetMs) * time.Millisecond
 	n.retries.Earn(n.config.Document().Preset().RetryPercent)
 	n.bodyBytes += req.BodyBytes
 	n.do(Open{Key: req.Key})
--- a/internal/core/route/feasible.go
+++ b/internal/core/route/feasible.go
@@ -90,7 +90,7 @@
 
 // Bounds of the pending work at one engine that may go before new work of a class, in tokens of weight 1.
 const (
-	shortAheadTokens  = 8_000
+	shortAheadTokens  = 6_000
 	middleAheadTokens = 20_000
 	// strangerAheadTokens bounds all pending work at an engine of another lane.
 	strangerAheadTokens = 4_000
@@ -115,7 +115,8 @@
 }
 
 // predictedTimeScorer is the predicted time to the first token plus a part of the predicted time of the answer; the
-// part is how much the preset weighs the slowdown of short requests. Longer requests weigh the whole time.
+// part is how much the preset weighs the slowdown of short requests. A first token that is predicted near the preset's
+// target or past it weighs most. Longer requests weigh the whole time.
 type predictedTimeScorer struct{}
 
 // Score implements Scorer.
@@ -124,13 +125,20 @@
 		return float64(t.InFlight()) * nearTieMs
 	}
 	e := Predict(rec, t)
-	part := 1.0
-	if rec.Work.Class == document.ClassShort {
-		part = rec.SlowdownWeight
+	if rec.Work.Class != document.ClassShort {
+		return milliseconds(e.Total)
 	}
-	return milliseconds(e.First) + part*milliseconds(e.Total-e.First)
+	late := max(e.First-rec.FirstTokenTarget/targetPart, 0)
+	return milliseconds(e.First) + lateFactor*milliseconds(late) + rec.SlowdownWeight*milliseconds(e.Total-e.First)
 }
 
+// targetPart is the part of the target, as a divisor, from which a predicted first token is made worse by lateFactor:
+// predictions lag behind what other hosts dispatch meanwhile.
+const (
+	targetPart = 2
+	lateFactor = 10
+)
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // lanePenaltyScorer makes engines of other lanes worse by a fixed time.
--- a/internal/core/route/reporting.go
+++ b/internal/core/route/reporting.go
@@ -49,4 +49,6 @@
 }
 
 // Keep implements Filter.
-func (f *reportingFilter) Keep(_ core.Time, _ *ledger.Record, t *target.Target) bool { return !f.silent[t] }
+func (f *reportingFilter) Keep(_ core.Time, _ *ledger.Record, t *target.Target) bool {
+	return !f.silent[t]
+}
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -37,7 +37,7 @@
 	return &ledger.Record{
 		Request:        core.Request{Model: "m", PromptTokens: prompt, AnswerTokens: answer, Deadline: 100 * time.Second},
 		Work:           core.Work{Class: class, AnswerTokens: answer},
-		SlowdownWeight: 0.25,
+		SlowdownWeight: 0.25, FirstTokenTarget: 750 * time.Millisecond,
 	}
 }
 
--- a/internal/ctl/replay.go
+++ b/internal/ctl/replay.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"carobshunt/internal/core/node"
@@ -49,7 +51,7 @@
 	flags.Uint64Var(&f.seed, "seed", 1, "first seed of the run, and of the trace with --scenario")
 	flags.Uint64Var(&f.seeds, "seeds", 1, "number of seeds to run, one after the other")
 	flags.IntVar(&f.hosts, "hosts", 0, "number of entry hosts; 0 means all that are listed")
-	flags.StringSliceVar(&f.policies, "policy", []string{""}, "policies to run; empty for the one in force, \"all\" for every one")
+	flags.StringSliceVar(&f.policies, "policy", []string{inForce}, "policies to run: in-force, a baseline, or all")
 	flags.StringVar(&f.output, "output", "table", "table, json or summary")
 	flags.BoolVar(&f.compare, "compare", false, "compare two runs")
 	flags.DurationVar(&f.reportLag, "report-lag", model.Reference().ReportLag, "how late load reports arrive")
@@ -66,9 +68,13 @@
 	if (len(args) == 1) == (f.recipe.scenario != "") || len(args) > 1 {
 		return &StatusError{Status: ExitInvalid, Reason: "give either one trace or --scenario"}
 	}
+	policies, err := f.policyNames()
+	if err != nil {
+		return err
+	}
 	var summary replay.Summary
 	for seed := f.seed; seed < f.seed+f.seeds; seed++ {
-		for _, policy := range f.policyNames() {
+		for _, policy := range policies {
 			report, err := f.runOne(args, policy, seed)
 			if err != nil {
 				return errors.Trace(err)
@@ -88,15 +94,24 @@
 	return nil
 }
 
-func (f *replayFlags) policyNames() []node.Policy {
+// inForce names the policy that is no baseline.
+const inForce = "in-force"
+
+func (f *replayFlags) policyNames() ([]node.Policy, error) {
 	var names []node.Policy
 	for _, p := range f.policies {
-		if p == "all" {
-			return node.Policies()
+		switch {
+		case p == "all":
+			return node.Policies(), nil
+		case p == inForce:
+			names = append(names, node.PolicyInForce)
+		case slices.Contains(node.Policies(), node.Policy(p)):
+			names = append(names, node.Policy(p))
+		default:
+			return nil, &StatusError{Status: ExitInvalid, Reason: fmt.Sprintf("no policy is named %q", p)}
 		}
-		names = append(names, node.Policy(p))
 	}
-	return names
+	return names, nil
 }
 
 func (f *replayFlags) runOne(args []string, policy node.Policy, seed uint64) (*replay.Report, error) {
--- a/internal/ctl/replay_trace.go
+++ b/internal/ctl/replay_trace.go
@@ -24,7 +24,7 @@
 
 func (f *recipeFlags) register(flags *pflag.FlagSet) {
 	flags.StringVar(&f.scenario, "scenario", "", "scenario of the generated trace: ordinary, burst, rush, route-notes, contracts, "+
-		"engine-dies, host-dies or zone-cut")
+		"engine-dies, host-dies, zone-cut, late-drafts, stalled-digests, doubled-notice or slow-lookups")
 	flags.StringVar(&f.user, "user", "sk-west", "deployment of the generated trace")
 	flags.Float64Var(&f.percent, "percent", 85, "steady load of the generated trace, as a percentage of the capacity")
 	flags.StringVar(&f.scale, "of", string(trace.OfAttainable), "capacity that --percent is a share of: reference or attainable")
--- /dev/null
+++ b/internal/replay/bounds_test.go
@@ -0,0 +1,109 @@
+package replay_test
+
+import (
+	"testing"
+	"time"
+
+	"carobshunt/internal/model"
+	"carobshunt/internal/replay"
+	"carobshunt/internal/trace"
+
+	"gotest.tools/v3/assert"
+)
+
+// The bounds of the target. Each test is a short version of a measurement: one seed, two minutes, of which the first
+// quarter fills queues and caches.
+const (
+	firstTokenBoundMs = 750
+	gapBoundMs        = 59
+	slowedByLongBound = 1.5
+	goodputPart       = 0.9
+	attemptsBound     = 1.1
+	refusedBoundMs    = 50
+	outsideBound      = 10
+	staleBound        = 1.15
+)
+
+// measure runs a scenario on sk-west without team limits.
+func measure(t *testing.T, s trace.Scenario, percent float64, change func(*replay.Options)) *replay.Report {
+	t.Helper()
+	recipe := ordinary(s)
+	recipe.Percent = percent
+	opts := deployed(t, generate(t, recipe), recipe.Seed)
+	opts.NoTeamLimits = true
+	if change != nil {
+		change(&opts)
+	}
+	return run(t, opts)
+}
+
+func shorts(r *replay.Report) replay.Figures { return r.Group(replay.KindBand, "1k-4k") }
+func longs(r *replay.Report) replay.Figures  { return r.Group(replay.KindBand, "100k-1M") }
+func all(r *replay.Report) replay.Figures    { return r.Group(replay.KindAll, "all") }
+
+func TestOrdinaryDayHoldsTheBounds(t *testing.T) {
+	t.Parallel()
+	r := measure(t, trace.Ordinary, 85, nil)
+	assert.Assert(t, shorts(r).FirstMs.P95 <= firstTokenBoundMs, "%v", shorts(r).FirstMs)
+	assert.Assert(t, all(r).GapMs.P95 <= gapBoundMs, "%v", all(r).GapMs)
+	assert.Equal(t, longs(r).Late, 0)
+	assert.Assert(t, longs(r).Done > 0)
+	assert.Assert(t, all(r).Attempts <= attemptsBound)
+}
+
+func TestPromptsOverOneEnginesMemoryAreServed(t *testing.T) {
+	t.Parallel()
+	recipe := ordinary(trace.Ordinary)
+	tr := generate(t, recipe)
+	large := 0
+	for i := range tr.Requests {
+		if tr.Requests[i].PromptTokens > model.Reference().MemoryTokens {
+			tr.Requests[i].Expect = append(tr.Requests[i].Expect, "done")
+			large++
+		}
+	}
+	assert.Assert(t, large > 3)
+	opts := deployed(t, tr, recipe.Seed)
+	opts.NoTeamLimits = true
+	assert.DeepEqual(t, run(t, opts).Broken, []replay.Broken{})
+}
+
+func TestShortWorkIsSlowedByLongWorkWithinTheBound(t *testing.T) {
+	t.Parallel()
+	with := shorts(measure(t, trace.Ordinary, 85, nil))
+	without := shorts(measure(t, trace.Ordinary, 85, func(o *replay.Options) { o.Without = []string{"100k-1M"} }))
+	assert.Assert(t, with.Slowdown.P95 <= slowedByLongBound*without.Slowdown.P95, "%v %v", with.Slowdown, without.Slowdown)
+	assert.Assert(t, with.FirstMs.P95 <= slowedByLongBound*without.FirstMs.P95, "%v %v", with.FirstMs, without.FirstMs)
+}
+
+func TestOverloadKeepsTheGoodputAndRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	capacity, over := measure(t, trace.Ordinary, 100, nil), measure(t, trace.Ordinary, 150, nil)
+	assert.Assert(t, all(over).Goodput >= goodputPart*all(capacity).Goodput, "%v %v", all(over).Goodput, all(capacity).Goodput)
+	assert.Assert(t, all(over).Refused > 0)
+	assert.Assert(t, all(over).RefusedMaxMs <= refusedBoundMs, "%v", all(over).RefusedMaxMs)
+	assert.Assert(t, all(over).Attempts <= attemptsBound)
+	assert.Equal(t, longs(over).Late, 0)
+}
+
+func TestBurstAndFaultsLeaveTheBoundsForTenSecondsAtMost(t *testing.T) {
+	for _, s := range []trace.Scenario{trace.Burst, trace.EngineDies, trace.HostDies, trace.ZoneCut} {
+		t.Run(string(s), func(t *testing.T) {
+			t.Parallel()
+			r := measure(t, s, 85, nil)
+			assert.Assert(t, r.SecondsOutside() <= outsideBound, "%+v", r.Windows)
+			assert.Assert(t, all(r).Attempts <= attemptsBound)
+		})
+	}
+}
+
+func TestStaleReportsAndLostEventsCostLittle(t *testing.T) {
+	t.Parallel()
+	fresh := shorts(measure(t, trace.Ordinary, 85, nil))
+	stale := shorts(measure(t, trace.Ordinary, 85, func(o *replay.Options) {
+		o.Engine = model.Reference()
+		o.Engine.ReportLag = 2 * time.Second
+		o.Engine.EventLossPercent = 50
+	}))
+	assert.Assert(t, stale.FirstMs.P95 <= staleBound*fresh.FirstMs.P95, "%v %v", stale.FirstMs, fresh.FirstMs)
+}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -48,6 +48,7 @@
 }
 
 func TestSameSeedGivesTheSameReportForEveryPolicy(t *testing.T) {
+	t.Parallel()
 	tr := generate(t, ordinary(trace.HostDies))
 	for _, policy := range node.Policies() {
 		opts := deployed(t, tr, 3)
@@ -57,6 +58,7 @@
 }
 
 func TestEveryRequestOfEveryScenarioHasAnOutcomeAndNoOrderArrivesTwice(t *testing.T) {
+	t.Parallel()
 	for _, s := range trace.Scenarios() {
 		r := ordinary(s)
 		r.Length = time.Minute
--- a/internal/trace/scenario.go
+++ b/internal/trace/scenario.go
@@ -78,6 +78,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if t := incident(recipe, user); t != nil {
+		return t, nil
+	}
 	g := NewGenerator(user, recipe.Seed)
 	capacity := user.Capacity().Reference
 	if recipe.Scale == OfAttainable {
@@ -90,7 +93,7 @@
 	title := fmt.Sprintf("%s at %.0f%% of the %s capacity", recipe.Scenario, recipe.Percent, recipe.Scale)
 	t := g.Run(string(recipe.Scenario), title, phases...)
 	t.Header.MeasureFromMs = recipe.Length.Milliseconds() / measureAfter
-	t.Faults = recipe.faults()
+	t.Faults = recipe.faults(user)
 	return t, nil
 }
 
@@ -155,8 +158,8 @@
 }
 
 // faults are the faults of the scenario. The addresses are those of the checked settings of both deployments.
-func (recipe Recipe) faults() []Fault {
-	net := map[string]string{"sk-west": "10.40", "etela-suomi": "10.60"}[recipe.Deployment]
+func (recipe Recipe) faults(user User) []Fault {
+	net := user.network()
 	at := recipe.Length.Milliseconds() / faultAt
 	switch recipe.Scenario {
 	case EngineDies:
