--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -57,6 +57,8 @@
 	// Receiver is the attempt whose body is awaited; Bodies counts the attempts that were asked for theirs.
 	Receiver uint32
 	Bodies   int64
+	// FirstTokenTarget is that revision's aim for the first token of a short prompt.
+	FirstTokenTarget time.Duration
 	// reachedBefore is what Reached was before the last dispatch.
 	reachedBefore bool
 	// attempts is the highest attempt that the record answers for.
