A field that stands twice is refused by the reader too; a test waits for the answer

Texts with a field twice are refused by Parse, while the reader of successive documents looked at a map of fields, in which the second had replaced the first. And a test asked for arrivals when the last published status, up to a tick old, still showed the time before.

--- a/internal/strictjson/reader.go
+++ b/internal/strictjson/reader.go
@@ -1,6 +1,7 @@
 package strictjson
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/juju/errors"
@@ -35,8 +36,8 @@
 
 // checkFresh holds all but the known entries against the schema, and returns the entries as they are written.
 func (r *Reader) checkFresh(data []byte) ([]json.RawMessage, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(data, &fields); err != nil {
+	fields, err := topFields(data)
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	var entries []json.RawMessage
@@ -61,6 +62,31 @@
 	return entries, errors.Trace(r.schema.Check(reduced))
 }
 
+// topFields returns the fields of the top level as they are written; one that stands twice is an error, since the
+// reduced text would hold it once.
+func topFields(data []byte) (map[string]json.RawMessage, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, errors.Trace(err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	_, _ = decoder.Token() // the text is a valid object
+	for range fields {
+		var value json.RawMessage
+		_, err := decoder.Token()
+		if err == nil {
+			err = decoder.Decode(&value)
+		}
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	if decoder.More() {
+		return nil, NewFaults(Fault{Reason: "a field stands twice"})
+	}
+	return fields, nil
+}
+
 func (r *Reader) keep(entries []json.RawMessage) {
 	r.known = make(map[string]bool, len(entries))
 	for _, entry := range entries {
--- a/test/process/outcomes_test.go
+++ b/test/process/outcomes_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -205,6 +206,10 @@
 	status, err := reader.ReadString('\n')
 	assert.NilError(t, err)
 	assert.Equal(t, status, "HTTP/1.1 200 OK\r\n")
+	for line := ""; !strings.Contains(line, `"outcome":"done"`); {
+		line, err = reader.ReadString('\n')
+		assert.NilError(t, err)
+	}
 	c.hosts[0].waitFor(func(s api.Status) bool { return s.Requests.Running == 0 && s.Requests.BodyBytes == 0 })
 	assert.Equal(t, c.service.Arrived(teamName, "order-1009"), 1)
 }
