The second in line orders an engine that its commander can't reach

Cause: a commander that was cut off from an engine, and heard by its peers, kept the engine without orders for as long as the cut stood.

Change: the second in line reads the engine too and steps in when the engine has wanted an order for 90 s and had none.

--- a/internal/core/node/orders.go
+++ b/internal/core/node/orders.go
@@ -74,8 +74,10 @@
 // orderState is the part of the Node that orders engines.
 type orderState struct {
 	tenures map[string]*order.Tenure
-	pace    order.Pace
-	read    core.Time
+	// standbys watch the engines for which this host is the second in line.
+	standbys map[string]*order.Standby
+	pace     order.Pace
+	read     core.Time
 	// behind is the highest revision that an engine was heard to have seen.
 	behind uint64
 	counts OrderCounts
@@ -95,7 +97,11 @@
 }
 
 func newOrderState() orderState {
-	return orderState{tenures: make(map[string]*order.Tenure), read: -orderInterval}
+	return orderState{
+		tenures:  make(map[string]*order.Tenure),
+		standbys: make(map[string]*order.Standby),
+		read:     -orderInterval,
+	}
 }
 
 // publishedEntries are the peer addresses of all entry hosts in the host list.
@@ -145,9 +151,10 @@
 		if t.Role != hostlist.RoleEngine {
 			continue
 		}
-		first := rendezvous.Position("order "+t.Address, n.opts.Peer, n.inCellOf(t.Address, commanders)) == 0
-		n.tenure(t.Address).Step(n.now, first)
-		if due && n.mayOrder(t) {
+		position := rendezvous.Position("order "+t.Address, n.opts.Peer, n.inCellOf(t.Address, commanders))
+		n.tenure(t.Address).Step(n.now, position == 0)
+		n.standby(t.Address).Step(n.now, position == 1)
+		if due && (n.mayOrder(t) || n.watches(t)) {
 			n.do(ReadOrders{Target: t.Address})
 		}
 	}
@@ -162,6 +169,21 @@
 	return t
 }
 
+func (n *Node) standby(engine string) *order.Standby {
+	s := n.orders.standbys[engine]
+	if s == nil {
+		s = &order.Standby{}
+		n.orders.standbys[engine] = s
+	}
+	return s
+}
+
+// watches tells whether this host is the second in line for an engine that takes orders.
+func (n *Node) watches(t *target.Target) bool {
+	_, placed := order.Wanted(n.config.Document(), t.Address)
+	return placed && t.State == hostlist.StateLive && n.standby(t.Address).Watches()
+}
+
 // mayOrder tells whether this host commands the engine now and the document says something of it.
 func (n *Node) mayOrder(t *target.Target) bool {
 	if t.State != hostlist.StateLive {
@@ -174,7 +196,7 @@
 // ordersRead takes an engine's state and sends the next order, if this host may and there is one.
 func (n *Node) ordersRead(in OrdersRead) {
 	t := n.targets.Get(in.Target)
-	if t == nil || n.notReady() != "" || !n.mayOrder(t) {
+	if t == nil || n.notReady() != "" || !n.mayOrder(t) && !n.watches(t) {
 		return
 	}
 	revision := n.config.Revision()
@@ -184,7 +206,8 @@
 	}
 	wanted, _ := order.Wanted(n.config.Document(), t.Address)
 	next, loads, ok := order.Next(revision, wanted, in.State)
-	if !ok {
+	stepIn := n.standby(t.Address).See(n.now, in.State.Highest, ok)
+	if !ok || !n.mayOrder(t) && !stepIn {
 		return
 	}
 	if loads {
@@ -195,6 +218,7 @@
 		n.orders.counts.Loads++
 	}
 	n.orders.counts.Sent++
+	n.standby(t.Address).Sent(next.Fence)
 	n.do(SendOrder{Target: t.Address, Order: next, Deadline: n.now + order.SendWithin})
 }
 
--- a/test/memory/orders_test.go
+++ b/test/memory/orders_test.go
@@ -208,6 +208,24 @@
 	}
 }
 
+// An engine that its commander can't reach is ordered by the next host.
+func TestCommanderCutOffFromItsEnginesIsReplaced(t *testing.T) {
+	for i := range 3 {
+		w := newMemoryWorld(t, uint64(i), 3, 6)
+		w.hold("1", "2")
+		w.wantEverywhere("1", "2")
+		w.informAll()
+		w.run(8 * time.Second)
+		for _, e := range w.engines {
+			w.cut(w.hosts[i].Peer(), e.address)
+		}
+		w.wantEverywhere("1")
+		w.informAll()
+		w.run(8*time.Second + order.StepInAfter + 10*time.Second)
+		assert.Assert(t, w.settled(), "host %d cut off", i)
+	}
+}
+
 // A host that drains for long, since a request still runs, hands its engines over to the others.
 func TestDrainingCommanderHandsItsEnginesOver(t *testing.T) {
 	for i := range 3 {
