A target that refuses is well: no evidence of a failure, and a pause that grows

Cause: an engine without room answers that it did not accept a request; this counted as a failure of the target, and two such answers of two engines made a host suspect its own link and try each target every half second. Seen as a flaky process test, 1 of 7 runs on a busy machine.

Change: a refusal clears evidence, since the target answered, and keeps the target out for 0.5 s, doubled up to 4 s until it answers.

--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -311,7 +311,9 @@
 	case EndedDone:
 		t.Answered()
 		n.sampleGap(t, in)
-	case EndedNotWritten, EndedRefused, EndedLost:
+	case EndedRefused:
+		t.Refused(n.now)
+	case EndedNotWritten, EndedLost:
 		if n.awaits(in) && !n.active[in.Key].Aborted {
 			t.Failed(n.now)
 		}
--- a/internal/core/target/evidence_test.go
+++ b/internal/core/target/evidence_test.go
@@ -125,3 +125,18 @@
 	list.Version = 1
 	assert.Assert(t, !table.Apply(list))
 }
+
+func TestTargetsThatRefuseAreNoEvidenceOfAFault(t *testing.T) {
+	table := fleet(3)
+	for _, target := range table.All() {
+		target.Refused(time.Second)
+	}
+	assert.DeepEqual(t, table.Suspects(time.Second), Suspects{})
+	assert.Equal(t, eligible(table, time.Second), 0)
+	assert.Equal(t, eligible(table, time.Second+firstPause), 3)
+	target := table.All()[0]
+	target.Refused(2 * time.Second)
+	assert.Assert(t, !target.Eligible(2*time.Second+firstPause))
+	target.Answered()
+	assert.Assert(t, target.Eligible(2*time.Second))
+}
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/hostlist"
@@ -44,6 +45,10 @@
 	suspectUntil core.Time
 	failedAt     core.Time
 	failures     int
+	// refusedUntil keeps the target out of routing after it did not accept a request; refusals counts those since its
+	// last answer.
+	refusedUntil core.Time
+	refusals     int
 	evidence     *evidence
 }
 
@@ -122,14 +127,29 @@
 
 // Eligible tells whether new work may go to the target.
 func (t *Target) Eligible(now core.Time) bool {
-	return t.State == hostlist.StateLive && now >= t.evidence.until(t)
+	return t.State == hostlist.StateLive && now >= max(t.evidence.until(t), t.refusedUntil)
 }
 
 // Failed records a failed dispatch.
 func (t *Target) Failed(now core.Time) { t.evidence.failed(now, t) }
 
 // Answered records that the target is well.
-func (t *Target) Answered() { t.evidence.answered(t) }
+func (t *Target) Answered() {
+	t.evidence.answered(t)
+	t.refusals = 0
+	t.refusedUntil = 0
+}
+
+// Refused records that the target did not accept a request. It is well and can be reached, so this is no evidence of a
+// failure, but it is not asked again for a while that grows with each refusal.
+func (t *Target) Refused(now core.Time) {
+	t.evidence.answered(t)
+	t.refusedUntil = now + min(firstPause<<min(t.refusals, 8), lastRefusedPause)
+	t.refusals++
+}
+
+// lastRefusedPause is the longest time for which a target that refuses is not asked again.
+const lastRefusedPause = 4 * time.Second
 
 // Table holds the targets by address.
 type Table struct {
