Tests of answer buffers against a simple oracle; a test that raced with its own server

Cause: the buffer that all readers share had no test of its own. With the race detector the dispatcher's test read headers that its server's goroutine had written. Measured: go test -race ./internal/stream ./internal/dispatch ./internal/gateway ./client ./internal/core/ledger pass.

--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -59,7 +59,7 @@
 type target struct {
 	server   *httptest.Server
 	arrivals atomic.Int32
-	headers  http.Header
+	headers  atomic.Pointer[http.Header]
 }
 
 func newTarget(t *testing.T, reply func(http.ResponseWriter)) *target {
@@ -68,7 +68,7 @@
 	out.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if raw, err := io.ReadAll(r.Body); err == nil && string(raw) == endingBody && r.Method == http.MethodPost {
 			out.arrivals.Add(1)
-			out.headers = r.Header
+			out.headers.Store(&r.Header)
 		}
 		reply(w)
 	}))
@@ -200,6 +200,6 @@
 	}
 	assert.Equal(t, g.arrivals.Load(), int32(10))
 	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
-		assert.Equal(t, g.headers.Get(name), "", "with this header the transport sends again by itself")
+		assert.Equal(t, g.headers.Load().Get(name), "", "with this header the transport sends again by itself")
 	}
 }
--- /dev/null
+++ b/internal/stream/buffer_test.go
@@ -0,0 +1,156 @@
+package stream_test
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/stream"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that every run draws the same sequences.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "4")
+	_ = flag.Set("rapid.checks", "2000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// reader follows a buffer and keeps what it was given, as a caller does.
+type reader struct {
+	at   stream.Position
+	text string
+	last *api.Last
+}
+
+// machine drives a buffer and knows what its text must be.
+type machine struct {
+	buffer   *stream.Buffer
+	dispatch uint32
+	text     string
+	final    bool
+	readers  []*reader
+}
+
+// Start begins a dispatch: a later one, or a late word of an earlier one.
+func (m *machine) Start(t *rapid.T) {
+	dispatch := uint32(rapid.IntRange(1, int(m.dispatch)+1).Draw(t, "dispatch"))
+	taken := m.buffer.Start(dispatch, stream.Source{})
+	if want := !m.final && dispatch > m.dispatch; taken != want {
+		t.Fatalf("dispatch %d taken: %v, wanted %v", dispatch, taken, want)
+	}
+	if taken {
+		m.dispatch, m.text = dispatch, ""
+	}
+}
+
+// Append adds a frame: the next one, one that came before, one from beyond a gap, or one of another dispatch.
+func (m *machine) Append(t *rapid.T) {
+	dispatch := uint32(rapid.IntRange(0, int(m.dispatch)+1).Draw(t, "dispatch"))
+	if rapid.Bool().Draw(t, "present dispatch") {
+		dispatch = m.dispatch
+	}
+	offset := int64(len(m.text))
+	if rapid.Bool().Draw(t, "out of order") {
+		offset = int64(rapid.IntRange(0, len(m.text)+2).Draw(t, "offset"))
+	}
+	text := rapid.StringMatching("[a-z]{1,3}").Draw(t, "text")
+	taken := m.buffer.Append(dispatch, offset, text)
+	if want := !m.final && dispatch == m.dispatch && offset == int64(len(m.text)); taken != want {
+		t.Fatalf("frame at %d of dispatch %d taken: %v, wanted %v", offset, dispatch, taken, want)
+	}
+	if taken {
+		m.text += text
+	}
+}
+
+// Finish ends the answer; a second end changes nothing.
+func (m *machine) Finish(t *rapid.T) {
+	if rapid.IntRange(0, 5).Draw(t, "finish") > 0 {
+		return
+	}
+	outcome := api.OutcomeDone
+	if m.final {
+		outcome = api.OutcomeFailed
+	}
+	m.buffer.Finish(api.Last{Outcome: outcome})
+	m.final = true
+}
+
+// Join adds a reader.
+func (m *machine) Join(*rapid.T) { m.readers = append(m.readers, &reader{}) }
+
+// Read gives one reader what there is behind its place.
+func (m *machine) Read(t *rapid.T) {
+	if len(m.readers) == 0 {
+		return
+	}
+	m.readers[rapid.IntRange(0, len(m.readers)-1).Draw(t, "reader")].read(m.buffer)
+}
+
+func (r *reader) read(b *stream.Buffer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // what is there is handed out, nothing is waited for
+	chunk, err := b.Next(ctx, r.at)
+	if err != nil || r.last != nil {
+		return
+	}
+	if chunk.At.Dispatch != r.at.Dispatch {
+		r.text = ""
+	}
+	r.text = r.text[:chunk.At.Offset] + chunk.Text
+	r.at = stream.Position{Dispatch: chunk.At.Dispatch, Offset: int64(len(r.text))}
+	r.last = chunk.Last
+}
+
+// Check lets every reader of a final answer read on, and looks at what each holds.
+func (m *machine) Check(t *rapid.T) {
+	for _, r := range m.readers {
+		if m.final {
+			r.read(m.buffer)
+		}
+		if r.at.Dispatch == m.dispatch && m.text[:len(r.text)] != r.text {
+			t.Fatalf("a reader holds %q of %q", r.text, m.text)
+		}
+		if !m.final {
+			continue
+		}
+		whole := r.text == m.text && r.last != nil && r.last.Outcome == api.OutcomeDone &&
+			r.last.Length == int64(len(m.text)) && r.last.Checksum == stream.Checksum([]byte(m.text))
+		if !whole {
+			t.Fatalf("a reader ended with %q, %+v, the answer is %q", r.text, r.last, m.text)
+		}
+	}
+}
+
+func TestEveryReaderGetsTheWholeTextOfTheLastDispatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(rapid.StateMachineActions(&machine{buffer: stream.NewBuffer()}))
+	})
+}
+
+func TestBodyThatComesAfterTheEndIsNotKept(t *testing.T) {
+	ex := stream.NewStore().Open(core.Key{Team: "desk", ID: "request-1"})
+	ex.SetBody([]byte("body"))
+	assert.Equal(t, string(ex.Body()), "body")
+	ex.Release()
+	ex.SetBody([]byte("late"))
+	assert.Assert(t, ex.Body() == nil)
+}
+
+func TestAbortBeforeADispatchBeganEndsItAtItsBeginning(t *testing.T) {
+	ex := stream.NewStore().Open(core.Key{Team: "desk", ID: "request-1"})
+	ex.Abort(1)
+	aborted := 0
+	ex.OnAbort(1, func() { aborted++ })
+	assert.Equal(t, aborted, 1)
+	ex.OnAbort(2, func() { aborted++ })
+	assert.Equal(t, aborted, 1, "a later dispatch goes on")
+}
