--- a/test/memory/engine_test.go
+++ b/test/memory/engine_test.go
@@ -256,7 +256,7 @@
 }
 
 // CancelHolding implements virtual.MemoryTarget. A live stream among what is swept is a fault.
-func (e *memoryEngine) CancelHolding(_ *virtual.World, order node.CancelHolding) {
+func (e *memoryEngine) CancelHolding(w *virtual.World, order node.CancelHolding) {
 	id := holdID{order.Kind, order.Name}
 	h := e.holds[id]
 	if h == nil {
@@ -264,7 +264,7 @@
 	}
 	e.world.swept[order.Reason]++
 	if e.live(h) {
-		e.world.t.Fatalf("at %v %s swept a live %s as %s: %s", e.world.world.Now(), e.address, order.Kind, order.Reason, order.Name)
+		e.world.t.Fatalf("seed %d at %v %s swept a live %s as %s: %s", e.world.seed, w.Now(), e.address, order.Kind, order.Reason, order.Name)
 	}
 	if h.run != nil {
 		h.run.ended = true
--- a/test/memory/memory_test.go
+++ b/test/memory/memory_test.go
@@ -24,6 +24,7 @@
 // memoryWorld is entry hosts before engines that count their memory.
 type memoryWorld struct {
 	t        *testing.T
+	seed     uint64
 	world    *virtual.World
 	rng      *rand.Rand
 	hosts    []*virtual.Host
@@ -78,7 +79,7 @@
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	w := &memoryWorld{
-		t: t, rng: rng, list: &hostlist.List{Version: 1},
+		t: t, seed: seed, rng: rng, list: &hostlist.List{Version: 1},
 		network:  &cutNetwork{rng: rng, cut: make(map[[2]string]bool)},
 		finished: make(map[finishedKey]bool), outcomes: make(map[api.Outcome]int),
 		results: make(map[core.Key]api.Outcome), swept: make(map[sweep.Reason]int),
@@ -189,11 +190,11 @@
 func (w *memoryWorld) check() {
 	for _, e := range w.engines {
 		if used := e.used(); used > e.total {
-			w.t.Fatalf("at %v %s holds %d of %d tokens", w.world.Now(), e.address, used, e.total)
+			w.t.Fatalf("seed %d at %v %s holds %d of %d tokens", w.seed, w.world.Now(), e.address, used, e.total)
 		}
 		for _, h := range e.holds {
 			if late := w.overdue(h); late > overdueBound {
-				w.t.Fatalf("at %v %s: %s outlived its budget by %v: %s", w.world.Now(), e.address, h.id.kind, late, h.id.name)
+				w.t.Fatalf("seed %d at %v %s: %s outlived its budget by %v: %s", w.seed, w.world.Now(), e.address, h.id.kind, late, h.id.name)
 			}
 		}
 	}
