A caller that stopped reading is given up also at the headers, and a failed flush is seen

Cause: the headers of an answer were flushed before any write deadline was set, so a caller that read nothing could hold the handler for good, and an error of a flush was dropped until the next frame (found by the new test: deadlock in a synctest bubble). Change: the deadline comes first; the frame writer returns the flush's error.

--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -67,7 +67,6 @@
 const writeTimeout = 30 * time.Second
 
 type frameWriter struct {
-	response *echo.Response
 	control  *http.ResponseController
 	encoder  *json.Encoder
 	req      core.Request
@@ -76,15 +75,12 @@
 }
 
 func newFrameWriter(response *echo.Response, req core.Request) *frameWriter {
+	control := http.NewResponseController(response.Writer)
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	response.Header().Set(echo.HeaderContentType, contentFrames)
 	response.WriteHeader(http.StatusOK)
-	response.Flush()
-	return &frameWriter{
-		response: response,
-		control:  http.NewResponseController(response.Writer),
-		encoder:  json.NewEncoder(response),
-		req:      req,
-	}
+	_ = control.Flush() // a caller that is gone is seen at the first frame
+	return &frameWriter{control: control, encoder: json.NewEncoder(response), req: req}
 }
 
 func (w *frameWriter) write(chunk stream.Chunk) error {
@@ -104,6 +100,5 @@
 	if err := w.encoder.Encode(frame); err != nil {
 		return errors.Trace(err)
 	}
-	w.response.Flush()
-	return nil
+	return errors.Trace(w.control.Flush())
 }
