--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -67,9 +67,9 @@
 const writeTimeout = 30 * time.Second
 
 type frameWriter struct {
-	control  *http.ResponseController
-	encoder  *json.Encoder
-	req      core.Request
+	control *http.ResponseController
+	encoder *json.Encoder
+	req     core.Request
 	// source is what was last named to the caller.
 	source stream.Source
 }
