Name targets in digests by a hash of their address

Cause: hosts of neighbouring cells route to different targets, so a place in the table named different engines at the two ends of a heartbeat.

--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -102,9 +102,7 @@
 	}
 	hearing := n.peers.Hear(n.now, hb)
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
-	if hb.HostsVersion == n.targets.Version() && n.sameCell(hb.Peer) {
-		n.targets.HearDigest(hb.Peer, hb.Loads)
-	}
+	n.targets.HearDigest(hb.Peer, hb.Loads)
 	n.wake.fresh = n.wake.fresh || hearing.Fresh
 	n.noteZonePlatform(&hb)
 	if (hearing.Started || hb.Ask) && n.peers.Get(hb.Peer) != nil {
@@ -202,6 +200,9 @@
 	if t := n.targets.Get(in.Target); t != nil {
 		t.Report = in.Report
 		t.Reported = n.now
+		for _, event := range in.Report.CacheEvents {
+			t.HearCache(event)
+		}
 	}
 }
 
--- a/internal/core/target/load.go
+++ b/internal/core/target/load.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Priorities is the number of engine priorities; higher ones are served first.
@@ -54,15 +56,19 @@
 	return [loadFields]int64{l.Pending[0], l.Pending[1], l.Pending[2], l.Held, l.Streams, l.Deep}
 }
 
+// digestID names a target in a digest: hosts of neighbouring cells route to different targets, so a place in the table
+// would not do.
+func digestID(address string) uint32 { return uint32(xxhash.Sum64String(address)) }
+
 // Digest is the load that one host has placed at all targets, as it goes to peers: for each target with any load its
-// place in the table and its fields, as variable-length integers.
+// identifier and its fields, as variable-length integers.
 func (tb *Table) Digest() []byte {
 	var out []byte
-	for i, t := range tb.ordered {
+	for _, t := range tb.ordered {
 		if t.own == (Load{}) {
 			continue
 		}
-		out = binary.AppendUvarint(out, uint64(i))
+		out = binary.AppendUvarint(out, uint64(digestID(t.Address)))
 		for _, v := range t.own.fields() {
 			out = binary.AppendUvarint(out, uint64(max(v, 0)))
 		}
@@ -70,8 +76,8 @@
 	return out
 }
 
-// HearDigest takes a peer's digest, which was made from the same version of the host list. One that is cut short
-// is taken as far as it goes.
+// HearDigest takes a peer's digest. Targets that this host doesn't route to are passed over; a digest that is cut
+// short is taken as far as it goes.
 func (tb *Table) HearDigest(peer string, digest []byte) {
 	tb.ForgetPeer(peer)
 	for len(digest) > 0 {
@@ -83,8 +89,8 @@
 			}
 			digest = digest[n:]
 		}
-		if v[0] < uint64(len(tb.ordered)) {
-			tb.ordered[v[0]].setPeer(peer, loadOf(v))
+		if t := tb.byDigest[v[0]]; t != nil {
+			t.setPeer(peer, loadOf(v))
 		}
 	}
 }
--- a/internal/core/target/load_test.go
+++ b/internal/core/target/load_test.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// Hosts of neighbouring cells route to different targets and hear the same of those that they share.
+func TestDigestHoldsBetweenTablesOfDifferentTargets(t *testing.T) {
+	mine, theirs := table(3), table(5)
+	job := target.Job{Priority: 1, Work: 5, Memory: 7}
+	for i, address := range []string{"e001", "e004"} {
+		theirs.Get(address).Begin(0, target.Dispatch{Number: uint32(i)}, job)
+	}
+	mine.HearDigest("peer", theirs.Digest())
+	assert.Equal(t, mine.Get("e001").Total(), theirs.Get("e001").Total())
+	assert.Equal(t, mine.Get("e000").Total(), target.Load{})
+}
+
 func TestBrokenDigestIsTakenAsFarAsItGoes(t *testing.T) {
 	mine, theirs := table(3), table(3)
 	for i, e := range theirs.All() {
@@ -69,7 +81,7 @@
 	for n := range whole {
 		mine.HearDigest("peer", whole[:n])
 	}
-	mine.HearDigest("peer", []byte{200, 1, 1, 1, 1, 1, 1, 1})
+	mine.HearDigest("peer", []byte{200, 1, 1, 1, 1, 1, 1, 1}) // a target that is not known here
 	mine.HearDigest("peer", []byte{255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255})
 	for _, e := range mine.All() {
 		assert.Equal(t, e.Total(), target.Load{})
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -19,6 +19,8 @@
 	Streams int `json:"streams"`
 	// UsedTokens is the KV memory in use, in tokens.
 	UsedTokens int64 `json:"used_tokens"`
+	// CacheEvents are the changes of the prefix cache since the last report, as far as the engine tells.
+	CacheEvents []CacheEvent `json:"cache_events,omitempty"`
 }
 
 // Target is one target.
@@ -156,7 +158,9 @@
 	version   uint64
 	byAddress map[string]*Target
 	ordered   []*Target
-	evidence  *evidence
+	// byDigest holds the targets by their identifier in digests.
+	byDigest map[uint64]*Target
+	evidence *evidence
 }
 
 // NewTable returns an empty table.
@@ -212,8 +216,10 @@
 
 func (tb *Table) reorder() {
 	tb.ordered = tb.ordered[:0]
+	tb.byDigest = make(map[uint64]*Target, len(tb.byAddress))
 	for _, t := range tb.byAddress {
 		tb.ordered = append(tb.ordered, t)
+		tb.byDigest[uint64(digestID(t.Address))] = t
 	}
 	sort.Slice(tb.ordered, func(i, j int) bool { return tb.ordered[i].Address < tb.ordered[j].Address })
 }
