--- a/internal/replay/bounds_test.go
+++ b/internal/replay/bounds_test.go
@@ -111,3 +111,23 @@
 	}))
 	assert.Assert(t, stale.FirstMs.P95 <= staleBound*fresh.FirstMs.P95, "%v %v", stale.FirstMs, fresh.FirstMs)
 }
+
+// A preset that is switched under load loses nothing and leaves the bounds whole.
+func TestPresetSwitchUnderLoadHoldsTheBounds(t *testing.T) {
+	t.Parallel()
+	recipe := ordinary(trace.Rush)
+	tr := generate(t, recipe)
+	for i, preset := range []string{"peak", "ordinary"} {
+		at := recipe.Length.Milliseconds() * int64(i+1) / 3
+		tr.Faults = append(tr.Faults, trace.Fault{AtMs: at, Kind: trace.SetPreset, Subject: preset})
+	}
+	opts := deployed(t, tr, recipe.Seed)
+	opts.NoTeamLimits = true
+	r := run(t, opts)
+	assert.Assert(t, shorts(r).FirstMs.P95 <= firstTokenBoundMs, "%v", shorts(r).FirstMs)
+	assert.Equal(t, longs(r).Late, 0)
+	a := all(r)
+	assert.Equal(t, a.Done+a.Failed+a.NotRun+a.Unknown, a.Requests)
+	steady := all(measure(t, trace.Rush, recipe.Percent, nil))
+	assert.Assert(t, a.Goodput >= goodputPart*steady.Goodput, "%v %v", a.Goodput, steady.Goodput)
+}
