A group that can't reserve yet holds up nobody

Cause: after a killed engine, a group's parts stayed on its other members in the replay, so the claim that had waited longest failed again and again while it kept the groups of all hosts behind it: up to seven long prompts ran into their 900 s. Change: a host does not stand in line while its next group pauses after a failed claim; silent engines are in no lane or block; the replay ends a group's parts with the engine that leads it, and lists them as read by nobody.

--- a/internal/core/node/demand.go
+++ b/internal/core/node/demand.go
@@ -112,8 +112,8 @@
 		w.Queued[laneOf(class)] = n.queue.Tokens(class)
 	}
 	w.Groups = n.queue.Groups()
-	if w.Groups > 0 && n.groups.next != nil {
-		w.GroupWaitMs = (n.now - n.groups.next.Timing.Admitted).Milliseconds()
+	if next := n.groups.next; w.Groups > 0 && next != nil && n.now >= n.groups.failed[next.Request.Key].again {
+		w.GroupWaitMs = (n.now - next.Timing.Admitted).Milliseconds()
 	}
 	return w
 }
@@ -143,12 +143,13 @@
 	}
 }
 
-// enginesByModel groups the engines by the first model that they serve, in the table's order.
+// enginesByModel groups the engines that report by the first model that they serve, in the table's order. Silent ones
+// would leave a lane short and a block broken.
 func (n *Node) enginesByModel() [][]*target.Target {
 	var out [][]*target.Target
 	at := make(map[string]int)
 	for _, t := range n.targets.All() {
-		if t.Role != hostlist.RoleEngine || len(t.Models) == 0 {
+		if t.Role != hostlist.RoleEngine || len(t.Models) == 0 || n.silent[t.Address] {
 			continue
 		}
 		i, ok := at[t.Models[0]]
--- a/internal/replay/memory.go
+++ b/internal/replay/memory.go
@@ -1,6 +1,8 @@
 package replay
 
 import (
+	"slices"
+
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/core/sweep"
@@ -31,7 +33,7 @@
 func (t *engineTarget) Holdings(*virtual.World) []sweep.Holding {
 	var out []sweep.Holding
 	for _, name := range t.engine.Names() {
-		out = append(out, sweep.Holding{Kind: sweep.KindStream, Name: name, Attached: true})
+		out = append(out, sweep.Holding{Kind: sweep.KindStream, Name: name, Attached: t.serves(name)})
 	}
 	for _, name := range t.engine.Reservations() {
 		out = append(out, sweep.Holding{Kind: sweep.KindReservation, Name: name, Attached: true})
@@ -39,6 +41,11 @@
 	return out
 }
 
+// serves tells whether a host reads the stream here; a group's other members have no reader.
+func (t *engineTarget) serves(name string) bool {
+	return slices.ContainsFunc(t.streams, func(s *engineStream) bool { return s.name == name })
+}
+
 // CancelHolding implements virtual.MemoryTarget.
 func (t *engineTarget) CancelHolding(_ *virtual.World, order node.CancelHolding) {
 	if order.Kind == sweep.KindReservation {
--- a/internal/replay/targets.go
+++ b/internal/replay/targets.go
@@ -145,6 +145,9 @@
 func (t *engineTarget) kill(w *virtual.World) {
 	t.engine.Kill()
 	for _, s := range t.streams {
+		for _, e := range s.members {
+			e.Cancel(s.name)
+		}
 		s.end.Ending = node.EndedLost
 		t.deliver(w, s, s.end)
 	}
