--- a/scripts/measure-policy.sh
+++ b/scripts/measure-policy.sh
@@ -8,8 +8,6 @@
   "$carobctl" replay --output summary --length 10m --seeds 5 "$@"
   echo
 }
-replay --scenario ordinary --of attainable --percent 85 --policy all
-replay --scenario ordinary --of reference --percent 85 --policy all
 replay --scenario ordinary --of attainable --percent 85 --user etela-suomi
 replay --scenario ordinary --of attainable --percent 85 --without 100k-1M
 replay --scenario ordinary --of attainable --percent 85 --report-lag 2s --event-loss-percent 50
@@ -19,3 +17,5 @@
   replay --scenario "$scenario" --of attainable --percent 85
 done
 replay --scenario ordinary --of attainable --percent 85 --team-limits
+replay --scenario ordinary --of reference --percent 85 --policy all
+replay --scenario ordinary --of attainable --percent 85 --policy all
