--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -335,14 +335,26 @@
 // Get returns a peer by peer address, or nil.
 func (t *Table) Get(address string) *Peer { return t.peers[address] }
 
-// ByCallersAddress returns the peer whose callers' address this is, or nil.
+// ByCallersAddress returns the peer whose callers' address this is, or nil. Of several, as when a host was replaced by
+// one with another peer address, it is the one that was heard last.
 func (t *Table) ByCallersAddress(address string) *Peer {
+	var found *Peer
 	for _, p := range t.peers {
-		if p.Last.Address == address {
-			return p
+		if p.Last.Address == address && (found == nil || p.heardAfter(found)) {
+			found = p
 		}
 	}
-	return nil
+	return found
+}
+
+func (p *Peer) heardAfter(other *Peer) bool {
+	switch {
+	case p.Known != other.Known:
+		return p.Known
+	case p.Heard != other.Heard:
+		return p.Heard > other.Heard
+	}
+	return p.Last.Peer < other.Last.Peer
 }
 
 // AllHeard tells whether every contact was heard, and whether one of them is ready.
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -62,3 +62,11 @@
 	table.Expire(time.Minute)
 	assert.Equal(t, len(table.Addresses()), listed)
 }
+
+func TestReplacedHostIsTheOneThatWasHeardLast(t *testing.T) {
+	table := NewTable("10.1.0.0:2", "a", nil)
+	for i, peer := range []string{"10.1.0.1:4", "10.1.0.1:3", "10.1.0.1:5"} {
+		table.Hear(core.Time(i)*time.Second, Heartbeat{Peer: peer, Address: "10.1.0.1:1", Incarnation: peer})
+		assert.Equal(t, table.ByCallersAddress("10.1.0.1:1").Last.Incarnation, peer)
+	}
+}
