The search for doubled fields ends on a text that is not JSON

Cause: it went on for ever where the decoder made no progress.

Measured: TestDuplicates ends; before, a text cut off in an array never did.

--- a/internal/strictjson/duplicates.go
+++ b/internal/strictjson/duplicates.go
@@ -7,7 +7,8 @@
 )
 
 // duplicates lists the fields that stand twice in one object. The standard decoder silently takes the last one, so
-// that a document could name two values and nobody would know which was meant. The text must be valid JSON.
+// that a document could name two values and nobody would know which was meant. A text that is not valid JSON is looked
+// at as far as it is.
 func duplicates(data []byte) []Fault {
 	d := &duplicateFinder{decoder: json.NewDecoder(bytes.NewReader(data))}
 	d.decoder.UseNumber()
@@ -18,12 +19,15 @@
 type duplicateFinder struct {
 	decoder *json.Decoder
 	found   []Fault
+	// broken is set where the text is not valid JSON any more.
+	broken bool
 }
 
 // value reads one value that begins at the next token.
 func (d *duplicateFinder) value(path string) {
 	token, err := d.decoder.Token()
 	if err != nil {
+		d.broken = true
 		return
 	}
 	switch token {
@@ -36,10 +40,11 @@
 
 func (d *duplicateFinder) object(path string) {
 	seen := make(map[string]bool)
-	for d.decoder.More() {
+	for !d.broken && d.decoder.More() {
 		token, err := d.decoder.Token()
 		name, ok := token.(string)
 		if err != nil || !ok {
+			d.broken = true
 			return
 		}
 		if seen[name] {
@@ -52,7 +57,7 @@
 }
 
 func (d *duplicateFinder) array(path string) {
-	for i := 0; d.decoder.More(); i++ {
+	for i := 0; !d.broken && d.decoder.More(); i++ {
 		d.value(path + "/" + strconv.Itoa(i))
 	}
 	_, _ = d.decoder.Token()
