--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -32,8 +32,15 @@
 	KindBand  Kind = "band"
 	KindClass Kind = "class"
 	KindTeam  Kind = "team"
+	// KindTeamBand is a team's requests of one band, named "team/band".
+	KindTeamBand Kind = "team and band"
 )
 
+func kinds() []Kind { return []Kind{KindAll, KindBand, KindClass, KindTeam, KindTeamBand} }
+
+// TeamBand names a group of KindTeamBand.
+func TeamBand(team, band string) string { return team + "/" + band }
+
 // Figures are the figures of one group of requests.
 type Figures struct {
 	Kind     Kind   `json:"kind"`
@@ -106,7 +113,7 @@
 
 func (r *run) groups() []*collector {
 	byName := make(map[Kind]map[string]*collector)
-	for _, kind := range []Kind{KindAll, KindBand, KindClass, KindTeam} {
+	for _, kind := range kinds() {
 		byName[kind] = make(map[string]*collector)
 	}
 	for _, c := range r.calls {
@@ -115,6 +122,7 @@
 		}
 		names := map[Kind]string{KindBand: c.band, KindClass: string(r.classOf(c)), KindTeam: c.key.Team}
 		names[KindAll] = string(KindAll)
+		names[KindTeamBand] = TeamBand(c.key.Team, c.band)
 		for kind, name := range names {
 			g := byName[kind][name]
 			if g == nil {
@@ -125,7 +133,7 @@
 		}
 	}
 	var out []*collector
-	for _, kind := range []Kind{KindAll, KindBand, KindClass, KindTeam} {
+	for _, kind := range kinds() {
 		var some []*collector
 		for _, g := range byName[kind] {
 			some = append(some, g)
--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -14,6 +14,9 @@
 	w := tabwriter.NewWriter(out, 0, 0, tablePadding, ' ', 0)
 	_, _ = fmt.Fprintln(w, "by\tname\tasked\tdone\trefused\tlate\tunknown\tfirst ms 50/95/99\tbetween tokens ms\tslowdown\tattempts\tdone/s")
 	for _, f := range r.Groups {
+		if f.Kind == KindTeamBand {
+			continue // for these, the JSON form
+		}
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.3f\t%.2f\n", f.Kind, f.Name, f.Requests, f.Done, f.Refused,
 			f.Late, f.Unknown, whole(f.FirstMs), whole(f.GapMs), f.Slowdown, f.Attempts, f.Goodput)
 	}
--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -56,6 +56,8 @@
 	Rate float64
 	// Bands replaces the reference mix where it is set.
 	Bands []Band
+	// Team sends all of it, where it is set.
+	Team string
 }
 
 // Generator makes traces. The same seed makes the same trace.
@@ -82,6 +84,9 @@
 		g.phase(at, p)
 		at += p.Length
 	}
+	if name == string(TeamFlood) {
+		g.flood(phases[0])
+	}
 	g.trace.Header.LengthMs = at.Milliseconds()
 	slices.SortStableFunc(g.trace.Requests, func(a, b Request) int { return cmp.Compare(a.AtMs, b.AtMs) })
 	return g.trace
@@ -99,13 +104,21 @@
 	}
 	for at := g.gap(rate); at < p.Length; at += g.gap(rate) {
 		if g.rng.Float64() < servicePercent/100.0 {
-			g.add(g.serviceCall(start + at))
+			g.add(p.owned(g.serviceCall(start + at)))
 			continue
 		}
-		g.add(g.prompt(start+at, g.pick(bands)))
+		g.add(p.owned(g.prompt(start+at, g.pick(bands))))
 	}
 }
 
+// owned gives a request to the phase's team, if it has one.
+func (p Phase) owned(r Request) Request {
+	if p.Team != "" {
+		r.Team = p.Team
+	}
+	return r
+}
+
 func (g *Generator) gap(rate float64) time.Duration {
 	return time.Duration(g.rng.ExpFloat64() / rate * float64(time.Second))
 }
--- a/internal/trace/scenario.go
+++ b/internal/trace/scenario.go
@@ -28,7 +28,7 @@
 
 // Scenarios lists all scenarios.
 func Scenarios() []Scenario {
-	return []Scenario{Ordinary, Burst, Rush, RouteNotes, Contracts, EngineDies, HostDies, ZoneCut}
+	return []Scenario{Ordinary, Burst, Rush, RouteNotes, Contracts, EngineDies, HostDies, ZoneCut, TeamFlood}
 }
 
 // Scale says of which capacity a load is a share.
@@ -111,7 +111,7 @@
 	third := recipe.Length / 3
 	steady := Phase{Length: recipe.Length, Rate: rate}
 	switch recipe.Scenario {
-	case Ordinary, EngineDies, HostDies, ZoneCut:
+	case Ordinary, EngineDies, HostDies, ZoneCut, TeamFlood:
 		return []Phase{steady}, nil
 	case Burst:
 		calm := Phase{Length: third, Rate: rate}
