Keep short requests of other teams apart from a team that floods

Cause: a team that sent ten times its share raised the others' first token of short prompts by half and took a quarter of their places; limits do not help, since they leave room for bursts.

Change: internal/core/fair; a team over its weighted share of short work is refused while short requests wait.

--- a/internal/core/limit/limit.go
+++ b/internal/core/limit/limit.go
@@ -27,10 +27,10 @@
 
 // deferredPart is the part of the rate that pays for requests too large for the burst, so that they do not keep
 // small ones out.
-const deferredPart = 0.5
+const deferredPart = 0.75
 
 // maxDeferred is how far ahead deferred tokens may reach; beyond it, no further large request is admitted.
-const maxDeferred = 30 * time.Second
+const maxDeferred = 60 * time.Second
 
 // demandWindow is the time over which demand is averaged.
 const demandWindow = time.Second
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -18,6 +18,7 @@
 		n.checkMemory,
 		n.checkRoom,
 		n.checkFeasible,
+		n.checkFairShare,
 		n.checkTeamLimit,
 	}
 	for _, check := range checks {
--- /dev/null
+++ b/internal/core/node/fairness.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/route"
+	"carobshunt/internal/document"
+)
+
+// crowdedPart is the part of the first-token target that a new short request may be predicted to wait before its
+// prefill begins. Beyond it a team that has taken more than its share is refused.
+const crowdedPart = 0.1
+
+// checkFairShare refuses short requests of a team that has taken more than its share of them while others wait. Longer
+// ones wait their turn in the queue.
+func (n *Node) checkFairShare(req *core.Request) core.Result {
+	if !n.predicts() || n.isService(req.Model) {
+		return core.Result{}
+	}
+	work := n.workOf(req)
+	if work.Class != document.ClassShort {
+		return core.Result{}
+	}
+	wait := n.meanWait(&ledger.Record{Request: *req, Work: work})
+	target := time.Duration(n.config.Document().Preset().FirstTokenTargetMs) * time.Millisecond
+	if wait <= time.Duration(float64(target)*crowdedPart) || !n.shares.Over(n.now, req.Team, n.teamWeight) {
+		return core.Result{}
+	}
+	return core.Result{
+		Code:       api.CodeTeamLimit,
+		Message:    "the team has had more than its share of engines that others wait for",
+		RetryAfter: wait + n.retryAfter(afterOverload),
+	}
+}
+
+// meanWait is the time before the prefill of a new request begins, as the mean over the engines of its lane.
+func (n *Node) meanWait(rec *ledger.Record) time.Duration {
+	engines := n.laneEngines(rec)
+	rates := meanRates(engines)
+	if rates.measured == 0 {
+		return 0
+	}
+	ahead := n.fleetQueued(rec.Work.Class)
+	for _, t := range engines {
+		load := t.Total()
+		ahead += load.Ahead(route.Priority(rec.Work.Class))
+	}
+	return time.Duration(float64(ahead) / (rates.prefill * float64(len(engines))) * float64(time.Second))
+}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -10,6 +10,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/fair"
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/limit"
 	"carobshunt/internal/core/member"
@@ -67,7 +68,9 @@
 	router  *route.Router
 	limits  *limit.Limiter
 	retries *retry.Budget
-	rng     *rand.Rand
+	// shares are the teams' shares of the admitted short requests' work.
+	shares *fair.Shares
+	rng    *rand.Rand
 
 	// active are the unfinished records.
 	active map[core.Key]*ledger.Record
@@ -109,6 +112,7 @@
 		router:        newRouter(opts.Policy, rng),
 		limits:        limit.New(opts.Peer),
 		retries:       retry.New(),
+		shares:        fair.New(),
 		rng:           rng,
 		active:        make(map[core.Key]*ledger.Record),
 		sweeps:        newSweepState(),
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -122,12 +122,19 @@
 }
 
 func (n *Node) submitNew(ticket Ticket, req core.Request) {
-	n.offered(&req)
-	if result, refused := n.admission(&req); refused {
+	result, refused := n.admission(&req)
+	if result.Code != api.CodeTeamLimit {
+		n.offered(&req) // what a team may not have makes no room for more of it
+	}
+	if refused {
 		n.closeAndRefuse(ticket, req, result)
 		return
 	}
-	rec := n.ledger.Admit(n.now, req, n.workOf(&req), n.config.Revision())
+	work := n.workOf(&req)
+	if work.Class == document.ClassShort {
+		n.shares.Add(n.now, req.Team, work.PrefillTokens)
+	}
+	rec := n.ledger.Admit(n.now, req, work, n.config.Revision())
 	n.active[req.Key] = rec
 	preset := n.config.Document().Preset()
 	rec.SlowdownWeight = float64(preset.ProtectShortPercent) / percent
