Requests of the node in four files, by what happens to them

The one file had grown to 535 lines: taking a request in, dispatches and their ends, the end of a request, and questions about one. Moved as they are.

--- /dev/null
+++ b/internal/core/node/asked.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+)
+
+// cancel ends a request early. One that has not arrived yet is closed, so that it does not run afterwards.
+func (n *Node) cancel(in Cancel) {
+	if decision, elsewhere := n.decideAsked(&in.Request); elsewhere {
+		n.do(Decide{Ticket: in.Ticket, Decision: decision})
+		return
+	}
+	rec := n.ledger.Get(in.Request.Key)
+	if rec == nil {
+		n.reportResult(in.Ticket, n.unseen(in.Request, api.CodeCanceled))
+		return
+	}
+	if rec.State != ledger.Finished {
+		n.giveUp(rec, api.CodeCanceled, "canceled by the caller")
+	}
+	n.ledger.CloseAll(rec)
+	n.report(in.Ticket, rec)
+}
+
+func (n *Node) report(ticket Ticket, rec *ledger.Record) {
+	n.do(Decide{Ticket: ticket, Decision: Decision{Kind: Report, Result: rec.Result, Target: rec.Target}})
+}
+
+func (n *Node) reportResult(ticket Ticket, result core.Result) {
+	n.do(Decide{Ticket: ticket, Decision: Decision{Kind: Report, Result: result}})
+}
+
+// query reports a request's outcome. "Not run" closes the identifier first, so that it stays true.
+func (n *Node) query(in Query) {
+	if decision, elsewhere := n.decideAsked(&in.Request); elsewhere {
+		n.do(Decide{Ticket: in.Ticket, Decision: decision})
+		return
+	}
+	rec := n.ledger.Get(in.Request.Key)
+	if rec == nil {
+		n.reportResult(in.Ticket, n.unseen(in.Request, api.CodeClosed))
+		return
+	}
+	n.ledger.CloseAll(rec)
+	n.report(in.Ticket, rec)
+}
+
+// unseen is the answer about a request without a record. One that is not idempotent is closed with the code, as
+// long as its record can't have been dropped.
+func (n *Node) unseen(req core.Request, code api.Code) core.Result {
+	if req.Idempotent {
+		return core.Result{Outcome: api.OutcomeFailed, Code: api.CodeNotFound, Message: "no record of this request"}
+	}
+	if req.Deadline <= 0 || n.now >= req.Deadline+ledger.Retention {
+		return ledger.Expired(false)
+	}
+	result := core.Result{Outcome: api.OutcomeNotRun, Code: code, Message: "never admitted here, and closed now"}
+	req.Attempt = ledger.AllAttempts
+	if !n.ledger.Close(n.now, req, result) {
+		return core.Result{Outcome: api.OutcomeUnknown, Code: api.CodeRecordsFull, Message: "no room to close the identifier"}
+	}
+	return result
+}
--- /dev/null
+++ b/internal/core/node/dispatches.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/route"
+	"carobshunt/internal/core/target"
+)
+
+// pump hands waiting requests to targets, in order of service, as far as there is room.
+func (n *Node) pump() {
+	if n.catchingUp() {
+		return
+	}
+	n.router.GroupsWait(n.groupsWait())
+	n.queue.Each(n.now, n.dispatch)
+}
+
+func (n *Node) dispatch(rec *ledger.Record) bool {
+	if !n.ledger.MayDispatch(n.now, rec) {
+		return false
+	}
+	if rec.Work.Group {
+		return n.dispatchGroup(rec)
+	}
+	if n.adopts(rec) {
+		return n.dispatchAdopted(rec)
+	}
+	t := n.router.Pick(n.now, rec, n.targets.All())
+	if t == nil {
+		return false
+	}
+	if n.tooLate(rec, t) {
+		return true
+	}
+	n.do(n.begin(rec, t, jobOf(rec, t)))
+	return true
+}
+
+// begin accounts for a dispatch at its target and returns the order for it.
+func (n *Node) begin(rec *ledger.Record, t *target.Target, job target.Job) StartDispatch {
+	number := n.ledger.Dispatch(n.now, rec, t.Address)
+	t.Begin(n.now, target.Dispatch{Key: rec.Request.Key, Number: number}, job)
+	return StartDispatch{
+		Key:      rec.Request.Key,
+		Dispatch: number,
+		Target:   t.Address,
+		Role:     t.Role,
+		Stream:   n.streamOf(rec, number),
+		Priority: job.Priority,
+		Deadline: rec.Request.Deadline,
+		Request:  rec.Request,
+		Work:     rec.Work,
+	}
+}
+
+func (n *Node) streamOf(rec *ledger.Record, number uint32) core.Stream {
+	return core.Stream{
+		Home:     n.opts.Self,
+		Budget:   rec.Request.Deadline - rec.Timing.Admitted,
+		Key:      rec.Request.Key,
+		Dispatch: number,
+	}
+}
+
+// jobOf is what a dispatch of the record brings to a target.
+func jobOf(rec *ledger.Record, t *target.Target) target.Job {
+	return target.Job{
+		Priority: route.Priority(rec.Work.Class),
+		Work:     route.UncachedWork(rec, t),
+		Memory:   memoryNeed(&rec.Request),
+		Deep:     route.IsDeep(rec),
+	}
+}
+
+// percent is the whole in percentages.
+const percent = 100
+
+func (n *Node) firstToken(in DispatchFirstToken) {
+	rec := n.active[in.Key]
+	if rec == nil || rec.Dispatches != in.Dispatch || rec.Timing.FirstToken != 0 {
+		return
+	}
+	rec.Timing.FirstToken = n.now
+	n.groupPrefilled(in.Key)
+	if t := n.targets.Get(rec.Target); t != nil {
+		t.Prefilled(n.now, target.Dispatch{Key: in.Key, Number: in.Dispatch})
+		if rec.Request.Prefix != "" && !rec.Work.Group {
+			t.HearCache(target.CacheEvent{Prefix: rec.Request.Prefix, Tokens: rec.Request.PrefixTokens})
+		}
+	}
+}
+
+func (n *Node) dispatchEnded(in DispatchEnded) {
+	n.releaseTarget(in)
+	n.endDispatchGroup(in.Key, in.Dispatch)
+	if !n.awaits(in) {
+		return
+	}
+	rec := n.active[in.Key]
+	if !n.adoptionFailed(rec, in) {
+		n.judgeEnding(rec, in)
+	}
+	n.pump()
+}
+
+// releaseTarget accounts for the end of a dispatch at its target, whatever became of the request meanwhile.
+func (n *Node) releaseTarget(in DispatchEnded) {
+	t := n.targets.Get(in.Target)
+	if t == nil {
+		return
+	}
+	t.End(target.Dispatch{Key: in.Key, Number: in.Dispatch})
+	switch in.Ending {
+	case EndedDone:
+		t.Answered()
+		n.sampleGap(t, in)
+	case EndedRefused:
+		t.Refused(n.now)
+	case EndedNotWritten, EndedLost:
+		if n.awaits(in) && !n.active[in.Key].Aborted {
+			t.Failed(n.now)
+		}
+	}
+}
+
+// awaits tells whether the request still waits for this dispatch; one that was aborted says nothing of its target.
+func (n *Node) awaits(in DispatchEnded) bool {
+	rec := n.active[in.Key]
+	return rec != nil && rec.State == ledger.Dispatched && rec.Dispatches == in.Dispatch
+}
+
+// sampleGap measures the time between tokens by an answer that is whole.
+func (n *Node) sampleGap(t *target.Target, in DispatchEnded) {
+	if rec := n.active[in.Key]; n.awaits(in) && rec.Timing.FirstToken != 0 {
+		t.SampleGap(rec.Work.AnswerTokens, n.now-rec.Timing.FirstToken)
+	}
+}
+
+// judgeEnding decides what a dispatch's end means for its request: the end of it, or another target.
+func (n *Node) judgeEnding(rec *ledger.Record, in DispatchEnded) {
+	switch in.Ending {
+	case EndedDone:
+		n.finish(rec, core.Result{Outcome: api.OutcomeDone})
+	case EndedNotWritten, EndedRefused:
+		n.ledger.NeverReached(rec)
+		n.judgeUntaken(rec, in)
+	case EndedFailed:
+		n.judgeFailed(rec, in)
+	case EndedLost:
+		n.judgeLost(rec, in)
+	}
+}
+
+// judgeUntaken goes on with a request that the target did not take. An earlier dispatch of it may have run.
+func (n *Node) judgeUntaken(rec *ledger.Record, in DispatchEnded) {
+	if rec.Aborted {
+		n.finish(rec, pastDeadline(rec))
+		return
+	}
+	n.retry(rec, core.Result{Outcome: certainOutcome(rec), Code: api.CodeTargetRefused, Message: in.Message})
+}
+
+func (n *Node) judgeLost(rec *ledger.Record, in DispatchEnded) {
+	switch {
+	case rec.Request.Idempotent:
+		n.ledger.Requeue(rec)
+		n.retry(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
+	case rec.Aborted:
+		n.finish(rec, pastDeadline(rec))
+	default:
+		n.finish(rec, core.Result{Outcome: certainOutcome(rec), Code: api.CodeTargetLost, Message: in.Message})
+	}
+}
+
+// judgeFailed ends a request that its target failed; one that is idempotent is tried at another target first.
+func (n *Node) judgeFailed(rec *ledger.Record, in DispatchEnded) {
+	result := core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetFailed, Message: in.Message}
+	if !rec.Request.Idempotent {
+		n.finish(rec, result)
+		return
+	}
+	n.ledger.Requeue(rec)
+	n.retry(rec, result)
+}
+
+// retry puts a request back into the queue, or ends it with the result, at once, when the retry budget is used up.
+func (n *Node) retry(rec *ledger.Record, otherwise core.Result) {
+	if !n.retries.Spend() {
+		otherwise.RetryAfter = n.retryAfter(afterOverload)
+		n.finish(rec, otherwise)
+		return
+	}
+	rec.Timing.FirstToken = 0
+	n.queue.Push(rec)
+}
+
+// pastDeadline is the result of a request whose time is over.
+func pastDeadline(rec *ledger.Record) core.Result {
+	return core.Result{Outcome: certainOutcome(rec), Code: api.CodeDeadline, Message: "the deadline has passed"}
+}
