--- a/test/process/answers_test.go
+++ b/test/process/answers_test.go
@@ -80,9 +80,9 @@
 	waitStreaming(c.hosts[0])
 	second := doInBackground(c, req)
 	time.Sleep(100 * time.Millisecond)
+	s, err := c.hosts[0].status()
+	assert.NilError(t, err)
 	for i := range c.engines {
-		s, err := c.hosts[0].status()
-		assert.NilError(t, err)
 		for _, target := range s.Targets {
 			if target.InFlight > 0 && target.Address == c.list.Hosts[i].Address {
 				c.enginePipes[i].Cut("")
