Aborts in virtual time go to targets in order of address

Cause: they went in the order of a map, so that a run was the same every time only by luck; no difference had been seen.

--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
@@ -170,8 +172,8 @@
 	case node.StartDispatch:
 		h.startDispatch(a)
 	case node.AbortDispatch:
-		for _, t := range h.world.Targets {
-			t.Abort(h.world, h, a)
+		for _, address := range slices.Sorted(maps.Keys(h.world.Targets)) {
+			h.world.Targets[address].Abort(h.world, h, a)
 		}
 	case node.Reserve, node.Release, node.ListMemory, node.CancelHolding:
 		h.executeMemory(a)
