Weights of teams by map

Cause: the queue and the shares asked for a team's weight by a search through all published teams, several times for each request; at 2,200 teams that is a cost for each request that grows with the teams.

Change: the directory, made anew with each document, holds the weights.

--- a/internal/core/node/directory.go
+++ b/internal/core/node/directory.go
@@ -18,6 +18,8 @@
 	// parts are the teams' parts of all teams' rates, and served the numbers of cells that follow from them.
 	parts  map[string]float64
 	served map[string]int
+	// weights are the teams' published weights.
+	weights map[string]int64
 }
 
 // renewDirectory works the directory out again. It needs a host list; without a document no team has a part.
@@ -30,6 +32,7 @@
 		callers: make(map[string]string),
 		parts:   make(map[string]float64),
 		served:  make(map[string]int),
+		weights: make(map[string]int64),
 	}
 	for _, h := range n.hosts.Hosts {
 		if h.Role == hostlist.RoleEntry {
@@ -44,6 +47,7 @@
 		for _, t := range doc.Teams {
 			part := float64(t.TokensPerSecond) / total
 			d.parts[t.Name] = part
+			d.weights[t.Name] = t.Weight
 			d.served[t.Name] = d.cells.TeamCells(part)
 		}
 	}
--- a/internal/core/node/policy.go
+++ b/internal/core/node/policy.go
@@ -51,10 +51,8 @@
 
 // teamWeight is a team's published share among waiting requests.
 func (n *Node) teamWeight(name string) int64 {
-	if doc := n.config.Document(); doc != nil {
-		if t, ok := doc.Team(name); ok {
-			return t.Weight
-		}
+	if n.directory == nil {
+		return 1
 	}
-	return 1
+	return max(n.directory.weights[name], 1)
 }
