Requests for routes of the document, loads by datagram, membership without a published list of entry hosts

The users' platform names what is asked for by host name and path, lists no entry hosts and publishes the engines' speed. The core takes such requests through the same ledger, queue, router and retry budget; a record ends with its connection. internal/platform, which reads the product's own documents, is named internal/published.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -76,6 +76,8 @@
 	Adopt Adoption
 	// Forwarded marks a request that another host passed on.
 	Forwarded bool
+	// Routed is set for a request that came for a route of the document.
+	Routed *Routed
 }
 
 // Adoption names a stream at an engine that another host started for the same request.
--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -117,21 +117,34 @@
 	asked   core.Time
 	since   core.Time
 	lost    bool
+	timing  Timing
 }
 
+// Timing is how long reservations last and are waited for.
+type Timing struct {
+	// Expiry is how long an engine keeps a reservation that is not renewed.
+	Expiry time.Duration
+	// Patience is how long a claim waits for one engine before it gives back everything.
+	Patience time.Duration
+}
+
+// DefaultTiming is for engines that keep what is reserved until they are told or its expiry has passed.
+func DefaultTiming() Timing { return Timing{Expiry: Expiry, Patience: Patience} }
+
 type member struct {
 	renewed core.Time
 	asked   core.Time
 }
 
 // NewClaim begins a claim; Due tells what to ask.
-func NewClaim(now core.Time, plan Plan, reservation core.Reservation) *Claim {
+func NewClaim(now core.Time, plan Plan, reservation core.Reservation, timing Timing) *Claim {
 	return &Claim{
 		Plan:        plan,
 		Reservation: reservation,
 		members:     make([]member, len(plan.Engines)),
 		asked:       now - RenewInterval,
 		since:       now,
+		timing:      timing,
 	}
 }
 
@@ -174,11 +187,11 @@
 // expire gives the claim up when a member can't be sure to be held any more, or was waited for too long.
 func (c *Claim) expire(now core.Time) {
 	for i := range c.next {
-		if now-c.members[i].renewed >= Expiry {
+		if now-c.members[i].renewed >= c.timing.Expiry {
 			c.lost = true
 		}
 	}
-	if c.next < len(c.members) && now-c.since >= Patience {
+	if c.next < len(c.members) && now-c.since >= c.timing.Patience {
 		c.lost = true
 	}
 }
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -63,6 +63,12 @@
 	reachedBefore bool
 	// attempts is the highest attempt that the record answers for.
 	attempts uint32
+	// Executions counts the dispatches that may have reached a target, Refusals those that a target did not take.
+	Executions int
+	Refusals   int
+	// Tried are the targets that the request was sent to in vain, Helpers those that read a part of the prompt.
+	Tried   []string
+	Helpers []string
 	// closedThrough is the highest attempt that was answered "not run".
 	closedThrough uint32
 	expires       core.Time
@@ -284,6 +290,7 @@
 	rec.State = Dispatched
 	rec.Dispatches++
 	rec.Target = target
+	rec.Executions++
 	rec.reachedBefore = rec.Reached
 	rec.Reached = true
 	rec.Aborted = false
@@ -306,6 +313,15 @@
 func (l *Ledger) NeverReached(rec *Record) {
 	rec.State = Queued
 	rec.Reached = rec.reachedBefore
+	rec.Executions--
+	rec.Refusals++
+}
+
+// Forget drops the finished record of a request that nobody can ask for again.
+func (l *Ledger) Forget(rec *Record) {
+	if rec.State == Finished {
+		l.remove(rec)
+	}
 }
 
 // Requeue makes an idempotent request wait for another target.
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -44,6 +44,10 @@
 	// what waits. They concern the hosts of the sender's cell only, and every heartbeat to them carries them.
 	Loads []byte `json:"loads,omitempty"`
 	Work  Work   `json:"work,omitzero"`
+	// LoadsAddress is where the sender takes load digests by datagram; empty for nowhere.
+	LoadsAddress string `json:"loads_address,omitempty"`
+	// Introduces are the peer addresses of the hosts that the sender hears, where no host list names entry hosts.
+	Introduces []string `json:"introduces,omitempty"`
 	// State rises whenever any of the sender's state above changes, but for the clock, the configuration, the
 	// platform's ages and the loads, which every heartbeat carries.
 	State uint64 `json:"state,omitempty"`
@@ -136,6 +140,9 @@
 	sent core.Time
 	// offset is the least difference seen between this host's clock at arrival and the peer's in the heartbeat.
 	offset core.Time
+	// seed marks a peer from the settings; introduced is when another host last named the peer.
+	seed       bool
+	introduced core.Time
 }
 
 // Alive tells whether the peer was heard lately.
@@ -170,7 +177,9 @@
 func NewTable(self, zone string, seeds []string) *Table {
 	t := &Table{self: self, zone: zone, peers: make(map[string]*Peer), seeds: seeds}
 	for _, address := range seeds {
-		t.ensure(address)
+		if p := t.ensure(address); p != nil {
+			p.seed = true
+		}
 	}
 	t.recontact(0)
 	return t
@@ -190,6 +199,9 @@
 
 // Apply takes a host list: the overlay's neighbours are added, other hosts that are silent are dropped.
 func (t *Table) Apply(now core.Time, list *hostlist.List, cells *cell.Map) {
+	if len(entryHosts(list, "")) == 0 {
+		return // the list names no entry hosts at all: seeds and introductions go on to stand for it
+	}
 	t.listed = true
 	t.zoneRanks = rankZone(list, t.zone)
 	t.anyLive = slices.ContainsFunc(list.Hosts, func(h hostlist.Host) bool {
@@ -251,6 +263,7 @@
 			return
 		}
 	}
+	t.expireIntroduced(now)
 }
 
 // Next returns the heartbeat that the peer is to be sent: the full one, or a brief one when the peer should know the
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -72,6 +72,10 @@
 	// new one.
 	Adopt string
 	Work  core.Work
+	// Instance is the target that is meant; another one at the address must refuse.
+	Instance string
+	// Helpers are engines that read a part of the prompt each, beside the target.
+	Helpers []string
 }
 
 // AbortDispatch gives up a dispatch: its frames are dropped and its stream is cancelled at the engine.
@@ -98,6 +102,13 @@
 	Heartbeat member.Heartbeat
 }
 
+// SendLoads sends this host's load digest to peers, by their addresses for loads.
+type SendLoads struct {
+	To       []string
+	Sequence uint64
+	Digest   []byte
+}
+
 // PullDocument asks a peer for the document that it has in force.
 type PullDocument struct{ Peer string }
 
@@ -138,6 +149,7 @@
 func (Finish) action()        {}
 func (Drop) action()          {}
 func (SendHeartbeat) action() {}
+func (SendLoads) action()     {}
 func (PullDocument) action()  {}
 func (PullHosts) action()     {}
 func (Note) action()          {}
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -30,11 +30,11 @@
 	return core.Result{}, false
 }
 
-func (n *Node) checkReady(*core.Request) core.Result {
+func (n *Node) checkReady(req *core.Request) core.Result {
 	if reason := n.notReady(); reason != "" {
 		return core.Result{Code: api.CodeNotReady, Message: reason, RetryAfter: n.retryAfter(afterOverload)}
 	}
-	if n.drain.active {
+	if n.drain.active && !n.takesLate(req) {
 		return core.Result{Code: api.CodeDraining, Message: "this host is stopping", RetryAfter: n.retryAfter(afterOverload)}
 	}
 	return core.Result{}
@@ -63,10 +63,13 @@
 }
 
 func (n *Node) checkNames(req *core.Request) core.Result {
-	if _, ok := n.config.Document().Team(req.Team); !ok {
+	if _, ok := n.config.Document().Team(req.Team); !ok && (req.Routed == nil || req.Team != "") {
 		return core.Result{Code: api.CodeUnknownTeam, Message: "no such team"}
 	}
 	if !n.targets.AnyServes(req.Model) {
+		if req.Routed != nil {
+			return core.Result{Code: api.CodeNoTarget, Message: "no target of this service", RetryAfter: n.retryAfter(afterOverload)}
+		}
 		return core.Result{Code: api.CodeUnknownModel, Message: "no target serves this model"}
 	}
 	return core.Result{}
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -34,6 +34,10 @@
 	if n.tooLate(rec, t) {
 		return true
 	}
+	if helpers := n.chooseHelpers(rec, t); len(helpers) > 0 {
+		n.do(n.beginHelped(rec, t, helpers))
+		return true
+	}
 	n.do(n.begin(rec, t, jobOf(rec, t)))
 	return true
 }
@@ -52,6 +56,7 @@
 		Deadline: rec.Request.Deadline,
 		Request:  rec.Request,
 		Work:     rec.Work,
+		Instance: t.Instance,
 	}
 }
 
@@ -83,6 +88,7 @@
 		return
 	}
 	rec.Timing.FirstToken = n.now
+	n.endHelp(rec)
 	n.groupPrefilled(in.Key)
 	if t := n.targets.Get(rec.Target); t != nil {
 		t.Prefilled(n.now, target.Dispatch{Key: in.Key, Number: in.Dispatch})
@@ -107,11 +113,18 @@
 
 // releaseTarget accounts for the end of a dispatch at its target, whatever became of the request meanwhile.
 func (n *Node) releaseTarget(in DispatchEnded) {
+	if rec := n.active[in.Key]; rec != nil && rec.Dispatches == in.Dispatch {
+		n.endHelp(rec)
+	}
 	t := n.targets.Get(in.Target)
 	if t == nil {
 		return
 	}
 	t.End(target.Dispatch{Key: in.Key, Number: in.Dispatch})
+	if blamed := n.targets.Get(in.Blame); blamed != nil && blamed != t {
+		blamed.Failed(n.now)
+		return
+	}
 	switch in.Ending {
 	case EndedDone:
 		t.Answered()
@@ -187,7 +200,8 @@
 
 // retry puts a request back into the queue, or ends it with the result, at once, when the retry budget is used up.
 func (n *Node) retry(rec *ledger.Record, otherwise core.Result) {
-	if !n.retries.Spend() {
+	rec.Tried = append(rec.Tried, rec.Target)
+	if n.executedOften(rec) || !n.retries.Spend() {
 		otherwise.RetryAfter = n.retryAfter(afterOverload)
 		n.finish(rec, otherwise)
 		return
--- a/internal/core/node/drain.go
+++ b/internal/core/node/drain.go
@@ -41,7 +41,7 @@
 // noteSubmit keeps what a submit tells besides the request itself.
 func (n *Node) noteSubmit(req *core.Request) {
 	n.knowledge.callers = max(n.knowledge.callers, req.Revision)
-	if req.Idempotent {
+	if req.Idempotent || req.Routed != nil {
 		return
 	}
 	if rec := n.active[req.Key]; rec != nil {
@@ -60,7 +60,7 @@
 		return
 	}
 	lingers := n.now < min(n.drain.boundUntil, n.drain.idleSince+maxLinger)
-	if n.now < n.drain.since+drainNotice || lingers {
+	if n.now < n.drain.since+max(drainNotice, n.opts.LookupKeep) || lingers {
 		return
 	}
 	n.drain.stopped = true
--- a/internal/core/node/endings.go
+++ b/internal/core/node/endings.go
@@ -23,6 +23,10 @@
 	}
 	n.count(result.Outcome)
 	n.do(Finish{Key: key, Result: result, Timing: rec.Timing, Target: rec.Target, Work: rec.Work})
+	if rec.Request.Routed != nil {
+		n.ledger.Forget(rec)
+		n.do(Drop{Key: key})
+	}
 }
 
 func (n *Node) count(o api.Outcome) { n.outcomes[o]++ }
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -164,7 +164,7 @@
 	n.groups.tries++
 	n.groups.counts.Claims++
 	reservation := core.Reservation{Stream: n.streamOf(rec, rec.Dispatches+1), Try: n.groups.tries}
-	claim := group.NewClaim(n.now, plan, reservation)
+	claim := group.NewClaim(n.now, plan, reservation, n.opts.Reservations)
 	n.groups.claims[key] = claim
 	n.groups.next = nil
 	n.placeGroup(rec, claim)
@@ -224,7 +224,7 @@
 // placeGroup accounts for a group at its members from the claim on, so that no other long work is sent there.
 func (n *Node) placeGroup(rec *ledger.Record, claim *group.Claim) {
 	members := int64(len(claim.Plan.Engines))
-	work := target.PrefillWork(0, rec.Request.PromptTokens) * percent / (members * groupPercent)
+	work := rec.Work.PrefillWork * percent / (members * groupPercent)
 	for _, address := range claim.Plan.Engines {
 		if t := n.targets.Get(address); t != nil {
 			t.Begin(n.now, reservedAt(rec.Request.Key, claim), target.Job{Work: work, Memory: claim.Plan.Tokens, Deep: true})
@@ -269,7 +269,7 @@
 			Target:      ask.Engine,
 			Reservation: claim.Reservation,
 			Tokens:      claim.Plan.Tokens,
-			Expiry:      group.Expiry,
+			Expiry:      n.opts.Reservations.Expiry,
 			Renewal:     ask.Renewal,
 			Asked:       ask.Asked,
 		})
--- /dev/null
+++ b/internal/core/node/helpers.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/route"
+	"carobshunt/internal/core/target"
+)
+
+// chooseHelpers picks engines that read a part of a long prompt each.
+func (n *Node) chooseHelpers(rec *ledger.Record, lead *target.Target) []*target.Target {
+	if n.opts.Policy != PolicyPacked || lead.Engine == nil {
+		return nil
+	}
+	return route.Helpers(n.now, rec, lead, n.targets.All())
+}
+
+// beginHelped begins a dispatch whose prompt several engines read.
+func (n *Node) beginHelped(rec *ledger.Record, lead *target.Target, helpers []*target.Target) StartDispatch {
+	parts := int64(len(helpers) + 1)
+	job := jobOf(rec, lead)
+	part := job.Work / parts
+	job.Work = part
+	order := n.begin(rec, lead, job)
+	for i, t := range helpers {
+		t.Begin(n.now, helpAt(rec, i), target.Job{Priority: job.Priority, Work: part, Helps: true})
+		order.Helpers = append(order.Helpers, t.Address)
+	}
+	rec.Helpers = order.Helpers
+	return order
+}
+
+// helpAt identifies the part of a helper; no dispatch of a request has a number that high.
+func helpAt(rec *ledger.Record, helper int) target.Dispatch {
+	return target.Dispatch{Key: rec.Request.Key, Number: helpNumbers + uint32(helper)}
+}
+
+const helpNumbers = 1 << 20
+
+// endHelp accounts for the end of the helpers' parts: the first token has come, or none will.
+func (n *Node) endHelp(rec *ledger.Record) {
+	for i, address := range rec.Helpers {
+		if t := n.targets.Get(address); t != nil {
+			t.End(helpAt(rec, i))
+		}
+	}
+	rec.Helpers = nil
+}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -59,6 +59,8 @@
 	Target   string
 	Ending   Ending
 	Message  string
+	// Blame is the target at fault where that is another one than Target; empty otherwise.
+	Blame string
 }
 
 // Cancel asks to end a request early.
@@ -73,6 +75,18 @@
 	Request core.Request
 }
 
+// CallerLeft reports that the caller of a routed request closed its connection.
+type CallerLeft struct{ Key core.Key }
+
+// LoadsHeard is a peer's load digest that came by datagram.
+type LoadsHeard struct {
+	Peer        string
+	Incarnation string
+	// Sequence rises with each datagram of one incarnation.
+	Sequence uint64
+	Digest   []byte
+}
+
 // HeartbeatHeard is a heartbeat of another entry host.
 type HeartbeatHeard struct{ Heartbeat member.Heartbeat }
 
@@ -115,6 +129,8 @@
 func (DispatchEnded) input()      {}
 func (Cancel) input()             {}
 func (Query) input()              {}
+func (CallerLeft) input()         {}
+func (LoadsHeard) input()         {}
 func (HeartbeatHeard) input()     {}
 func (DocumentHeard) input()      {}
 func (HostsHeard) input()         {}
--- a/internal/core/node/limits.go
+++ b/internal/core/node/limits.go
@@ -14,6 +14,9 @@
 // checkTeamLimit takes the request's tokens from its team's account. It must be the last check, since a request
 // that is refused for another reason must not pay.
 func (n *Node) checkTeamLimit(req *core.Request) core.Result {
+	if n.unmetered(req) {
+		return core.Result{}
+	}
 	if !n.limits.Serves(req.Team) {
 		return core.Result{
 			Code:       api.CodeNotServed,
@@ -34,6 +37,9 @@
 
 // refund gives back the tokens of a request that did not run.
 func (n *Node) refund(rec *ledger.Record) {
+	if n.unmetered(&rec.Request) {
+		return
+	}
 	n.limits.Return(n.now, rec.Request.Team, cost(&rec.Request))
 }
 
--- a/internal/core/node/memory.go
+++ b/internal/core/node/memory.go
@@ -89,6 +89,9 @@
 
 // sweepTick asks the engines that this host watches for their lists.
 func (n *Node) sweepTick() {
+	if n.opts.EnginesExpire {
+		return
+	}
 	n.sweeps.sweeper.Step(n.now)
 	if n.now-n.sweeps.listed < sweep.Interval {
 		return
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -11,12 +11,14 @@
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/fair"
+	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/limit"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/queue"
 	"carobshunt/internal/core/retry"
 	"carobshunt/internal/core/route"
+	"carobshunt/internal/core/routes"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/delta"
 	"carobshunt/internal/hostlist"
@@ -41,6 +43,14 @@
 	BodyBytes int64
 	// Seed feeds the tie breaks and jitters.
 	Seed uint64
+	// Loads is this host's address for the datagrams in which hosts tell each other their load; empty for none.
+	Loads string
+	// LookupKeep is how long callers keep a look-up answer at most: a host that stops takes their requests for as long.
+	LookupKeep time.Duration
+	// Reservations are the timings of memory that is reserved at engines; the zero value takes the defaults.
+	Reservations group.Timing
+	// EnginesExpire is set where engines drop by themselves what nobody holds any more, and list nothing.
+	EnginesExpire bool
 	// Policy is how requests are queued and placed; the zero value is the one in force.
 	Policy Policy
 }
@@ -97,10 +107,16 @@
 	lanesSized core.Time
 	// silent are the engines that had stopped to report at the last tick.
 	silent map[string]bool
+	// table finds the routes of the document in force.
+	table *routes.Table
+	loads loadsState
 }
 
 // New returns the Node of a process that has just started: its clock stands at zero.
 func New(opts Options) *Node {
+	if opts.Reservations == (group.Timing{}) {
+		opts.Reservations = group.DefaultTiming()
+	}
 	rng := rand.New(rand.NewPCG(opts.Seed, opts.Seed))
 	n := &Node{
 		opts:          opts,
@@ -139,6 +155,7 @@
 	n.apply(in)
 	n.endCatchUp()
 	n.noteReadiness()
+	n.shareLoads()
 	return n.actions
 }
 
@@ -157,6 +174,10 @@
 		n.cancel(in)
 	case Query:
 		n.query(in)
+	case CallerLeft:
+		n.callerLeft(in)
+	case LoadsHeard:
+		n.loadsHeard(in)
 	case HeartbeatHeard:
 		n.heartbeatHeard(in)
 	case DocumentHeard:
@@ -189,6 +210,7 @@
 	n.sweepTick()
 	n.groupsTick()
 	n.ordersTick()
+	n.expireWaiting()
 	n.sizeLanes()
 	n.rescue()
 	n.pump()
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/routes"
 	"carobshunt/internal/delta"
 )
 
@@ -81,6 +82,8 @@
 		HostsDigest:    hosts.Digest,
 		Draining:       n.drain.active,
 		Ready:          n.ready,
+		LoadsAddress:   n.opts.Loads,
+		Introduces:     n.peers.Introductions(n.now),
 		IntervalMs:     member.IntervalFor(len(n.peers.Addresses())).Milliseconds(),
 		PlatformAgesMs: n.platformAgesMs(),
 	}
@@ -102,7 +105,8 @@
 	}
 	hearing := n.peers.Hear(n.now, hb)
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
-	n.targets.HearDigest(hb.Peer, hb.Loads)
+	n.hearLoads(&hb)
+	n.peers.Introduce(n.now, hb.Introduces)
 	n.wake.fresh = n.wake.fresh || hearing.Fresh
 	n.noteZonePlatform(&hb)
 	if (hearing.Started || hb.Ask) && n.peers.Get(hb.Peer) != nil {
@@ -149,6 +153,8 @@
 	switch n.config.Offer(n.now, in.Raw, in.Source) {
 	case conf.Applied:
 		doc := n.config.Document()
+		n.table = routes.New(doc)
+		n.describeEngines()
 		n.limitRates()
 		n.renewDirectory()
 		n.do(Note{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
@@ -187,6 +193,7 @@
 	}
 	n.hosts = in.List
 	n.cells = cells
+	n.describeEngines()
 	n.hostsHistory = n.hostsHistory.Add(text)
 	n.hostsSince = n.now
 	n.peers.Apply(n.now, in.List, cells)
--- a/internal/core/node/policy.go
+++ b/internal/core/node/policy.go
@@ -14,6 +14,8 @@
 const (
 	// PolicyInForce predicts times, keeps lanes of engines and queues by class and team.
 	PolicyInForce Policy = ""
+	// PolicyPacked packs short streams on few engines of published speed and reads long prompts on idle ones.
+	PolicyPacked Policy = "packed"
 	// PolicyRoundRobin takes the targets in turn.
 	PolicyRoundRobin Policy = "round-robin"
 	// PolicyFewestInFlight takes the target with the fewest dispatches of this host.
@@ -29,6 +31,8 @@
 
 func newRouter(policy Policy, rng *rand.Rand) *route.Router {
 	switch policy {
+	case PolicyPacked:
+		return route.NewPacked(rng)
 	case PolicyRoundRobin:
 		return route.NewRoundRobin(rng)
 	case PolicyFewestInFlight:
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -98,6 +98,9 @@
 // askFences asks some engines, others at each host, so that all hosts that start at once before a service that is
 // behind ask many.
 func (n *Node) askFences() {
+	if n.opts.EnginesExpire {
+		return
+	}
 	engines := rendezvous.Rank("fence "+n.opts.Peer, n.targetAddresses())
 	for _, address := range engines[:min(len(engines), fenceReads)] {
 		n.do(ReadOrders{Target: address})
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -6,7 +6,6 @@
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/ledger"
-	"carobshunt/internal/core/target"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 )
@@ -19,6 +18,10 @@
 		n.do(Decide{Ticket: in.Ticket, Decision: decision})
 		return
 	}
+	if refusal, refused := n.resolve(&req); refused {
+		n.refuse(in.Ticket, req.Team, refusal)
+		return
+	}
 	n.setDeadline(&req)
 	verdict, result := n.ledger.Offer(n.now, &req)
 	rec := n.ledger.Get(req.Key)
@@ -135,8 +138,8 @@
 	rec := n.ledger.Admit(n.now, req, work, n.config.Revision())
 	n.active[req.Key] = rec
 	preset := n.config.Document().Preset()
+	n.setTargets(rec, &preset)
 	rec.SlowdownWeight = float64(preset.ProtectShortPercent) / percent
-	rec.FirstTokenTarget = time.Duration(preset.FirstTokenTargetMs) * time.Millisecond
 	n.retries.Earn(preset.RetryPercent)
 	n.bodyBytes += req.BodyBytes
 	n.do(Open{Key: req.Key})
@@ -146,7 +149,7 @@
 // closeAndRefuse refuses an attempt. "Not run" is said of a request that is not idempotent only when the ledger
 // can hold to it.
 func (n *Node) closeAndRefuse(ticket Ticket, req core.Request, result core.Result) {
-	if !req.Idempotent && !n.ledger.Close(n.now, req, result) {
+	if req.Routed == nil && !req.Idempotent && !n.ledger.Close(n.now, req, result) {
 		result.Outcome = api.OutcomeUnknown
 		result.Code = api.CodeRecordsFull
 	}
@@ -170,7 +173,7 @@
 	work := core.Work{
 		Class:         document.ClassService,
 		PrefillTokens: req.PromptTokens,
-		PrefillWork:   target.PrefillWork(0, req.PromptTokens),
+		PrefillWork:   n.readingWork(req),
 		AnswerTokens:  req.AnswerTokens,
 	}
 	if !n.isService(req.Model) {
--- a/internal/core/route/predict.go
+++ b/internal/core/route/predict.go
@@ -28,7 +28,7 @@
 
 // UncachedWork is the prefill work that a request brings to a target, in tokens of weight 1.
 func UncachedWork(rec *ledger.Record, t *target.Target) int64 {
-	return target.PrefillWork(t.CachedTokens(&rec.Request), rec.Request.PromptTokens)
+	return t.PrefillWork(t.CachedTokens(&rec.Request), rec.Request.PromptTokens)
 }
 
 // Predict estimates a request's times at a target: what is pending there at its priority or above, and its own
--- a/internal/core/target/cache.go
+++ b/internal/core/target/cache.go
@@ -1,6 +1,11 @@
 package target
 
-import "carobshunt/internal/core"
+import (
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/document"
+)
 
 // CacheEvent is an engine's word that a prefix is cached up to a length, or, with length 0, no longer.
 type CacheEvent struct {
@@ -74,6 +79,20 @@
 // PositionWeightTokens is the position at which a prompt token costs twice as much prefill work as the first one.
 const PositionWeightTokens = 200_000
 
+// PrefillWork is the work of the prompt tokens at positions from to to at this target, in tokens of weight 1.
+func (t *Target) PrefillWork(from, to int64) int64 {
+	if t.Engine == nil {
+		return PrefillWork(from, to)
+	}
+	return EngineWork(t.Engine, to) - EngineWork(t.Engine, from)
+}
+
+// EngineWork is the work of a prompt at an engine of published speed: the tokens that it reads in the same time.
+func EngineWork(e *document.Engine, tokens int64) int64 {
+	ms := float64(e.ReadTime(tokens, 1)) / float64(time.Millisecond)
+	return int64(ms * e.ReadTokensPerMs)
+}
+
 // PrefillWork is the work of the prompt tokens at positions from to to, in tokens of weight 1.
 func PrefillWork(from, to int64) int64 {
 	return int64(float64(to-from) * (1 + float64(from+to)/2/PositionWeightTokens))
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 )
 
@@ -52,6 +53,10 @@
 	refusedUntil core.Time
 	refusals     int
 	evidence     *evidence
+	// Engine is the published speed of the target; nil where none is published.
+	Engine *document.Engine
+	// moved counts the changes of the own loads of all targets of the table.
+	moved *uint64
 }
 
 // Dispatch identifies one dispatch of one request.
@@ -68,6 +73,8 @@
 	Memory int64
 	// Deep is set when the prefill reaches positions at which it slows the other streams.
 	Deep bool
+	// Helps is set for a part of a prompt that another engine answers: it brings no stream.
+	Helps bool
 }
 
 // placed is a dispatch that has not ended.
@@ -87,7 +94,11 @@
 // Begin accounts for a new dispatch.
 func (t *Target) Begin(now core.Time, d Dispatch, job Job) {
 	p := &placed{load: Load{Held: job.Memory, Streams: 1}, begun: now}
+	if job.Helps {
+		p.load.Streams = 0
+	}
 	p.load.Pending[job.Priority] = job.Work
+	*t.moved++
 	if job.Deep {
 		p.load.Deep = 1
 	}
@@ -103,6 +114,7 @@
 	if p == nil || p.prefilled {
 		return
 	}
+	*t.moved++
 	t.sampleRate(p.ahead, now-p.begun)
 	t.clearPending(p)
 }
@@ -120,6 +132,7 @@
 	if p == nil {
 		return
 	}
+	*t.moved++
 	t.own.subtract(p.load)
 	delete(t.inFlight, d)
 }
@@ -161,6 +174,7 @@
 	// byDigest holds the targets by their identifier in digests.
 	byDigest map[uint64]*Target
 	evidence *evidence
+	moved    uint64
 }
 
 // NewTable returns an empty table.
@@ -202,18 +216,24 @@
 func (tb *Table) Version() uint64 { return tb.version }
 
 func (tb *Table) put(host hostlist.Host) {
-	if t := tb.byAddress[host.Address]; t != nil {
+	if t := tb.byAddress[host.Address]; t != nil && t.Instance == host.Instance && t.Start == host.Start {
 		t.Host = host
 		return
+	} else if t != nil {
+		t.evidence.forget(t) // another target has the address now
 	}
 	tb.byAddress[host.Address] = &Target{
 		Host:     host,
 		inFlight: make(map[Dispatch]*placed),
 		peers:    make(map[string]Load),
 		evidence: tb.evidence,
+		moved:    &tb.moved,
 	}
 }
 
+// Moved counts the changes of the load that this host has placed.
+func (tb *Table) Moved() uint64 { return tb.moved }
+
 func (tb *Table) reorder() {
 	tb.ordered = tb.ordered[:0]
 	tb.byDigest = make(map[uint64]*Target, len(tb.byAddress))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,7 @@
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/peer"
-	"carobshunt/internal/platform"
+	"carobshunt/internal/published"
 	"carobshunt/internal/settings"
 	"carobshunt/internal/stream"
 
@@ -106,8 +106,8 @@
 }
 
 func (d *Daemon) startReaders(ctx context.Context, group *errgroup.Group, dialer netdial.Dialer) {
-	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer)
+	reader := published.NewReader(d.settings.Platform.Address, d.loop, dialer)
 	group.Go(func() error { reader.WatchConfig(ctx); return nil })
 	group.Go(func() error { reader.WatchHosts(ctx); return nil })
-	group.Go(func() error { platform.WatchLoad(ctx, d.loop, dialer); return nil })
+	group.Go(func() error { published.WatchLoad(ctx, d.loop, dialer); return nil })
 }
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -16,6 +16,19 @@
 	Teams []Team `json:"teams" jsonschema:"minItems=1"`
 	// Placements say which model each engine group serves; engines are ordered to match.
 	Placements []Placement `json:"placements,omitempty"`
+	// Routes and Services are for callers that name what they ask for by host name and path.
+	Routes   []Route   `json:"routes,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	// Callers bound what callers on routes may send.
+	Callers *CallerLimits `json:"callers,omitempty"`
+}
+
+// CallerLimits bound what a caller on a route may send, and how long it may take.
+type CallerLimits struct {
+	HeaderBytes     int64 `json:"header_bytes" jsonschema:"minimum=1,description=headers of one request in bytes"`
+	BodyBytes       int64 `json:"body_bytes" jsonschema:"minimum=1,description=body of one request in bytes"`
+	HeaderTimeoutMs int64 `json:"header_timeout_ms" jsonschema:"minimum=1,description=time for the headers of a request in milliseconds"`
+	IdleTimeoutMs   int64 `json:"idle_timeout_ms" jsonschema:"minimum=1,description=time that a connection may be idle in milliseconds"`
 }
 
 // Preset is one mode of operation.
@@ -53,6 +66,10 @@
 	// KeySHA256 is the hexadecimal SHA-256 of the team's bearer key; empty where callers are told apart by
 	// certificate, or not at all.
 	KeySHA256 string `json:"key_sha256,omitempty" jsonschema:"pattern=^[0-9a-f]{64}$,description=SHA-256 of the team's bearer key in hexadecimal; without it no key is asked for"`
+	// KeysSHA256 are the digests of the team's keys on routes, in hexadecimal.
+	KeysSHA256 []string `json:"keys_sha256,omitempty" jsonschema:"description=SHA-256 of the keys of the team on routes in hexadecimal"`
+	// Unmetered teams have no limit; TokensPerSecond then says only what part of the hosts they are given.
+	Unmetered bool `json:"unmetered,omitempty" jsonschema:"description=whether the team has no limit"`
 }
 
 // Placement is a model wanted on engines.
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -41,6 +41,7 @@
 		}
 		seen[t.Name] = i
 	}
+	faults = append(faults, badRoutes(doc)...)
 	for i, p := range doc.Placements {
 		for j, engine := range p.Engines {
 			faults = append(faults, strictjson.AddressFaults(fmt.Sprintf("/placements/%d/engines/%d", i, j), engine)...)
@@ -49,5 +50,31 @@
 	return faults
 }
 
+// badRoutes reports routes that stand twice or lead to services that are not named.
+func badRoutes(doc *Document) []strictjson.Fault {
+	var faults []strictjson.Fault
+	services := make(map[string]bool, len(doc.Services))
+	for _, s := range doc.Services {
+		services[s.Name] = true
+	}
+	type place struct{ authority, prefix string }
+	seen := make(map[place]bool, len(doc.Routes))
+	for i, r := range doc.Routes {
+		path := fmt.Sprintf("/routes/%d", i)
+		at := place{authority: r.Authority, prefix: r.Prefix}
+		if seen[at] {
+			faults = append(faults, strictjson.Fault{Path: path + "/prefix", Reason: "stands twice for this authority"})
+		}
+		seen[at] = true
+		for j, s := range r.Services {
+			if !services[s.Name] {
+				reason := fmt.Sprintf("no service is named %q", s.Name)
+				faults = append(faults, strictjson.Fault{Path: fmt.Sprintf("%s/services/%d/name", path, j), Reason: reason})
+			}
+		}
+	}
+	return faults
+}
+
 // Reference returns the JSON schema of a document.
 func Reference() []byte { return schema().Text() }
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"carobshunt/internal/platform"
+	"carobshunt/internal/published"
 
 	"github.com/labstack/echo/v4"
 )
@@ -60,10 +60,10 @@
 
 // Register adds the routes.
 func (p *Platform) Register(e *echo.Echo) {
-	e.GET(platform.PathConfig, func(c echo.Context) error { return p.read(c, p.config) })
-	e.GET(platform.PathHosts, func(c echo.Context) error { return p.read(c, p.hosts) })
-	e.PUT(platform.PathConfig, func(c echo.Context) error { return publish(c, p.config) })
-	e.PUT(platform.PathHosts, func(c echo.Context) error { return publish(c, p.hosts) })
+	e.GET(published.PathConfig, func(c echo.Context) error { return p.read(c, p.config) })
+	e.GET(published.PathHosts, func(c echo.Context) error { return p.read(c, p.hosts) })
+	e.PUT(published.PathConfig, func(c echo.Context) error { return publish(c, p.config) })
+	e.PUT(published.PathHosts, func(c echo.Context) error { return publish(c, p.hosts) })
 	e.GET(PathReads, func(c echo.Context) error { return c.JSON(http.StatusOK, Reads{Count: p.reads.get()}) })
 }
 
--- a/internal/fakecmd/fakecmd.go
+++ b/internal/fakecmd/fakecmd.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"carobshunt/internal/fake"
-	"carobshunt/internal/platform"
+	"carobshunt/internal/published"
 
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
@@ -109,7 +109,7 @@
 			if err != nil {
 				return errors.Trace(err)
 			}
-			path, ok := map[string]string{"config": platform.PathConfig, "hosts": platform.PathHosts}[args[0]]
+			path, ok := map[string]string{"config": published.PathConfig, "hosts": published.PathHosts}[args[0]]
 			if !ok {
 				return &kindError{kind: args[0]}
 			}
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -50,6 +50,12 @@
 	Models []string `json:"models,omitempty" jsonschema:"description=models or a service's name that the target answers for"`
 	// MemoryTokens is an engine's KV memory in tokens.
 	MemoryTokens int64 `json:"memory_tokens,omitempty" jsonschema:"minimum=0,description=an engine's KV memory in tokens"`
+	// Instance names the target that has the address now, and Start its start; a target that is given another one
+	// refuses the request.
+	Instance string `json:"instance,omitempty" jsonschema:"description=name of the target that has the address now"`
+	Start    int64  `json:"start,omitempty" jsonschema:"minimum=0,description=start of the target; differs between two starts"`
+	// Slots is how many requests the target works on at a time.
+	Slots int64 `json:"slots,omitempty" jsonschema:"minimum=0,description=requests that the target works on at a time"`
 	// ChecksFencing tells whether an engine refuses an order with an old fencing number.
 	ChecksFencing bool `json:"checks_fencing,omitempty" jsonschema:"description=whether an engine refuses an order with an old fencing number"`
 }
--- a/internal/platform/platform.go
+++ b/internal/published/platform.go
@@ -1,6 +1,6 @@
-// Package platform reads the platform's configuration service and host list. It only ever reads: both are watched
+// Package published reads the platform's configuration service and host list. It only ever reads: both are watched
 // with long polls, and each answer goes to the control loop. A host reads while its Node says that it is to.
-package platform
+package published
 
 import (
 	"bytes"
