--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -176,13 +176,21 @@
 // from the settings.
 func NewTable(self, zone string, seeds []string) *Table {
 	t := &Table{self: self, zone: zone, peers: make(map[string]*Peer), seeds: seeds}
+	t.Seed(0, seeds)
+	return t
+}
+
+// Seed takes peer addresses from the settings, in place of those from before.
+func (t *Table) Seed(now core.Time, seeds []string) {
+	for _, p := range t.peers {
+		p.seed = false
+	}
 	for _, address := range seeds {
 		if p := t.ensure(address); p != nil {
 			p.seed = true
 		}
 	}
-	t.recontact(0)
-	return t
+	t.recontact(now)
 }
 
 func (t *Table) ensure(address string) *Peer {
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -74,10 +74,32 @@
 	Work  core.Work
 	// Instance is the target that is meant; another one at the address must refuse.
 	Instance string
+	// Basis is what the choice of the target went by.
+	Basis Basis
 	// Helpers are engines that read a part of the prompt each, beside the target.
 	Helpers []string
 }
 
+// Basis is what a target was chosen by.
+type Basis struct {
+	// Streams and Pending are the target's load before the dispatch, as far as it was known: streams, and prefill work
+	// in tokens of weight 1.
+	Streams int64
+	Pending int64
+	// PeersAge is the age of the oldest load of a peer that is counted.
+	PeersAge time.Duration
+	// Revision and HostsVersion are the configuration and the host list in force.
+	Revision     uint64
+	HostsVersion uint64
+}
+
+// Refused tells of a request that was refused at its headers, for the log.
+type Refused struct {
+	Key          core.Key
+	Result       core.Result
+	PromptTokens int64
+}
+
 // AbortDispatch gives up a dispatch: its frames are dropped and its stream is cancelled at the engine.
 type AbortDispatch struct {
 	Key      core.Key
@@ -145,6 +167,7 @@
 func (Decide) action()        {}
 func (Open) action()          {}
 func (StartDispatch) action() {}
+func (Refused) action()       {}
 func (AbortDispatch) action() {}
 func (Finish) action()        {}
 func (Drop) action()          {}
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -44,6 +44,7 @@
 
 // begin accounts for a dispatch at its target and returns the order for it.
 func (n *Node) begin(rec *ledger.Record, t *target.Target, job target.Job) StartDispatch {
+	basis := n.basisOf(t)
 	number := n.ledger.Dispatch(n.now, rec, t.Address)
 	t.Begin(n.now, target.Dispatch{Key: rec.Request.Key, Number: number}, job)
 	return StartDispatch{
@@ -57,9 +58,20 @@
 		Request:  rec.Request,
 		Work:     rec.Work,
 		Instance: t.Instance,
+		Basis:    basis,
 	}
 }
 
+// basisOf is what is known of a target at the moment of a choice.
+func (n *Node) basisOf(t *target.Target) Basis {
+	load := t.Total()
+	basis := Basis{Streams: load.Streams, Pending: load.Ahead(0), Revision: n.config.Revision(), HostsVersion: n.targets.Version()}
+	for _, heard := range n.loads.heard {
+		basis.PeersAge = max(basis.PeersAge, n.now-heard.at)
+	}
+	return basis
+}
+
 func (n *Node) streamOf(rec *ledger.Record, number uint32) core.Stream {
 	return core.Stream{
 		Home:     n.opts.Self,
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -78,6 +78,9 @@
 // CallerLeft reports that the caller of a routed request closed its connection.
 type CallerLeft struct{ Key core.Key }
 
+// SeedsHeard are the peer addresses of settings that were read again.
+type SeedsHeard struct{ Peers []string }
+
 // LoadsHeard is a peer's load digest that came by datagram.
 type LoadsHeard struct {
 	Peer        string
@@ -131,6 +134,7 @@
 func (Query) input()              {}
 func (CallerLeft) input()         {}
 func (LoadsHeard) input()         {}
+func (SeedsHeard) input()         {}
 func (HeartbeatHeard) input()     {}
 func (DocumentHeard) input()      {}
 func (HostsHeard) input()         {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -176,6 +176,8 @@
 		n.query(in)
 	case CallerLeft:
 		n.callerLeft(in)
+	case SeedsHeard:
+		n.peers.Seed(n.now, in.Peers)
 	case LoadsHeard:
 		n.loadsHeard(in)
 	case HeartbeatHeard:
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -230,6 +230,7 @@
 		event := EventPeerGone
 		if !alive {
 			n.targets.ForgetPeer(address)
+			delete(n.loads.heard, address)
 		}
 		if alive {
 			event = EventPeerAlive
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -14,12 +14,12 @@
 // behind is looked at before anything that would refuse a new one.
 func (n *Node) submit(in Submit) {
 	req := in.Request
-	if decision, elsewhere := n.decideHome(&req); elsewhere {
-		n.do(Decide{Ticket: in.Ticket, Decision: decision})
+	if refusal, refused := n.resolve(&req); refused {
+		n.refuse(in.Ticket, &req, refusal)
 		return
 	}
-	if refusal, refused := n.resolve(&req); refused {
-		n.refuse(in.Ticket, req.Team, refusal)
+	if decision, elsewhere := n.decideHome(&req); elsewhere {
+		n.do(Decide{Ticket: in.Ticket, Decision: decision})
 		return
 	}
 	n.setDeadline(&req)
@@ -32,7 +32,7 @@
 	case ledger.Join:
 		n.do(Decide{Ticket: in.Ticket, Decision: n.join(rec, &req)})
 	case ledger.Refuse:
-		n.refuse(in.Ticket, req.Team, result)
+		n.refuse(in.Ticket, &req, result)
 	case ledger.New:
 		n.submitNew(in.Ticket, req)
 	}
@@ -153,14 +153,15 @@
 		result.Outcome = api.OutcomeUnknown
 		result.Code = api.CodeRecordsFull
 	}
-	n.refuse(ticket, req.Team, result)
+	n.refuse(ticket, &req, result)
 }
 
-func (n *Node) refuse(ticket Ticket, team string, result core.Result) {
+func (n *Node) refuse(ticket Ticket, req *core.Request, result core.Result) {
 	n.count(result.Outcome)
+	n.do(Refused{Key: req.Key, Result: result, PromptTokens: req.PromptTokens})
 	decision := n.refusal(result)
 	if result.Code == api.CodeNotServed {
-		decision.Alternatives = n.directory.referrals(team)
+		decision.Alternatives = n.directory.referrals(req.Team)
 	}
 	n.do(Decide{Ticket: ticket, Decision: decision})
 }
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -12,12 +12,16 @@
 )
 
 // resolve fills in what the document in force says of a request for a route: team, service, what may be repeated and
-// for how long. It returns the refusal of a request that the document does not allow. Without a document it says
-// nothing: the host is not ready then.
+// for how long. It returns the refusal of a request that the document does not allow, or that comes before this host
+// knows a document.
 func (n *Node) resolve(req *core.Request) (core.Result, bool) {
-	if req.Routed == nil || n.table == nil || n.notReady() != "" {
+	if req.Routed == nil {
 		return core.Result{}, false
 	}
+	if result := n.checkReady(req); result.Code != "" {
+		result.Outcome = api.OutcomeNotRun
+		return result, true
+	}
 	route := n.table.Match(req.Routed.Authority, req.Routed.Path)
 	if route == nil {
 		return core.Result{Outcome: api.OutcomeNotRun, Code: api.CodeUnknownRoute, Message: "no such route"}, true
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
+	"carobshunt/internal/core/node"
 	"carobshunt/internal/settings"
 
 	"github.com/hashicorp/go-hclog"
@@ -47,7 +49,7 @@
 
 // NewCommand returns the daemon's command.
 func NewCommand() *cobra.Command {
-	var path string
+	var path, variable string
 	cmd := &cobra.Command{
 		Use:           "carobshuntd",
 		Short:         "Serve callers on an entry host",
@@ -55,21 +57,52 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 		RunE: func(*cobra.Command, []string) error {
+			if variable != "" {
+				path = os.Getenv(variable)
+			}
 			s, err := settings.Load(path)
 			if err != nil {
 				return &SettingsError{Cause: err}
 			}
-			return serve(s)
+			return serve(s, path)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file, JSON")
-	_ = cmd.MarkFlagRequired("settings")
+	cmd.Flags().StringVar(&variable, "settings-from", "", "environment variable that names the settings file")
+	cmd.MarkFlagsOneRequired("settings", "settings-from")
+	cmd.MarkFlagsMutuallyExclusive("settings", "settings-from")
 	return cmd
 }
 
-func serve(s *settings.Settings) error {
-	log := hclog.New(&hclog.LoggerOptions{Name: "carobshuntd", Level: hclog.LevelFromString(s.LogLevel)})
+func serve(s *settings.Settings, path string) error {
+	out := newLogWriter(os.Stdout)
+	defer out.flush()
+	log := newLogger(s.LogLevel, out)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	d := New(s, log)
+	go d.reloadOn(hangup, path)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return New(s, log).Run(ctx)
+	err := d.Run(ctx)
+	log.Info("stopped", "error", err)
+	return err
+}
+
+// reloadOn reads the settings file again at each signal and takes over what can change while the process runs.
+func (d *Daemon) reloadOn(hangup <-chan os.Signal, path string) {
+	for range hangup {
+		s, err := settings.Load(path)
+		if err != nil {
+			d.log.Warn("settings not reloaded", "error", err.Error())
+			continue
+		}
+		d.log.SetLevel(hclog.LevelFromString(s.LogLevel))
+		if s.Platform.Preset != nil {
+			d.storePreset.Store(s.Platform.Preset)
+		}
+		d.loop.Post(node.SeedsHeard{Peers: s.Peers})
+		d.log.Info("settings reloaded", "path", path, "seeds", len(s.Peers))
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,12 +7,15 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"carobshunt/internal/control"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/dispatch"
+	"carobshunt/internal/document"
 	"carobshunt/internal/engines"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
@@ -34,6 +37,8 @@
 	self     core.Home
 	// peerTraffic counts the bytes between entry hosts.
 	peerTraffic netdial.Traffic
+	// storePreset is the preset of the settings, which a reload replaces.
+	storePreset atomic.Pointer[document.Preset]
 }
 
 // New returns a daemon that has not started.
@@ -41,16 +46,22 @@
 	start := time.Now()
 	incarnation, seed := newIncarnation()
 	self := core.Home{Address: s.Advertise.Callers, Incarnation: incarnation}
-	n := node.New(node.Options{
+	options := node.Options{
 		Self:      self,
 		Peer:      s.Advertise.Peers,
 		Zone:      s.Zone,
 		Seeds:     s.Peers,
 		Records:   s.Limits.Records,
 		BodyBytes: s.Limits.BodyBytes,
+		Loads:     s.Listen.Loads,
 		Seed:      seed,
-	})
-	return &Daemon{settings: s, log: log, loop: control.NewLoop(n, start), self: self}
+	}
+	if s.Platform.Kind == settings.PlatformStore {
+		setStoreOptions(&options)
+	}
+	d := &Daemon{settings: s, log: log, loop: control.NewLoop(node.New(options), start), self: self}
+	d.storePreset.Store(s.Platform.Preset)
+	return d
 }
 
 // newIncarnation draws the name of this process, which no other process has, and a seed.
@@ -77,25 +88,28 @@
 	}
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	exchanges := stream.NewStore()
 	dialer := netdial.From(d.settings.Listen.Peers)
 	x := &executor{
-		ctx:        running,
-		loop:       d.loop,
-		exchanges:  exchanges,
-		engines:    engines.New(d.loop, dialer),
-		dispatcher: dispatch.New(d.loop, dialer, m),
-		peers:      peer.NewPool(d.loop, secured(dialer.WithTraffic(&d.peerTraffic), keys.peers)),
-		log:        d.log,
-		metrics:    m,
-		stop:       stop,
+		ctx:     running,
+		peers:   peer.NewPool(d.loop, secured(dialer.WithTraffic(&d.peerTraffic), keys.peers)),
+		log:     d.log,
+		journal: &journal{log: d.log},
+		metrics: m,
+		stop:    stop,
+	}
+	group, groupCtx := errgroup.WithContext(running)
+	var callers *http.Server
+	if d.settings.Platform.Kind == settings.PlatformStore {
+		callers, err = d.serveStore(groupCtx, group, x, dialer)
+	} else {
+		callers = d.serveDocuments(running, group, x, dialer, keys)
+	}
+	if err != nil {
+		return errors.Trace(err)
 	}
-	callers := d.callersServer(exchanges, secured(dialer, keys.entry), m)
 	operators := d.operatorsServer(keys, m)
 	callers.ErrorLog, operators.ErrorLog = d.connectionLog(), d.connectionLog()
-	group, groupCtx := errgroup.WithContext(running)
 	group.Go(func() error { d.loop.Run(running, x); return nil })
-	d.startReaders(running, group, dialer)
 	group.Go(func() error { d.watchKeys(running, keys, m); return nil })
 	group.Go(func() error { return serveHTTP(groupCtx, callers, listeners.callers) })
 	group.Go(func() error { return serveHTTP(groupCtx, operators, listeners.operators) })
@@ -105,6 +119,15 @@
 	return errors.Trace(group.Wait())
 }
 
+// serveDocuments sets up the product's own interface, on a platform that publishes documents.
+func (d *Daemon) serveDocuments(ctx context.Context, group *errgroup.Group, x *executor, dialer netdial.Dialer, keys *keys) *http.Server {
+	exchanges := stream.NewStore()
+	x.traffic = &ownTraffic{loop: d.loop, exchanges: exchanges, dispatcher: dispatch.New(d.loop, dialer, x.metrics)}
+	x.engines = &ownEngines{client: engines.New(d.loop, dialer), log: d.log}
+	d.startReaders(ctx, group, dialer)
+	return d.callersServer(exchanges, secured(dialer, keys.entry), x.metrics)
+}
+
 func (d *Daemon) startReaders(ctx context.Context, group *errgroup.Group, dialer netdial.Dialer) {
 	reader := published.NewReader(d.settings.Platform.Address, d.loop, dialer)
 	group.Go(func() error { reader.WatchConfig(ctx); return nil })
--- /dev/null
+++ b/internal/daemon/journal.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"carobshunt/internal/core/node"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// journal logs the decisions that touch a request, one line each, with the inputs that decided and their age.
+type journal struct{ log hclog.Logger }
+
+func (j *journal) dispatched(a *node.StartDispatch) {
+	if !j.log.IsInfo() {
+		return
+	}
+	j.log.Info("dispatched", "id", a.Key.ID, "team", a.Key.Team, "dispatch", a.Dispatch, "target", a.Target,
+		"helpers", len(a.Helpers)+len(a.Group), "streams", a.Basis.Streams, "pending", a.Basis.Pending,
+		"peers_age_ms", a.Basis.PeersAge.Milliseconds(), "revision", a.Basis.Revision, "hosts_version", a.Basis.HostsVersion)
+}
+
+func (j *journal) finished(a *node.Finish) {
+	if !j.log.IsInfo() {
+		return
+	}
+	j.log.Info("finished", "id", a.Key.ID, "team", a.Key.Team, "outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
+		"why", a.Result.Message, "target", a.Target, "queued_ms", sinceAdmission(*a, a.Timing.Dispatched),
+		"first_ms", sinceAdmission(*a, a.Timing.FirstToken), "total_ms", sinceAdmission(*a, a.Timing.Finished),
+		"prompt", a.Work.PrefillTokens)
+}
+
+func (j *journal) refused(a *node.Refused) {
+	if !j.log.IsInfo() {
+		return
+	}
+	j.log.Info("refused", "id", a.Key.ID, "team", a.Key.Team, "outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
+		"why", a.Result.Message, "retry_after_ms", a.Result.RetryAfter.Milliseconds(), "prompt", a.PromptTokens)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 
+	"carobshunt/internal/document"
 	"carobshunt/internal/strictjson"
 
 	"github.com/juju/errors"
@@ -41,6 +43,11 @@
 	Callers   string `json:"callers" jsonschema:"minLength=1,description=callers' interface"`
 	Operators string `json:"operators" jsonschema:"minLength=1,description=operators' interface"`
 	Peers     string `json:"peers" jsonschema:"minLength=1,description=interface for other entry hosts"`
+	// Loads takes the load digests of other entry hosts as datagrams.
+	Loads string `json:"loads,omitempty" jsonschema:"description=load digests of other entry hosts by datagram; default: in heartbeats only"`
+	// Lookup and Ready answer callers' look-ups and readiness checks where the platform has interfaces of their own.
+	Lookup string `json:"lookup,omitempty" jsonschema:"description=look-ups of callers; with platform.kind store"`
+	Ready  string `json:"ready,omitempty" jsonschema:"description=readiness checks; with platform.kind store"`
 }
 
 // Advertise are IP addresses with ports; an empty one takes the address of Listen.
@@ -52,8 +59,23 @@
 // Platform locates the platform's services.
 type Platform struct {
 	Address string `json:"address" jsonschema:"minLength=1,description=configuration service and host list"`
+	// Kind is what the platform speaks.
+	Kind PlatformKind `json:"kind,omitempty" jsonschema:"enum=documents,enum=store,default=documents,description=whether the platform publishes documents or keeps a store"`
+	// Preset is in force where the platform publishes none; with a store only.
+	Preset *document.Preset `json:"preset,omitempty"`
 }
 
+// PlatformKind is what a platform speaks towards the hosts and their callers.
+type PlatformKind string
+
+// The kinds of platform.
+const (
+	// PlatformDocuments publishes documents and host lists; callers use the product's own interface.
+	PlatformDocuments PlatformKind = "documents"
+	// PlatformStore keeps a store; callers speak plain HTTP.
+	PlatformStore PlatformKind = "store"
+)
+
 // Limits bound memory and sizes. A zero takes the default.
 type Limits struct {
 	// BodyBytes bounds the request bodies held at one time, in bytes.
@@ -105,7 +127,28 @@
 }
 
 func contradictions(s *Settings) []strictjson.Fault {
-	return append(badAddresses(s), s.Security.faults()...)
+	return slices.Concat(badAddresses(s), s.Security.faults(), s.storeFaults())
+}
+
+// storeFaults reports what a platform with a store needs and the settings lack.
+func (s *Settings) storeFaults() []strictjson.Fault {
+	if s.Platform.Kind != PlatformStore {
+		return nil
+	}
+	var faults []strictjson.Fault
+	for _, one := range []struct {
+		path  string
+		there bool
+	}{
+		{"/listen/lookup", s.Listen.Lookup != ""},
+		{"/listen/ready", s.Listen.Ready != ""},
+		{"/platform/preset", s.Platform.Preset != nil},
+	} {
+		if !one.there {
+			faults = append(faults, strictjson.Fault{Path: one.path, Reason: "is needed with a platform of kind store"})
+		}
+	}
+	return faults
 }
 
 // Example returns settings with every default filled in, for an address of the documentation's range.
@@ -128,6 +171,13 @@
 	check("/listen/operators", s.Listen.Operators)
 	check("/listen/peers", s.Listen.Peers)
 	check("/platform/address", s.Platform.Address)
+	for _, one := range []struct{ path, address string }{
+		{"/listen/loads", s.Listen.Loads}, {"/listen/lookup", s.Listen.Lookup}, {"/listen/ready", s.Listen.Ready},
+	} {
+		if one.address != "" {
+			check(one.path, one.address)
+		}
+	}
 	if s.Advertise.Callers != "" {
 		check("/advertise/callers", s.Advertise.Callers)
 	}
@@ -166,5 +216,6 @@
 	l.OperatorConnections = cmp.Or(l.OperatorConnections, DefaultOperatorConnections)
 	l.PeerConnections = cmp.Or(l.PeerConnections, DefaultPeerConnections)
 	s.Metrics.applyDefaults()
+	s.Platform.Kind = cmp.Or(s.Platform.Kind, PlatformDocuments)
 	s.LogLevel = cmp.Or(s.LogLevel, DefaultLogLevel)
 }
--- a/internal/stream/exchange.go
+++ b/internal/stream/exchange.go
@@ -14,8 +14,14 @@
 	mu       sync.Mutex
 	body     []byte
 	released bool
-	aborts   map[uint32]context.CancelFunc
-	// aborted is the highest dispatch that was aborted or has ended; dispatches of one request follow one another.
+	Aborts
+}
+
+// Aborts ends the dispatches of one request, which follow one another. It is safe for concurrent use.
+type Aborts struct {
+	mu     sync.Mutex
+	cancel map[uint32]context.CancelFunc
+	// aborted is the highest dispatch that was aborted or has ended.
 	aborted uint32
 }
 
@@ -44,25 +50,28 @@
 }
 
 // OnAbort registers how to end a dispatch; one that was aborted before is ended at once.
-func (e *Exchange) OnAbort(dispatch uint32, abort context.CancelFunc) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if dispatch <= e.aborted {
+func (a *Aborts) OnAbort(dispatch uint32, abort context.CancelFunc) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if dispatch <= a.aborted {
 		abort()
 		return
 	}
-	e.aborts[dispatch] = abort
+	if a.cancel == nil {
+		a.cancel = make(map[uint32]context.CancelFunc)
+	}
+	a.cancel[dispatch] = abort
 }
 
 // Abort ends a dispatch, also one that has not begun yet.
-func (e *Exchange) Abort(dispatch uint32) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.aborted = max(e.aborted, dispatch)
-	if abort := e.aborts[dispatch]; abort != nil {
+func (a *Aborts) Abort(dispatch uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.aborted = max(a.aborted, dispatch)
+	if abort := a.cancel[dispatch]; abort != nil {
 		abort()
 	}
-	delete(e.aborts, dispatch)
+	delete(a.cancel, dispatch)
 }
 
 // Store holds the exchanges by key. It is safe for concurrent use.
@@ -76,7 +85,7 @@
 
 // Open makes the exchange of a newly admitted request; one that was there under this key is replaced.
 func (s *Store) Open(key core.Key) *Exchange {
-	e := &Exchange{Answer: NewBuffer(), aborts: make(map[uint32]context.CancelFunc)}
+	e := &Exchange{Answer: NewBuffer()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held[key] = e
