Place requests by the answers that an engine's passes make late

An engine writes and reads in passes, so a prompt that it reads stretches the pause of every stream there.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -100,6 +100,18 @@
 	PromptTokens int64
 }
 
+// Unanswered tells of a dispatch that brought no whole answer, for the log: why, and what becomes of its request.
+type Unanswered struct {
+	Key      core.Key
+	Dispatch uint32
+	Target   string
+	Ending   Ending
+	Message  string
+	// Again is set when the request waits for another target, Budget the dispatches left in the retry budget.
+	Again  bool
+	Budget float64
+}
+
 // AbortDispatch gives up a dispatch: its frames are dropped and its stream is cancelled at the engine.
 type AbortDispatch struct {
 	Key      core.Key
@@ -168,6 +180,7 @@
 func (Open) action()          {}
 func (StartDispatch) action() {}
 func (Refused) action()       {}
+func (Unanswered) action()    {}
 func (AbortDispatch) action() {}
 func (Finish) action()        {}
 func (Drop) action()          {}
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -6,6 +6,7 @@
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/route"
 	"carobshunt/internal/core/target"
+	"carobshunt/internal/document"
 )
 
 // pump hands waiting requests to targets, in order of service, as far as there is room.
@@ -27,15 +28,16 @@
 	if n.adopts(rec) {
 		return n.dispatchAdopted(rec)
 	}
-	t := n.router.Pick(n.now, rec, n.targets.All())
+	place := n.router.Place(n.now, rec, n.targets.All())
+	t := place.Target
 	if t == nil {
 		return false
 	}
 	if n.tooLate(rec, t) {
 		return true
 	}
-	if helpers := n.chooseHelpers(rec, t); len(helpers) > 0 {
-		n.do(n.beginHelped(rec, t, helpers))
+	if len(place.Helpers) > 0 {
+		n.do(n.beginHelped(rec, t, place.Helpers))
 		return true
 	}
 	n.do(n.begin(rec, t, jobOf(rec, t)))
@@ -88,6 +90,7 @@
 		Work:     route.UncachedWork(rec, t),
 		Memory:   memoryNeed(&rec.Request),
 		Deep:     route.IsDeep(rec),
+		Strict:   rec.Work.Class == document.ClassShort,
 	}
 }
 
@@ -120,6 +123,12 @@
 	if !n.adoptionFailed(rec, in) {
 		n.judgeEnding(rec, in)
 	}
+	if in.Ending != EndedDone {
+		n.do(Unanswered{
+			Key: in.Key, Dispatch: in.Dispatch, Target: in.Target, Ending: in.Ending, Message: in.Message,
+			Again: rec.State == ledger.Queued, Budget: n.retries.Balance(),
+		})
+	}
 	n.pump()
 }
 
@@ -213,6 +222,10 @@
 // retry puts a request back into the queue, or ends it with the result, at once, when the retry budget is used up.
 func (n *Node) retry(rec *ledger.Record, otherwise core.Result) {
 	rec.Tried = append(rec.Tried, rec.Target)
+	if n.now+ledger.LastMoment >= rec.Request.Deadline {
+		n.finish(rec, pastDeadline(rec))
+		return
+	}
 	if n.executedOften(rec) || !n.retries.Spend() {
 		otherwise.RetryAfter = n.retryAfter(afterOverload)
 		n.finish(rec, otherwise)
--- a/internal/core/node/endings.go
+++ b/internal/core/node/endings.go
@@ -17,6 +17,7 @@
 	delete(n.active, key)
 	n.queue.Remove(key)
 	n.endGroup(key)
+	n.endHelp(rec)
 	n.bodyBytes -= rec.Request.BodyBytes * rec.Bodies
 	if result.Outcome == api.OutcomeNotRun {
 		n.refund(rec)
--- a/internal/core/node/helpers.go
+++ b/internal/core/node/helpers.go
@@ -2,18 +2,9 @@
 
 import (
 	"carobshunt/internal/core/ledger"
-	"carobshunt/internal/core/route"
 	"carobshunt/internal/core/target"
 )
 
-// chooseHelpers picks engines that read a part of a long prompt each.
-func (n *Node) chooseHelpers(rec *ledger.Record, lead *target.Target) []*target.Target {
-	if n.opts.Policy != PolicyPacked || lead.Engine == nil {
-		return nil
-	}
-	return route.Helpers(n.now, rec, lead, n.targets.All())
-}
-
 // beginHelped begins a dispatch whose prompt several engines read.
 func (n *Node) beginHelped(rec *ledger.Record, lead *target.Target, helpers []*target.Target) StartDispatch {
 	parts := int64(len(helpers) + 1)
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -46,6 +46,11 @@
 	EndedLost
 )
 
+// String names the ending for logs.
+func (e Ending) String() string {
+	return [...]string{"done", "not written", "refused", "failed", "lost"}[e]
+}
+
 // DispatchFirstToken reports the first answer bytes of a dispatch.
 type DispatchFirstToken struct {
 	Key      core.Key
--- a/internal/core/node/loads.go
+++ b/internal/core/node/loads.go
@@ -74,6 +74,7 @@
 	}
 	n.loads.heard[in.Peer] = heardLoads{incarnation: in.Incarnation, sequence: in.Sequence, at: n.now}
 	n.targets.HearDigest(in.Peer, in.Digest)
+	n.pump()
 }
 
 // hearLoads takes the digest in a heartbeat where none came by datagram lately.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -172,26 +172,34 @@
 		n.dispatchEnded(in)
 	case Cancel:
 		n.cancel(in)
-	case Query:
-		n.query(in)
 	case CallerLeft:
 		n.callerLeft(in)
-	case SeedsHeard:
-		n.peers.Seed(n.now, in.Peers)
-	case LoadsHeard:
-		n.loadsHeard(in)
+	case Query:
+		n.query(in)
+	case Tick:
+		n.tick()
+	case Drain:
+		n.startDrain()
+	default:
+		n.applyNews(in)
+	}
+}
+
+// applyNews takes what peers and the platform tell.
+func (n *Node) applyNews(in Input) {
+	switch in := in.(type) {
 	case HeartbeatHeard:
 		n.heartbeatHeard(in)
+	case LoadsHeard:
+		n.loadsHeard(in)
+	case SeedsHeard:
+		n.peers.Seed(n.now, in.Peers)
 	case DocumentHeard:
 		n.documentHeard(in)
 	case HostsHeard:
 		n.hostsHeard(in)
 	case PlatformAnswered:
 		n.platformAnswered()
-	case Tick:
-		n.tick()
-	case Drain:
-		n.startDrain()
 	case OrdersRead:
 		n.fenceHeard(in)
 		n.ordersRead(in)
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -103,11 +103,27 @@
 			if e := n.engineOf(service); e != nil {
 				t.Engine = e
 				t.MemoryTokens = e.MemoryTokens
+				t.StrictPause = n.strictPause(service)
 			}
 		}
 	}
 }
 
+// strictPause is the tightest aim for pauses of the routes that lead to a service; 0 without any.
+func (n *Node) strictPause(service string) time.Duration {
+	tightest := time.Duration(0)
+	for i := range n.config.Document().Routes {
+		r := &n.config.Document().Routes[i]
+		if r.GapTargetMs == 0 || !r.LeadsTo(service) {
+			continue
+		}
+		if tightest == 0 || r.GapTarget() < tightest {
+			tightest = r.GapTarget()
+		}
+	}
+	return tightest
+}
+
 // takesLate tells whether a host that stops still takes a request: callers keep a look-up answer that names this host
 // for a while, and are served rather than sent on.
 func (n *Node) takesLate(req *core.Request) bool {
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -32,6 +32,9 @@
 	b.balance = min(b.balance+share-back, maxBalance)
 }
 
+// Balance is the number of dispatches that may be taken now.
+func (b *Budget) Balance() float64 { return b.balance }
+
 // Spend takes one further dispatch out of the budget; it reports false when there is none left.
 func (b *Budget) Spend() bool {
 	if b.balance < 1 {
--- /dev/null
+++ b/internal/core/route/passes.go
@@ -0,0 +1,240 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/target"
+)
+
+// An engine of published speed works in passes: it writes a number of tokens to every stream, and reads what prompts
+// wait in between. A prompt that it reads lengthens the pass, and with it the pause of every stream there. What a
+// placement costs is therefore counted in answers that are expected to come late: the request's own, and those of the
+// streams beside it. A long prompt is read by as many engines as make that cost least.
+
+// Placement is where a request goes.
+type Placement struct {
+	Target *target.Target
+	// Helpers read a part of the prompt each.
+	Helpers []*target.Target
+}
+
+// maxHelpers is how many engines may read a prompt beside the one that answers.
+const maxHelpers = 16
+
+// valueTokens is the length of prompt that adds the value of one request to its answer.
+const valueTokens = 15_000
+
+// valueOf is what an answer in time is worth, in answers to short prompts.
+func valueOf(promptTokens int64) float64 { return 1 + float64(promptTokens)/valueTokens }
+
+// Lateness rises from none to certain between two parts of an aim: predictions are wrong by that much.
+const (
+	pauseSafe    = 0.70
+	pauseLost    = 1.10
+	firstSafe    = 0.60
+	firstLost    = 1.10
+	slotWaitCost = 0.5
+)
+
+// lateness is how likely a time that is predicted as this part of its aim is missed.
+func lateness(part, safe, lost float64) float64 {
+	return min(max((part-safe)/(lost-safe), 0), 1)
+}
+
+// packedPart is the part of an engine's slots up to which short streams are packed, packBonus what each stream that is
+// there makes up for.
+const (
+	packedPart = 0.75
+	packBonus  = 0.004
+)
+
+// passState is what is known of one engine for a placement, in milliseconds where not said otherwise.
+type passState struct {
+	target *target.Target
+	load   target.Load
+	// pass is the time of a pass without reading, reading what is still to be read there.
+	pass    float64
+	reading float64
+}
+
+func passOf(t *target.Target) passState {
+	load := t.Total()
+	e := t.Engine
+	step := e.StepMs + e.StepPerStreamMs*float64(load.Streams) + e.StepPerContextMs*float64(load.Held)/1000
+	return passState{
+		target:  t,
+		load:    load,
+		pass:    step * float64(e.StepsPerPass),
+		reading: float64(load.Ahead(0)) / e.ReadTokensPerMs,
+	}
+}
+
+// harm is what more reading costs the streams that are there, in answers to short prompts.
+func (s *passState) harm(reading float64) float64 {
+	if s.load.Streams == 0 {
+		return 0
+	}
+	total := s.pass + s.reading + reading
+	strict := float64(s.load.Strict)
+	others := float64(s.load.Streams - s.load.Strict)
+	aim := milliseconds(s.target.StrictPause)
+	return strict*added(total, reading, aim) + others*otherValue*added(total, reading, otherPauses*aim)
+}
+
+// otherValue is the value of a stream that is not strict, otherPauses its aim for pauses in those of strict ones.
+const (
+	otherValue  = 5
+	otherPauses = 2.4
+)
+
+// added is how much likelier a pass misses an aim with the reading than without it.
+func added(total, reading, aim float64) float64 {
+	if aim <= 0 {
+		return 0
+	}
+	return lateness(total/aim, pauseSafe, pauseLost) - lateness((total-reading)/aim, pauseSafe, pauseLost)
+}
+
+// first is the time to the first token of a prompt of which the engine reads a part.
+func (s *passState) first(reading float64) float64 {
+	if s.load.Streams == 0 {
+		return s.reading + reading + s.pass
+	}
+	return s.reading + reading + s.pass*3/2
+}
+
+// placeShort returns the engine at which a short prompt costs least. The cost of a draw decides between equals.
+func placeShort(rec *ledger.Record, states []passState, draw func() float64) Placement {
+	best, bestCost := -1, 0.0
+	for i := range states {
+		cost := shortCost(rec, &states[i]) + draw()*packBonus/2
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return Placement{}
+	}
+	return Placement{Target: states[best].target}
+}
+
+func shortCost(rec *ledger.Record, s *passState) float64 {
+	reading := readingMs(rec, s.target)
+	cost := lateness(s.first(reading)/milliseconds(rec.FirstTokenTarget), firstSafe, firstLost)
+	if aim := milliseconds(rec.Request.Routed.GapTarget); aim > 0 {
+		cost += lateness((s.pass+s.reading)/aim, pauseSafe, pauseLost)
+	}
+	cost += s.harm(reading)
+	slots := float64(s.target.Slots)
+	streams := float64(s.load.Streams)
+	if streams < slots*packedPart {
+		return cost - packBonus*streams
+	}
+	return cost + packBonus*(streams-slots*packedPart) + slotWaitCost*max(streams-slots+2, 0)
+}
+
+func readingMs(rec *ledger.Record, t *target.Target) float64 {
+	return float64(UncachedWork(rec, t)) / t.Engine.ReadTokensPerMs
+}
+
+// placeLong returns the engines that read a long prompt at the least cost. All that it is read by read the same part.
+func placeLong(rec *ledger.Record, states []passState) Placement {
+	var best Placement
+	bestCost := 0.0
+	for parts := 1; parts <= min(len(states), maxHelpers+1); parts++ {
+		chosen, cost := chooseParts(rec, states, parts)
+		if best.Target == nil || cost < bestCost-partCost {
+			if p := placementOf(rec, chosen); p.Target != nil {
+				best, bestCost = p, cost
+			}
+		}
+	}
+	return best
+}
+
+// partCost is by how much more parts must be better, in answers to short prompts.
+const partCost = 0.02
+
+// chooseParts returns the engines that a prompt in so many parts harms least, and the cost.
+func chooseParts(rec *ledger.Record, states []passState, parts int) ([]passState, float64) {
+	type rated struct {
+		passState
+		harm, first float64
+	}
+	list := make([]rated, len(states))
+	for i, s := range states {
+		part := readingMs(rec, s.target) / float64(parts)
+		list[i] = rated{passState: s, harm: s.harm(part), first: s.first(part)}
+	}
+	own := func(r *rated) float64 {
+		return lateness(r.first/milliseconds(rec.FirstTokenTarget), firstSafe, firstLost) * valueOf(rec.Request.PromptTokens)
+	}
+	slices.SortStableFunc(list, func(a, b rated) int {
+		return cmp.Or(cmp.Compare(a.harm+own(&a), b.harm+own(&b)), cmp.Compare(a.first, b.first))
+	})
+	var chosen []passState
+	cost, late := 0.0, 0.0
+	for i := range list[:parts] {
+		chosen = append(chosen, list[i].passState)
+		cost += list[i].harm
+		late = max(late, own(&list[i]))
+	}
+	return chosen, cost + late
+}
+
+// placementOf puts the answer on the engine with the fewest streams that has the memory for it.
+func placementOf(rec *ledger.Record, chosen []passState) Placement {
+	lead := -1
+	for i := range chosen {
+		if !(memoryFilter{}).Keep(0, rec, chosen[i].target) || chosen[i].load.Streams >= chosen[i].target.Slots {
+			continue
+		}
+		if lead < 0 || chosen[i].load.Streams < chosen[lead].load.Streams {
+			lead = i
+		}
+	}
+	if lead < 0 {
+		return Placement{}
+	}
+	p := Placement{Target: chosen[lead].target}
+	for i := range chosen {
+		if i != lead {
+			p.Helpers = append(p.Helpers, chosen[i].target)
+		}
+	}
+	return p
+}
+
+// passStates returns the engines that may take a part of the request, or nothing where some target is no engine of
+// published speed.
+func (r *Router) passStates(now core.Time, rec *ledger.Record, targets []*target.Target) []passState {
+	var out []passState
+	for _, t := range targets {
+		if t.Engine == nil || !r.keep(now, rec, t) {
+			continue
+		}
+		out = append(out, passOf(t))
+	}
+	return out
+}
+
+// Place returns where the request goes; without a Target nothing can take it now.
+func (r *Router) Place(now core.Time, rec *ledger.Record, targets []*target.Target) Placement {
+	if r.passes && rec.Request.Routed != nil {
+		if states := r.passStates(now, rec, targets); len(states) > 0 {
+			if rec.Request.PromptTokens >= longPromptTokens {
+				return placeLong(rec, states)
+			}
+			return placeShort(rec, slices.DeleteFunc(states, func(s passState) bool {
+				return s.load.Streams >= s.target.Slots || !(memoryFilter{}).Keep(now, rec, s.target)
+			}), r.rng.Float64)
+		}
+	}
+	return Placement{Target: r.Pick(now, rec, targets)}
+}
+
+// longPromptTokens is the prompt length from which several engines may read a prompt.
+const longPromptTokens = 20_000
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -36,6 +36,8 @@
 	tie float64
 	// blocks is among the filters of the router in force.
 	blocks *wholeBlockFilter
+	// passes is set where engines of published speed are rated by their passes.
+	passes bool
 }
 
 // NewPendingTokens returns a baseline: the target with the least prefill work that this host or the target knows of.
--- a/internal/core/target/load.go
+++ b/internal/core/target/load.go
@@ -20,6 +20,8 @@
 	Streams int64
 	// Deep are the prefills that reach positions at which they slow the other streams.
 	Deep int64
+	// Strict are the streams with the tightest aim for pauses.
+	Strict int64
 }
 
 func (l *Load) add(o Load) {
@@ -29,6 +31,7 @@
 	l.Held += o.Held
 	l.Streams += o.Streams
 	l.Deep += o.Deep
+	l.Strict += o.Strict
 }
 
 func (l *Load) subtract(o Load) {
@@ -38,6 +41,7 @@
 	l.Held -= o.Held
 	l.Streams -= o.Streams
 	l.Deep -= o.Deep
+	l.Strict -= o.Strict
 }
 
 // Ahead is the pending work that goes before new work of a priority.
@@ -50,10 +54,10 @@
 }
 
 // loadFields is the number of integers of a Load on the wire.
-const loadFields = Priorities + 3
+const loadFields = Priorities + 4
 
 func (l *Load) fields() [loadFields]int64 {
-	return [loadFields]int64{l.Pending[0], l.Pending[1], l.Pending[2], l.Held, l.Streams, l.Deep}
+	return [loadFields]int64{l.Pending[0], l.Pending[1], l.Pending[2], l.Held, l.Streams, l.Deep, l.Strict}
 }
 
 // digestID names a target in a digest: hosts of neighbouring cells route to different targets, so a place in the table
@@ -61,7 +65,7 @@
 func digestID(address string) uint32 { return uint32(xxhash.Sum64String(address)) }
 
 // Digest is the load that one host has placed at all targets, as it goes to peers: for each target with any load its
-// identifier and its fields, as variable-length integers.
+// identifier, a mask of its fields that are not zero, and these, as variable-length integers.
 func (tb *Table) Digest() []byte {
 	var out []byte
 	for _, t := range tb.ordered {
@@ -69,8 +73,22 @@
 			continue
 		}
 		out = binary.AppendUvarint(out, uint64(digestID(t.Address)))
-		for _, v := range t.own.fields() {
-			out = binary.AppendUvarint(out, uint64(max(v, 0)))
+		out = appendLoad(out, t.own.fields())
+	}
+	return out
+}
+
+func appendLoad(out []byte, fields [loadFields]int64) []byte {
+	mask := uint64(0)
+	for i, v := range fields {
+		if v > 0 {
+			mask |= 1 << i
+		}
+	}
+	out = binary.AppendUvarint(out, mask)
+	for _, v := range fields {
+		if v > 0 {
+			out = binary.AppendUvarint(out, uint64(v))
 		}
 	}
 	return out
@@ -81,26 +99,45 @@
 func (tb *Table) HearDigest(peer string, digest []byte) {
 	tb.ForgetPeer(peer)
 	for len(digest) > 0 {
-		var v [loadFields + 1]uint64
-		for i := range v {
-			n := 0
-			if v[i], n = binary.Uvarint(digest); n <= 0 {
-				return
-			}
-			digest = digest[n:]
+		r := digestReader{rest: digest}
+		id := r.next()
+		load := r.load()
+		if r.short {
+			return
 		}
-		if t := tb.byDigest[v[0]]; t != nil {
-			t.setPeer(peer, loadOf(v))
+		digest = r.rest
+		if t := tb.byDigest[id]; t != nil {
+			t.setPeer(peer, load)
 		}
 	}
 }
 
-func loadOf(v [loadFields + 1]uint64) Load {
+// digestReader reads integers from a digest; short is set when one is missing.
+type digestReader struct {
+	rest  []byte
+	short bool
+}
+
+func (r *digestReader) next() uint64 {
+	v, n := binary.Uvarint(r.rest)
+	if n <= 0 {
+		r.short = true
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return v
+}
+
+func (r *digestReader) load() Load {
+	mask := r.next()
+	var v [loadFields]int64
+	for i := range v {
+		if mask&(1<<i) != 0 && !r.short {
+			v[i] = int64(r.next())
+		}
+	}
 	return Load{
-		Pending: [Priorities]int64{int64(v[1]), int64(v[2]), int64(v[3])},
-		Held:    int64(v[4]),
-		Streams: int64(v[5]),
-		Deep:    int64(v[6]),
+		Pending: [Priorities]int64{v[0], v[1], v[2]}, Held: v[3], Streams: v[4], Deep: v[5], Strict: v[6],
 	}
 }
 
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -55,6 +55,8 @@
 	evidence     *evidence
 	// Engine is the published speed of the target; nil where none is published.
 	Engine *document.Engine
+	// StrictPause is the tightest aim for pauses of the streams that come here.
+	StrictPause time.Duration
 	// moved counts the changes of the own loads of all targets of the table.
 	moved *uint64
 }
@@ -73,6 +75,8 @@
 	Memory int64
 	// Deep is set when the prefill reaches positions at which it slows the other streams.
 	Deep bool
+	// Strict is set for a stream with the tightest aim for pauses.
+	Strict bool
 	// Helps is set for a part of a prompt that another engine answers: it brings no stream.
 	Helps bool
 }
@@ -94,8 +98,11 @@
 // Begin accounts for a new dispatch.
 func (t *Target) Begin(now core.Time, d Dispatch, job Job) {
 	p := &placed{load: Load{Held: job.Memory, Streams: 1}, begun: now}
+	if job.Strict {
+		p.load.Strict = 1
+	}
 	if job.Helps {
-		p.load.Streams = 0
+		p.load.Streams, p.load.Strict = 0, 0
 	}
 	p.load.Pending[job.Priority] = job.Work
 	*t.moved++
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -54,6 +54,8 @@
 		x.log.Info(string(a.Event), "detail", a.Text)
 	case node.Refused:
 		x.journal.refused(&a)
+	case node.Unanswered:
+		x.journal.unanswered(&a)
 	case node.Stop:
 		x.stop()
 	default:
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -35,3 +35,11 @@
 	j.log.Info("refused", "id", a.Key.ID, "team", a.Key.Team, "outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
 		"why", a.Result.Message, "retry_after_ms", a.Result.RetryAfter.Milliseconds(), "prompt", a.PromptTokens)
 }
+
+func (j *journal) unanswered(a *node.Unanswered) {
+	if !j.log.IsInfo() {
+		return
+	}
+	j.log.Info("no whole answer", "id", a.Key.ID, "team", a.Key.Team, "dispatch", a.Dispatch, "target", a.Target,
+		"ending", a.Ending.String(), "why", a.Message, "again", a.Again, "retry_budget", a.Budget)
+}
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -1,6 +1,9 @@
 package document
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind says how often a request of a route may be executed, and what its answer is.
 type Kind string
@@ -60,6 +63,11 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
 }
 
+// LeadsTo tells whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Name == service })
+}
+
 // Service is a group of targets that answer alike.
 type Service struct {
 	Name string `json:"name" jsonschema:"minLength=1,description=name of the service"`
