--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -40,7 +40,7 @@
 		n.do(n.beginHelped(rec, t, place.Helpers))
 		return true
 	}
-	n.do(n.begin(rec, t, jobOf(rec, t)))
+	n.do(n.begin(rec, t, n.jobOf(rec, t)))
 	return true
 }
 
@@ -84,16 +84,24 @@
 }
 
 // jobOf is what a dispatch of the record brings to a target.
-func jobOf(rec *ledger.Record, t *target.Target) target.Job {
+func (n *Node) jobOf(rec *ledger.Record, t *target.Target) target.Job {
 	return target.Job{
 		Priority: route.Priority(rec.Work.Class),
 		Work:     route.UncachedWork(rec, t),
 		Memory:   memoryNeed(&rec.Request),
-		Deep:     route.IsDeep(rec),
+		Deep:     n.isDeep(rec),
 		Strict:   rec.Work.Class == document.ClassShort,
 	}
 }
 
+// isDeep tells whether a prompt is read for so long that it holds up the others at its engine.
+func (n *Node) isDeep(rec *ledger.Record) bool {
+	if rec.Request.Routed != nil {
+		return route.IsLong(rec)
+	}
+	return route.IsDeep(rec)
+}
+
 // percent is the whole in percentages.
 const percent = 100
 
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -139,18 +140,52 @@
 	if !claim.Complete() {
 		return false
 	}
-	lead := n.targets.Get(claim.Plan.Engines[0])
-	if lead == nil {
+	members := n.groupMembers(claim)
+	if members == nil {
 		n.releaseGroup(key)
 		return false
 	}
-	order := n.begin(rec, lead, target.Job{Priority: route.Priority(rec.Work.Class)})
-	order.Group = claim.Plan.Engines
+	n.liftGroup(key, claim) // its own reading is none that it would wait for
+	helpers := n.router.HelpersFor(n.now, rec, members, n.targets.All())
+	n.placeGroup(rec, claim, len(helpers))
+	order := n.begin(rec, members[0], target.Job{Priority: route.Priority(rec.Work.Class)})
+	for _, t := range members {
+		order.Group = append(order.Group, t.Address)
+	}
 	order.Reservation = claim.Reservation
+	n.placeHelp(rec, helpers, target.Job{Priority: route.Priority(rec.Work.Class), Work: n.groupPart(rec, claim, len(helpers))})
+	order.Helpers = rec.Helpers
 	n.do(order)
 	return true
 }
 
+// groupMembers are the engines of a complete claim, the one with the fewest streams first; nil when one is gone.
+func (n *Node) groupMembers(claim *group.Claim) []*target.Target {
+	var out []*target.Target
+	for _, address := range claim.Plan.Engines {
+		t := n.targets.Get(address)
+		if t == nil {
+			return nil
+		}
+		out = append(out, t)
+	}
+	if n.opts.Policy == PolicyPacked {
+		slices.SortStableFunc(out, func(a, b *target.Target) int {
+			return cmp.Compare(a.Total().Streams, b.Total().Streams)
+		})
+	}
+	return out
+}
+
+// groupPart is what each engine of a group reads, helpers among them, in tokens of weight 1.
+func (n *Node) groupPart(rec *ledger.Record, claim *group.Claim, helpers int) int64 {
+	parts := int64(len(claim.Plan.Engines) + helpers)
+	if rec.Request.Routed != nil {
+		return rec.Work.PrefillWork / parts
+	}
+	return rec.Work.PrefillWork * percent / (parts * groupPercent)
+}
+
 // claimGroup begins to reserve engines for a request, unless its last try was a moment ago.
 func (n *Node) claimGroup(rec *ledger.Record) {
 	key := rec.Request.Key
@@ -167,7 +202,7 @@
 	claim := group.NewClaim(n.now, plan, reservation, n.opts.Reservations)
 	n.groups.claims[key] = claim
 	n.groups.next = nil
-	n.placeGroup(rec, claim)
+	n.placeGroup(rec, claim, 0)
 	n.ask(key, claim)
 }
 
@@ -222,9 +257,8 @@
 }
 
 // placeGroup accounts for a group at its members from the claim on, so that no other long work is sent there.
-func (n *Node) placeGroup(rec *ledger.Record, claim *group.Claim) {
-	members := int64(len(claim.Plan.Engines))
-	work := rec.Work.PrefillWork * percent / (members * groupPercent)
+func (n *Node) placeGroup(rec *ledger.Record, claim *group.Claim, helpers int) {
+	work := n.groupPart(rec, claim, helpers)
 	for _, address := range claim.Plan.Engines {
 		if t := n.targets.Get(address); t != nil {
 			t.Begin(n.now, reservedAt(rec.Request.Key, claim), target.Job{Work: work, Memory: claim.Plan.Tokens, Deep: true})
--- a/internal/core/node/helpers.go
+++ b/internal/core/node/helpers.go
@@ -8,16 +8,22 @@
 // beginHelped begins a dispatch whose prompt several engines read.
 func (n *Node) beginHelped(rec *ledger.Record, lead *target.Target, helpers []*target.Target) StartDispatch {
 	parts := int64(len(helpers) + 1)
-	job := jobOf(rec, lead)
+	job := n.jobOf(rec, lead)
 	part := job.Work / parts
 	job.Work = part
 	order := n.begin(rec, lead, job)
+	n.placeHelp(rec, helpers, job)
+	order.Helpers = rec.Helpers
+	return order
+}
+
+// placeHelp accounts for the parts that helpers read, each with the work of the job.
+func (n *Node) placeHelp(rec *ledger.Record, helpers []*target.Target, job target.Job) {
+	rec.Helpers = nil
 	for i, t := range helpers {
-		t.Begin(n.now, helpAt(rec, i), target.Job{Priority: job.Priority, Work: part, Helps: true})
-		order.Helpers = append(order.Helpers, t.Address)
+		t.Begin(n.now, helpAt(rec, i), target.Job{Priority: job.Priority, Work: job.Work, Deep: true, Helps: true})
+		rec.Helpers = append(rec.Helpers, t.Address)
 	}
-	rec.Helpers = order.Helpers
-	return order
 }
 
 // helpAt identifies the part of a helper; no dispatch of a request has a number that high.
--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -68,26 +68,38 @@
 		target:  t,
 		load:    load,
 		pass:    step * float64(e.StepsPerPass),
-		reading: float64(load.Ahead(0)) / e.ReadTokensPerMs,
+		reading: float64(load.Ahead(0)) / e.ReadTokensPerMs * stepOverhead(t),
 	}
 }
 
-// harm is what more reading costs the streams that are there, in answers to short prompts.
+// stepOverhead is how much longer reading takes than at the published rate: each step reads a bounded chunk.
+func stepOverhead(t *target.Target) float64 {
+	e := t.Engine
+	return 1 + e.StepMs*e.ReadTokensPerMs/float64(max(e.ChunkTokens, 1))
+}
+
+// harm is what more reading costs the streams that are there and the long prompts that are still read there, in answers
+// to short prompts. A part of a prompt goes before other reading.
 func (s *passState) harm(reading float64) float64 {
+	aim := milliseconds(s.target.StrictPause)
+	cost := float64(s.load.Deep) * deepValue * added(s.reading+reading, reading, deepFirsts*aim)
 	if s.load.Streams == 0 {
-		return 0
+		return cost
 	}
 	total := s.pass + s.reading + reading
 	strict := float64(s.load.Strict)
 	others := float64(s.load.Streams - s.load.Strict)
-	aim := milliseconds(s.target.StrictPause)
-	return strict*added(total, reading, aim) + others*otherValue*added(total, reading, otherPauses*aim)
+	return cost + strict*added(total, reading, aim) + others*otherValue*added(total, reading, otherPauses*aim)
 }
 
-// otherValue is the value of a stream that is not strict, otherPauses its aim for pauses in those of strict ones.
+// What is not a strict stream, by its value and by its aim in those of the pauses of strict ones.
 const (
+	// otherValue and otherPauses are those of other streams.
 	otherValue  = 5
 	otherPauses = 2.4
+	// deepValue and deepFirsts are those of the first token of a long prompt.
+	deepValue  = 7
+	deepFirsts = 8
 )
 
 // added is how much likelier a pass misses an aim with the reading than without it.
@@ -137,7 +149,7 @@
 }
 
 func readingMs(rec *ledger.Record, t *target.Target) float64 {
-	return float64(UncachedWork(rec, t)) / t.Engine.ReadTokensPerMs
+	return float64(UncachedWork(rec, t)) / t.Engine.ReadTokensPerMs * stepOverhead(t)
 }
 
 // placeLong returns the engines that read a long prompt at the least cost. All that it is read by read the same part.
@@ -145,7 +157,7 @@
 	var best Placement
 	bestCost := 0.0
 	for parts := 1; parts <= min(len(states), maxHelpers+1); parts++ {
-		chosen, cost := chooseParts(rec, states, parts)
+		chosen, cost := chooseParts(rec, nil, states, parts)
 		if best.Target == nil || cost < bestCost-partCost {
 			if p := placementOf(rec, chosen); p.Target != nil {
 				best, bestCost = p, cost
@@ -158,29 +170,37 @@
 // partCost is by how much more parts must be better, in answers to short prompts.
 const partCost = 0.02
 
-// chooseParts returns the engines that a prompt in so many parts harms least, and the cost.
-func chooseParts(rec *ledger.Record, states []passState, parts int) ([]passState, float64) {
-	type rated struct {
-		passState
-		harm, first float64
-	}
-	list := make([]rated, len(states))
+// ratedState is an engine with what a part of a prompt costs there: harm to others, and the prompt's own lateness.
+type ratedState struct {
+	passState
+	harm, late, first float64
+}
+
+func rate(rec *ledger.Record, states []passState, parts int) []ratedState {
+	out := make([]ratedState, len(states))
 	for i, s := range states {
 		part := readingMs(rec, s.target) / float64(parts)
-		list[i] = rated{passState: s, harm: s.harm(part), first: s.first(part)}
+		first := s.first(part)
+		late := lateness(first/milliseconds(rec.FirstTokenTarget), firstSafe, firstLost)
+		out[i] = ratedState{passState: s, harm: s.harm(part), late: late * valueOf(rec.Request.PromptTokens), first: first}
 	}
-	own := func(r *rated) float64 {
-		return lateness(r.first/milliseconds(rec.FirstTokenTarget), firstSafe, firstLost) * valueOf(rec.Request.PromptTokens)
-	}
-	slices.SortStableFunc(list, func(a, b rated) int {
-		return cmp.Or(cmp.Compare(a.harm+own(&a), b.harm+own(&b)), cmp.Compare(a.first, b.first))
+	return out
+}
+
+// chooseParts returns the engines that a prompt in so many parts harms least, the fixed ones before the others, and the
+// cost.
+func chooseParts(rec *ledger.Record, fixed, others []passState, parts int) ([]passState, float64) {
+	list := rate(rec, others, parts)
+	slices.SortStableFunc(list, func(a, b ratedState) int {
+		return cmp.Or(cmp.Compare(a.harm+a.late, b.harm+b.late), cmp.Compare(a.first, b.first))
 	})
-	var chosen []passState
+	list = append(rate(rec, fixed, parts), list[:parts-len(fixed)]...)
+	chosen := make([]passState, len(list))
 	cost, late := 0.0, 0.0
-	for i := range list[:parts] {
-		chosen = append(chosen, list[i].passState)
-		cost += list[i].harm
-		late = max(late, own(&list[i]))
+	for i, s := range list {
+		chosen[i] = s.passState
+		cost += s.harm
+		late = max(late, s.late)
 	}
 	return chosen, cost + late
 }
@@ -221,11 +241,46 @@
 	return out
 }
 
+// HelpersFor returns engines that read a part of a prompt beside the fixed ones, of which the first answers.
+func (r *Router) HelpersFor(now core.Time, rec *ledger.Record, fixed, targets []*target.Target) []*target.Target {
+	if !r.passes || rec.Request.Routed == nil {
+		return nil
+	}
+	var held []passState
+	for _, t := range fixed {
+		if t.Engine == nil {
+			return nil
+		}
+		held = append(held, passOf(t))
+	}
+	states := slices.DeleteFunc(r.passStates(now, rec, targets), func(s passState) bool {
+		return slices.Contains(fixed, s.target)
+	})
+	return chooseHelpers(rec, held, states)
+}
+
+// chooseHelpers adds engines to those that are fixed as long as that makes the cost less.
+func chooseHelpers(rec *ledger.Record, fixed, others []passState) []*target.Target {
+	var best []*target.Target
+	bestCost := 0.0
+	for extra := 0; extra <= min(len(others), maxHelpers+1-len(fixed)); extra++ {
+		chosen, cost := chooseParts(rec, fixed, others, len(fixed)+extra)
+		if extra > 0 && cost >= bestCost-partCost {
+			continue
+		}
+		best, bestCost = best[:0:0], cost
+		for _, s := range chosen[len(fixed):] {
+			best = append(best, s.target)
+		}
+	}
+	return best
+}
+
 // Place returns where the request goes; without a Target nothing can take it now.
 func (r *Router) Place(now core.Time, rec *ledger.Record, targets []*target.Target) Placement {
 	if r.passes && rec.Request.Routed != nil {
 		if states := r.passStates(now, rec, targets); len(states) > 0 {
-			if rec.Request.PromptTokens >= longPromptTokens {
+			if IsLong(rec) {
 				return placeLong(rec, states)
 			}
 			return placeShort(rec, slices.DeleteFunc(states, func(s passState) bool {
@@ -238,3 +293,6 @@
 
 // longPromptTokens is the prompt length from which several engines may read a prompt.
 const longPromptTokens = 20_000
+
+// IsLong tells whether several engines may read a request's prompt.
+func IsLong(rec *ledger.Record) bool { return rec.Request.PromptTokens >= longPromptTokens }
