--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -146,8 +146,11 @@
 		return false
 	}
 	n.liftGroup(key, claim) // its own reading is none that it would wait for
-	helpers := n.router.HelpersFor(n.now, rec, members, n.targets.All())
+	helpers, worth := n.router.HelpersFor(n.now, rec, members, n.targets.All())
 	n.placeGroup(rec, claim, len(helpers))
+	if !worth {
+		return false
+	}
 	order := n.begin(rec, members[0], target.Job{Priority: route.Priority(rec.Work.Class)})
 	for _, t := range members {
 		order.Group = append(order.Group, t.Address)
--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -25,20 +25,35 @@
 const maxHelpers = 16
 
 // valueTokens is the length of prompt that adds the value of one request to its answer.
-const valueTokens = 15_000
+const valueTokens = 13_000
 
 // valueOf is what an answer in time is worth, in answers to short prompts.
 func valueOf(promptTokens int64) float64 { return 1 + float64(promptTokens)/valueTokens }
 
 // Lateness rises from none to certain between two parts of an aim: predictions are wrong by that much.
 const (
-	pauseSafe    = 0.70
-	pauseLost    = 1.10
-	firstSafe    = 0.60
-	firstLost    = 1.10
-	slotWaitCost = 0.5
+	pauseSafe = 0.70
+	pauseLost = 1.10
+	firstSafe = 0.60
+	firstLost = 1.10
 )
 
+// A late answer is worth a part of one in time; much later its caller has left.
+const (
+	latePart     = 0.75
+	leavingFrom  = 3
+	leavingUntil = 7
+	// haste is the cost of the first token's time in parts of its aim, also where that is met or missed for certain.
+	haste = 0.03
+	// hopeless is the part of the aim from which waiting for another engine is better.
+	hopeless = 2
+)
+
+// missed is the cost of a first token that is predicted at this part of its aim, in parts of the answer's value.
+func missed(part float64) float64 {
+	return latePart*lateness(part, firstSafe, firstLost) + (1-latePart)*lateness(part, leavingFrom, leavingUntil) + haste*part
+}
+
 // lateness is how likely a time that is predicted as this part of its aim is missed.
 func lateness(part, safe, lost float64) float64 {
 	return min(max((part-safe)/(lost-safe), 0), 1)
@@ -133,9 +148,15 @@
 	return Placement{Target: states[best].target}
 }
 
+// full tells whether a short request does better to wait for another engine.
+func (s *passState) full(now core.Time, rec *ledger.Record) bool {
+	late := s.first(readingMs(rec, s.target)) > hopeless*milliseconds(rec.FirstTokenTarget)
+	return late || s.load.Streams >= s.target.Slots || !(memoryFilter{}).Keep(now, rec, s.target)
+}
+
 func shortCost(rec *ledger.Record, s *passState) float64 {
 	reading := readingMs(rec, s.target)
-	cost := lateness(s.first(reading)/milliseconds(rec.FirstTokenTarget), firstSafe, firstLost)
+	cost := missed(s.first(reading) / milliseconds(rec.FirstTokenTarget))
 	if aim := milliseconds(rec.Request.Routed.GapTarget); aim > 0 {
 		cost += lateness((s.pass+s.reading)/aim, pauseSafe, pauseLost)
 	}
@@ -145,7 +166,7 @@
 	if streams < slots*packedPart {
 		return cost - packBonus*streams
 	}
-	return cost + packBonus*(streams-slots*packedPart) + slotWaitCost*max(streams-slots+2, 0)
+	return cost + packBonus*(streams-slots*packedPart)
 }
 
 func readingMs(rec *ledger.Record, t *target.Target) float64 {
@@ -155,15 +176,18 @@
 // placeLong returns the engines that read a long prompt at the least cost. All that it is read by read the same part.
 func placeLong(rec *ledger.Record, states []passState) Placement {
 	var best Placement
-	bestCost := 0.0
+	bestCost, bestHarm := 0.0, 0.0
 	for parts := 1; parts <= min(len(states), maxHelpers+1); parts++ {
-		chosen, cost := chooseParts(rec, nil, states, parts)
+		chosen, cost, harm := chooseParts(rec, nil, states, parts)
 		if best.Target == nil || cost < bestCost-partCost {
 			if p := placementOf(rec, chosen); p.Target != nil {
-				best, bestCost = p, cost
+				best, bestCost, bestHarm = p, cost, harm
 			}
 		}
 	}
+	if bestHarm > valueOf(rec.Request.PromptTokens) {
+		return Placement{}
+	}
 	return best
 }
 
@@ -179,30 +203,29 @@
 func rate(rec *ledger.Record, states []passState, parts int) []ratedState {
 	out := make([]ratedState, len(states))
 	for i, s := range states {
-		part := readingMs(rec, s.target) / float64(parts)
-		first := s.first(part)
-		late := lateness(first/milliseconds(rec.FirstTokenTarget), firstSafe, firstLost)
-		out[i] = ratedState{passState: s, harm: s.harm(part), late: late * valueOf(rec.Request.PromptTokens), first: first}
+		reading := readingMs(rec, s.target) / float64(parts)
+		first := s.first(reading)
+		late := missed(first/milliseconds(rec.FirstTokenTarget)) * valueOf(rec.Request.PromptTokens)
+		out[i] = ratedState{passState: s, harm: s.harm(reading), late: late, first: first}
 	}
 	return out
 }
 
 // chooseParts returns the engines that a prompt in so many parts harms least, the fixed ones before the others, and the
-// cost.
-func chooseParts(rec *ledger.Record, fixed, others []passState, parts int) ([]passState, float64) {
+// cost: their harm to others and the prompt's own lateness.
+func chooseParts(rec *ledger.Record, fixed, others []passState, parts int) (chosen []passState, cost, harm float64) {
 	list := rate(rec, others, parts)
 	slices.SortStableFunc(list, func(a, b ratedState) int {
 		return cmp.Or(cmp.Compare(a.harm+a.late, b.harm+b.late), cmp.Compare(a.first, b.first))
 	})
 	list = append(rate(rec, fixed, parts), list[:parts-len(fixed)]...)
-	chosen := make([]passState, len(list))
-	cost, late := 0.0, 0.0
-	for i, s := range list {
-		chosen[i] = s.passState
-		cost += s.harm
+	late := 0.0
+	for _, s := range list {
+		chosen = append(chosen, s.passState)
+		harm += s.harm
 		late = max(late, s.late)
 	}
-	return chosen, cost + late
+	return chosen, harm + late, harm
 }
 
 // placementOf puts the answer on the engine with the fewest streams that has the memory for it.
@@ -241,15 +264,16 @@
 	return out
 }
 
-// HelpersFor returns engines that read a part of a prompt beside the fixed ones, of which the first answers.
-func (r *Router) HelpersFor(now core.Time, rec *ledger.Record, fixed, targets []*target.Target) []*target.Target {
+// HelpersFor returns engines that read a part of a prompt beside the fixed ones. It reports false when the prompt does
+// better to wait: it would harm others more than it is worth.
+func (r *Router) HelpersFor(now core.Time, rec *ledger.Record, fixed, targets []*target.Target) ([]*target.Target, bool) {
 	if !r.passes || rec.Request.Routed == nil {
-		return nil
+		return nil, true
 	}
 	var held []passState
 	for _, t := range fixed {
 		if t.Engine == nil {
-			return nil
+			return nil, true
 		}
 		held = append(held, passOf(t))
 	}
@@ -260,20 +284,20 @@
 }
 
 // chooseHelpers adds engines to those that are fixed as long as that makes the cost less.
-func chooseHelpers(rec *ledger.Record, fixed, others []passState) []*target.Target {
+func chooseHelpers(rec *ledger.Record, fixed, others []passState) ([]*target.Target, bool) {
 	var best []*target.Target
-	bestCost := 0.0
+	bestCost, bestHarm := 0.0, 0.0
 	for extra := 0; extra <= min(len(others), maxHelpers+1-len(fixed)); extra++ {
-		chosen, cost := chooseParts(rec, fixed, others, len(fixed)+extra)
+		chosen, cost, harm := chooseParts(rec, fixed, others, len(fixed)+extra)
 		if extra > 0 && cost >= bestCost-partCost {
 			continue
 		}
-		best, bestCost = best[:0:0], cost
+		best, bestCost, bestHarm = best[:0:0], cost, harm
 		for _, s := range chosen[len(fixed):] {
 			best = append(best, s.target)
 		}
 	}
-	return best
+	return best, bestHarm <= valueOf(rec.Request.PromptTokens)
 }
 
 // Place returns where the request goes; without a Target nothing can take it now.
@@ -283,9 +307,7 @@
 			if IsLong(rec) {
 				return placeLong(rec, states)
 			}
-			return placeShort(rec, slices.DeleteFunc(states, func(s passState) bool {
-				return s.load.Streams >= s.target.Slots || !(memoryFilter{}).Keep(now, rec, s.target)
-			}), r.rng.Float64)
+			return placeShort(rec, slices.DeleteFunc(states, func(s passState) bool { return s.full(now, rec) }), r.rng.Float64)
 		}
 	}
 	return Placement{Target: r.Pick(now, rec, targets)}
