--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -147,10 +147,11 @@
 	}
 	n.liftGroup(key, claim) // its own reading is none that it would wait for
 	helpers, worth := n.router.HelpersFor(n.now, rec, members, n.targets.All())
-	n.placeGroup(rec, claim, len(helpers))
 	if !worth {
+		n.placeGroup(rec, claim, n.claimedWork(rec, claim))
 		return false
 	}
+	n.placeGroup(rec, claim, n.groupPart(rec, claim, len(helpers)))
 	order := n.begin(rec, members[0], target.Job{Priority: route.Priority(rec.Work.Class)})
 	for _, t := range members {
 		order.Group = append(order.Group, t.Address)
@@ -180,6 +181,15 @@
 	return out
 }
 
+// claimedWork is what counts as reading while a claim waits for its engines: work of a routed request only begins with
+// its dispatch, and until then others may use the time.
+func (n *Node) claimedWork(rec *ledger.Record, claim *group.Claim) int64 {
+	if rec.Request.Routed != nil {
+		return 0
+	}
+	return n.groupPart(rec, claim, 0)
+}
+
 // groupPart is what each engine of a group reads, helpers among them, in tokens of weight 1.
 func (n *Node) groupPart(rec *ledger.Record, claim *group.Claim, helpers int) int64 {
 	parts := int64(len(claim.Plan.Engines) + helpers)
@@ -205,7 +215,7 @@
 	claim := group.NewClaim(n.now, plan, reservation, n.opts.Reservations)
 	n.groups.claims[key] = claim
 	n.groups.next = nil
-	n.placeGroup(rec, claim, 0)
+	n.placeGroup(rec, claim, n.claimedWork(rec, claim))
 	n.ask(key, claim)
 }
 
@@ -260,8 +270,7 @@
 }
 
 // placeGroup accounts for a group at its members from the claim on, so that no other long work is sent there.
-func (n *Node) placeGroup(rec *ledger.Record, claim *group.Claim, helpers int) {
-	work := n.groupPart(rec, claim, helpers)
+func (n *Node) placeGroup(rec *ledger.Record, claim *group.Claim, work int64) {
 	for _, address := range claim.Plan.Engines {
 		if t := n.targets.Get(address); t != nil {
 			t.Begin(n.now, reservedAt(rec.Request.Key, claim), target.Job{Work: work, Memory: claim.Plan.Tokens, Deep: true})
--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -148,6 +148,16 @@
 	return Placement{Target: states[best].target}
 }
 
+// beyondShare tells whether an engine is crowded and this host has its share of it: hosts that all wait for the next
+// free slot would else fill it together.
+func (r *Router) beyondShare(s *passState) bool {
+	slots := s.target.Slots
+	if float64(s.load.Streams) < float64(slots)*packedPart {
+		return false
+	}
+	return int64(s.target.InFlight()) >= r.crowd.Share(s.target.Address, slots)
+}
+
 // full tells whether a short request does better to wait for another engine.
 func (s *passState) full(now core.Time, rec *ledger.Record) bool {
 	late := s.first(readingMs(rec, s.target)) > hopeless*milliseconds(rec.FirstTokenTarget)
@@ -307,7 +317,9 @@
 			if IsLong(rec) {
 				return placeLong(rec, states)
 			}
-			return placeShort(rec, slices.DeleteFunc(states, func(s passState) bool { return s.full(now, rec) }), r.rng.Float64)
+			return placeShort(rec, slices.DeleteFunc(states, func(s passState) bool {
+				return s.full(now, rec) || r.beyondShare(&s)
+			}), r.rng.Float64)
 		}
 	}
 	return Placement{Target: r.Pick(now, rec, targets)}
