In a crowd serve those first that can still be in time; ready as soon as the store has answered

The store never answers with anything older than what is in force, so a host that has both from it has nobody to wait for.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -49,6 +49,8 @@
 	LookupKeep time.Duration
 	// Reservations are the timings of memory that is reserved at engines; the zero value takes the defaults.
 	Reservations group.Timing
+	// PlatformCurrent is set where the platform never answers with anything older than what is in force.
+	PlatformCurrent bool
 	// EnginesExpire is set where engines drop by themselves what nobody holds any more, and list nothing.
 	EnginesExpire bool
 	// Policy is how requests are queued and placed; the zero value is the one in force.
--- a/internal/core/node/policy.go
+++ b/internal/core/node/policy.go
@@ -44,8 +44,11 @@
 }
 
 func newQueue(policy Policy, weight func(team string) int64) queue.Queue {
-	if policy == PolicyInForce {
+	switch policy {
+	case PolicyInForce:
 		return queue.NewFair(weight)
+	case PolicyPacked:
+		return queue.NewAims()
 	}
 	return queue.NewEDF()
 }
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -83,6 +83,9 @@
 	if n.knowledge.complete != never && n.now >= n.knowledge.complete+settleTime {
 		return true
 	}
+	if n.opts.PlatformCurrent && n.knowledge.platform.here != never && n.config.HeardFrom() == conf.SourcePlatform && !n.behind() {
+		return true
+	}
 	all, ready := n.peers.AllHeard(n.now)
 	return all && ready && !n.behind()
 }
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -161,11 +161,15 @@
 			Outcome:    certainOutcome(rec),
 			Code:       api.CodeNoRoom,
 			Message:    "no target had room in time",
-			RetryAfter: n.retryAfter(afterOverload),
+			RetryAfter: n.retryAfter(afterCrowd),
 		})
 	}
 }
 
+// afterCrowd is the base of the time to come back after engines were crowded: longer than an answer lasts, so that what
+// crowds them has ended.
+const afterCrowd = 2 * time.Second
+
 // waitLimit is how long a routed request waits for a target: the time to its aim, and at most half of its budget.
 func (n *Node) waitLimit(rec *ledger.Record) time.Duration {
 	return min(rec.FirstTokenTarget, rec.Request.Budget/2)
--- /dev/null
+++ b/internal/core/queue/aims.go
@@ -0,0 +1,94 @@
+package queue
+
+import (
+	"cmp"
+	"slices"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/document"
+)
+
+// Aims holds waiting records that have an aim for their first answer. In a crowd it serves those first that can still
+// meet it, the one whose aim is nearest before the others: an answer that is late anyway is worth less than one in time.
+// Those past it follow, the youngest first. It is not safe for concurrent use.
+type Aims struct {
+	waiting []*ledger.Record
+	tokens  map[document.Class]int64
+	groups  int
+}
+
+// NewAims returns an empty queue.
+func NewAims() *Aims { return &Aims{tokens: make(map[document.Class]int64)} }
+
+// Len implements Queue.
+func (q *Aims) Len() int { return len(q.waiting) }
+
+// Tokens implements Queue.
+func (q *Aims) Tokens(class document.Class) int64 { return q.tokens[class] }
+
+// Groups implements Queue.
+func (q *Aims) Groups() int { return q.groups }
+
+// Push implements Queue.
+func (q *Aims) Push(rec *ledger.Record) {
+	q.waiting = append(q.waiting, rec)
+	q.count(rec, 1)
+}
+
+func (q *Aims) count(rec *ledger.Record, sign int) {
+	q.tokens[rec.Work.Class] += int64(sign) * rec.Work.PrefillWork
+	if rec.Work.Group {
+		q.groups += sign
+	}
+}
+
+// Remove implements Queue.
+func (q *Aims) Remove(key core.Key) bool {
+	i := slices.IndexFunc(q.waiting, func(rec *ledger.Record) bool { return rec.Request.Key == key })
+	if i < 0 {
+		return false
+	}
+	q.count(q.waiting[i], -1)
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return true
+}
+
+// Each implements Queue.
+func (q *Aims) Each(now core.Time, f func(*ledger.Record) (take bool)) {
+	if len(q.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(q.waiting, func(a, b *ledger.Record) int { return compareAims(now, a, b) })
+	kept := q.waiting[:0]
+	for _, rec := range q.waiting {
+		if f(rec) {
+			q.count(rec, -1)
+			continue
+		}
+		kept = append(kept, rec)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
+
+// servicePart is the part of its aim that a first answer takes at the least, as a divisor.
+const servicePart = 2
+
+// lastStart is when the record must begin at the latest to meet its aim.
+func lastStart(rec *ledger.Record) core.Time {
+	return rec.Timing.Admitted + rec.FirstTokenTarget - rec.FirstTokenTarget/servicePart
+}
+
+func compareAims(now core.Time, a, b *ledger.Record) int {
+	lateA, lateB := now > lastStart(a), now > lastStart(b)
+	switch {
+	case lateA && lateB:
+		return cmp.Or(-cmp.Compare(a.Timing.Admitted, b.Timing.Admitted), a.Request.Compare(b.Request.Key))
+	case lateA:
+		return 1
+	case lateB:
+		return -1
+	}
+	return cmp.Or(cmp.Compare(lastStart(a), lastStart(b)), a.Request.Compare(b.Request.Key))
+}
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -33,6 +33,7 @@
 	o.Policy = node.PolicyPacked
 	o.LookupKeep = lookupKeep
 	o.EnginesExpire = true
+	o.PlatformCurrent = true
 	o.Reservations = group.Timing{Expiry: reservationExpiry, Patience: reservationPatience}
 }
 
