--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -222,6 +222,7 @@
 	n.sweepTick()
 	n.groupsTick()
 	n.ordersTick()
+	n.targets.Lapse(n.now)
 	n.expireWaiting()
 	n.sizeLanes()
 	n.rescue()
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -87,6 +87,8 @@
 	begun     core.Time
 	ahead     int64
 	prefilled bool
+	// due is when the engine must have read its part, by its published speed; 0 where none is published.
+	due core.Time
 }
 
 // InFlight counts this host's dispatches that have not ended.
@@ -111,10 +113,37 @@
 	}
 	total := t.Total()
 	p.ahead = total.Ahead(job.Priority) + job.Work
+	if t.Engine != nil {
+		p.due = now + t.readBy(p.ahead)
+	}
 	t.inFlight[d] = p
 	t.own.add(p.load)
 }
 
+// Times by which a part must have been read: what was ahead of it with a margin, and a few passes.
+const (
+	readMargin = 1.4
+	readPasses = 300 * time.Millisecond
+)
+
+func (t *Target) readBy(work int64) time.Duration {
+	ms := float64(work) / t.Engine.ReadTokensPerMs * readMargin
+	return time.Duration(ms*float64(time.Millisecond)) + readPasses
+}
+
+// Lapse takes off the pending work what must have been read by now: the first token of a prompt that several engines
+// read comes when the last of them is done, and the others are idle until then.
+func (tb *Table) Lapse(now core.Time) {
+	for _, t := range tb.ordered {
+		for _, p := range t.inFlight {
+			if p.due > 0 && !p.prefilled && now >= p.due {
+				tb.moved++
+				t.clearPending(p)
+			}
+		}
+	}
+}
+
 // Prefilled accounts for a dispatch's first token.
 func (t *Target) Prefilled(now core.Time, d Dispatch) {
 	p := t.inFlight[d]
