Giants hold a little memory on many engines, without a place in line

Two or three engines held 150,000 tokens each for a giant and had room for nothing else for up to 10 s, and an engine that keeps a place in its line takes in nothing meanwhile.

--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -7,6 +7,7 @@
 package group
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -77,6 +78,38 @@
 	return Plan{}, false
 }
 
+// Bounds of a spread group.
+const (
+	// spreadTokens is what a member holds at the most, where there are enough engines: little enough to leave room for
+	// others.
+	spreadTokens = 40_000
+	// maxMembers is how many engines a group has at the most.
+	maxMembers = 16
+	// spreadPercent is what a spread group uses of what its members hold.
+	spreadPercent = 95
+)
+
+// Spread picks engines that hold so many tokens together, a little on each. It reports false when too few have the
+// memory free.
+func Spread(tokens int64, engines []Engine) (Plan, bool) {
+	sorted := slices.Clone(engines)
+	slices.SortFunc(sorted, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(b.FreeTokens, a.FreeTokens), strings.Compare(a.Address, b.Address))
+	})
+	best, found := Plan{}, false
+	for members := 1; members <= min(len(sorted), maxMembers); members++ {
+		each := tokens*100/(int64(members)*spreadPercent) + 1
+		if sorted[members-1].FreeTokens < each {
+			continue
+		}
+		best, found = newPlan(sorted[:members], each), true
+		if each <= spreadTokens {
+			break
+		}
+	}
+	return best, found
+}
+
 // share is what each of so many members holds, rounded up.
 func share(tokens, members int64) int64 {
 	divisor := members * efficiencyPercent
@@ -126,6 +159,9 @@
 	Expiry time.Duration
 	// Patience is how long a claim waits for one engine before it gives back everything.
 	Patience time.Duration
+	// AtOnce is set where an engine that has no room is to refuse rather than to keep a place in its line: an engine
+	// that takes in nothing else while a reservation waits is idle for it.
+	AtOnce bool
 }
 
 // DefaultTiming is for engines that keep what is reserved until they are told or its expiry has passed.
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -162,7 +162,7 @@
 	case EndedRefused:
 		t.Refused(n.now)
 	case EndedNotWritten, EndedLost:
-		if n.awaits(in) && !n.active[in.Key].Aborted {
+		if n.awaits(in) && !n.active[in.Key].Aborted && n.now < n.active[in.Key].Request.Deadline {
 			t.Failed(n.now)
 		}
 	}
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -25,6 +25,8 @@
 	Expiry time.Duration
 	// Renewal must not make a reservation that the engine does not know; it is refused then.
 	Renewal bool
+	// Wait is set where the engine is to keep a place in its line for the reservation while it has no room.
+	Wait bool
 	// Asked is this host's clock at the ask; the answer hands it back.
 	Asked core.Time
 }
@@ -88,6 +90,8 @@
 const (
 	groupPause        = 2 * time.Second
 	groupPauseDoubles = 4
+	// refusedGroupPause is the base where engines refuse at once and hold nothing idle.
+	refusedGroupPause = 60 * time.Millisecond
 )
 
 // memoryNeed is what a request holds at an engine, in tokens.
@@ -241,6 +245,9 @@
 	need := memoryNeed(&rec.Request)
 	engines := n.groupEngines(rec.Request.Model, true)
 	plan, ok := group.Choose(need, engines)
+	if n.opts.Policy == PolicyPacked {
+		return group.Spread(need, engines)
+	}
 	if !n.predicts() || !ok {
 		return plan, ok
 	}
@@ -317,6 +324,7 @@
 			Tokens:      claim.Plan.Tokens,
 			Expiry:      n.opts.Reservations.Expiry,
 			Renewal:     ask.Renewal,
+			Wait:        !ask.Renewal && !n.opts.Reservations.AtOnce,
 			Asked:       ask.Asked,
 		})
 	}
@@ -356,7 +364,11 @@
 		return
 	}
 	failed := n.groups.failed[key]
-	failed.again = n.now + n.retryAfter(groupPause<<min(failed.count, groupPauseDoubles))
+	pause := groupPause
+	if n.opts.Reservations.AtOnce {
+		pause = refusedGroupPause
+	}
+	failed.again = n.now + n.retryAfter(pause<<min(failed.count, groupPauseDoubles))
 	failed.count++
 	n.groups.failed[key] = failed
 	if rec.State != ledger.Dispatched {
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -34,7 +34,7 @@
 	o.LookupKeep = lookupKeep
 	o.EnginesExpire = true
 	o.PlatformCurrent = true
-	o.Reservations = group.Timing{Expiry: reservationExpiry, Patience: reservationPatience}
+	o.Reservations = group.Timing{Expiry: reservationExpiry, Patience: reservationPatience, AtOnce: true}
 }
 
 // serveStore sets up the callers' interface of a platform with a store, and what reads the store.
