--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -159,13 +159,15 @@
 	Expiry time.Duration
 	// Patience is how long a claim waits for one engine before it gives back everything.
 	Patience time.Duration
+	// Renew is the time between renewals of what is held, and between two asks for what is not.
+	Renew time.Duration
 	// AtOnce is set where an engine that has no room is to refuse rather than to keep a place in its line: an engine
 	// that takes in nothing else while a reservation waits is idle for it.
 	AtOnce bool
 }
 
 // DefaultTiming is for engines that keep what is reserved until they are told or its expiry has passed.
-func DefaultTiming() Timing { return Timing{Expiry: Expiry, Patience: Patience} }
+func DefaultTiming() Timing { return Timing{Expiry: Expiry, Patience: Patience, Renew: RenewInterval} }
 
 type member struct {
 	renewed core.Time
@@ -178,7 +180,7 @@
 		Plan:        plan,
 		Reservation: reservation,
 		members:     make([]member, len(plan.Engines)),
-		asked:       now - RenewInterval,
+		asked:       now - timing.Renew,
 		since:       now,
 		timing:      timing,
 	}
@@ -208,12 +210,12 @@
 	var out []Ask
 	for i := range c.next {
 		m := &c.members[i]
-		if now-m.asked >= RenewInterval {
+		if now-m.asked >= c.timing.Renew {
 			m.asked = now
 			out = append(out, Ask{Engine: c.Plan.Engines[i], Renewal: true, Asked: now})
 		}
 	}
-	if c.next < len(c.members) && now-c.asked >= RenewInterval {
+	if c.next < len(c.members) && now-c.asked >= c.timing.Renew {
 		c.asked = now
 		out = append(out, Ask{Engine: c.Plan.Engines[c.next], Asked: now})
 	}
@@ -259,5 +261,5 @@
 	m.asked = asked
 	c.next++
 	c.since = now
-	c.asked = now - RenewInterval
+	c.asked = now - c.timing.Renew
 }
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -51,12 +51,16 @@
 	req.Home = n.opts.Self
 	budget := route.Timeout()
 	if req.Budget > 0 {
+		routed.Returned = req.Budget < budget*returnedPercent/percent
 		budget = min(budget, req.Budget)
 	}
 	req.Budget = budget
 	req.Deadline = n.now + budget
 }
 
+// returnedPercent is the part of a route's time below which a caller's own shows that it came back.
+const returnedPercent = 97
+
 // setTargets gives a record the aims for its answer: those of its route, or those of the preset.
 func (n *Node) setTargets(rec *ledger.Record, preset *document.Preset) {
 	if routed := rec.Request.Routed; routed != nil {
@@ -170,7 +174,14 @@
 // crowds them has ended.
 const afterCrowd = 2 * time.Second
 
+// returnedPatience is how many times as long a caller that came back may wait.
+const returnedPatience = 3
+
 // waitLimit is how long a routed request waits for a target: the time to its aim, and at most half of its budget.
 func (n *Node) waitLimit(rec *ledger.Record) time.Duration {
-	return min(rec.FirstTokenTarget, rec.Request.Budget/2)
+	limit := rec.FirstTokenTarget
+	if rec.Request.Routed.Returned {
+		limit *= returnedPatience // it is late already, and has no further try
+	}
+	return min(limit, rec.Request.Budget/2)
 }
--- a/internal/core/queue/aims.go
+++ b/internal/core/queue/aims.go
@@ -80,7 +80,18 @@
 	return rec.Timing.Admitted + rec.FirstTokenTarget - rec.FirstTokenTarget/servicePart
 }
 
+// returned tells whether the caller came back after a refusal: it has no further try, so it goes first.
+func returned(rec *ledger.Record) bool {
+	return rec.Request.Routed != nil && rec.Request.Routed.Returned
+}
+
 func compareAims(now core.Time, a, b *ledger.Record) int {
+	if returnedA, returnedB := returned(a), returned(b); returnedA != returnedB {
+		if returnedA {
+			return -1
+		}
+		return 1
+	}
 	lateA, lateB := now > lastStart(a), now > lastStart(b)
 	switch {
 	case lateA && lateB:
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -21,6 +21,8 @@
 	// Target is the aim for the first answer, GapTarget for the longest pause in a stream.
 	Target    time.Duration
 	GapTarget time.Duration
+	// Returned is set for a caller that has waited before, at this host or another.
+	Returned bool
 	// Rank is the route's urgency; 0 goes first.
 	Rank int
 }
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -22,9 +22,11 @@
 const (
 	// lookupKeep is the longest time for which callers keep a look-up answer: some take it for three times as long.
 	lookupKeep = 3 * platform.LookupKeep
-	// reservationExpiry is how long engines hold memory that nobody renews, reservationPatience how long a request
+	// reservationExpiry is how long engines hold memory that nobody renews, reservationRenew the time between two
+	// renewals, so that one may be lost; reservationPatience is how long a request
 	// waits for the memory of one engine.
-	reservationExpiry   = 3500 * time.Millisecond
+	reservationExpiry   = 3800 * time.Millisecond
+	reservationRenew    = 1700 * time.Millisecond
 	reservationPatience = 4 * time.Second
 )
 
@@ -34,7 +36,7 @@
 	o.LookupKeep = lookupKeep
 	o.EnginesExpire = true
 	o.PlatformCurrent = true
-	o.Reservations = group.Timing{Expiry: reservationExpiry, Patience: reservationPatience, AtOnce: true}
+	o.Reservations = group.Timing{Expiry: reservationExpiry, Patience: reservationPatience, Renew: reservationRenew, AtOnce: true}
 }
 
 // serveStore sets up the callers' interface of a platform with a store, and what reads the store.
