--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -177,11 +177,14 @@
 // returnedPatience is how many times as long a caller that came back may wait.
 const returnedPatience = 3
 
-// waitLimit is how long a routed request waits for a target: the time to its aim, and at most half of its budget.
+// waitPercent is the part of its budget that a request waits at the most.
+const waitPercent = 25
+
+// waitLimit is how long a routed request waits for a target: the time to its aim, and at most a part of its budget.
 func (n *Node) waitLimit(rec *ledger.Record) time.Duration {
 	limit := rec.FirstTokenTarget
 	if rec.Request.Routed.Returned {
 		limit *= returnedPatience // it is late already, and has no further try
 	}
-	return min(limit, rec.Request.Budget/2)
+	return min(limit, rec.Request.Budget*waitPercent/percent)
 }
