--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -148,11 +148,11 @@
 	return Placement{Target: states[best].target}
 }
 
-// beyondShare tells whether an engine is crowded and this host has its share of it: hosts that all wait for the next
-// free slot would else fill it together.
-func (r *Router) beyondShare(s *passState) bool {
+// beyondShare tells whether an engine is so full that all hosts together would overfill it, and this host has its share
+// of it. What others leave of theirs a host may take when it has its turn.
+func (r *Router) beyondShare(now core.Time, s *passState) bool {
 	slots := s.target.Slots
-	if float64(s.load.Streams) < float64(slots)*packedPart {
+	if s.load.Streams+int64(len(r.crowd.Live)) <= slots || r.crowd.turn(now) {
 		return false
 	}
 	return int64(s.target.InFlight()) >= r.crowd.Share(s.target.Address, slots)
@@ -318,7 +318,7 @@
 				return placeLong(rec, states)
 			}
 			return placeShort(rec, slices.DeleteFunc(states, func(s passState) bool {
-				return s.full(now, rec) || r.beyondShare(&s)
+				return s.full(now, rec) || r.beyondShare(now, &s)
 			}), r.rng.Float64)
 		}
 	}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/ledger"
@@ -65,6 +66,19 @@
 	return 0
 }
 
+// turnLength is how long one host has its turn: longer than it takes for others to hear what it has taken.
+const turnLength = 12 * time.Millisecond
+
+// turn tells whether this host is the one that may take more than its share now. Clocks of hosts differ, so that turns
+// may overlap, but not for long one after the other.
+func (c *Crowd) turn(now core.Time) bool {
+	hosts := len(c.Live)
+	if hosts <= 1 {
+		return true
+	}
+	return int(now/turnLength)%hosts == rendezvous.Position("turn", c.Self, c.Live)
+}
+
 // Crowd tells the router who else sends to the same engines.
 func (r *Router) Crowd(c Crowd) { r.crowd = c }
 
