--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -21,7 +21,7 @@
 	node     *node.Node
 	executor Executor
 	inputs   chan envelope
-	start    time.Time
+	clock    Clock
 	snapshot atomic.Pointer[node.Snapshot]
 	waiting  map[node.Ticket]chan<- node.Decision
 	ticket   node.Ticket
@@ -36,12 +36,15 @@
 // inputBacklog is how many inputs may wait for the control goroutine before senders block.
 const inputBacklog = 4096
 
-// NewLoop returns a loop for a Node whose process started at the given time.
-func NewLoop(n *node.Node, start time.Time) *Loop {
+// Clock tells the time since the process started.
+type Clock interface{ Now() time.Duration }
+
+// NewLoop returns a loop for a Node that goes by the clock.
+func NewLoop(n *node.Node, clock Clock) *Loop {
 	l := &Loop{
 		node:    n,
 		inputs:  make(chan envelope, inputBacklog),
-		start:   start,
+		clock:   clock,
 		waiting: make(map[node.Ticket]chan<- node.Decision),
 		done:    make(chan struct{}),
 	}
@@ -50,7 +53,7 @@
 }
 
 // Now is the host's clock.
-func (l *Loop) Now() core.Time { return time.Since(l.start) }
+func (l *Loop) Now() core.Time { return l.clock.Now() }
 
 // Snapshot is the last published state; it must not be changed.
 func (l *Loop) Snapshot() *node.Snapshot { return l.snapshot.Load() }
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -151,6 +151,9 @@
 		return
 	}
 	t.End(target.Dispatch{Key: in.Key, Number: in.Dispatch})
+	if in.Ending == EndedDone || in.Ending == EndedRefused || in.Ending == EndedFailed {
+		t.Heard(n.now)
+	}
 	if blamed := n.targets.Get(in.Blame); blamed != nil && blamed != t {
 		blamed.Failed(n.now)
 		return
@@ -162,12 +165,17 @@
 	case EndedRefused:
 		t.Refused(n.now)
 	case EndedNotWritten, EndedLost:
-		if n.awaits(in) && !n.active[in.Key].Aborted && n.now < n.active[in.Key].Request.Deadline {
+		if n.awaits(in) && !n.active[in.Key].Aborted && !n.outOfTime(n.active[in.Key], t) {
 			t.Failed(n.now)
 		}
 	}
 }
 
+// outOfTime tells whether a dispatch ended because its request's time was over, at a target that is alive.
+func (n *Node) outOfTime(rec *ledger.Record, t *target.Target) bool {
+	return n.now >= rec.Request.Deadline && t.HeardSince(rec.Timing.Dispatched)
+}
+
 // awaits tells whether the request still waits for this dispatch; one that was aborted says nothing of its target.
 func (n *Node) awaits(in DispatchEnded) bool {
 	rec := n.active[in.Key]
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -83,6 +83,9 @@
 // CallerLeft reports that the caller of a routed request closed its connection.
 type CallerLeft struct{ Key core.Key }
 
+// TargetHeard is a sign of life of a target, such as an event of a stream.
+type TargetHeard struct{ Target string }
+
 // SeedsHeard are the peer addresses of settings that were read again.
 type SeedsHeard struct{ Peers []string }
 
@@ -140,6 +143,7 @@
 func (CallerLeft) input()         {}
 func (LoadsHeard) input()         {}
 func (SeedsHeard) input()         {}
+func (TargetHeard) input()        {}
 func (HeartbeatHeard) input()     {}
 func (DocumentHeard) input()      {}
 func (HostsHeard) input()         {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -192,6 +192,10 @@
 	switch in := in.(type) {
 	case HeartbeatHeard:
 		n.heartbeatHeard(in)
+	case TargetHeard:
+		if t := n.targets.Get(in.Target); t != nil {
+			t.Heard(n.now)
+		}
 	case LoadsHeard:
 		n.loadsHeard(in)
 	case SeedsHeard:
@@ -222,7 +226,9 @@
 	n.sweepTick()
 	n.groupsTick()
 	n.ordersTick()
+	n.targets.DropGone(n.now)
 	n.targets.Lapse(n.now)
+	n.rescueHung()
 	n.expireWaiting()
 	n.sizeLanes()
 	n.rescue()
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -188,9 +188,10 @@
 		return
 	}
 	cells := cell.New(in.List)
-	if !n.targets.Apply(cells.Scope(in.List, n.opts.Peer)) {
+	if !n.targets.Relist(cells.Scope(in.List, n.opts.Peer), n.knowledge.platform.relisted()) {
 		return
 	}
+	n.targets.DropGone(n.now)
 	n.hosts = in.List
 	n.cells = cells
 	n.describeEngines()
--- a/internal/core/node/readers.go
+++ b/internal/core/node/readers.go
@@ -23,12 +23,14 @@
 type platformHeard struct {
 	// here is when it answered this host.
 	here core.Time
+	// back is when it last answered after an outage.
+	back core.Time
 	// byRank is when it answered the first hosts of this availability zone, as far as is known; never at first.
 	byRank [maxZoneReaders]core.Time
 }
 
 func newPlatformHeard() platformHeard {
-	p := platformHeard{here: never}
+	p := platformHeard{here: never, back: never}
 	for i := range p.byRank {
 		p.byRank[i] = never
 	}
@@ -65,7 +67,25 @@
 	return answered < zoneReaders
 }
 
+const (
+	// outageGap is the time without an answer of the platform from which entries may have lapsed meanwhile.
+	outageGap = 1500 * time.Millisecond
+	// relistTime is how long after that entries of targets that are well may still be missing.
+	relistTime = 2200 * time.Millisecond
+)
+
+// relisted is when the entries that lapsed in the last outage of the platform must be back; past if there was none.
+func (p *platformHeard) relisted() core.Time {
+	if p.back == never {
+		return 0
+	}
+	return p.back + relistTime
+}
+
 func (n *Node) platformAnswered() {
+	if last := n.knowledge.platform.here; last != never && n.now-last >= outageGap {
+		n.knowledge.platform.back = n.now
+	}
 	n.knowledge.platform.here = n.now
 	if rank := n.peers.Rank(); rank >= 0 && rank < maxZoneReaders {
 		n.knowledge.platform.byRank[rank] = n.now
--- a/internal/core/node/silence.go
+++ b/internal/core/node/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"carobshunt/internal/core/ledger"
@@ -25,10 +26,24 @@
 	n.silent = silent
 }
 
+// rescueHung takes requests that may be repeated off targets that owe a sign of life for too long, and sends them
+// nothing new for a while.
+func (n *Node) rescueHung() {
+	for _, t := range n.targets.All() {
+		if t.InFlight() == 0 || !t.Eligible(n.now) || !t.Hung(n.now) {
+			continue
+		}
+		t.Failed(n.now)
+		n.do(Note{Event: EventHung, Text: fmt.Sprintf("%s with %d requests of this host", t.Address, t.InFlight())})
+		n.rescueFrom(t)
+	}
+}
+
 func (n *Node) rescueFrom(t *target.Target) {
 	var stuck []*ledger.Record
 	for _, rec := range n.active {
-		if rec.State == ledger.Dispatched && rec.Target == t.Address && rec.Request.Idempotent && !rec.Work.Group {
+		waits := rec.State == ledger.Dispatched && rec.Target == t.Address && !rec.Work.Group
+		if waits && rec.Request.Idempotent && !n.executedOften(rec) {
 			stuck = append(stuck, rec)
 		}
 	}
@@ -40,7 +55,9 @@
 			return
 		}
 		n.abort(rec)
+		n.endHelp(rec)
 		n.ledger.Requeue(rec)
+		rec.Tried = append(rec.Tried, rec.Target)
 		rec.Timing.FirstToken = 0
 		n.queue.Push(rec)
 	}
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -53,6 +53,10 @@
 	refusedUntil core.Time
 	refusals     int
 	evidence     *evidence
+	// heard is when the target last gave a sign of life to this host.
+	heard core.Time
+	// lapses is when a target that is missing from the list counts as gone; 0 for one that is listed.
+	lapses core.Time
 	// Engine is the published speed of the target; nil where none is published.
 	Engine *document.Engine
 	// StrictPause is the tightest aim for pauses of the streams that come here.
@@ -87,6 +91,8 @@
 	begun     core.Time
 	ahead     int64
 	prefilled bool
+	// written is set once the first token has come.
+	written bool
 	// due is when the engine must have read its part, by its published speed; 0 where none is published.
 	due core.Time
 }
@@ -147,7 +153,12 @@
 // Prefilled accounts for a dispatch's first token.
 func (t *Target) Prefilled(now core.Time, d Dispatch) {
 	p := t.inFlight[d]
-	if p == nil || p.prefilled {
+	if p == nil {
+		return
+	}
+	p.written = true
+	t.heard = now
+	if p.prefilled {
 		return
 	}
 	*t.moved++
@@ -221,6 +232,19 @@
 // Apply takes a host list; one with a lower version than the last changes nothing. A target that left the list is
 // kept, as leaving, until its dispatches have ended.
 func (tb *Table) Apply(list *hostlist.List) bool {
+	if !tb.Relist(list, 0) {
+		return false
+	}
+	tb.DropGone(everGone)
+	return true
+}
+
+// everGone is the instant from which a target that is missing counts as gone where nothing speaks for it.
+const everGone = core.Time(1)
+
+// Relist takes a host list as Apply does, but a target that left it counts as gone only from an instant on: when the
+// platform has just come back, entries that lapsed meanwhile are still to be written again. DropGone must follow.
+func (tb *Table) Relist(list *hostlist.List, goneFrom core.Time) bool {
 	if list.Version < tb.version {
 		return false
 	}
@@ -234,18 +258,32 @@
 		tb.put(host)
 	}
 	for address, t := range tb.byAddress {
-		if listed[address] {
+		if !listed[address] && t.lapses == 0 {
+			t.lapses = max(goneFrom, everGone)
+		}
+	}
+	tb.reorder()
+	return true
+}
+
+// DropGone lets the targets go that are missing from the list and whose time has come.
+func (tb *Table) DropGone(now core.Time) {
+	changed := false
+	for address, t := range tb.byAddress {
+		if t.lapses == 0 || now < t.lapses {
 			continue
 		}
+		changed = changed || t.State != hostlist.StateLeaving
 		t.State = hostlist.StateLeaving
 		if t.InFlight() == 0 {
 			t.evidence.forget(t)
 			delete(tb.byAddress, address)
+			changed = true
 		}
 	}
-	tb.reorder()
-	tb.evidence.count(tb.ordered)
-	return true
+	if changed {
+		tb.reorder()
+	}
 }
 
 // Version is the version of the host list in force.
@@ -254,6 +292,7 @@
 func (tb *Table) put(host hostlist.Host) {
 	if t := tb.byAddress[host.Address]; t != nil && t.Instance == host.Instance && t.Start == host.Start {
 		t.Host = host
+		t.lapses = 0
 		return
 	} else if t != nil {
 		t.evidence.forget(t) // another target has the address now
@@ -278,6 +317,7 @@
 		tb.byDigest[uint64(digestID(t.Address))] = t
 	}
 	sort.Slice(tb.ordered, func(i, j int) bool { return tb.ordered[i].Address < tb.ordered[j].Address })
+	tb.evidence.count(tb.ordered)
 }
 
 // Get returns the target at an address, or nil.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"carobshunt/internal/bootclock"
 	"carobshunt/internal/control"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
@@ -43,7 +44,7 @@
 
 // New returns a daemon that has not started.
 func New(s *settings.Settings, log hclog.Logger) *Daemon {
-	start := time.Now()
+	clock := bootclock.Start()
 	incarnation, seed := newIncarnation()
 	self := core.Home{Address: s.Advertise.Callers, Incarnation: incarnation}
 	options := node.Options{
@@ -59,7 +60,7 @@
 	if s.Platform.Kind == settings.PlatformStore {
 		setStoreOptions(&options)
 	}
-	d := &Daemon{settings: s, log: log, loop: control.NewLoop(node.New(options), start), self: self}
+	d := &Daemon{settings: s, log: log, loop: control.NewLoop(node.New(options), clock), self: self}
 	d.storePreset.Store(s.Platform.Preset)
 	return d
 }
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -7,9 +7,11 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Dialer connects from one IP address.
@@ -42,9 +44,34 @@
 	return d
 }
 
+// A connection may go silent without being closed. These bounds make it fail within a few seconds.
+var probes = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+
+const (
+	// probeIdle is the time without traffic after which a connection is probed, every probeInterval until probeCount
+	// probes had no answer.
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+	// userTimeout is how long what was sent may stay without acknowledgement.
+	userTimeout = 1500 * time.Millisecond
+)
+
+// setUserTimeout bounds the time without acknowledgement.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(failed)
+}
+
 // WithTimeout returns a dial function for transports; the timeout covers the TLS handshake too.
 func (d Dialer) WithTimeout(timeout time.Duration) dialFunc {
-	dialer := &net.Dialer{Timeout: timeout}
+	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: probes, Control: setUserTimeout}
 	if d.source.IsValid() {
 		dialer.LocalAddr = &net.TCPAddr{IP: d.source.AsSlice()}
 	}
