--- a/internal/core/target/silence.go
+++ b/internal/core/target/silence.go
@@ -10,12 +10,16 @@
 const (
 	// streamSilence is for an engine that writes, readSilence for one that has not read a prompt in the time that it
 	// should take, beyond that time.
-	streamSilence = 1300 * time.Millisecond
-	readSilence   = time.Second
+	streamSilence = 1800 * time.Millisecond
+	readSilence   = 2 * time.Second
 	// callSilence is for a plain service.
 	callSilence = 500 * time.Millisecond
 )
 
+// hungRequests is how many requests of this host must wait for a target before it counts as hung: a single one may be
+// slow for reasons of its own, and probes of its connection tell of a target that is gone.
+const hungRequests = 2
+
 // Heard notes a sign of life.
 func (t *Target) Heard(now core.Time) { t.heard = now }
 
@@ -24,12 +28,13 @@
 
 // Hung tells whether the target owes this host a sign of life for too long.
 func (t *Target) Hung(now core.Time) bool {
+	overdue := 0
 	for _, p := range t.inFlight {
 		if p.load.Streams > 0 && t.overdue(now, p) {
-			return true
+			overdue++
 		}
 	}
-	return false
+	return overdue >= hungRequests
 }
 
 func (t *Target) overdue(now core.Time, p *placed) bool {
