Tests of routed requests; a rescued request no longer ends for want of time to wait

Found by the test of hung targets: the wait was counted from admission, so a request that had run for a second was refused at the next tick. A caller that came back is told by the usual budget of its route.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -63,6 +63,8 @@
 	reachedBefore bool
 	// attempts is the highest attempt that the record answers for.
 	attempts uint32
+	// WaitsSince is when the request last began to wait for a target.
+	WaitsSince core.Time
 	// Executions counts the dispatches that may have reached a target, Refusals those that a target did not take.
 	Executions int
 	Refusals   int
--- a/internal/core/node/adopt.go
+++ b/internal/core/node/adopt.go
@@ -44,6 +44,6 @@
 	n.adoptions.Failed++
 	rec.Timing.FirstToken = 0
 	n.ledger.Requeue(rec)
-	n.queue.Push(rec)
+	n.enqueue(rec)
 	return true
 }
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -249,7 +249,7 @@
 		return
 	}
 	rec.Timing.FirstToken = 0
-	n.queue.Push(rec)
+	n.enqueue(rec)
 }
 
 // pastDeadline is the result of a request whose time is over.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -112,6 +112,7 @@
 	// table finds the routes of the document in force.
 	table *routes.Table
 	loads loadsState
+	usual usualBudgets
 }
 
 // New returns the Node of a process that has just started: its clock stands at zero.
@@ -141,6 +142,7 @@
 		outcomes:      make(map[api.Outcome]uint64),
 		knowledge:     newKnowledge(),
 		lanesSized:    -laneInterval,
+		usual:         make(usualBudgets),
 	}
 	n.queue = newQueue(opts.Policy, n.teamWeight)
 	return n
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -154,6 +154,7 @@
 	case conf.Applied:
 		doc := n.config.Document()
 		n.table = routes.New(doc)
+		n.usual.forget(n.table.Has)
 		n.describeEngines()
 		n.limitRates()
 		n.renewDirectory()
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -208,10 +208,16 @@
 		return
 	}
 	n.ledger.Queue(rec)
-	n.queue.Push(rec)
+	n.enqueue(rec)
 	n.pump()
 }
 
+// enqueue makes a request wait for a target.
+func (n *Node) enqueue(rec *ledger.Record) {
+	rec.WaitsSince = n.now
+	n.queue.Push(rec)
+}
+
 // retryAfter is a time to come back with jitter, between half and one and a half of the base.
 func (n *Node) retryAfter(base time.Duration) time.Duration {
 	return base/2 + time.Duration(n.rng.Int64N(int64(base)))
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -51,16 +51,13 @@
 	req.Home = n.opts.Self
 	budget := route.Timeout()
 	if req.Budget > 0 {
-		routed.Returned = req.Budget < budget*returnedPercent/percent
+		routed.Returned = n.usual.returned(n.now, route.Name, req.Budget)
 		budget = min(budget, req.Budget)
 	}
 	req.Budget = budget
 	req.Deadline = n.now + budget
 }
 
-// returnedPercent is the part of a route's time below which a caller's own shows that it came back.
-const returnedPercent = 97
-
 // setTargets gives a record the aims for its answer: those of its route, or those of the preset.
 func (n *Node) setTargets(rec *ledger.Record, preset *document.Preset) {
 	if routed := rec.Request.Routed; routed != nil {
@@ -155,7 +152,7 @@
 func (n *Node) expireWaiting() {
 	var waited []*ledger.Record
 	n.queue.Each(n.now, func(rec *ledger.Record) bool {
-		if rec.Request.Routed != nil && n.now-rec.Timing.Admitted > n.waitLimit(rec) {
+		if rec.Request.Routed != nil && n.now-rec.WaitsSince > n.waitLimit(rec) {
 			waited = append(waited, rec)
 		}
 		return false
--- /dev/null
+++ b/internal/core/node/routed_test.go
@@ -0,0 +1,483 @@
+package node_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/group"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+
+	"gotest.tools/v3/assert"
+)
+
+// edge is one Node on a platform whose callers name what they ask for by host name and path.
+type edge struct {
+	*lone
+	ids int
+}
+
+const edgeKey = "0b5b3c2a"
+
+func edgeDocument(revision uint64) *document.Document {
+	route := func(name string, kind document.Kind, service string) document.Route {
+		return document.Route{
+			Name: name, Authority: "a.example", Prefix: "/" + name + "/", Kind: kind, Resumable: kind == document.KindStream,
+			Services: []document.WeightedService{{Name: service, Weight: 1}}, MaxExecutions: 2, TimeoutMs: 5_000, TargetMs: 300,
+			GapTargetMs: 250,
+		}
+	}
+	open := route("open", document.KindIdempotent, "desk")
+	open.Public = true
+	return &document.Document{
+		Revision: revision, Active: "p",
+		Presets: map[string]document.Preset{"p": {
+			Budgets:            document.Budgets{ShortMs: 10_000, MiddleMs: 60_000, LongMs: 900_000},
+			FirstTokenTargetMs: 300, ShortPromptTokens: 20_000, MiddlePromptTokens: 80_000, RetryPercent: 20,
+		}},
+		Teams:  []document.Team{{Name: "press", Weight: 1, TokensPerSecond: 1, KeysSHA256: []string{edgeKey}, Unmetered: true}},
+		Routes: []document.Route{route("send", document.KindOnce, "desk"), route("read", document.KindIdempotent, "desk"), route("ask", document.KindStream, "llm"), open},
+		Services: []document.Service{
+			{Name: "desk", MaxConnections: 10},
+			{Name: "llm", MaxConnections: 10, Engine: &document.Engine{
+				Slots: 16, MemoryTokens: 232_000, StepsPerPass: 43, ChunkTokens: 2048, StepMs: 1, ReadTokensPerMs: 206, PairsMs: 0.1,
+			}},
+		},
+	}
+}
+
+func edgeHosts(version uint64, addresses ...string) *hostlist.List {
+	list := &hostlist.List{Version: version}
+	for _, a := range addresses {
+		host := hostlist.Host{
+			Address: a, Zone: "a", Role: hostlist.RoleService, State: hostlist.StateLive, Models: []string{"desk"}, Instance: "i" + a, Slots: 6,
+		}
+		if a[0] == 'e' {
+			host.Role, host.Models, host.Slots = hostlist.RoleEngine, []string{"llm"}, 16
+		}
+		list.Hosts = append(list.Hosts, host)
+	}
+	return list
+}
+
+func startEdge(t *testing.T) *edge {
+	t.Helper()
+	n := node.New(node.Options{
+		Self: loneSelf, Peer: "10.0.0.1:2", Zone: "a", Records: 100, BodyBytes: 1 << 20, Seed: 1, Policy: node.PolicyPacked,
+		Loads: "10.0.0.1:3", LookupKeep: 3 * time.Second, EnginesExpire: true, PlatformCurrent: true,
+		Reservations: group.Timing{Expiry: 4 * time.Second, Patience: time.Second, Renew: time.Second, AtOnce: true},
+	})
+	return &edge{lone: &lone{t: t, node: n, now: time.Second}}
+}
+
+func newEdge(t *testing.T) *edge {
+	t.Helper()
+	e := startEdge(t)
+	e.publish(1)
+	e.step(node.PlatformAnswered{})
+	e.step(node.HostsHeard{List: edgeHosts(1, "e1", "e2", "e3", "s1", "s2"), Source: conf.SourcePlatform})
+	assert.Assert(t, e.node.Snapshot().Ready, "the platform has answered, there is nobody to wait for")
+	return e
+}
+
+func (e *edge) publish(revision uint64) {
+	raw, err := json.Marshal(edgeDocument(revision))
+	assert.NilError(e.t, err)
+	e.step(node.DocumentHeard{Raw: raw, Source: conf.SourcePlatform})
+}
+
+func (e *edge) request(path string) core.Request {
+	e.ids++
+	return core.Request{
+		Key: core.Key{ID: fmt.Sprint("r", e.ids)}, Attempt: 1, PromptTokens: 5_000, AnswerTokens: 1_000, Budget: 4 * time.Second,
+		Routed: &core.Routed{Authority: "a.example", Path: path, KeyDigest: edgeKey},
+	}
+}
+
+// send admits a request, brings its body and returns its first dispatch.
+func (e *edge) send(path string) node.StartDispatch {
+	e.t.Helper()
+	req := e.request(path)
+	assert.Equal(e.t, e.submit(req).Kind, node.Admit)
+	e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+	return e.dispatched()
+}
+
+func (e *edge) dispatched() node.StartDispatch {
+	e.t.Helper()
+	for _, a := range e.actions {
+		if d, ok := a.(node.StartDispatch); ok {
+			return d
+		}
+	}
+	e.t.Fatalf("no dispatch in %v", e.actions)
+	return node.StartDispatch{}
+}
+
+func (e *edge) end(d node.StartDispatch, ending node.Ending) {
+	e.step(node.DispatchEnded{Key: d.Key, Dispatch: d.Dispatch, Target: d.Target, Ending: ending})
+}
+
+// finished returns the result of the last step's finish.
+func (e *edge) finished() (core.Result, bool) {
+	for _, a := range e.actions {
+		if f, ok := a.(node.Finish); ok {
+			return f.Result, true
+		}
+	}
+	return core.Result{}, false
+}
+
+func (e *edge) mustFinish() core.Result {
+	e.t.Helper()
+	result, ok := e.finished()
+	assert.Assert(e.t, ok, "%v", e.actions)
+	return result
+}
+
+func TestRoutedRequestsAreResolvedOrRefused(t *testing.T) {
+	e := newEdge(t)
+	for _, c := range []struct {
+		path, key string
+		code      api.Code
+	}{
+		{"/read/1", edgeKey, ""},
+		{"/open/1", "", ""},
+		{"/none/1", edgeKey, api.CodeUnknownRoute},
+		{"/read/1", "", api.CodeUnknownKey},
+		{"/read/1", "other", api.CodeUnknownKey},
+	} {
+		req := e.request(c.path)
+		req.Routed.KeyDigest = c.key
+		d := e.submit(req)
+		assert.Equal(t, d.Result.Code, c.code, "%+v", c)
+		if c.code != "" {
+			assert.Equal(t, d.Result.Outcome, api.OutcomeNotRun)
+		}
+	}
+}
+
+func TestHostThatKnowsNoConfigurationSaysNothingOfRoutes(t *testing.T) {
+	e := startEdge(t)
+	d := e.submit(e.request("/none/1"))
+	assert.Equal(t, d.Result.Code, api.CodeNotReady)
+	assert.Equal(t, d.Result.Outcome, api.OutcomeNotRun)
+	assert.Assert(t, d.Result.RetryAfter > 0)
+}
+
+func TestRequestThatRunsOnceIsNotSentAgainOnceItMayHaveArrived(t *testing.T) {
+	e := newEdge(t)
+	e.end(e.send("/send/1"), node.EndedLost)
+	result := e.mustFinish()
+	assert.Equal(t, result.Outcome, api.OutcomeUnknown)
+}
+
+func TestRequestThatRunsOnceGoesOnWhereItSurelyDidNotRun(t *testing.T) {
+	for _, ending := range []node.Ending{node.EndedNotWritten, node.EndedRefused} {
+		e := newEdge(t)
+		first := e.send("/send/1")
+		e.end(first, ending)
+		second := e.dispatched()
+		assert.Assert(t, second.Target != first.Target)
+		e.end(second, node.EndedLost)
+		assert.Equal(t, e.mustFinish().Outcome, api.OutcomeUnknown, "%v", ending)
+	}
+}
+
+func TestRequestThatEveryTargetRefusedDidNotRun(t *testing.T) {
+	e := newEdge(t)
+	e.end(e.send("/send/1"), node.EndedRefused)
+	e.end(e.dispatched(), node.EndedRefused)
+	e.run(time.Second)
+	e.step(node.Tick{})
+	var result core.Result
+	for range 40 {
+		if r, ok := e.finished(); ok {
+			result = r
+			break
+		}
+		e.after(node.TickInterval).step(node.Tick{})
+	}
+	assert.Assert(t, result.Code == "" || result.Outcome == api.OutcomeNotRun, "%+v", result)
+	assert.Equal(t, e.node.Snapshot().Status.Requests.Running+e.node.Snapshot().Status.Requests.Queued, 0, "nobody waits for ever")
+}
+
+func TestRequestIsExecutedByNoMoreTargetsThanItsRouteAllows(t *testing.T) {
+	e := newEdge(t)
+	e.end(e.send("/read/1"), node.EndedLost)
+	e.end(e.dispatched(), node.EndedLost)
+	assert.Equal(t, e.mustFinish().Outcome, api.OutcomeFailed)
+}
+
+func TestRetriesDrawOnTheBudget(t *testing.T) {
+	e := newEdge(t)
+	again := 0
+	for range 100 {
+		first := e.send("/read/1")
+		e.end(first, node.EndedFailed)
+		if _, done := e.finished(); done {
+			continue
+		}
+		again++
+		e.end(e.dispatched(), node.EndedDone)
+	}
+	assert.Assert(t, again <= 100*20/100+10, "%d of 100 were sent again", again)
+	assert.Assert(t, again >= 10)
+}
+
+func TestRecordsEndWithTheirRequests(t *testing.T) {
+	e := newEdge(t)
+	for range 300 { // more than there is room for records
+		e.end(e.send("/read/1"), node.EndedDone)
+		assert.Equal(t, e.mustFinish().Outcome, api.OutcomeDone)
+	}
+	assert.Equal(t, e.node.Snapshot().Status.Requests.Records, 0)
+}
+
+func TestCallerThatLeavesEndsItsRequest(t *testing.T) {
+	e := newEdge(t)
+	d := e.send("/ask/1")
+	e.step(node.CallerLeft{Key: d.Key})
+	assert.Equal(t, e.mustFinish().Code, api.CodeCanceled)
+	aborted := false
+	for _, a := range e.actions {
+		_, is := a.(node.AbortDispatch)
+		aborted = aborted || is
+	}
+	assert.Assert(t, aborted, "its target is told")
+	e.end(d, node.EndedLost)
+	for _, s := range e.node.Snapshot().Status.Targets {
+		assert.Assert(t, s.Eligible, "no target is to blame")
+	}
+}
+
+func TestRequestEndsAtItsRoutesTimeAndItsCallers(t *testing.T) {
+	e := newEdge(t)
+	req := e.request("/ask/1")
+	req.Budget = time.Hour
+	d := e.submit(req)
+	assert.Equal(t, d.Deadline, e.now+5*time.Second, "the route's time")
+	req = e.request("/ask/1")
+	req.Budget = 700 * time.Millisecond
+	assert.Equal(t, e.submit(req).Deadline, e.now+700*time.Millisecond, "the caller's")
+}
+
+func TestRequestWithoutATargetIsRefusedInTime(t *testing.T) {
+	e := newEdge(t)
+	e.step(node.HostsHeard{List: edgeHosts(2, "e1", "e2", "e3"), Source: conf.SourcePlatform})
+	d := e.submit(e.request("/read/1"))
+	assert.Equal(t, d.Result.Code, api.CodeNoTarget)
+	assert.Assert(t, d.Result.RetryAfter > 0)
+}
+
+func TestWaitingRequestIsRefusedWhenItsAimHasPassed(t *testing.T) {
+	e := newEdge(t)
+	for range 48 { // the slots of three engines
+		e.send("/ask/1")
+	}
+	req := e.request("/ask/1")
+	assert.Equal(t, e.submit(req).Kind, node.Admit)
+	e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+	waited := time.Duration(0)
+	for waited < time.Second {
+		e.after(node.TickInterval).step(node.Tick{})
+		waited += node.TickInterval
+		if result, ok := e.finished(); ok {
+			assert.Equal(t, result.Code, api.CodeNoRoom)
+			assert.Equal(t, result.Outcome, api.OutcomeNotRun)
+			assert.Assert(t, result.RetryAfter >= time.Second, "the crowd must have time to end")
+			assert.Assert(t, waited <= 400*time.Millisecond, "%v", waited)
+			return
+		}
+	}
+	t.Fatal("it still waits")
+}
+
+func TestStoppingHostServesCallersThatStillComeAndThenEnds(t *testing.T) {
+	e := newEdge(t)
+	e.step(node.Drain{})
+	assert.Equal(t, len(e.node.Snapshot().Hosts), 0, "look-ups name it no more")
+	e.run(2 * time.Second)
+	d := e.send("/send/1")
+	e.run(1500 * time.Millisecond)
+	late := e.submit(e.request("/read/1"))
+	assert.Equal(t, late.Result.Code, api.CodeDraining)
+	assert.Equal(t, late.Result.Outcome, api.OutcomeNotRun)
+	for _, a := range e.step(node.Tick{}) {
+		_, stops := a.(node.Stop)
+		assert.Assert(t, !stops, "a request is under way")
+	}
+	e.end(d, node.EndedDone)
+	stopped := false
+	for _, a := range e.after(node.TickInterval).step(node.Tick{}) {
+		_, stops := a.(node.Stop)
+		stopped = stopped || stops
+	}
+	assert.Assert(t, stopped)
+}
+
+func TestKeyThatWasTakenAwayIsRefusedAtOnce(t *testing.T) {
+	e := newEdge(t)
+	doc := edgeDocument(2)
+	doc.Teams[0].KeysSHA256 = []string{"new"}
+	raw, err := json.Marshal(doc)
+	assert.NilError(t, err)
+	e.step(node.DocumentHeard{Raw: raw, Source: "peer"})
+	assert.Equal(t, e.submit(e.request("/read/1")).Result.Code, api.CodeUnknownKey)
+	e.publish(1)
+	assert.Equal(t, e.submit(e.request("/read/1")).Result.Code, api.CodeUnknownKey, "an older document changes nothing")
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	e := newEdge(t)
+	list := edgeHosts(2, "e1", "e2", "e3", "s1", "s2")
+	list.Hosts[3].State = hostlist.StateLeaving
+	e.step(node.HostsHeard{List: list, Source: "peer"})
+	for range 20 {
+		d := e.send("/read/1")
+		assert.Equal(t, d.Target, "s2")
+		e.end(d, node.EndedDone)
+	}
+}
+
+func TestTargetsThatLapsedInAnOutageOfThePlatformServeOn(t *testing.T) {
+	e := newEdge(t)
+	e.run(5 * time.Second)
+	e.step(node.PlatformAnswered{})
+	e.step(node.HostsHeard{List: edgeHosts(2, "e1", "e2", "e3"), Source: conf.SourcePlatform})
+	d := e.send("/read/1")
+	e.end(d, node.EndedDone)
+	e.run(3 * time.Second)
+	assert.Equal(t, e.submit(e.request("/read/1")).Result.Code, api.CodeNoTarget, "what is missing still is gone")
+}
+
+func TestHostSpeaksOfItsLoadSoonAfterAChangeAndTakesNoOldWord(t *testing.T) {
+	e := newEdge(t)
+	beat := func(incarnation string) node.HeartbeatHeard {
+		hb := node.HeartbeatHeard{}
+		hb.Heartbeat.Peer, hb.Heartbeat.Incarnation, hb.Heartbeat.ClockMs = "10.0.0.2:2", incarnation, 1
+		hb.Heartbeat.LoadsAddress, hb.Heartbeat.IntervalMs = "10.0.0.2:3", 450
+		return hb
+	}
+	e.step(beat("j1"))
+	d := e.send("/ask/1")
+	e.after(10 * time.Millisecond).step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch})
+	var sent node.SendLoads
+	for _, a := range e.actions {
+		if s, ok := a.(node.SendLoads); ok {
+			sent = s
+		}
+	}
+	assert.DeepEqual(t, sent.To, []string{"10.0.0.2:3"})
+	streams := func() int64 {
+		d := e.send("/ask/1")
+		e.step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch})
+		return d.Basis.Streams
+	}
+	e.end(d, node.EndedDone)
+	e.step(node.LoadsHeard{Peer: "10.0.0.2:2", Incarnation: "j1", Sequence: 7, Digest: sent.Digest})
+	assert.Equal(t, streams(), int64(1))
+	e.step(node.LoadsHeard{Peer: "10.0.0.2:2", Incarnation: "j1", Sequence: 6, Digest: nil})
+	assert.Equal(t, streams(), int64(2), "an older word does not count")
+	e.step(node.LoadsHeard{Peer: "10.0.0.2:2", Incarnation: "j0", Sequence: 9, Digest: nil})
+	assert.Equal(t, streams(), int64(3), "nor one of a former process")
+}
+
+func TestGiantIsReservedSpreadReadByHelpersAndGivenBack(t *testing.T) {
+	e := newEdge(t)
+	req := e.request("/ask/1")
+	req.PromptTokens = 300_000
+	assert.Equal(t, e.submit(req).Kind, node.Admit)
+	e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+	reserved := make(map[string]bool)
+	var order node.StartDispatch
+	for range 20 {
+		answers := e.actions
+		for _, a := range answers {
+			switch a := a.(type) {
+			case node.Reserve:
+				assert.Assert(t, !a.Wait, "an engine that keeps a place in line takes in nothing else")
+				reserved[a.Target] = true
+				e.step(node.ReservationAnswered{
+					Key: a.Key, Target: a.Target, Reservation: a.Reservation, Asked: a.Asked, Answer: group.Held,
+				})
+			case node.StartDispatch:
+				order = a
+			}
+		}
+		if order.Target != "" {
+			break
+		}
+	}
+	assert.Equal(t, len(order.Group), len(reserved))
+	assert.Equal(t, order.Group[0], order.Target, "the one that answers comes first")
+	e.end(order, node.EndedDone)
+	released := 0
+	for _, a := range e.actions {
+		if _, ok := a.(node.Release); ok {
+			released++
+		}
+	}
+	assert.Equal(t, released, len(reserved))
+}
+
+func TestHelpersWorkEndsWithTheRequest(t *testing.T) {
+	e := newEdge(t)
+	req := e.request("/ask/1")
+	req.PromptTokens, req.AnswerTokens = 190_000, 100
+	assert.Equal(t, e.submit(req).Kind, node.Admit)
+	e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+	d := e.dispatched()
+	assert.Assert(t, len(d.Helpers) > 0)
+	e.step(node.CallerLeft{Key: d.Key})
+	e.end(d, node.EndedLost)
+	for _, s := range e.node.Snapshot().Status.Targets {
+		assert.Equal(t, s.PendingTokens, int64(0), s.Address)
+		assert.Equal(t, s.InFlight, 0, s.Address)
+	}
+}
+
+func TestRequestsLeaveTargetsThatGiveNoSignOfLife(t *testing.T) {
+	e := newEdge(t)
+	first := e.send("/ask/1")
+	e.step(node.DispatchFirstToken{Key: first.Key, Dispatch: first.Dispatch})
+	second := e.send("/ask/1")
+	e.step(node.DispatchFirstToken{Key: second.Key, Dispatch: second.Dispatch})
+	assert.Equal(t, first.Target, second.Target, "short prompts are packed")
+	moved := 0
+	for range 60 {
+		for _, a := range e.after(node.TickInterval).step(node.Tick{}) {
+			if d, ok := a.(node.StartDispatch); ok {
+				moved++
+				assert.Assert(t, d.Target != first.Target)
+				e.step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch})
+			}
+		}
+	}
+	assert.Assert(t, moved >= 2, "%d moved", moved)
+}
+
+func TestCallerThatCameBackGoesFirst(t *testing.T) {
+	e := newEdge(t)
+	var full []node.StartDispatch
+	for range 48 {
+		full = append(full, e.send("/ask/1"))
+	}
+	wait := func(budget time.Duration) string {
+		req := e.request("/ask/1")
+		req.Budget = budget
+		assert.Equal(t, e.submit(req).Kind, node.Admit)
+		e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+		return req.ID
+	}
+	wait(4 * time.Second)
+	back := wait(3 * time.Second)
+	e.end(full[0], node.EndedDone)
+	assert.Equal(t, e.dispatched().Key.ID, back)
+}
--- a/internal/core/node/silence.go
+++ b/internal/core/node/silence.go
@@ -59,6 +59,6 @@
 		n.ledger.Requeue(rec)
 		rec.Tried = append(rec.Tried, rec.Target)
 		rec.Timing.FirstToken = 0
-		n.queue.Push(rec)
+		n.enqueue(rec)
 	}
 }
--- /dev/null
+++ b/internal/core/queue/aims_test.go
@@ -0,0 +1,58 @@
+package queue_test
+
+import (
+	"testing"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/queue"
+	"carobshunt/internal/document"
+
+	"gotest.tools/v3/assert"
+)
+
+func aimed(id string, admitted, aim time.Duration, returned bool) *ledger.Record {
+	return &ledger.Record{
+		Request:          core.Request{Key: core.Key{ID: id}, Routed: &core.Routed{Returned: returned}},
+		Work:             core.Work{Class: document.ClassShort, PrefillWork: 10},
+		Timing:           core.Timing{Admitted: admitted},
+		FirstTokenTarget: aim,
+	}
+}
+
+// TestCrowdIsServedByWhoCanBeInTime answers a burst in which more wait than can be served: first callers that were sent
+// away before, then those that can be in time, then the youngest of the others.
+func TestCrowdIsServedByWhoCanBeInTime(t *testing.T) {
+	q := queue.NewAims()
+	const ms = time.Millisecond
+	for _, rec := range []*ledger.Record{
+		aimed("late-old", 0, 300*ms, false),
+		aimed("late-young", 700*ms, 300*ms, false),
+		aimed("in-time-far", 990*ms, 2500*ms, false),
+		aimed("in-time-near", 950*ms, 300*ms, false),
+		aimed("came-back", 100*ms, 300*ms, true),
+	} {
+		q.Push(rec)
+	}
+	var order []string
+	q.Each(time.Second, func(rec *ledger.Record) bool {
+		order = append(order, rec.Request.ID)
+		return rec.Request.ID == "late-old"
+	})
+	assert.DeepEqual(t, order, []string{"came-back", "in-time-near", "in-time-far", "late-young", "late-old"})
+	assert.Equal(t, q.Len(), 4)
+	assert.Equal(t, q.Tokens(document.ClassShort), int64(40))
+}
+
+func TestRemovedRecordIsNotOffered(t *testing.T) {
+	q := queue.NewAims()
+	rec := aimed("a", 0, time.Second, false)
+	rec.Work.Group = true
+	q.Push(rec)
+	assert.Equal(t, q.Groups(), 1)
+	assert.Assert(t, q.Remove(core.Key{ID: "a"}))
+	assert.Assert(t, !q.Remove(core.Key{ID: "a"}))
+	assert.Equal(t, q.Groups(), 0)
+	q.Each(0, func(*ledger.Record) bool { t.Fatal("offered"); return false })
+}
--- /dev/null
+++ b/internal/core/route/passes_test.go
@@ -0,0 +1,163 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/route"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+
+	"gotest.tools/v3/assert"
+)
+
+// paced returns engines of published speed.
+func paced(n int) []*target.Target {
+	list := &hostlist.List{Version: 1}
+	for i := range n {
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Address: fmt.Sprintf("e%02d", i), Zone: "z", Role: hostlist.RoleEngine, State: hostlist.StateLive,
+			Models: []string{"m"}, MemoryTokens: 232_000, Slots: 16,
+		})
+	}
+	tb := target.NewTable()
+	tb.Apply(list)
+	for _, t := range tb.All() {
+		t.StrictPause = 250 * time.Millisecond
+		t.Engine = &document.Engine{
+			Slots: 16, MemoryTokens: 232_000, StepsPerPass: 43, ChunkTokens: 2048, StepMs: 1.02, StepPerStreamMs: 0.00226,
+			StepPerContextMs: 0.00431, ReadTokensPerMs: 206, PairsMs: 0.138,
+		}
+	}
+	return tb.All()
+}
+
+func routedPrompt(tokens int64) *ledger.Record {
+	rec := &ledger.Record{
+		Request: core.Request{
+			Model: "m", PromptTokens: tokens, AnswerTokens: 1300, Routed: &core.Routed{GapTarget: 250 * time.Millisecond},
+		},
+		Work:             core.Work{Class: document.ClassShort},
+		FirstTokenTarget: 300 * time.Millisecond,
+	}
+	if tokens >= 20_000 {
+		rec.Work.Class = document.ClassMiddle
+		rec.Request.Routed.GapTarget = time.Second
+		rec.FirstTokenTarget = 2500 * time.Millisecond
+	}
+	return rec
+}
+
+func place(rec *ledger.Record, engines []*target.Target) route.Placement {
+	return route.NewPacked(rand.New(rand.NewPCG(1, 1))).Place(0, rec, engines)
+}
+
+// write adds streams of short prompts that are being written.
+func write(t *target.Target, streams int) {
+	for range streams {
+		d := target.Dispatch{Key: core.Key{ID: fmt.Sprint(t.InFlight())}}
+		t.Begin(0, d, target.Job{Work: 100, Memory: 6_000, Strict: true})
+		t.Prefilled(0, d)
+	}
+}
+
+// TestShortPromptsArePacked answers a calm mix: short streams share few engines and leave the others for long prompts.
+func TestShortPromptsArePacked(t *testing.T) {
+	engines := paced(4)
+	write(engines[2], 5)
+	assert.Equal(t, place(routedPrompt(5_000), engines).Target, engines[2])
+	write(engines[2], 7)
+	assert.Assert(t, place(routedPrompt(5_000), engines).Target != engines[2], "twelve of sixteen slots are enough")
+}
+
+// TestShortPromptAvoidsAnEngineThatReads answers a long prompt under way: a pass with it lasts longer than the aim.
+func TestShortPromptAvoidsAnEngineThatReads(t *testing.T) {
+	engines := paced(2)
+	write(engines[0], 5)
+	load(engines[0], target.Job{Work: 206 * 400, Deep: true})
+	assert.Equal(t, place(routedPrompt(5_000), engines).Target, engines[1])
+}
+
+// TestShortPromptWaitsRatherThanGoWhereItIsHopeless answers engines that are full or read giants.
+func TestShortPromptWaitsRatherThanGoWhereItIsHopeless(t *testing.T) {
+	engines := paced(2)
+	write(engines[0], 16)
+	load(engines[1], target.Job{Work: 206 * 5_000, Deep: true})
+	assert.Assert(t, place(routedPrompt(5_000), engines).Target == nil)
+}
+
+// TestLongPromptIsReadOnIdleEngines answers a long prompt beside packed streams.
+func TestLongPromptIsReadOnIdleEngines(t *testing.T) {
+	engines := paced(6)
+	write(engines[0], 12)
+	write(engines[1], 12)
+	p := place(routedPrompt(133_000), engines)
+	assert.Assert(t, p.Target != engines[0] && p.Target != engines[1])
+	for _, h := range p.Helpers {
+		assert.Assert(t, h != engines[0] && h != engines[1])
+	}
+}
+
+// TestLongPromptIsCutSmallWhereAllWrite answers a long prompt in a burst of short ones: no pass may grow beyond the aim
+// for pauses, so all engines read a small part.
+func TestLongPromptIsCutSmallWhereAllWrite(t *testing.T) {
+	engines := paced(21)
+	for _, e := range engines {
+		write(e, 10)
+	}
+	p := place(routedPrompt(45_000), engines)
+	assert.Assert(t, p.Target != nil)
+	assert.Assert(t, len(p.Helpers) >= 2, "%d helpers", len(p.Helpers))
+}
+
+// TestGiantWaitsWhileItWouldHarmMoreThanItIsWorth answers a giant beside full engines.
+func TestGiantWaitsWhileItWouldHarmMoreThanItIsWorth(t *testing.T) {
+	engines := paced(4)
+	for _, e := range engines {
+		write(e, 13)
+	}
+	rec := routedPrompt(200_000)
+	rec.Request.AnswerTokens = 100
+	assert.Assert(t, place(rec, engines).Target == nil)
+}
+
+func TestTargetThatFailedTheRequestIsNotAskedAgain(t *testing.T) {
+	engines := paced(2)
+	rec := routedPrompt(5_000)
+	rec.Tried = []string{engines[0].Address}
+	assert.Equal(t, place(rec, engines).Target, engines[1])
+	rec.Tried = append(rec.Tried, engines[1].Address)
+	assert.Assert(t, place(rec, engines).Target == nil)
+}
+
+// TestLastSlotsAreSharedOut answers several hosts that all wait for the next free slot.
+func TestLastSlotsAreSharedOut(t *testing.T) {
+	live := []string{"a", "b", "c", "d"}
+	c := route.Crowd{Self: "a", Live: live}
+	assert.Equal(t, c.Share("e", 16), int64(4))
+	total := int64(0)
+	for _, self := range live {
+		c := route.Crowd{Self: self, Live: live}
+		total += c.Share("e", 2)
+	}
+	assert.Equal(t, total, int64(2), "with fewer slots than hosts, each slot is one host's")
+	alone := route.Crowd{Self: "a", Live: []string{"a"}}
+	assert.Equal(t, alone.Share("e", 16), int64(16))
+}
+
+func TestPlainTargetsAreTakenByTheirSlots(t *testing.T) {
+	list := &hostlist.List{Version: 1, Hosts: []hostlist.Host{
+		{Address: "s1", Zone: "z", Role: hostlist.RoleService, State: hostlist.StateLive, Models: []string{"m"}, Slots: 6},
+		{Address: "s2", Zone: "z", Role: hostlist.RoleService, State: hostlist.StateLive, Models: []string{"m"}, Slots: 12},
+	}}
+	tb := target.NewTable()
+	tb.Apply(list)
+	load(tb.Get("s1"), target.Job{})
+	load(tb.Get("s2"), target.Job{})
+	assert.Equal(t, place(routedPrompt(0), tb.All()).Target, tb.Get("s2"))
+}
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -15,13 +15,15 @@
 	teams map[string]string
 	// keyed is true when the document asks callers for keys.
 	keyed bool
+	names map[string]bool
 }
 
 // New returns the table of a document.
 func New(doc *document.Document) *Table {
-	t := &Table{byAuthority: make(map[string][]*document.Route), teams: make(map[string]string)}
+	t := &Table{byAuthority: make(map[string][]*document.Route), teams: make(map[string]string), names: make(map[string]bool)}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
+		t.names[r.Name] = true
 		authority := strings.ToLower(r.Authority)
 		t.byAuthority[authority] = append(t.byAuthority[authority], r)
 	}
@@ -47,6 +49,9 @@
 	return nil
 }
 
+// Has tells whether a route has the name.
+func (t *Table) Has(name string) bool { return t.names[name] }
+
 // Team returns the team that holds the key with that digest.
 func (t *Table) Team(keyDigest string) (string, bool) {
 	name, ok := t.teams[keyDigest]
--- /dev/null
+++ b/internal/core/target/silence_test.go
@@ -0,0 +1,123 @@
+package target_test
+
+import (
+	"testing"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/target"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+
+	"gotest.tools/v3/assert"
+)
+
+var speed = &document.Engine{
+	Slots: 16, MemoryTokens: 232_000, StepsPerPass: 43, ChunkTokens: 2048, StepMs: 1.02, ReadTokensPerMs: 206, PairsMs: 0.138,
+}
+
+func listOf(version uint64, hosts ...hostlist.Host) *hostlist.List {
+	return &hostlist.List{Version: version, Hosts: hosts}
+}
+
+func engine(address, instance string) hostlist.Host {
+	return hostlist.Host{
+		Address: address, Zone: "a", Role: hostlist.RoleEngine, State: hostlist.StateLive, Models: []string{"m"}, Instance: instance,
+	}
+}
+
+func dispatchOf(id string) target.Dispatch {
+	return target.Dispatch{Key: core.Key{ID: id}, Number: 1}
+}
+
+func TestPartThatMustHaveBeenReadIsNoPendingWork(t *testing.T) {
+	tb := target.NewTable()
+	tb.Apply(listOf(1, engine("e1", "i1")))
+	e := tb.Get("e1")
+	e.Engine = speed
+	e.Begin(0, dispatchOf("a"), target.Job{Work: 206_000, Helps: true}) // a second of reading
+	tb.Lapse(1500 * time.Millisecond)
+	assert.Equal(t, e.PendingTokens(), int64(206_000))
+	tb.Lapse(1750 * time.Millisecond)
+	assert.Equal(t, e.PendingTokens(), int64(0))
+	e.End(dispatchOf("a"))
+	assert.Equal(t, e.Total(), target.Load{}, "nothing is taken off twice")
+}
+
+func TestTargetIsHungWhenTwoRequestsWaitForASign(t *testing.T) {
+	tb := target.NewTable()
+	tb.Apply(listOf(1, engine("e1", "i1")))
+	e := tb.Get("e1")
+	e.Engine = speed
+	e.Begin(0, dispatchOf("a"), target.Job{})
+	e.Prefilled(0, dispatchOf("a"))
+	assert.Assert(t, !e.Hung(10*time.Second), "one request may be slow for reasons of its own")
+	e.Begin(0, dispatchOf("b"), target.Job{})
+	e.Prefilled(0, dispatchOf("b"))
+	assert.Assert(t, !e.Hung(1700*time.Millisecond))
+	assert.Assert(t, e.Hung(1800*time.Millisecond))
+	e.Heard(1790 * time.Millisecond)
+	assert.Assert(t, !e.Hung(1800*time.Millisecond))
+}
+
+func TestPlainServiceThatDoesNotAnswerIsHung(t *testing.T) {
+	tb := target.NewTable()
+	tb.Apply(listOf(1, engine("s1", "i1")))
+	s := tb.Get("s1")
+	s.Begin(0, dispatchOf("a"), target.Job{})
+	s.Begin(0, dispatchOf("b"), target.Job{})
+	assert.Assert(t, !s.Hung(490*time.Millisecond))
+	assert.Assert(t, s.Hung(500*time.Millisecond))
+}
+
+func TestEntryThatLapsedMeanwhileIsWaitedFor(t *testing.T) {
+	tb := target.NewTable()
+	tb.Apply(listOf(1, engine("e1", "i1"), engine("e2", "i2")))
+	assert.Assert(t, tb.Relist(listOf(2, engine("e1", "i1")), 5*time.Second))
+	tb.DropGone(4900 * time.Millisecond)
+	assert.Assert(t, tb.Get("e2").Eligible(0), "its entry may still be written again")
+	assert.Assert(t, tb.Relist(listOf(3, engine("e1", "i1"), engine("e2", "i2")), 5*time.Second))
+	tb.DropGone(6 * time.Second)
+	assert.Assert(t, tb.Get("e2").Eligible(0), "it is back")
+	assert.Assert(t, tb.Relist(listOf(4, engine("e1", "i1")), 0))
+	tb.DropGone(6 * time.Second)
+	assert.Assert(t, tb.Get("e2") == nil, "nothing speaks for it")
+}
+
+func TestAnotherTargetAtTheAddressStartsAnew(t *testing.T) {
+	tb := target.NewTable()
+	tb.Apply(listOf(1, engine("e1", "i1")))
+	old := tb.Get("e1")
+	old.Begin(0, dispatchOf("a"), target.Job{Work: 100})
+	old.Failed(0)
+	assert.Assert(t, !old.Eligible(0))
+	tb.Apply(listOf(2, engine("e1", "i2")))
+	e := tb.Get("e1")
+	assert.Assert(t, e.Eligible(0))
+	assert.Equal(t, e.Total(), target.Load{})
+	e.End(dispatchOf("a"))
+	assert.Equal(t, e.Total(), target.Load{}, "the end of the former one's work is none of its own")
+	again := engine("e1", "i2")
+	again.Start = 7
+	tb.Apply(listOf(3, again))
+	assert.Assert(t, tb.Get("e1") != e, "a new start under the same name")
+}
+
+func TestDigestCarriesEveryField(t *testing.T) {
+	a, b := target.NewTable(), target.NewTable()
+	a.Apply(listOf(1, engine("e1", "i1"), engine("e2", "i2")))
+	b.Apply(listOf(1, engine("e1", "i1"), engine("e2", "i2")))
+	a.Get("e1").Begin(0, dispatchOf("a"), target.Job{Priority: 2, Work: 5000, Memory: 6000, Strict: true})
+	a.Get("e1").Begin(0, dispatchOf("b"), target.Job{Work: 90_000, Memory: 100_000, Deep: true})
+	a.Get("e2").Begin(0, dispatchOf("c"), target.Job{Work: 7, Helps: true})
+	digest := a.Digest()
+	b.HearDigest("p", digest)
+	for _, address := range []string{"e1", "e2"} {
+		assert.Equal(t, b.Get(address).Total(), a.Get(address).Total())
+	}
+	for cut := range digest {
+		b.HearDigest("p", digest[:cut])
+	}
+	b.HearDigest("p", nil)
+	assert.Equal(t, b.Get("e1").Total(), target.Load{})
+}
