--- /dev/null
+++ b/internal/daemon/logging_test.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stuckWriter takes nothing until it is let go.
+type stuckWriter struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	let  chan struct{}
+}
+
+// Write implements io.Writer.
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.let
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+func (w *stuckWriter) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.String()
+}
+
+func TestLogNeverBlocksAndTellsWhatItLeftOut(t *testing.T) {
+	out := &stuckWriter{let: make(chan struct{})}
+	w := newLogWriter(out)
+	log := newLogger("info", w)
+	for range logBacklog + 100 {
+		log.Info("line", "id", "a1")
+	}
+	close(out.let)
+	w.flush()
+	log.Info("last")
+	w.flush()
+	for !strings.Contains(out.String(), `"last"`) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, strings.Contains(out.String(), `"log lines left out","count":`))
+	first, _, _ := strings.Cut(out.String(), "\n")
+	assert.Assert(t, strings.Contains(first, `"id":"a1"`), first)
+}
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -54,7 +54,7 @@
 		if err != nil {
 			return nil, errors.Annotatef(err, "listen on %s", one.address)
 		}
-		server := d.storeServer(one.handler)
+		server := platform.NewServer(one.handler)
 		server.ErrorLog = d.connectionLog()
 		group.Go(func() error { return serveHTTP(ctx, server, listener) })
 	}
@@ -69,28 +69,12 @@
 	group.Go(func() error { reader.WatchConfig(ctx); return nil })
 	group.Go(func() error { reader.WatchTargets(ctx); return nil })
 	group.Go(func() error { ingress.Sweep(ctx); return nil })
-	return d.storeServer(ingress), nil
+	return platform.NewServer(ingress), nil
 }
 
 // preset is the one of the settings.
 func (d *Daemon) preset() document.Preset { return *d.storePreset.Load() }
 
-// Bounds of callers on a platform with a store. The configuration's own are narrower or equal.
-const (
-	storeHeaderTimeout  = 5 * time.Second
-	storeIdleTimeout    = 40 * time.Second
-	storeMaxHeaderBytes = 64 << 10
-)
-
-func (d *Daemon) storeServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: storeHeaderTimeout,
-		IdleTimeout:       storeIdleTimeout,
-		MaxHeaderBytes:    storeMaxHeaderBytes,
-	}
-}
-
 // storeEngines speaks the platform's protocol of engines.
 type storeEngines struct {
 	orders *platform.Orders
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -38,7 +38,7 @@
 	// TargetMs is the aim for the answer, of a stream for its first event; GapTargetMs the aim for the longest pause
 	// between two events.
 	TargetMs    int64 `json:"target_ms" jsonschema:"minimum=1,description=aim for the answer or the first event of a stream in milliseconds"`
-	GapTargetMs int64 `json:"gap_target_ms,omitempty" jsonschema:"minimum=0,description=aim for the longest pause between two events in milliseconds"`
+	GapTargetMs int64 `json:"pause_target_ms,omitempty" jsonschema:"minimum=0,description=aim for the longest pause between two events in milliseconds"`
 	// Rank orders routes by urgency; 0 goes first.
 	Rank int64 `json:"rank,omitempty" jsonschema:"minimum=0,description=urgency; 0 goes first"`
 }
--- /dev/null
+++ b/internal/httpwire/httpwire_test.go
@@ -0,0 +1,144 @@
+package httpwire_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"carobshunt/internal/httpwire"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// peerOf is the other side of a pool's connections.
+func peerOf(t *testing.T) (*httpwire.Pool, string, chan net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan net.Conn, 8)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	return httpwire.NewPool((&net.Dialer{}).DialContext), listener.Addr().String(), accepted
+}
+
+func get(t *testing.T, p *httpwire.Pool, address string) *httpwire.Conn {
+	t.Helper()
+	c, err := p.Get(context.Background(), address)
+	assert.NilError(t, err)
+	return c
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	p, address, accepted := peerOf(t)
+	c := get(t, p, address)
+	other := <-accepted
+	n, err := c.Send([]byte("GET / HTTP/1.1\r\n\r\n"), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(18))
+	_, err = bufio.NewReader(other).ReadString('\n')
+	assert.NilError(t, err)
+	_, err = other.Write([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	assert.NilError(t, err)
+	resp, err := c.Receive("GET")
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ok")
+	p.Put(c, 0)
+	again := get(t, p, address)
+	assert.Assert(t, again == c && again.Reused())
+	assert.Assert(t, get(t, p, address) != c, "it carries one request at a time")
+}
+
+func TestConnectionThatTheTargetClosedOrWroteOnIsNotUsedAgain(t *testing.T) {
+	for name, spoil := range map[string]func(net.Conn){
+		"closed": func(c net.Conn) { _ = c.Close() },
+		"stray":  func(c net.Conn) { _, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, address, accepted := peerOf(t)
+			c := get(t, p, address)
+			spoil(<-accepted)
+			poll.WaitOn(t, func(poll.LogT) poll.Result { // until the bytes, or the end, have arrived
+				p.Put(c, 0)
+				again := get(t, p, address)
+				if again != c {
+					return poll.Success()
+				}
+				return poll.Continue("still used")
+			}, poll.WithDelay(time.Millisecond))
+		})
+	}
+}
+
+func TestConnectionIsNotUsedShortlyBeforeTheTargetClosesIt(t *testing.T) {
+	p, address, accepted := peerOf(t)
+	c := get(t, p, address)
+	<-accepted
+	p.Put(c, 500*time.Millisecond)
+	later := get(t, p, address)
+	assert.Assert(t, later != c)
+	p.Put(later, 0)
+	p.Sweep()
+	assert.Assert(t, get(t, p, address) == later, "one that may still be used stays")
+}
+
+func TestEventsComeWhole(t *testing.T) {
+	e := httpwire.NewEvents(strings.NewReader("id: 7\r\ndata: a\r\n\r\n: note\n\nid:8\ndata: b\n\n"))
+	first, err := e.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, string(first.Raw), "id: 7\r\ndata: a\r\n\r\n")
+	assert.Assert(t, first.HasID && first.ID == 7)
+	second, err := e.Next()
+	assert.NilError(t, err)
+	assert.Assert(t, !second.HasID)
+	third, err := e.Next()
+	assert.NilError(t, err)
+	assert.Assert(t, third.HasID && third.ID == 8)
+	_, err = e.Next()
+	assert.Assert(t, errors.Is(err, io.EOF))
+}
+
+func TestEventThatBrokeOffIsToldApart(t *testing.T) {
+	for _, text := range []string{"id: 7", "id: 7\ndata: a\n", "id: 7\n\nid"} {
+		e := httpwire.NewEvents(strings.NewReader(text))
+		var err error
+		for err == nil {
+			_, err = e.Next()
+		}
+		assert.Assert(t, errors.Is(err, httpwire.ErrTornEvent), "%q: %v", text, err)
+	}
+	e := httpwire.NewEvents(strings.NewReader(strings.Repeat("data: xxxxxxxx\n", 100_000)))
+	_, err := e.Next()
+	assert.Assert(t, errors.Is(err, httpwire.ErrLongEvent), "%v", err)
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 7\ndata: a\n\n", 3)
+	f.Fuzz(func(t *testing.T, text string, _ int) {
+		e := httpwire.NewEvents(strings.NewReader(text))
+		var out strings.Builder
+		for {
+			event, err := e.Next()
+			if err != nil {
+				break
+			}
+			out.Write(event.Raw)
+		}
+		assert.Assert(t, strings.HasPrefix(text, out.String()), "events are passed on byte for byte")
+	})
+}
--- /dev/null
+++ b/internal/peer/loads_test.go
@@ -0,0 +1,38 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"carobshunt/internal/core/node"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+func TestLoadDigestsArriveAndNonsenseDoesNot(t *testing.T) {
+	from, to := newRecorder(), newRecorder()
+	a, err := ListenLoads("127.0.0.1:0", "10.0.0.1:1", "i1", from, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	b, err := ListenLoads("127.0.0.1:0", "10.0.0.2:1", "i2", to, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- b.Receive(ctx) }()
+	address := b.conn.LocalAddr().String()
+	nonsense, err := net.Dial("udp4", address)
+	assert.NilError(t, err)
+	_, err = nonsense.Write([]byte("\x00nonsense"))
+	assert.NilError(t, err)
+	a.Send(node.SendLoads{To: []string{"nowhere", address}, Sequence: 3, Digest: []byte{1, 2}})
+	in := (<-to.inputs).(node.LoadsHeard)
+	assert.DeepEqual(t, in, node.LoadsHeard{Peer: "10.0.0.1:1", Incarnation: "i1", Sequence: 3, Digest: []byte{1, 2}})
+	stop()
+	assert.NilError(t, <-ended)
+}
+
+func TestBadAddressForLoadsIsAnError(t *testing.T) {
+	_, err := ListenLoads("somewhere", "10.0.0.1:1", "i1", newRecorder(), hclog.NewNullLogger())
+	assert.Assert(t, err != nil)
+}
