--- a/internal/core/node/silence.go
+++ b/internal/core/node/silence.go
@@ -27,8 +27,11 @@
 }
 
 // rescueHung takes requests that may be repeated off targets that owe a sign of life for too long, and sends them
-// nothing new for a while.
+// nothing new for a while. Where engines report their load, their reports tell instead: see rescue.
 func (n *Node) rescueHung() {
+	if n.opts.Policy != PolicyPacked {
+		return
+	}
 	for _, t := range n.targets.All() {
 		if t.InFlight() == 0 || !t.Eligible(n.now) || !t.Hung(n.now) {
 			continue
