--- a/internal/core/node/loads.go
+++ b/internal/core/node/loads.go
@@ -9,8 +9,10 @@
 
 // Sharing of loads by datagram, beside the heartbeats.
 const (
-	// loadsInterval is the least time between two digests to the same peers.
+	// loadsInterval is the least time between two digests to the same peers, of which there are up to loadsPeers. With
+	// more it grows in proportion, so that what a host sends does not.
 	loadsInterval = 4 * time.Millisecond
+	loadsPeers    = 3
 	// loadsFresh is how long a digest that came by datagram goes before those of heartbeats, which may have waited.
 	loadsFresh = time.Second
 	// loadsRepeat is the time after which a digest goes out again though nothing has changed: a datagram may be lost.
@@ -37,9 +39,9 @@
 		return
 	}
 	moved := n.targets.Moved()
-	wait := loadsInterval
+	wait := loadsInterval * time.Duration(max(len(n.peers.Addresses()), loadsPeers)) / loadsPeers
 	if moved == n.loads.moved {
-		wait = loadsRepeat
+		wait = max(wait, loadsRepeat)
 	}
 	if n.now-n.loads.sent < wait {
 		return
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"carobshunt/api"
@@ -104,6 +105,7 @@
 			if e := n.engineOf(service); e != nil {
 				t.Engine = e
 				t.MemoryTokens = e.MemoryTokens
+				t.Slots = cmp.Or(t.Slots, e.Slots)
 				t.StrictPause = n.strictPause(service)
 			}
 		}
--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -1,10 +1,6 @@
 package route
 
 import (
-	"cmp"
-	"slices"
-
-	"carobshunt/internal/core"
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/target"
 )
@@ -14,16 +10,6 @@
 // placement costs is therefore counted in answers that are expected to come late: the request's own, and those of the
 // streams beside it. A long prompt is read by as many engines as make that cost least.
 
-// Placement is where a request goes.
-type Placement struct {
-	Target *target.Target
-	// Helpers read a part of the prompt each.
-	Helpers []*target.Target
-}
-
-// maxHelpers is how many engines may read a prompt beside the one that answers.
-const maxHelpers = 16
-
 // valueTokens is the length of prompt that adds the value of one request to its answer.
 const valueTokens = 13_000
 
@@ -59,13 +45,6 @@
 	return min(max((part-safe)/(lost-safe), 0), 1)
 }
 
-// packedPart is the part of an engine's slots up to which short streams are packed, packBonus what each stream that is
-// there makes up for.
-const (
-	packedPart = 0.75
-	packBonus  = 0.004
-)
-
 // passState is what is known of one engine for a placement, in milliseconds where not said otherwise.
 type passState struct {
 	target *target.Target
@@ -133,200 +112,6 @@
 	return s.reading + reading + s.pass*3/2
 }
 
-// placeShort returns the engine at which a short prompt costs least. The cost of a draw decides between equals.
-func placeShort(rec *ledger.Record, states []passState, draw func() float64) Placement {
-	best, bestCost := -1, 0.0
-	for i := range states {
-		cost := shortCost(rec, &states[i]) + draw()*packBonus/2
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
-		}
-	}
-	if best < 0 {
-		return Placement{}
-	}
-	return Placement{Target: states[best].target}
-}
-
-// beyondShare tells whether an engine is so full that all hosts together would overfill it, and this host has its share
-// of it. What others leave of theirs a host may take when it has its turn.
-func (r *Router) beyondShare(now core.Time, s *passState) bool {
-	slots := s.target.Slots
-	if s.load.Streams+int64(len(r.crowd.Live)) <= slots || r.crowd.turn(now) {
-		return false
-	}
-	return int64(s.target.InFlight()) >= r.crowd.Share(s.target.Address, slots)
-}
-
-// full tells whether a short request does better to wait for another engine.
-func (s *passState) full(now core.Time, rec *ledger.Record) bool {
-	late := s.first(readingMs(rec, s.target)) > hopeless*milliseconds(rec.FirstTokenTarget)
-	return late || s.load.Streams >= s.target.Slots || !(memoryFilter{}).Keep(now, rec, s.target)
-}
-
-func shortCost(rec *ledger.Record, s *passState) float64 {
-	reading := readingMs(rec, s.target)
-	cost := missed(s.first(reading) / milliseconds(rec.FirstTokenTarget))
-	if aim := milliseconds(rec.Request.Routed.GapTarget); aim > 0 {
-		cost += lateness((s.pass+s.reading)/aim, pauseSafe, pauseLost)
-	}
-	cost += s.harm(reading)
-	slots := float64(s.target.Slots)
-	streams := float64(s.load.Streams)
-	if streams < slots*packedPart {
-		return cost - packBonus*streams
-	}
-	return cost + packBonus*(streams-slots*packedPart)
-}
-
 func readingMs(rec *ledger.Record, t *target.Target) float64 {
 	return float64(UncachedWork(rec, t)) / t.Engine.ReadTokensPerMs * stepOverhead(t)
 }
-
-// placeLong returns the engines that read a long prompt at the least cost. All that it is read by read the same part.
-func placeLong(rec *ledger.Record, states []passState) Placement {
-	var best Placement
-	bestCost, bestHarm := 0.0, 0.0
-	for parts := 1; parts <= min(len(states), maxHelpers+1); parts++ {
-		chosen, cost, harm := chooseParts(rec, nil, states, parts)
-		if best.Target == nil || cost < bestCost-partCost {
-			if p := placementOf(rec, chosen); p.Target != nil {
-				best, bestCost, bestHarm = p, cost, harm
-			}
-		}
-	}
-	if bestHarm > valueOf(rec.Request.PromptTokens) {
-		return Placement{}
-	}
-	return best
-}
-
-// partCost is by how much more parts must be better, in answers to short prompts.
-const partCost = 0.02
-
-// ratedState is an engine with what a part of a prompt costs there: harm to others, and the prompt's own lateness.
-type ratedState struct {
-	passState
-	harm, late, first float64
-}
-
-func rate(rec *ledger.Record, states []passState, parts int) []ratedState {
-	out := make([]ratedState, len(states))
-	for i, s := range states {
-		reading := readingMs(rec, s.target) / float64(parts)
-		first := s.first(reading)
-		late := missed(first/milliseconds(rec.FirstTokenTarget)) * valueOf(rec.Request.PromptTokens)
-		out[i] = ratedState{passState: s, harm: s.harm(reading), late: late, first: first}
-	}
-	return out
-}
-
-// chooseParts returns the engines that a prompt in so many parts harms least, the fixed ones before the others, and the
-// cost: their harm to others and the prompt's own lateness.
-func chooseParts(rec *ledger.Record, fixed, others []passState, parts int) (chosen []passState, cost, harm float64) {
-	list := rate(rec, others, parts)
-	slices.SortStableFunc(list, func(a, b ratedState) int {
-		return cmp.Or(cmp.Compare(a.harm+a.late, b.harm+b.late), cmp.Compare(a.first, b.first))
-	})
-	list = append(rate(rec, fixed, parts), list[:parts-len(fixed)]...)
-	late := 0.0
-	for _, s := range list {
-		chosen = append(chosen, s.passState)
-		harm += s.harm
-		late = max(late, s.late)
-	}
-	return chosen, harm + late, harm
-}
-
-// placementOf puts the answer on the engine with the fewest streams that has the memory for it.
-func placementOf(rec *ledger.Record, chosen []passState) Placement {
-	lead := -1
-	for i := range chosen {
-		if !(memoryFilter{}).Keep(0, rec, chosen[i].target) || chosen[i].load.Streams >= chosen[i].target.Slots {
-			continue
-		}
-		if lead < 0 || chosen[i].load.Streams < chosen[lead].load.Streams {
-			lead = i
-		}
-	}
-	if lead < 0 {
-		return Placement{}
-	}
-	p := Placement{Target: chosen[lead].target}
-	for i := range chosen {
-		if i != lead {
-			p.Helpers = append(p.Helpers, chosen[i].target)
-		}
-	}
-	return p
-}
-
-// passStates returns the engines that may take a part of the request, or nothing where some target is no engine of
-// published speed.
-func (r *Router) passStates(now core.Time, rec *ledger.Record, targets []*target.Target) []passState {
-	var out []passState
-	for _, t := range targets {
-		if t.Engine == nil || !r.keep(now, rec, t) {
-			continue
-		}
-		out = append(out, passOf(t))
-	}
-	return out
-}
-
-// HelpersFor returns engines that read a part of a prompt beside the fixed ones. It reports false when the prompt does
-// better to wait: it would harm others more than it is worth.
-func (r *Router) HelpersFor(now core.Time, rec *ledger.Record, fixed, targets []*target.Target) ([]*target.Target, bool) {
-	if !r.passes || rec.Request.Routed == nil {
-		return nil, true
-	}
-	var held []passState
-	for _, t := range fixed {
-		if t.Engine == nil {
-			return nil, true
-		}
-		held = append(held, passOf(t))
-	}
-	states := slices.DeleteFunc(r.passStates(now, rec, targets), func(s passState) bool {
-		return slices.Contains(fixed, s.target)
-	})
-	return chooseHelpers(rec, held, states)
-}
-
-// chooseHelpers adds engines to those that are fixed as long as that makes the cost less.
-func chooseHelpers(rec *ledger.Record, fixed, others []passState) ([]*target.Target, bool) {
-	var best []*target.Target
-	bestCost, bestHarm := 0.0, 0.0
-	for extra := 0; extra <= min(len(others), maxHelpers+1-len(fixed)); extra++ {
-		chosen, cost, harm := chooseParts(rec, fixed, others, len(fixed)+extra)
-		if extra > 0 && cost >= bestCost-partCost {
-			continue
-		}
-		best, bestCost, bestHarm = best[:0:0], cost, harm
-		for _, s := range chosen[len(fixed):] {
-			best = append(best, s.target)
-		}
-	}
-	return best, bestHarm <= valueOf(rec.Request.PromptTokens)
-}
-
-// Place returns where the request goes; without a Target nothing can take it now.
-func (r *Router) Place(now core.Time, rec *ledger.Record, targets []*target.Target) Placement {
-	if r.passes && rec.Request.Routed != nil {
-		if states := r.passStates(now, rec, targets); len(states) > 0 {
-			if IsLong(rec) {
-				return placeLong(rec, states)
-			}
-			return placeShort(rec, slices.DeleteFunc(states, func(s passState) bool {
-				return s.full(now, rec) || r.beyondShare(now, &s)
-			}), r.rng.Float64)
-		}
-	}
-	return Placement{Target: r.Pick(now, rec, targets)}
-}
-
-// longPromptTokens is the prompt length from which several engines may read a prompt.
-const longPromptTokens = 20_000
-
-// IsLong tells whether several engines may read a request's prompt.
-func IsLong(rec *ledger.Record) bool { return rec.Request.PromptTokens >= longPromptTokens }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -4,11 +4,9 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/ledger"
-	"carobshunt/internal/core/rendezvous"
 	"carobshunt/internal/core/target"
 )
 
@@ -44,44 +42,6 @@
 	crowd Crowd
 }
 
-// Crowd is what hosts go by when several of them wait for the slots of one engine.
-type Crowd struct {
-	// Self is this host's peer address, Live those of the hosts that are heard, this one among them.
-	Self string
-	Live []string
-}
-
-// Share is how many streams of this host an engine with so many slots takes while it is crowded. With more hosts than
-// slots, each engine has its own hosts that may send it one.
-func (c *Crowd) Share(engine string, slots int64) int64 {
-	hosts := int64(len(c.Live))
-	switch {
-	case hosts <= 1:
-		return slots
-	case hosts <= slots:
-		return (slots + hosts - 1) / hosts
-	case int64(rendezvous.Position(engine, c.Self, c.Live)) < slots:
-		return 1
-	}
-	return 0
-}
-
-// turnLength is how long one host has its turn: longer than it takes for others to hear what it has taken.
-const turnLength = 12 * time.Millisecond
-
-// turn tells whether this host is the one that may take more than its share now. Clocks of hosts differ, so that turns
-// may overlap, but not for long one after the other.
-func (c *Crowd) turn(now core.Time) bool {
-	hosts := len(c.Live)
-	if hosts <= 1 {
-		return true
-	}
-	return int(now/turnLength)%hosts == rendezvous.Position("turn", c.Self, c.Live)
-}
-
-// Crowd tells the router who else sends to the same engines.
-func (r *Router) Crowd(c Crowd) { r.crowd = c }
-
 // NewPendingTokens returns a baseline: the target with the least prefill work that this host or the target knows of.
 // The rng breaks ties and must be seeded by the caller.
 func NewPendingTokens(rng *rand.Rand) *Router {
