--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -30,9 +30,7 @@
 		add("/active", "no preset is named %q", doc.Active)
 	}
 	for name, p := range doc.Presets {
-		if p.MiddlePromptTokens <= p.ShortPromptTokens {
-			add("/presets/"+name+"/middle_prompt_tokens", "must be above short_prompt_tokens")
-		}
+		faults = append(faults, p.Faults("/presets/"+name)...)
 	}
 	seen := make(map[string]int)
 	for i, t := range doc.Teams {
@@ -50,6 +48,14 @@
 	return faults
 }
 
+// Faults reports contradictions in a preset that stands at a path.
+func (p *Preset) Faults(path string) []strictjson.Fault {
+	if p.MiddlePromptTokens > p.ShortPromptTokens {
+		return nil
+	}
+	return []strictjson.Fault{{Path: path + "/middle_prompt_tokens", Reason: "must be above short_prompt_tokens"}}
+}
+
 // badRoutes reports routes that stand twice or lead to services that are not named.
 func badRoutes(doc *Document) []strictjson.Fault {
 	var faults []strictjson.Fault
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,6 +148,9 @@
 			faults = append(faults, strictjson.Fault{Path: one.path, Reason: "is needed with a platform of kind store"})
 		}
 	}
+	if s.Platform.Preset != nil {
+		faults = append(faults, s.Platform.Preset.Faults("/platform/preset")...)
+	}
 	return faults
 }
 
