--- a/internal/core/group/group_test.go
+++ b/internal/core/group/group_test.go
@@ -17,7 +17,7 @@
 	return out
 }
 
-// TestSpreadHoldsALittleOnEach answers a giant prompt beside short ones: no engine is filled for it while others have
+// TestSpreadHoldsALittleOnEach answers an oversized prompt beside short ones: no engine is filled for it while others have
 // room.
 func TestSpreadHoldsALittleOnEach(t *testing.T) {
 	plan, ok := group.Spread(300_000, engines(200_000, 200_000, 200_000, 200_000, 200_000, 200_000, 200_000, 200_000, 200_000, 200_000))
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -170,7 +170,7 @@
 	EventConflict  Event = "two configurations under one revision"
 	EventSlept     Event = "the process slept"
 	EventSuspects  Event = "suspicion of own link or zones changed"
-	EventHung      Event = "target gives no sign of life"
+	EventHung      Event = "target unresponsive"
 	EventReads     Event = "reading the platform"
 )
 
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -15,7 +15,7 @@
 		return
 	}
 	n.router.GroupsWait(n.groupsWait())
-	n.router.Crowd(route.Crowd{Self: n.opts.Peer, Live: n.liveHosts()})
+	n.router.Contention(route.Contention{Self: n.opts.Peer, Live: n.liveHosts()})
 	n.queue.Each(n.now, n.dispatch)
 }
 
--- a/internal/core/node/policy.go
+++ b/internal/core/node/policy.go
@@ -48,7 +48,7 @@
 	case PolicyInForce:
 		return queue.NewFair(weight)
 	case PolicyPacked:
-		return queue.NewAims()
+		return queue.NewObjectives()
 	}
 	return queue.NewEDF()
 }
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -164,14 +164,14 @@
 			Outcome:    certainOutcome(rec),
 			Code:       api.CodeNoRoom,
 			Message:    "no target had room in time",
-			RetryAfter: n.retryAfter(afterCrowd),
+			RetryAfter: n.retryAfter(afterContention),
 		})
 	}
 }
 
-// afterCrowd is the base of the time to come back after engines were crowded: longer than an answer lasts, so that what
+// afterContention is the base of the time to come back after engines were crowded: longer than an answer lasts, so that what
 // crowds them has ended.
-const afterCrowd = 2 * time.Second
+const afterContention = 2 * time.Second
 
 // returnedPatience is how many times as long a caller that came back may wait.
 const returnedPatience = 3
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -294,7 +294,7 @@
 		if result, ok := e.finished(); ok {
 			assert.Equal(t, result.Code, api.CodeNoRoom)
 			assert.Equal(t, result.Outcome, api.OutcomeNotRun)
-			assert.Assert(t, result.RetryAfter >= time.Second, "the crowd must have time to end")
+			assert.Assert(t, result.RetryAfter >= time.Second, "the overload must have time to end")
 			assert.Assert(t, waited <= 400*time.Millisecond, "%v", waited)
 			return
 		}
@@ -392,7 +392,7 @@
 	assert.Equal(t, streams(), int64(3), "nor one of a former process")
 }
 
-func TestGiantIsReservedSpreadReadByHelpersAndGivenBack(t *testing.T) {
+func TestOversizedPromptIsReservedSpreadReadByHelpersAndGivenBack(t *testing.T) {
 	e := newEdge(t)
 	req := e.request("/ask/1")
 	req.PromptTokens = 300_000
@@ -446,7 +446,7 @@
 	}
 }
 
-func TestRequestsLeaveTargetsThatGiveNoSignOfLife(t *testing.T) {
+func TestRequestsLeaveUnresponsiveTargets(t *testing.T) {
 	e := newEdge(t)
 	first := e.send("/ask/1")
 	e.step(node.DispatchFirstToken{Key: first.Key, Dispatch: first.Dispatch})
--- a/internal/core/queue/aims.go
+++ b/internal/core/queue/objectives.go
@@ -9,34 +9,34 @@
 	"carobshunt/internal/document"
 )
 
-// Aims holds waiting records that have an aim for their first answer. In a crowd it serves those first that can still
+// Objectives holds waiting records by the latency objective of their first answer. Under overload it serves those first that can still
 // meet it, the one whose aim is nearest before the others: an answer that is late anyway is worth less than one in time.
 // Those past it follow, the youngest first. It is not safe for concurrent use.
-type Aims struct {
+type Objectives struct {
 	waiting []*ledger.Record
 	tokens  map[document.Class]int64
 	groups  int
 }
 
-// NewAims returns an empty queue.
-func NewAims() *Aims { return &Aims{tokens: make(map[document.Class]int64)} }
+// NewObjectives returns an empty queue.
+func NewObjectives() *Objectives { return &Objectives{tokens: make(map[document.Class]int64)} }
 
 // Len implements Queue.
-func (q *Aims) Len() int { return len(q.waiting) }
+func (q *Objectives) Len() int { return len(q.waiting) }
 
 // Tokens implements Queue.
-func (q *Aims) Tokens(class document.Class) int64 { return q.tokens[class] }
+func (q *Objectives) Tokens(class document.Class) int64 { return q.tokens[class] }
 
 // Groups implements Queue.
-func (q *Aims) Groups() int { return q.groups }
+func (q *Objectives) Groups() int { return q.groups }
 
 // Push implements Queue.
-func (q *Aims) Push(rec *ledger.Record) {
+func (q *Objectives) Push(rec *ledger.Record) {
 	q.waiting = append(q.waiting, rec)
 	q.count(rec, 1)
 }
 
-func (q *Aims) count(rec *ledger.Record, sign int) {
+func (q *Objectives) count(rec *ledger.Record, sign int) {
 	q.tokens[rec.Work.Class] += int64(sign) * rec.Work.PrefillWork
 	if rec.Work.Group {
 		q.groups += sign
@@ -44,7 +44,7 @@
 }
 
 // Remove implements Queue.
-func (q *Aims) Remove(key core.Key) bool {
+func (q *Objectives) Remove(key core.Key) bool {
 	i := slices.IndexFunc(q.waiting, func(rec *ledger.Record) bool { return rec.Request.Key == key })
 	if i < 0 {
 		return false
@@ -55,11 +55,11 @@
 }
 
 // Each implements Queue.
-func (q *Aims) Each(now core.Time, f func(*ledger.Record) (take bool)) {
+func (q *Objectives) Each(now core.Time, f func(*ledger.Record) (take bool)) {
 	if len(q.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(q.waiting, func(a, b *ledger.Record) int { return compareAims(now, a, b) })
+	slices.SortStableFunc(q.waiting, func(a, b *ledger.Record) int { return compareObjectives(now, a, b) })
 	kept := q.waiting[:0]
 	for _, rec := range q.waiting {
 		if f(rec) {
@@ -85,7 +85,7 @@
 	return rec.Request.Routed != nil && rec.Request.Routed.Returned
 }
 
-func compareAims(now core.Time, a, b *ledger.Record) int {
+func compareObjectives(now core.Time, a, b *ledger.Record) int {
 	if returnedA, returnedB := returned(a), returned(b); returnedA != returnedB {
 		if returnedA {
 			return -1
--- a/internal/core/queue/aims_test.go
+++ b/internal/core/queue/objectives_test.go
@@ -21,10 +21,10 @@
 	}
 }
 
-// TestCrowdIsServedByWhoCanBeInTime answers a burst in which more wait than can be served: first callers that were sent
+// TestOverloadIsServedByWhoCanBeInTime answers a burst in which more wait than can be served: first callers that were sent
 // away before, then those that can be in time, then the youngest of the others.
-func TestCrowdIsServedByWhoCanBeInTime(t *testing.T) {
-	q := queue.NewAims()
+func TestOverloadIsServedByWhoCanBeInTime(t *testing.T) {
+	q := queue.NewObjectives()
 	const ms = time.Millisecond
 	for _, rec := range []*ledger.Record{
 		aimed("late-old", 0, 300*ms, false),
@@ -46,7 +46,7 @@
 }
 
 func TestRemovedRecordIsNotOffered(t *testing.T) {
-	q := queue.NewAims()
+	q := queue.NewObjectives()
 	rec := aimed("a", 0, time.Second, false)
 	rec.Work.Group = true
 	q.Push(rec)
--- a/internal/core/route/crowd.go
+++ b/internal/core/route/contention.go
@@ -7,8 +7,8 @@
 	"carobshunt/internal/core/rendezvous"
 )
 
-// Crowd is what hosts go by when several of them wait for the slots of one engine.
-type Crowd struct {
+// Contention is what hosts go by when several of them wait for the slots of one engine.
+type Contention struct {
 	// Self is this host's peer address, Live those of the hosts that are heard, this one among them.
 	Self string
 	Live []string
@@ -16,7 +16,7 @@
 
 // Share is how many streams of this host an engine with so many slots takes while it is crowded. With more hosts than
 // slots, each engine has its own hosts that may send it one.
-func (c *Crowd) Share(engine string, slots int64) int64 {
+func (c *Contention) Share(engine string, slots int64) int64 {
 	hosts := int64(len(c.Live))
 	switch {
 	case hosts <= 1:
@@ -34,7 +34,7 @@
 
 // turn tells whether this host is the one that may take more than its share now. Clocks of hosts differ, so that turns
 // may overlap, but not for long one after the other.
-func (c *Crowd) turn(now core.Time) bool {
+func (c *Contention) turn(now core.Time) bool {
 	hosts := len(c.Live)
 	if hosts <= 1 {
 		return true
@@ -42,5 +42,5 @@
 	return int(now/turnLength)%hosts == rendezvous.Position("turn", c.Self, c.Live)
 }
 
-// Crowd tells the router who else sends to the same engines.
-func (r *Router) Crowd(c Crowd) { r.crowd = c }
+// Contention tells the router who else sends to the same engines.
+func (r *Router) Contention(c Contention) { r.contention = c }
--- a/internal/core/route/passes_test.go
+++ b/internal/core/route/passes_test.go
@@ -83,7 +83,7 @@
 	assert.Equal(t, place(routedPrompt(5_000), engines).Target, engines[1])
 }
 
-// TestShortPromptWaitsRatherThanGoWhereItIsHopeless answers engines that are full or read giants.
+// TestShortPromptWaitsRatherThanGoWhereItIsHopeless answers engines that are full or read oversized prompts.
 func TestShortPromptWaitsRatherThanGoWhereItIsHopeless(t *testing.T) {
 	engines := paced(2)
 	write(engines[0], 16)
@@ -115,8 +115,8 @@
 	assert.Assert(t, len(p.Helpers) >= 2, "%d helpers", len(p.Helpers))
 }
 
-// TestGiantWaitsWhileItWouldHarmMoreThanItIsWorth answers a giant beside full engines.
-func TestGiantWaitsWhileItWouldHarmMoreThanItIsWorth(t *testing.T) {
+// TestOversizedPromptWaitsWhileItWouldHarmMoreThanItIsWorth answers an oversized prompt beside full engines.
+func TestOversizedPromptWaitsWhileItWouldHarmMoreThanItIsWorth(t *testing.T) {
 	engines := paced(4)
 	for _, e := range engines {
 		write(e, 13)
@@ -138,15 +138,15 @@
 // TestLastSlotsAreSharedOut answers several hosts that all wait for the next free slot.
 func TestLastSlotsAreSharedOut(t *testing.T) {
 	live := []string{"a", "b", "c", "d"}
-	c := route.Crowd{Self: "a", Live: live}
+	c := route.Contention{Self: "a", Live: live}
 	assert.Equal(t, c.Share("e", 16), int64(4))
 	total := int64(0)
 	for _, self := range live {
-		c := route.Crowd{Self: self, Live: live}
+		c := route.Contention{Self: self, Live: live}
 		total += c.Share("e", 2)
 	}
 	assert.Equal(t, total, int64(2), "with fewer slots than hosts, each slot is one host's")
-	alone := route.Crowd{Self: "a", Live: []string{"a"}}
+	alone := route.Contention{Self: "a", Live: []string{"a"}}
 	assert.Equal(t, alone.Share("e", 16), int64(16))
 }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -39,7 +39,7 @@
 	// passes is set where engines of published speed are rated by their passes.
 	passes bool
 	// crowd shares out the last slots of crowded engines.
-	crowd Crowd
+	contention Contention
 }
 
 // NewPendingTokens returns a baseline: the target with the least prefill work that this host or the target knows of.
--- a/internal/core/route/short.go
+++ b/internal/core/route/short.go
@@ -31,10 +31,10 @@
 // of it. What others leave of theirs a host may take when it has its turn.
 func (r *Router) beyondShare(now core.Time, s *passState) bool {
 	slots := s.target.Slots
-	if s.load.Streams+int64(len(r.crowd.Live)) <= slots || r.crowd.turn(now) {
+	if s.load.Streams+int64(len(r.contention.Live)) <= slots || r.contention.turn(now) {
 		return false
 	}
-	return int64(s.target.InFlight()) >= r.crowd.Share(s.target.Address, slots)
+	return int64(s.target.InFlight()) >= r.contention.Share(s.target.Address, slots)
 }
 
 // full tells whether a short request does better to wait for another engine.
--- a/internal/core/target/silence_test.go
+++ b/internal/core/target/silence_test.go
@@ -44,7 +44,7 @@
 	assert.Equal(t, e.Total(), target.Load{}, "nothing is taken off twice")
 }
 
-func TestTargetIsHungWhenTwoRequestsWaitForASign(t *testing.T) {
+func TestTargetIsHungWhenTwoRequestsWait(t *testing.T) {
 	tb := target.NewTable()
 	tb.Apply(listOf(1, engine("e1", "i1")))
 	e := tb.Get("e1")
