--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -169,8 +169,8 @@
 	}
 }
 
-// afterContention is the base of the time to come back after engines were crowded: longer than an answer lasts, so that what
-// crowds them has ended.
+// afterContention is the base of the time to come back after engines were full: longer than most answers last, so that
+// what fills them has ended.
 const afterContention = 2 * time.Second
 
 // returnedPatience is how many times as long a caller that came back may wait.
--- a/internal/core/queue/objectives.go
+++ b/internal/core/queue/objectives.go
@@ -9,9 +9,9 @@
 	"carobshunt/internal/document"
 )
 
-// Objectives holds waiting records by the latency objective of their first answer. Under overload it serves those first that can still
-// meet it, the one whose aim is nearest before the others: an answer that is late anyway is worth less than one in time.
-// Those past it follow, the youngest first. It is not safe for concurrent use.
+// Objectives holds waiting records by the latency objective of their first answer. Under overload it serves those first
+// that can still meet it, the nearest one before the others: an answer that is late anyway is worth less than one in
+// time. Those past it follow, the youngest first. It is not safe for concurrent use.
 type Objectives struct {
 	waiting []*ledger.Record
 	tokens  map[document.Class]int64
--- a/internal/published/load.go
+++ b/internal/published/load.go
@@ -10,6 +10,7 @@
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/dispatch"
 	"carobshunt/internal/netdial"
+	"carobshunt/internal/wait"
 )
 
 // Timings of the load reports.
@@ -28,7 +29,7 @@
 		for _, address := range poster.Snapshot().TargetAddresses {
 			go readLoad(ctx, client, poster, address)
 		}
-		pause(ctx, loadInterval)
+		wait.For(ctx, loadInterval)
 	}
 }
 
--- a/internal/published/platform.go
+++ b/internal/published/platform.go
@@ -15,6 +15,7 @@
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/netdial"
+	"carobshunt/internal/wait"
 
 	"github.com/juju/errors"
 )
@@ -102,7 +103,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if !r.poster.Snapshot().Reads {
-			pause(ctx, standbyPause)
+			wait.For(ctx, standbyPause)
 			continue
 		}
 		after := have()
@@ -113,7 +114,7 @@
 		raw, err := r.get(ctx, path, after)
 		if err != nil {
 			failures++
-			pause(ctx, r.retryAfter(failures))
+			wait.For(ctx, r.retryAfter(failures))
 			continue
 		}
 		failures = 0
@@ -122,11 +123,11 @@
 			continue
 		}
 		if bytes.Equal(raw, last) {
-			pause(ctx, repeatPause)
+			wait.For(ctx, repeatPause)
 		}
 		last = raw
 		take(raw)
-		pause(ctx, node.TickInterval)
+		wait.For(ctx, node.TickInterval)
 	}
 }
 
@@ -162,12 +163,3 @@
 	}
 	return nil, &StatusError{Status: resp.StatusCode}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
