Bad input of callers leaves a log line with its reason

Cause: a header that can't be read was refused without a line, and net/http refuses by itself (431, 400, 417) without telling anybody. Ruled out: its ErrorLog, which these refusals don't reach; a second parser before it. Change: internal/httplog marks connections whose request reached a handler; what is written before that is net/http's own answer and is logged with its status. Found on the way: the bound on connections hid the half-close that net/http uses so that a reset doesn't overtake a refusal; it passes it on now.

--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"carobshunt/internal/gateway"
+	"carobshunt/internal/httplog"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/operator"
@@ -35,10 +36,11 @@
 		bounds   secure.Bounds
 		identity *secure.Identity
 		listener *net.Listener
+		http     bool
 	}{
-		{"callers", s.Listen.Callers, secure.Bounds{Connections: s.Limits.CallerConnections}, keys.callers, &out.callers},
-		{"operators", s.Listen.Operators, secure.Bounds{Connections: s.Limits.OperatorConnections}, keys.operators, &out.operators},
-		{"peers", s.Listen.Peers, d.peerBounds(), keys.peers, &out.peers},
+		{"callers", s.Listen.Callers, secure.Bounds{Connections: s.Limits.CallerConnections}, keys.callers, &out.callers, true},
+		{"operators", s.Listen.Operators, secure.Bounds{Connections: s.Limits.OperatorConnections}, keys.operators, &out.operators, true},
+		{"peers", s.Listen.Peers, d.peerBounds(), keys.peers, &out.peers, false},
 	} {
 		inner, err := net.Listen("tcp", one.address)
 		if err != nil {
@@ -46,9 +48,13 @@
 		}
 		bound := secure.Bound(inner, one.bounds)
 		m.WatchListener(one.name, bound)
-		*one.listener = bound
-		if one.identity != nil {
+		switch {
+		case one.identity != nil:
 			*one.listener = tls.NewListener(bound, one.identity.Server())
+		case one.http:
+			*one.listener = httplog.Listener(bound, d.log)
+		default:
+			*one.listener = bound
 		}
 	}
 	return out, nil
@@ -111,6 +117,7 @@
 		defer cancel()
 		_ = server.Shutdown(stopping)
 	})
+	httplog.Prepare(server)
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Trace(err)
 	}
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/document"
+	"carobshunt/internal/httplog"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/peer"
 	"carobshunt/platform"
@@ -56,7 +57,7 @@
 		}
 		server := platform.NewServer(one.handler)
 		server.ErrorLog = d.connectionLog()
-		group.Go(func() error { return serveHTTP(ctx, server, listener) })
+		group.Go(func() error { return serveHTTP(ctx, server, httplog.Listener(listener, d.log)) })
 	}
 	if d.settings.Listen.Loads != "" {
 		loads, err := peer.ListenLoads(d.settings.Listen.Loads, d.settings.Advertise.Peers, d.self.Incarnation, d.loop, d.log)
--- /dev/null
+++ b/internal/httplog/httplog_test.go
@@ -0,0 +1,87 @@
+package httplog_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"carobshunt/internal/httplog"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// buffer is a buffer for one writer and one reader on different goroutines.
+type buffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// exchange sends bytes on one connection and returns the answers and what was logged meanwhile.
+func exchange(t *testing.T, request string) (answers, logged string) {
+	t.Helper()
+	var lines buffer
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "fine")
+	}))
+	server.Config.MaxHeaderBytes = 4 << 10
+	httplog.Prepare(server.Config)
+	server.Listener = httplog.Listener(server.Listener, hclog.New(&hclog.LoggerOptions{Output: &lines}))
+	server.Start()
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	go func() { _, _ = io.WriteString(conn, request) }()
+	answer, err := io.ReadAll(conn)
+	assert.NilError(t, err, "the refusal is not overtaken by a reset")
+	return string(answer), lines.String()
+}
+
+const good = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"
+
+func TestRefusalsOfTheServerAreLoggedAndHandlersAnswersAreNot(t *testing.T) {
+	const last = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+	for name, c := range map[string]struct {
+		request string
+		fine    int
+		logged  string
+	}{
+		"good":                      {good + last, 2, ""},
+		"expects to be told":        {"POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok" + last, 2, ""},
+		"too large a header":        {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", 0, "431"},
+		"no HTTP":                   {"\x16\x03\x01\r\n\r\n", 0, "400"},
+		"no HTTP after a good one":  {good + "what?\r\n\r\n", 1, "400"},
+		"expects what nobody knows": {"GET / HTTP/1.1\r\nHost: a\r\nExpect: more\r\n\r\n", 0, "417"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answers, logged := exchange(t, c.request)
+			assert.Equal(t, strings.Count(answers, "fine"), c.fine, answers)
+			if c.logged == "" {
+				assert.Equal(t, logged, "")
+				return
+			}
+			assert.Equal(t, strings.Count(logged, "request refused before it was read"), 1, logged)
+			assert.Assert(t, strings.Contains(logged, c.logged), logged)
+		})
+	}
+}
--- a/internal/secure/listener.go
+++ b/internal/secure/listener.go
@@ -87,6 +87,9 @@
 	return n, err
 }
 
+// CloseWrite implements the half-close of net/http.
+func (c *boundConn) CloseWrite() error { return netdial.CloseWrite(c.Conn) }
+
 // Close implements net.Conn.
 func (c *boundConn) Close() error {
 	c.once.Do(func() { c.listener.open.Add(-1) })
