Few hosts read the store where many hear each other

Weighed: readers by election (a message more, and a wrong leader reads for nobody), fixed readers (their loss is noticed late). Change: load datagrams tell how long ago the platform answered their sender and what it has; in each zone the first two by rendezvous hash read, and any host reads whose readers are not fresh within 1.1 s or have something that it lacks. An outage that readers saw is known to the others, so entries that lapsed are waited for. Found on the way: a reader compared with its own last list, not with the one in force; a list from a peer stayed though the store had gone back.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -40,6 +40,9 @@
 	// PlatformAgesMs are the times since the platform answered the first hosts of the sender's availability zone, by
 	// their rank as readers, as far as the sender knows, in milliseconds; -1 for never.
 	PlatformAgesMs []int64 `json:"platform_ages_ms,omitempty"`
+	// AnsweredMs is the sender's clock when the platform last answered it, where no host list names entry hosts; 0 for
+	// never.
+	AnsweredMs int64 `json:"answered_ms,omitempty"`
 	// Loads is what the sender has placed at the targets of its host list, as target.Table.Digest makes it, and Work
 	// what waits. They concern the hosts of the sender's cell only, and every heartbeat to them carries them.
 	Loads []byte `json:"loads,omitempty"`
@@ -69,7 +72,7 @@
 
 // Content is the heartbeat without what changes from one to the next while the sender's state does not.
 func (h Heartbeat) Content() Heartbeat {
-	h.ClockMs, h.PlatformAgesMs, h.State, h.Ask = 0, nil, 0, false
+	h.ClockMs, h.AnsweredMs, h.PlatformAgesMs, h.State, h.Ask = 0, 0, nil, 0, false
 	h.Revision, h.Digest = 0, 0
 	h.Demands, h.Grants = nil, nil
 	h.Loads, h.Work = nil, Work{}
@@ -79,7 +82,7 @@
 // Brief returns the heartbeat that repeats this one's state.
 func (h Heartbeat) Brief() Heartbeat {
 	return Heartbeat{
-		Peer: h.Peer, Incarnation: h.Incarnation, ClockMs: h.ClockMs, PlatformAgesMs: h.PlatformAgesMs,
+		Peer: h.Peer, Incarnation: h.Incarnation, ClockMs: h.ClockMs, AnsweredMs: h.AnsweredMs, PlatformAgesMs: h.PlatformAgesMs,
 		Revision: h.Revision, Digest: h.Digest, Loads: h.Loads, Work: h.Work, State: h.State, Repeats: true,
 	}
 }
@@ -162,8 +165,7 @@
 	self  string
 	zone  string
 	peers map[string]*Peer
-	// seeds are the addresses from the settings, used until a host list is known.
-	seeds    []string
+	// contacts are the peers that this host sends heartbeats to, sorted.
 	contacts []string
 	// zoneRanks are the listed live entry hosts of the own availability zone, in order of preference as readers.
 	zoneRanks []string
@@ -175,7 +177,7 @@
 // NewTable returns a table for the host with that peer address and availability zone, seeded with peer addresses
 // from the settings.
 func NewTable(self, zone string, seeds []string) *Table {
-	t := &Table{self: self, zone: zone, peers: make(map[string]*Peer), seeds: seeds}
+	t := &Table{self: self, zone: zone, peers: make(map[string]*Peer)}
 	t.Seed(0, seeds)
 	return t
 }
@@ -306,7 +308,7 @@
 		return hb, false
 	}
 	whole := p.Last.Content()
-	whole.ClockMs, whole.PlatformAgesMs, whole.State = hb.ClockMs, hb.PlatformAgesMs, hb.State
+	whole.ClockMs, whole.AnsweredMs, whole.PlatformAgesMs, whole.State = hb.ClockMs, hb.AnsweredMs, hb.PlatformAgesMs, hb.State
 	whole.Revision, whole.Digest = hb.Revision, hb.Digest
 	whole.Loads, whole.Work = hb.Loads, hb.Work
 	return whole, true
@@ -393,6 +395,9 @@
 // read the platform, from 0; -1 when it is not listed.
 func (t *Table) Rank() int { return slices.Index(t.zoneRanks, t.self) }
 
+// Listed tells whether the host list names entry hosts.
+func (t *Table) Listed() bool { return t.listed }
+
 // AnyLive tells whether the host list names a live entry host. While it names none, as when all are being replaced and
 // the list lags, nobody has a rank.
 func (t *Table) AnyLive() bool { return t.anyLive }
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -141,6 +141,8 @@
 	To       []string
 	Sequence uint64
 	Digest   []byte
+	// Freshness is this host's.
+	Freshness Freshness
 }
 
 // PullDocument asks a peer for the document that it has in force.
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -94,8 +94,9 @@
 	Peer        string
 	Incarnation string
 	// Sequence rises with each datagram of one incarnation.
-	Sequence uint64
-	Digest   []byte
+	Sequence  uint64
+	Digest    []byte
+	Freshness Freshness
 }
 
 // HeartbeatHeard is a heartbeat of another entry host.
--- a/internal/core/node/loads.go
+++ b/internal/core/node/loads.go
@@ -58,7 +58,7 @@
 		return
 	}
 	n.loads.sequence++
-	n.do(SendLoads{To: to, Sequence: n.loads.sequence, Digest: n.targets.Digest()})
+	n.do(SendLoads{To: to, Sequence: n.loads.sequence, Digest: n.targets.Digest(), Freshness: n.freshness()})
 }
 
 // loadsHeard takes a peer's digest unless a later one, or one of a later process, was heard before.
@@ -76,6 +76,10 @@
 	}
 	n.loads.heard[in.Peer] = heardLoads{incarnation: in.Incarnation, sequence: in.Sequence, at: n.now}
 	n.targets.HearDigest(in.Peer, in.Digest)
+	if n.wake.active {
+		in.Freshness.Age = -1 // the datagram may have waited while the process slept
+	}
+	n.freshnessHeard(in.Peer, in.Freshness)
 	n.pump()
 }
 
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -86,6 +86,7 @@
 		Introduces:     n.peers.Introductions(n.now),
 		IntervalMs:     member.IntervalFor(len(n.peers.Addresses())).Milliseconds(),
 		PlatformAgesMs: n.platformAgesMs(),
+		AnsweredMs:     n.answeredMs(),
 	}
 }
 
@@ -112,17 +113,22 @@
 	if (hearing.Started || hb.Ask) && n.peers.Get(hb.Peer) != nil {
 		n.do(SendHeartbeat{Peer: hb.Peer, Heartbeat: n.fullHeartbeat()})
 	}
-	if hb.Config().Above(n.knowledge.config) {
-		n.knowledge.config = hb.Config()
+	n.freshnessHeard(hb.Peer, heartbeatFreshness(&hb, hearing.Fresh))
+}
+
+// pullNewer asks a peer for what is newer there.
+func (n *Node) pullNewer(peer string, config, hosts conf.Version) {
+	if config.Above(n.knowledge.config) {
+		n.knowledge.config = config
 	}
-	if hb.Hosts().Above(n.knowledge.hosts) {
-		n.knowledge.hosts = hb.Hosts()
+	if hosts.Above(n.knowledge.hosts) {
+		n.knowledge.hosts = hosts
 	}
-	if n.knowledge.documentPull.due(n.now, hb.Config(), n.config.Version()) {
-		n.do(PullDocument{Peer: hb.Peer})
+	if n.knowledge.documentPull.due(n.now, config, n.config.Version()) {
+		n.do(PullDocument{Peer: peer})
 	}
-	if n.knowledge.hostsPull.due(n.now, hb.Hosts(), n.hostsVersion()) {
-		n.do(PullHosts{Peer: hb.Peer})
+	if n.knowledge.hostsPull.due(n.now, hosts, n.hostsVersion()) {
+		n.do(PullHosts{Peer: peer})
 	}
 }
 
@@ -233,6 +239,7 @@
 		if !alive {
 			n.targets.ForgetPeer(address)
 			delete(n.loads.heard, address)
+			delete(n.knowledge.platform.peers, address)
 		}
 		if alive {
 			event = EventPeerAlive
--- a/internal/core/node/readers.go
+++ b/internal/core/node/readers.go
@@ -27,30 +27,48 @@
 	back core.Time
 	// byRank is when it answered the first hosts of this availability zone, as far as is known; never at first.
 	byRank [maxZoneReaders]core.Time
+	// peers are what the peers told last, by peer address, where the host list names no entry hosts.
+	peers map[string]freshHost
 }
 
 func newPlatformHeard() platformHeard {
-	p := platformHeard{here: never, back: never}
+	p := platformHeard{here: never, back: never, peers: make(map[string]freshHost)}
 	for i := range p.byRank {
 		p.byRank[i] = never
 	}
 	return p
 }
 
-// last is when the platform last answered some host of this zone.
+// last is when the platform last answered some host of this zone, or one that is heard.
 func (p *platformHeard) last() core.Time {
 	last := p.here
 	for _, heard := range p.byRank {
 		last = max(last, heard)
 	}
+	for _, heard := range p.peers {
+		last = max(last, heard.answered)
+	}
 	return last
 }
 
+// note takes that the platform answered this host or a peer; if it had answered nobody for long, it is back.
+func (p *platformHeard) note(now, answered core.Time) {
+	if last := p.last(); last != never && answered-last >= outageGap {
+		p.back = now
+	}
+}
+
 // reads tells whether this host is to watch the platform. The hosts of a zone stand in order of rendezvous hash; one
 // reads while the platform answers fewer than zoneReaders of those before it. A host that lacks a configuration or a
 // host list reads in any case, and so do all while the list names no live host.
 func (n *Node) reads() bool {
-	if n.hosts == nil || n.config.Document() == nil || !n.peers.AnyLive() {
+	if n.hosts == nil || n.config.Document() == nil {
+		return true
+	}
+	if !n.peers.Listed() {
+		return n.readsAmongHeard()
+	}
+	if !n.peers.AnyLive() {
 		return true
 	}
 	rank := n.peers.Rank()
@@ -83,9 +101,7 @@
 }
 
 func (n *Node) platformAnswered() {
-	if last := n.knowledge.platform.here; last != never && n.now-last >= outageGap {
-		n.knowledge.platform.back = n.now
-	}
+	n.knowledge.platform.note(n.now, n.now)
 	n.knowledge.platform.here = n.now
 	if rank := n.peers.Rank(); rank >= 0 && rank < maxZoneReaders {
 		n.knowledge.platform.byRank[rank] = n.now
--- a/internal/peer/loads.go
+++ b/internal/peer/loads.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"time"
 
+	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,6 +20,25 @@
 	Incarnation string `json:"incarnation"`
 	Sequence    uint64 `json:"sequence"`
 	Loads       []byte `json:"loads"`
+	// AgeMs is the time since the platform answered the sender, in milliseconds; negative for never.
+	AgeMs  int64        `json:"age_ms"`
+	Config conf.Version `json:"config"`
+	Hosts  conf.Version `json:"hosts"`
+}
+
+func messageOf(a *node.SendLoads) loadsMessage {
+	age := int64(-1)
+	if a.Freshness.Age >= 0 {
+		age = a.Freshness.Age.Milliseconds()
+	}
+	return loadsMessage{Sequence: a.Sequence, Loads: a.Digest, AgeMs: age, Config: a.Freshness.Config, Hosts: a.Freshness.Hosts}
+}
+
+func (m *loadsMessage) input() node.LoadsHeard {
+	return node.LoadsHeard{
+		Peer: m.Peer, Incarnation: m.Incarnation, Sequence: m.Sequence, Digest: m.Loads,
+		Freshness: node.Freshness{Age: time.Duration(m.AgeMs) * time.Millisecond, Config: m.Config, Hosts: m.Hosts},
+	}
 }
 
 // Loads exchanges load digests with other hosts by datagram.
@@ -47,7 +68,9 @@
 
 // Send sends a digest; what can't be sent at once is lost, as datagrams are.
 func (l *Loads) Send(a node.SendLoads) {
-	raw, err := json.Marshal(loadsMessage{Peer: l.peer, Incarnation: l.incarnation, Sequence: a.Sequence, Loads: a.Digest})
+	message := messageOf(&a)
+	message.Peer, message.Incarnation = l.peer, l.incarnation
+	raw, err := json.Marshal(message)
 	if err != nil || len(raw) > maxDatagram {
 		l.log.Warn("load digest not sent", "bytes", len(raw), "error", err)
 		return
@@ -82,6 +105,6 @@
 			l.log.Warn("load digest not understood", "error", err.Error())
 			continue
 		}
-		l.control.Post(node.LoadsHeard{Peer: m.Peer, Incarnation: m.Incarnation, Sequence: m.Sequence, Digest: m.Loads})
+		l.control.Post(m.input())
 	}
 }
--- a/internal/peer/loads_test.go
+++ b/internal/peer/loads_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
+	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
 
 	"github.com/hashicorp/go-hclog"
@@ -25,9 +27,12 @@
 	assert.NilError(t, err)
 	_, err = nonsense.Write([]byte("\x00nonsense"))
 	assert.NilError(t, err)
-	a.Send(node.SendLoads{To: []string{"nowhere", address}, Sequence: 3, Digest: []byte{1, 2}})
+	fresh := node.Freshness{
+		Age: 300 * time.Millisecond, Config: conf.Version{Revision: 7, Digest: 1 << 63}, Hosts: conf.Version{Revision: 9, Digest: 2},
+	}
+	a.Send(node.SendLoads{To: []string{"nowhere", address}, Sequence: 3, Digest: []byte{1, 2}, Freshness: fresh})
 	in := (<-to.inputs).(node.LoadsHeard)
-	assert.DeepEqual(t, in, node.LoadsHeard{Peer: "10.0.0.1:1", Incarnation: "i1", Sequence: 3, Digest: []byte{1, 2}})
+	assert.DeepEqual(t, in, node.LoadsHeard{Peer: "10.0.0.1:1", Incarnation: "i1", Sequence: 3, Digest: []byte{1, 2}, Freshness: fresh})
 	stop()
 	assert.NilError(t, <-ended)
 }
