Return of all hosts at once: callers wait for the configuration, long prompts are paced

Change: callers' connections wait in the listener until the host is ready, 450 ms at most; a host places long prompts 150 ms after it became ready, and one each 10 ms, so that peers hear of each. An oversized prompt reserves memory only when it would be read now. A refusal for want of room says what was missing.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -65,6 +65,8 @@
 	attempts uint32
 	// WaitsSince is when the request last began to wait for a target.
 	WaitsSince core.Time
+	// Obstacle is why it had no target at the last look.
+	Obstacle core.Obstacle
 	// Executions counts the dispatches that may have reached a target, Refusals those that a target did not take.
 	Executions int
 	Refusals   int
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -11,7 +11,7 @@
 
 // pump hands waiting requests to targets, in order of service, as far as there is room.
 func (n *Node) pump() {
-	if n.catchingUp() {
+	if n.catchingUp() || n.queue.Len() == 0 {
 		return
 	}
 	n.router.GroupsWait(n.groupsWait())
@@ -23,6 +23,10 @@
 	if !n.ledger.MayDispatch(n.now, rec) {
 		return false
 	}
+	if n.holdsLong(rec) {
+		rec.Obstacle = core.ObstaclePacing
+		return false
+	}
 	if rec.Work.Group {
 		return n.dispatchGroup(rec)
 	}
@@ -32,6 +36,7 @@
 	place := n.router.Place(n.now, rec, n.targets.All())
 	t := place.Target
 	if t == nil {
+		rec.Obstacle = place.Obstacle
 		return false
 	}
 	if n.tooLate(rec, t) {
@@ -50,6 +55,7 @@
 	basis := n.basisOf(t)
 	number := n.ledger.Dispatch(n.now, rec, t.Address)
 	t.Begin(n.now, target.Dispatch{Key: rec.Request.Key, Number: number}, job)
+	n.placedLong(rec)
 	return StartDispatch{
 		Key:      rec.Request.Key,
 		Dispatch: number,
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -136,12 +136,14 @@
 	claim := n.groups.claims[key]
 	if claim == nil {
 		n.groups.next = rec
+		rec.Obstacle = core.ObstacleTurn
 		if n.firstInLine(rec) {
 			n.claimGroup(rec)
 		}
 		return false
 	}
 	if !claim.Complete() {
+		rec.Obstacle = core.ObstacleReservation
 		return false
 	}
 	members := n.groupMembers(claim)
@@ -153,6 +155,7 @@
 	helpers, worth := n.router.HelpersFor(n.now, rec, members, n.targets.All())
 	if !worth {
 		n.placeGroup(rec, claim, n.claimedWork(rec, claim))
+		rec.Obstacle = core.ObstacleOthers
 		return false
 	}
 	n.placeGroup(rec, claim, n.groupPart(rec, claim, len(helpers)))
@@ -193,6 +196,11 @@
 	}
 	plan, ok := n.chooseGroup(rec)
 	if !ok {
+		rec.Obstacle = core.ObstacleMemory
+		return
+	}
+	if !n.worthClaiming(rec, plan) {
+		rec.Obstacle = core.ObstacleOthers
 		return
 	}
 	n.groups.tries++
@@ -205,6 +213,20 @@
 	n.ask(key, claim)
 }
 
+// worthClaiming tells whether the prompt would be read now if the members of the plan held its memory. Memory that is
+// held for a prompt that waits on is idle.
+func (n *Node) worthClaiming(rec *ledger.Record, plan group.Plan) bool {
+	if n.opts.Policy != PolicyPacked {
+		return true
+	}
+	var members []*target.Target
+	for _, address := range plan.Engines {
+		members = append(members, n.targets.Get(address))
+	}
+	_, worth := n.router.HelpersFor(n.now, rec, members, n.targets.All())
+	return worth
+}
+
 // firstInLine tells whether no peer has a group that has waited longer. Without it, the host whose group ends would
 // know first of the free engines each time and keep them.
 func (n *Node) firstInLine(rec *ledger.Record) bool {
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -110,9 +110,10 @@
 	// silent are the engines that had stopped to report at the last tick.
 	silent map[string]bool
 	// table finds the routes of the document in force.
-	table *routes.Table
-	loads loadsState
-	usual usualBudgets
+	table  *routes.Table
+	loads  loadsState
+	usual  usualBudgets
+	pacing pacing
 }
 
 // New returns the Node of a process that has just started: its clock stands at zero.
@@ -143,6 +144,7 @@
 		knowledge:     newKnowledge(),
 		lanesSized:    -laneInterval,
 		usual:         make(usualBudgets),
+		pacing:        newPacing(),
 	}
 	n.queue = newQueue(opts.Policy, n.teamWeight)
 	return n
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -52,6 +52,7 @@
 	}
 	if n.notReady() == "" {
 		n.ready = true
+		n.pacing.ready = n.now
 		n.do(Note{Event: EventReady})
 		n.announce(func(*member.Peer) bool { return true })
 	}
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -163,7 +163,7 @@
 		n.finish(rec, core.Result{
 			Outcome:    certainOutcome(rec),
 			Code:       api.CodeNoRoom,
-			Message:    "no target had room in time",
+			Message:    "no target had room in time: " + rec.Obstacle.String(),
 			RetryAfter: n.retryAfter(afterContention),
 		})
 	}
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -79,7 +79,16 @@
 	return &edge{lone: &lone{t: t, node: n, now: time.Second}}
 }
 
+// newEdge is ready and knows what it needs to for long prompts.
 func newEdge(t *testing.T) *edge {
+	t.Helper()
+	e := readyEdge(t)
+	e.after(200 * time.Millisecond).step(node.Tick{})
+	return e
+}
+
+// readyEdge has just become ready.
+func readyEdge(t *testing.T) *edge {
 	t.Helper()
 	e := startEdge(t)
 	e.publish(1)
--- a/internal/core/route/long.go
+++ b/internal/core/route/long.go
@@ -24,8 +24,11 @@
 			}
 		}
 	}
+	if best.Target == nil {
+		return Placement{Obstacle: core.ObstacleMemory}
+	}
 	if bestHarm > valueOf(rec.Request.PromptTokens) {
-		return Placement{}
+		return Placement{Obstacle: core.ObstacleOthers}
 	}
 	return best
 }
--- a/internal/core/route/place.go
+++ b/internal/core/route/place.go
@@ -13,6 +13,8 @@
 	Target *target.Target
 	// Helpers read a part of the prompt each.
 	Helpers []*target.Target
+	// Obstacle is why there is no Target.
+	Obstacle core.Obstacle
 }
 
 // passStates returns the engines that may take a part of the request, or nothing where some target is no engine of
@@ -40,7 +42,7 @@
 			}), r.rng.Float64)
 		}
 	}
-	return Placement{Target: r.Pick(now, rec, targets)}
+	return Placement{Target: r.Pick(now, rec, targets), Obstacle: core.ObstacleTargets}
 }
 
 // longPromptTokens is the prompt length from which several engines may read a prompt.
--- a/internal/core/route/short.go
+++ b/internal/core/route/short.go
@@ -22,7 +22,7 @@
 		}
 	}
 	if best < 0 {
-		return Placement{}
+		return Placement{Obstacle: core.ObstacleSlots}
 	}
 	return Placement{Target: states[best].target}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,7 +112,10 @@
 	callers.ErrorLog, operators.ErrorLog = d.connectionLog(), d.connectionLog()
 	group.Go(func() error { d.loop.Run(running, x); return nil })
 	group.Go(func() error { d.watchKeys(running, keys, m); return nil })
-	group.Go(func() error { return serveHTTP(groupCtx, callers, listeners.callers) })
+	group.Go(func() error {
+		awaitReady(groupCtx, func() bool { return d.loop.Snapshot().Ready })
+		return serveHTTP(groupCtx, callers, listeners.callers)
+	})
 	group.Go(func() error { return serveHTTP(groupCtx, operators, listeners.operators) })
 	group.Go(func() error { return servePeers(groupCtx, peer.NewServer(d.loop), listeners.peers) })
 	context.AfterFunc(ctx, func() { d.loop.Post(node.Drain{}) })
