--- a/internal/core/node/freshness.go
+++ b/internal/core/node/freshness.go
@@ -34,6 +34,8 @@
 	answered core.Time
 	config   conf.Version
 	hosts    conf.Version
+	// ahead is since when it has had something that this host has not; never if it has nothing of that kind.
+	ahead core.Time
 }
 
 // freshness is this host's own.
@@ -67,7 +69,14 @@
 	if f.Age >= 0 {
 		answered := n.now - f.Age
 		n.knowledge.platform.note(n.now, answered)
-		n.knowledge.platform.peers[peer] = freshHost{answered: answered, config: f.Config, hosts: f.Hosts}
+		fresh := freshHost{answered: answered, config: f.Config, hosts: f.Hosts, ahead: never}
+		if n.lacks(&fresh) {
+			fresh.ahead = n.now
+			if before, ok := n.knowledge.platform.peers[peer]; ok && before.ahead != never {
+				fresh.ahead = before.ahead
+			}
+		}
+		n.knowledge.platform.peers[peer] = fresh
 	}
 	n.pullNewer(peer, f.Config, f.Hosts)
 }
@@ -86,8 +95,13 @@
 	return before < zoneReaders
 }
 
+// lacks tells whether a peer had something newer than this host has now.
+func (n *Node) lacks(fresh *freshHost) bool {
+	return fresh.config.Above(n.config.Version()) || fresh.hosts.Above(n.hostsVersion())
+}
+
 // readsFor tells whether a peer can stand for this host: it is heard, the platform answers it, and this host has all
-// that it had then.
+// that it had then, or had the time to get it.
 func (n *Node) readsFor(peer string) bool {
 	fresh, ok := n.knowledge.platform.peers[peer]
 	if !ok || n.now-fresh.answered >= readerPatience {
@@ -97,5 +111,5 @@
 	if p.Last.Zone != n.opts.Zone || !p.Alive(n.now) {
 		return false
 	}
-	return !fresh.config.Above(n.config.Version()) && !fresh.hosts.Above(n.hostsVersion())
+	return !n.lacks(&fresh) || fresh.ahead == never || n.now-fresh.ahead < pullPatience
 }
