--- a/internal/daemon/logging_test.go
+++ b/internal/daemon/logging_test.go
@@ -1,34 +1,25 @@
 package daemon
 
 import (
-	"bytes"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
+	"carobshunt/internal/testlog"
+
 	"gotest.tools/v3/assert"
 )
 
 // stuckWriter takes nothing until it is let go.
 type stuckWriter struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-	let  chan struct{}
+	testlog.Buffer
+	let chan struct{}
 }
 
 // Write implements io.Writer.
 func (w *stuckWriter) Write(p []byte) (int, error) {
 	<-w.let
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.text.Write(p)
-}
-
-func (w *stuckWriter) String() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.text.String()
+	return w.Buffer.Write(p)
 }
 
 func TestLogNeverBlocksAndTellsWhatItLeftOut(t *testing.T) {
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -3,10 +3,7 @@
 package engines
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -15,9 +12,8 @@
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/core/sweep"
+	"carobshunt/internal/jsonhttp"
 	"carobshunt/internal/netdial"
-
-	"github.com/juju/errors"
 )
 
 // Paths of the engines' protocol.
@@ -74,7 +70,7 @@
 // Reserve carries out the action and posts the answer.
 func (c *Client) Reserve(ctx context.Context, a node.Reserve) {
 	body := Reservation{Tokens: a.Tokens, ExpiryMs: a.Expiry.Milliseconds(), Renewal: a.Renewal}
-	status, err := call(ctx, c.http, http.MethodPut, path(a.Target, PathReservations, a.Reservation.Name()), body, nil)
+	status, err := c.call(ctx, http.MethodPut, path(a.Target, PathReservations, a.Reservation.Name()), body, nil)
 	answer := group.Refused
 	switch {
 	case err != nil:
@@ -91,13 +87,13 @@
 
 // Release carries out the action; what it misses expires.
 func (c *Client) Release(ctx context.Context, a node.Release) {
-	_, _ = call(ctx, c.http, http.MethodDelete, path(a.Target, PathReservations, a.Reservation.Name()), nil, nil)
+	_, _ = c.call(ctx, http.MethodDelete, path(a.Target, PathReservations, a.Reservation.Name()), nil, nil)
 }
 
 // ListMemory carries out the action and posts the list, or nothing when the engine does not answer.
 func (c *Client) ListMemory(ctx context.Context, a node.ListMemory) {
 	var list []sweep.Holding
-	status, err := call(ctx, c.http, http.MethodGet, "http://"+a.Target+PathMemory, nil, &list)
+	status, err := c.call(ctx, http.MethodGet, "http://"+a.Target+PathMemory, nil, &list)
 	if err == nil && status == http.StatusOK {
 		c.control.Post(node.MemoryListed{Target: a.Target, Holdings: list})
 	}
@@ -105,7 +101,7 @@
 
 // CancelHolding carries out the action; what it misses is on the next list.
 func (c *Client) CancelHolding(ctx context.Context, a node.CancelHolding) {
-	_, _ = call(ctx, c.http, http.MethodDelete, path(a.Target, pathOf(a.Kind), a.Name), nil, nil)
+	_, _ = c.call(ctx, http.MethodDelete, path(a.Target, pathOf(a.Kind), a.Name), nil, nil)
 }
 
 func pathOf(kind sweep.Kind) string {
@@ -122,32 +118,7 @@
 	return "http://" + target + base + "/" + url.PathEscape(name)
 }
 
-// call sends one request with an optional JSON body and reads an optional JSON answer.
-func call(ctx context.Context, client *http.Client, method, address string, in, out any) (int, error) {
-	req, err := newRequest(ctx, method, address, in)
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body := io.LimitReader(resp.Body, maxListBytes)
-	if out != nil && resp.StatusCode == http.StatusOK {
-		return resp.StatusCode, errors.Trace(json.NewDecoder(body).Decode(out))
-	}
-	_, _ = io.Copy(io.Discard, body)
-	return resp.StatusCode, nil
-}
-
-func newRequest(ctx context.Context, method, address string, in any) (*http.Request, error) {
-	if in == nil {
-		return http.NewRequestWithContext(ctx, method, address, nil)
-	}
-	raw, err := json.Marshal(in)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return http.NewRequestWithContext(ctx, method, address, bytes.NewReader(raw))
+// call makes one call with the client for all calls that no deadline gates.
+func (c *Client) call(ctx context.Context, method, address string, in, out any) (int, error) {
+	return jsonhttp.Caller{Client: c.http, MaxBytes: maxListBytes}.Call(ctx, method, address, in, out)
 }
--- a/internal/httplog/httplog_test.go
+++ b/internal/httplog/httplog_test.go
@@ -1,44 +1,24 @@
 package httplog_test
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 
 	"carobshunt/internal/httplog"
+	"carobshunt/internal/testlog"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 )
 
-// buffer is a buffer for one writer and one reader on different goroutines.
-type buffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *buffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *buffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // exchange sends bytes on one connection and returns the answers and what was logged meanwhile.
 func exchange(t *testing.T, request string) (answers, logged string) {
 	t.Helper()
-	var lines buffer
+	var lines testlog.Buffer
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, "fine")
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -24,7 +24,6 @@
 	keepFor   time.Duration
 	// sending is set while a request is being written.
 	sending atomic.Bool
-	reused  bool
 }
 
 // readBuffer is the size of a connection's buffer, in bytes.
@@ -34,9 +33,6 @@
 	return &Conn{Conn: inner, reader: bufio.NewReaderSize(inner, readBuffer), target: target}
 }
 
-// Reused tells whether the connection carried a request before.
-func (c *Conn) Reused() bool { return c.reused }
-
 // Send writes a request. It returns how many bytes the connection took: with none, the target never had any.
 func (c *Conn) Send(head, body []byte) (int64, error) {
 	c.sending.Store(true)
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -60,7 +60,7 @@
 	assert.Equal(t, string(body), "ok")
 	p.Put(c, 0)
 	again := get(t, p, address)
-	assert.Assert(t, again == c && again.Reused())
+	assert.Assert(t, again == c)
 	assert.Assert(t, get(t, p, address) != c, "it carries one request at a time")
 }
 
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -42,7 +42,6 @@
 			return p.Dial(ctx, target)
 		}
 		if c.usable() {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
--- /dev/null
+++ b/internal/jsonhttp/jsonhttp.go
@@ -0,0 +1,55 @@
+// Package jsonhttp makes calls whose bodies are JSON.
+package jsonhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// Caller makes calls with one client.
+type Caller struct {
+	Client *http.Client
+	// MaxBytes bounds an answer.
+	MaxBytes int64
+}
+
+// Call sends one request, with in as its body unless that is nil, and returns the status. An answer with status 200 is
+// read into out unless that is nil.
+func (c Caller) Call(ctx context.Context, method, address string, in, out any) (int, error) {
+	req, err := newRequest(ctx, method, address, in)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body := io.LimitReader(resp.Body, c.MaxBytes)
+	if out != nil && resp.StatusCode == http.StatusOK {
+		return resp.StatusCode, errors.Trace(json.NewDecoder(body).Decode(out))
+	}
+	_, err = io.Copy(io.Discard, body)
+	return resp.StatusCode, errors.Trace(err)
+}
+
+func newRequest(ctx context.Context, method, address string, in any) (*http.Request, error) {
+	if in == nil {
+		return http.NewRequestWithContext(ctx, method, address, nil)
+	}
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(raw))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
