Many hosts ask a store that is down no more often than few

Change: the pause after a failed read grows with the hosts that are heard beyond four; the first host that is answered tells the others.

--- a/internal/core/node/freshness_test.go
+++ b/internal/core/node/freshness_test.go
@@ -78,6 +78,11 @@
 	assert.Assert(t, !r.reads())
 }
 
+func TestManyHostsAskAStoreThatIsDownNoMoreOftenThanFew(t *testing.T) {
+	assert.Equal(t, newEdge(t).node.Snapshot().ReadRetryPause, 200*time.Millisecond)
+	assert.Equal(t, newReaders(t).node.Snapshot().ReadRetryPause, 450*time.Millisecond, "nine hosts")
+}
+
 func TestHostsOfOtherZonesDoNotReadForThisOne(t *testing.T) {
 	r := &readers{edge: newEdge(t)}
 	for _, peer := range readerPeers {
--- a/internal/core/node/readers.go
+++ b/internal/core/node/readers.go
@@ -85,6 +85,19 @@
 	return answered < zoneReaders
 }
 
+const (
+	// retryPause is the mean pause of a host after a read that failed, where up to retryHosts hosts read. With more it
+	// grows in proportion, so that all together ask a store that is down no more often; the first that it answers tells
+	// the others.
+	retryPause = 200 * time.Millisecond
+	retryHosts = 4
+)
+
+// readRetryPause is the mean pause after a read that failed.
+func (n *Node) readRetryPause() time.Duration {
+	return retryPause * time.Duration(max(len(n.liveHosts()), retryHosts)) / retryHosts
+}
+
 const (
 	// outageGap is the time without an answer of the platform from which entries may have lapsed meanwhile.
 	outageGap = 1500 * time.Millisecond
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"time"
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
@@ -28,8 +29,10 @@
 	HostList    *hostlist.List
 	HostLists   *delta.History
 	// Reads tells whether this host is to watch the platform.
-	Reads     bool
-	Heartbeat member.Heartbeat
+	Reads bool
+	// ReadRetryPause is the mean pause after a read of the platform that failed.
+	ReadRetryPause time.Duration
+	Heartbeat      member.Heartbeat
 	// TargetAddresses are the targets whose load is to be read.
 	TargetAddresses []string
 	Status          api.Status
@@ -56,6 +59,7 @@
 		HostList:        n.hosts,
 		HostLists:       n.hostsHistory,
 		Reads:           n.reads(),
+		ReadRetryPause:  n.readRetryPause(),
 		Heartbeat:       n.ownHeartbeat(),
 		TargetAddresses: n.targetAddresses(),
 		Status:          n.status(),
