Large fleets: engines with room are shared by all hosts, and no request names too many engines

Cause: a host shared out an engine's last slots as soon as its streams and all hosts together exceeded the slots: with 32 hosts and 12 slots always. Outside its turn and its few engines a host found no room at idle engines (a test shows it).

--- a/internal/core/route/long.go
+++ b/internal/core/route/long.go
@@ -9,14 +9,15 @@
 	"carobshunt/internal/core/target"
 )
 
-// maxHelpers is how many engines may read a prompt beside the one that answers.
-const maxHelpers = 16
+// maxListed is how many engines a request may name that read or hold a part of its prompt. The one that answers is
+// named only where it holds memory for the prompt.
+const maxListed = 16
 
 // placeLong returns the engines that read a long prompt at the least cost. All that it is read by read the same part.
 func placeLong(rec *ledger.Record, states []passState) Placement {
 	var best Placement
 	bestCost, bestHarm := 0.0, 0.0
-	for parts := 1; parts <= min(len(states), maxHelpers+1); parts++ {
+	for parts := 1; parts <= min(len(states), maxListed+1); parts++ {
 		chosen, cost, harm := chooseParts(rec, nil, states, parts)
 		if best.Target == nil || cost < bestCost-partCost {
 			if p := placementOf(rec, chosen); p.Target != nil {
@@ -116,7 +117,7 @@
 func chooseHelpers(rec *ledger.Record, fixed, others []passState) ([]*target.Target, bool) {
 	var best []*target.Target
 	bestCost, bestHarm := 0.0, 0.0
-	for extra := 0; extra <= min(len(others), maxHelpers+1-len(fixed)); extra++ {
+	for extra := 0; extra <= min(len(others), maxListed-len(fixed)); extra++ {
 		chosen, cost, harm := chooseParts(rec, fixed, others, len(fixed)+extra)
 		if extra > 0 && cost >= bestCost-partCost {
 			continue
--- a/internal/core/route/passes_test.go
+++ b/internal/core/route/passes_test.go
@@ -135,6 +135,34 @@
 	assert.Assert(t, place(rec, engines).Target == nil)
 }
 
+// TestOversizedPromptNamesNoMoreEnginesThanOneRequestMay answers an oversized prompt in a large idle fleet.
+func TestOversizedPromptNamesNoMoreEnginesThanOneRequestMay(t *testing.T) {
+	engines := paced(69)
+	r := route.NewPacked(rand.New(rand.NewPCG(1, 1)))
+	for _, members := range []int{2, 9, 16} {
+		helpers, worth := r.HelpersFor(0, routedPrompt(450_000), engines[:members], engines)
+		assert.Assert(t, worth)
+		assert.Assert(t, members+len(helpers) <= 16, "%d members and %d helpers", members, len(helpers))
+	}
+}
+
+// TestManyHostsPackAsFewDo answers a fleet with more hosts than an engine has slots: an engine with room is shared by
+// all of them.
+func TestManyHostsPackAsFewDo(t *testing.T) {
+	engines := paced(3)
+	write(engines[1], 5)
+	c := route.Contention{Self: "h00"}
+	for i := range 32 {
+		c.Live = append(c.Live, fmt.Sprintf("h%02d", i))
+	}
+	for _, self := range c.Live {
+		c.Self = self
+		r := route.NewPacked(rand.New(rand.NewPCG(1, 1)))
+		r.Contention(c)
+		assert.Equal(t, r.Place(0, routedPrompt(5_000), engines).Target, engines[1], self)
+	}
+}
+
 // TestLastSlotsAreSharedOut answers several hosts that all wait for the next free slot.
 func TestLastSlotsAreSharedOut(t *testing.T) {
 	live := []string{"a", "b", "c", "d"}
--- a/internal/core/route/short.go
+++ b/internal/core/route/short.go
@@ -27,11 +27,16 @@
 	return Placement{Target: states[best].target}
 }
 
+// crowdedDivisor is the part of an engine's slots, as a divisor, from which on hosts share out the last ones, however many
+// hosts there are: that many of them seldom send to one engine before they hear of each other.
+const crowdedDivisor = 4
+
 // beyondShare tells whether an engine is so full that all hosts together would overfill it, and this host has its share
 // of it. What others leave of theirs a host may take when it has its turn.
 func (r *Router) beyondShare(now core.Time, s *passState) bool {
 	slots := s.target.Slots
-	if s.load.Streams+int64(len(r.contention.Live)) <= slots || r.contention.turn(now) {
+	margin := min(int64(len(r.contention.Live)), slots/crowdedDivisor)
+	if s.load.Streams+margin <= slots || r.contention.turn(now) {
 		return false
 	}
 	return int64(s.target.InFlight()) >= r.contention.Share(s.target.Address, slots)
--- a/internal/testpipe/testpipe.go
+++ b/internal/testpipe/testpipe.go
@@ -158,13 +158,16 @@
 		return
 	}
 	defer func() { _ = out.Close() }()
-	ended := make(chan struct{}, 2)
+	ended := make(chan bool, 2)
 	go p.copy(out, in, false, ended)
 	go p.copy(in, out, true, ended)
-	<-ended
+	if whole := <-ended; whole {
+		<-ended // the other direction goes on
+	}
 }
 
-func (p *Pipe) copy(to, from net.Conn, fromBackend bool, ended chan<- struct{}) {
+// copy passes one direction on; it reports whether that came to its end rather than broke.
+func (p *Pipe) copy(to, from net.Conn, fromBackend bool, ended chan<- bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
@@ -177,10 +180,11 @@
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				_ = to.(*net.TCPConn).CloseWrite()
+				ended <- true
 				return
 			}
 			break
 		}
 	}
-	ended <- struct{}{}
+	ended <- false
 }
