--- a/internal/core/route/short.go
+++ b/internal/core/route/short.go
@@ -27,8 +27,8 @@
 	return Placement{Target: states[best].target}
 }
 
-// crowdedDivisor is the part of an engine's slots, as a divisor, from which on hosts share out the last ones, however many
-// hosts there are: that many of them seldom send to one engine before they hear of each other.
+// crowdedDivisor is the part of an engine's slots, as a divisor, that hosts share out at the most when only so many are
+// left. Seldom do more hosts than that send to one engine before they hear of each other.
 const crowdedDivisor = 4
 
 // beyondShare tells whether an engine is so full that all hosts together would overfill it, and this host has its share
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -9,8 +9,8 @@
 
 const (
 	// startPatience is how long callers of a process that has just started wait for its first configuration and host
-	// list before they are told that it has none. It is under the half second after which work for a caller that gave
-	// up meanwhile would count as worked on after its caller left.
+	// list before they are told that it has none. That a caller gave up meanwhile shows only when its request is read,
+	// so it is kept short.
 	startPatience = 450 * time.Millisecond
 	// startPoll is the time between two looks at whether they are there.
 	startPoll = 2 * time.Millisecond
