Mends of the last read: one piece where two did the same, work not done twice

- A reader's rank is rendezvous.Position over the hosts that can read, in place of a second comparison of weights; a condition that could not hold is gone.
- Members of a planned and of a complete group are found by one function; its policy check stood in the router already.
The part of a prompt and its priority are worked out once; the product's own choice of a group is not made where groups are spread.
- The answer to a reservation is judged in one place for both protocols.
- The tightest pause of a service is looked up once a list, not once a target.
Behaviour is meant to be the same.

--- a/internal/core/node/freshness.go
+++ b/internal/core/node/freshness.go
@@ -86,13 +86,13 @@
 	if !n.ready {
 		return true
 	}
-	before := 0
+	able := []string{n.opts.Peer}
 	for _, address := range n.peers.Addresses() {
-		if n.readsFor(address) && rendezvous.Before(dutyRead, address, n.opts.Peer) {
-			before++
+		if n.readsFor(address) {
+			able = append(able, address)
 		}
 	}
-	return before < zoneReaders
+	return rendezvous.Position(dutyRead, n.opts.Peer, able) < zoneReaders
 }
 
 // lacks tells whether a peer had something newer than this host has now.
@@ -111,5 +111,5 @@
 	if p.Last.Zone != n.opts.Zone || !p.Alive(n.now) {
 		return false
 	}
-	return !n.lacks(&fresh) || fresh.ahead == never || n.now-fresh.ahead < pullPatience
+	return !n.lacks(&fresh) || n.now-fresh.ahead < pullPatience
 }
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -146,7 +146,7 @@
 		rec.Obstacle = core.ObstacleReservation
 		return false
 	}
-	members := n.groupMembers(claim)
+	members := n.groupMembers(claim.Plan)
 	if members == nil {
 		n.releaseGroup(key)
 		return false
@@ -158,22 +158,24 @@
 		rec.Obstacle = core.ObstacleOthers
 		return false
 	}
-	n.placeGroup(rec, claim, n.groupPart(rec, claim, len(helpers)))
-	order := n.begin(rec, members[0], target.Job{Priority: route.Priority(rec.Work.Class)})
+	part := n.groupPart(rec, claim, len(helpers))
+	priority := route.Priority(rec.Work.Class)
+	n.placeGroup(rec, claim, part)
+	order := n.begin(rec, members[0], target.Job{Priority: priority})
 	for _, t := range members {
 		order.Group = append(order.Group, t.Address)
 	}
 	order.Reservation = claim.Reservation
-	n.placeHelp(rec, helpers, target.Job{Priority: route.Priority(rec.Work.Class), Work: n.groupPart(rec, claim, len(helpers))})
+	n.placeHelp(rec, helpers, target.Job{Priority: priority, Work: part})
 	order.Helpers = rec.Helpers
 	n.do(order)
 	return true
 }
 
-// groupMembers are the engines of a complete claim, the one with the fewest streams first; nil when one is gone.
-func (n *Node) groupMembers(claim *group.Claim) []*target.Target {
+// groupMembers are the engines of a plan, where streams are packed the one with the fewest first; nil when one is gone.
+func (n *Node) groupMembers(plan group.Plan) []*target.Target {
 	var out []*target.Target
-	for _, address := range claim.Plan.Engines {
+	for _, address := range plan.Engines {
 		t := n.targets.Get(address)
 		if t == nil {
 			return nil
@@ -216,14 +218,7 @@
 // worthClaiming tells whether the prompt would be read now if the members of the plan held its memory. Memory that is
 // held for a prompt that waits on is idle.
 func (n *Node) worthClaiming(rec *ledger.Record, plan group.Plan) bool {
-	if n.opts.Policy != PolicyPacked {
-		return true
-	}
-	var members []*target.Target
-	for _, address := range plan.Engines {
-		members = append(members, n.targets.Get(address))
-	}
-	_, worth := n.router.HelpersFor(n.now, rec, members, n.targets.All())
+	_, worth := n.router.HelpersFor(n.now, rec, n.groupMembers(plan), n.targets.All())
 	return worth
 }
 
@@ -248,10 +243,10 @@
 func (n *Node) chooseGroup(rec *ledger.Record) (group.Plan, bool) {
 	need := memoryNeed(&rec.Request)
 	engines := n.groupEngines(rec.Request.Model, true)
-	plan, ok := group.Choose(need, engines)
 	if n.opts.Policy == PolicyPacked {
 		return group.Spread(need, engines)
 	}
+	plan, ok := group.Choose(need, engines)
 	if !n.predicts() || !ok {
 		return plan, ok
 	}
--- a/internal/core/node/helpers.go
+++ b/internal/core/node/helpers.go
@@ -7,10 +7,8 @@
 
 // beginHelped begins a dispatch whose prompt several engines read.
 func (n *Node) beginHelped(rec *ledger.Record, lead *target.Target, helpers []*target.Target) StartDispatch {
-	parts := int64(len(helpers) + 1)
 	job := n.jobOf(rec, lead)
-	part := job.Work / parts
-	job.Work = part
+	job.Work /= int64(len(helpers) + 1)
 	order := n.begin(rec, lead, job)
 	n.placeHelp(rec, helpers, job)
 	order.Helpers = rec.Helpers
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -99,15 +99,21 @@
 
 // describeEngines hands each target the published speed of its service.
 func (n *Node) describeEngines() {
+	pauses := make(map[string]time.Duration) // by service
 	for _, t := range n.targets.All() {
 		t.Engine = nil
 		for _, service := range t.Models {
-			if e := n.engineOf(service); e != nil {
-				t.Engine = e
-				t.MemoryTokens = e.MemoryTokens
-				t.Slots = cmp.Or(t.Slots, e.Slots)
-				t.StrictPause = n.strictPause(service)
+			e := n.engineOf(service)
+			if e == nil {
+				continue
 			}
+			if _, known := pauses[service]; !known {
+				pauses[service] = n.strictPause(service)
+			}
+			t.Engine = e
+			t.MemoryTokens = e.MemoryTokens
+			t.Slots = cmp.Or(t.Slots, e.Slots)
+			t.StrictPause = pauses[service]
 		}
 	}
 }
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -18,11 +18,6 @@
 	return out
 }
 
-// Before tells whether a member ranks before another one for a duty.
-func Before(duty, member, other string) bool {
-	return cmp.Or(cmp.Compare(weight(duty, other), weight(duty, member)), cmp.Compare(member, other)) < 0
-}
-
 // Position is the rank of a member for a duty, from 0; -1 for one that is not a member.
 func Position(duty, member string, members []string) int {
 	if !slices.Contains(members, member) {
--- a/internal/core/target/cache.go
+++ b/internal/core/target/cache.go
@@ -89,7 +89,7 @@
 
 // EngineWork is the work of a prompt at an engine of published speed: the tokens that it reads in the same time.
 func EngineWork(e *document.Engine, tokens int64) int64 {
-	ms := float64(e.ReadTime(tokens, 1)) / float64(time.Millisecond)
+	ms := float64(e.ReadTime(tokens)) / float64(time.Millisecond)
 	return int64(ms * e.ReadTokensPerMs)
 }
 
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -26,18 +26,17 @@
 
 // Execute implements control.Executor.
 func (x *executor) Execute(action node.Action) {
+	x.journal.note(action)
 	switch a := action.(type) {
 	case node.Open:
 		x.traffic.Open(a.Key)
 	case node.StartDispatch:
 		x.metrics.Dispatched(a)
-		x.journal.dispatched(&a)
 		x.traffic.Start(a)
 	case node.AbortDispatch:
 		x.traffic.Abort(a.Key, a.Dispatch)
 	case node.Finish:
 		x.metrics.Finished(a)
-		x.journal.finished(&a)
 		x.traffic.Finish(a)
 	case node.Drop:
 		x.traffic.Drop(a.Key)
@@ -52,10 +51,7 @@
 	case node.Note:
 		x.metrics.Noted(a.Event)
 		x.log.Info(string(a.Event), "detail", a.Text)
-	case node.Refused:
-		x.journal.refused(&a)
-	case node.Unanswered:
-		x.journal.unanswered(&a)
+	case node.Refused, node.Unanswered: // for the journal
 	case node.Stop:
 		x.stop()
 	default:
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -97,11 +97,11 @@
 	PairsMs         float64 `json:"pairs_ms" jsonschema:"minimum=0,description=time for a million pairs of tokens in milliseconds"`
 }
 
-// ReadTime is how long one engine reads a prompt of that many tokens alone, divided evenly between the parts.
-func (e *Engine) ReadTime(tokens, parts int64) time.Duration {
+// ReadTime is how long one engine reads a prompt of that many tokens alone.
+func (e *Engine) ReadTime(tokens int64) time.Duration {
 	n := float64(tokens)
 	ms := n/e.ReadTokensPerMs + n*n/2/1e6*e.PairsMs
-	return time.Duration(ms / float64(max(parts, 1)) * float64(time.Millisecond))
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // Service returns the service with that name.
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -71,6 +71,11 @@
 func (c *Client) Reserve(ctx context.Context, a node.Reserve) {
 	body := Reservation{Tokens: a.Tokens, ExpiryMs: a.Expiry.Milliseconds(), Renewal: a.Renewal}
 	status, err := c.call(ctx, http.MethodPut, path(a.Target, PathReservations, a.Reservation.Name()), body, nil)
+	c.control.Post(Answered(&a, status, err))
+}
+
+// Answered is what became of a reservation by the status of its answer, or the error that came in its place.
+func Answered(a *node.Reserve, status int, err error) node.ReservationAnswered {
 	answer := group.Refused
 	switch {
 	case err != nil:
@@ -80,9 +85,7 @@
 	case status == http.StatusAccepted:
 		answer = group.Waiting
 	}
-	c.control.Post(node.ReservationAnswered{
-		Key: a.Key, Target: a.Target, Reservation: a.Reservation, Asked: a.Asked, Answer: answer,
-	})
+	return node.ReservationAnswered{Key: a.Key, Target: a.Target, Reservation: a.Reservation, Asked: a.Asked, Answer: answer}
 }
 
 // Release carries out the action; what it misses expires.
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -262,7 +262,7 @@
 	assert.NilError(h.c.t, err)
 	assert.NilError(h.c.t, os.WriteFile(path, raw, 0o600))
 	h.cmd = exec.Command(os.Args[0])
-	testproc.Own(h.cmd)
+	h.cmd.SysProcAttr = testproc.OwnGroup()
 	h.cmd.Env = append(os.Environ(), settingsVariable+"="+path)
 	log, err := os.OpenFile(filepath.Join(h.c.dir, h.ip+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(h.c.t, err)
