Client: a refusal before a lost attempt does not decide the outcome

Cause: the outcome of an earlier refusal stayed when a later attempt sent the whole body and got no answer, so a request that is not idempotent and may have run was reported not_run. An attempt without a body was never counted as sent, so an idempotent request could be reported not_run after a lost one. Change: a lost attempt voids what earlier refusals said; without a body, an attempt counts as sent unless no connection was made.

--- a/client/submit.go
+++ b/client/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -109,10 +110,10 @@
 	host string
 	// body is the body of the current attempt.
 	body *sealedBody
-	// sent is set once any byte of the body may have been sent, by this process or an earlier one of the caller. For
-	// an empty body, it is set before the headers are sent.
+	// sent is set once any byte of the body, or of the headers if the body is empty, may have been sent, by this process or
+	// an earlier one of the caller.
 	sent bool
-	// lost is set once an attempt in which a byte of the body may have been sent got no answer or an interrupted one.
+	// lost is set once an attempt in which such a byte may have been sent got no answer or an interrupted one.
 	lost   bool
 	result Result
 	answer assembly
@@ -192,11 +193,11 @@
 	}
 }
 
-// setNoAnswer sets the outcome of a request that got no final answer within its budget, or within its attempts if none
-// of them was refused.
+// setNoAnswer sets the outcome of a request that got no final answer within its budget, or within its attempts if no
+// refusal came after the last lost one.
 func (s *submission) setNoAnswer() {
 	s.result.Code = api.CodeDeadline
-	s.result.Message = "no final answer within the budget"
+	s.result.Message = "no final answer within the budget or the attempts"
 	switch {
 	case !s.sent:
 		s.result.Outcome = api.OutcomeNotRun
@@ -260,9 +261,14 @@
 	}
 	resp, err := s.client.http.Do(req)
 	sent := s.body.seal() // from here on, no more of the body is read
+	if req.ContentLength == 0 {
+		sent = !dialFailed(err) // the headers are the whole request
+	}
 	s.sent = s.sent || sent
 	if err != nil {
-		s.lost = s.lost || sent
+		if sent {
+			s.attemptLost()
+		}
 		return retryOtherHost
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -271,10 +277,25 @@
 		return s.handleRefusal(readError(resp))
 	}
 	v := s.readAnswer(resp)
-	s.lost = s.lost || sent && v == interrupted
+	if sent && v == interrupted {
+		s.attemptLost()
+	}
 	return v
 }
 
+// attemptLost records that an attempt which may have sent the request got no answer or an interrupted one. What an
+// earlier refusal said is void, since the request may have run after it.
+func (s *submission) attemptLost() {
+	s.lost = true
+	s.result.Outcome, s.result.Code, s.result.Message, s.result.RetryAfter = "", "", "", 0
+}
+
+// dialFailed reports whether a request failed before there was a connection to send it on.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // readAnswer reads frames until the answer is complete or interrupted.
 func (s *submission) readAnswer(resp *http.Response) attemptResult {
 	s.result.Host = resp.Header.Get(api.HeaderHost)
@@ -330,7 +351,6 @@
 	req.ContentLength = int64(len(s.req.Prompt))
 	if req.ContentLength == 0 {
 		req.Body = http.NoBody
-		s.sent = true // the headers are the whole request
 	}
 	s.setHeaders(req.Header)
 	h := req.Header
