Core: loads of removed peers, drift allowance, late speeds, lost groups

Cause: four faults found while reading. A peer that was removed in the tick in which it became unreachable was never reported silent, so its load stayed at the engines. The allowance for clock drift was added again for each heartbeat that arrived after a suspension. A dispatch that began before a speed was published was overdue as soon as one was.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -150,8 +150,9 @@
 	// sent is when the last heartbeat of either form was sent to the peer.
 	sent core.Time
 	// offset is the smallest difference seen between this host's clock on arrival and the peer's clock in the heartbeat,
-	// raised over time by the tolerated drift.
-	offset core.Time
+	// raised over time by the tolerated drift, up to the instant driftedTo.
+	offset    core.Time
+	driftedTo core.Time
 	// seed is set for a peer from the settings; introduced is when another host last introduced the peer.
 	seed       bool
 	introduced core.Time
@@ -350,7 +351,8 @@
 	}
 	started := !p.Known || p.Last.Incarnation != hb.Incarnation
 	offset := now - core.Time(hb.ClockMs)*time.Millisecond
-	p.offset += (now - p.LastSeen) / driftDivisor
+	p.offset += (now - p.driftedTo) / driftDivisor
+	p.driftedTo = now
 	if started || offset < p.offset {
 		p.offset = offset
 	}
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -70,3 +70,19 @@
 		assert.Equal(t, table.ByCallersAddress("10.1.0.1:1").Last.Incarnation, peer)
 	}
 }
+
+// After a suspension, the buffered heartbeats arrive together. The drift of the clocks is allowed for once over that
+// time, not again with each of them.
+func TestDriftIsAllowedForOnceWhenBufferedHeartbeatsArrive(t *testing.T) {
+	table := NewTable("10.1.0.0:2", "a", []string{other})
+	const suspended, resumed = 10 * time.Second, 40 * time.Second
+	last := resumed - 1200*time.Millisecond
+	for sent := time.Second; sent < suspended; sent += Interval {
+		table.Receive(sent, heartbeat(sent))
+	}
+	for sent := suspended; sent < last; sent += Interval {
+		table.Receive(resumed, heartbeat(sent))
+	}
+	got := table.Receive(resumed, heartbeat(last))
+	assert.Assert(t, !got.Fresh, "a heartbeat that is late by 1.2 s does not show that its sender is alive")
+}
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -344,6 +344,7 @@
 		return
 	}
 	n.groups.counts.Lost++
+	n.removeHelperLoad(rec)
 	n.do(AbortDispatch{Key: key, Dispatch: rec.LastDispatch})
 	n.handleLost(rec, DispatchEnded{Key: key, Dispatch: rec.LastDispatch, Target: rec.Target, Message: "memory of a group was lost"})
 }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -98,7 +98,7 @@
 
 	drain drainState
 	ready bool
-	// alive holds the last reported reachability of peers, by peer address.
+	// alive holds the peer addresses of the peers that were last reported reachable.
 	alive         map[string]bool
 	lastHeartbeat core.Time
 	outcomes      map[api.Outcome]uint64
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
+	"slices"
 	"time"
 
 	"carobshunt/internal/core"
@@ -234,40 +236,36 @@
 	}
 }
 
-// trackPeers reports peers that became unreachable or reachable again, and discards the loads and the freshness of
-// unreachable ones.
+// trackPeers reports peers that became unreachable or reachable again. A host that is no longer a peer counts as
+// unreachable.
 func (n *Node) trackPeers() {
 	for _, address := range n.peers.Addresses() {
 		alive := n.peers.Get(address).Alive(n.now)
-		if alive == n.alive[address] {
-			continue
+		switch {
+		case alive == n.alive[address]:
+		case alive:
+			n.alive[address] = true
+			n.do(StateChange{Event: EventPeerAlive, Text: address})
+		default:
+			n.peerSilent(address)
 		}
-		n.alive[address] = alive
-		event := EventPeerSilent
-		if !alive {
-			n.targets.ForgetPeer(address)
-			delete(n.loads.received, address)
-			delete(n.observed.platform.peers, address)
-		}
-		if alive {
-			event = EventPeerAlive
-		}
-		n.do(StateChange{Event: event, Text: address})
 	}
-	if len(n.alive) > 2*len(n.peers.Addresses()) {
-		n.forgetPeers()
-	}
-}
-
-// forgetPeers removes hosts that are no longer peers from n.alive.
-func (n *Node) forgetPeers() {
-	for address := range n.alive {
+	for _, address := range slices.Sorted(maps.Keys(n.alive)) {
 		if n.peers.Get(address) == nil {
-			delete(n.alive, address)
+			n.peerSilent(address)
 		}
 	}
 }
 
+// peerSilent reports a peer as unreachable and discards its load and its freshness.
+func (n *Node) peerSilent(address string) {
+	delete(n.alive, address)
+	n.targets.ForgetPeer(address)
+	delete(n.loads.received, address)
+	delete(n.observed.platform.peers, address)
+	n.do(StateChange{Event: EventPeerSilent, Text: address})
+}
+
 // takesRequests reports whether callers may be sent to a peer.
 func (n *Node) takesRequests(p *member.Peer) bool {
 	return p.Alive(n.now) && !p.Last.Draining && !p.Leaving && p.Last.Ready
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -493,3 +493,61 @@
 	e.end(full[0], node.EndedDone)
 	assert.Equal(t, e.dispatched().Key.ID, back)
 }
+
+// startGroup submits a prompt for several engines, grants every reservation and returns its dispatch.
+func (e *routedHost) startGroup(tokens int64) node.StartDispatch {
+	e.t.Helper()
+	req := e.request("/ask/1")
+	req.PromptTokens = tokens
+	assert.Equal(e.t, e.submit(req).Kind, node.Admit)
+	e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+	return e.grantReservations()
+}
+
+// grantReservations grants the reservations that are asked for until a dispatch starts, and returns it.
+func (e *routedHost) grantReservations() node.StartDispatch {
+	e.t.Helper()
+	pending := e.actions
+	for range 100 {
+		if len(pending) == 0 {
+			pending = e.after(node.TickInterval).step(node.Tick{})
+			continue
+		}
+		next := pending[0]
+		pending = pending[1:]
+		switch a := next.(type) {
+		case node.Reserve:
+			pending = append(pending, e.step(node.ReservationAnswered{
+				Key: a.Key, Target: a.Target, Reservation: a.Reservation, SentAt: a.SentAt, Answer: group.Held,
+			})...)
+		case node.StartDispatch:
+			return a
+		}
+	}
+	e.t.Fatal("no dispatch")
+	return node.StartDispatch{}
+}
+
+// A group loses reserved memory while its helpers prefill. The request is dispatched again before the end of the first
+// dispatch is known; the first helpers' parts must not stay in the load.
+func TestHelpersWorkEndsWhenAGroupIsLost(t *testing.T) {
+	e := newRoutedHost(t)
+	addresses := []string{"s1"}
+	for i := range 14 { // more than the members of the group
+		addresses = append(addresses, fmt.Sprint("e", i))
+	}
+	e.step(node.HostsReceived{List: targetList(2, addresses...), Source: conf.SourcePlatform})
+	first := e.startGroup(300_000)
+	assert.Assert(t, len(first.Helpers) > 0, "%+v", first)
+	e.step(node.ReservationAnswered{
+		Key: first.Key, Target: first.Group[0], Reservation: first.Reservation, SentAt: e.now, Answer: group.Refused,
+	})
+	second := e.grantReservations()
+	assert.Assert(t, second.Dispatch != first.Dispatch)
+	e.end(first, node.EndedLost)
+	e.end(second, node.EndedDone)
+	for _, s := range e.node.Snapshot().Status.Targets {
+		assert.Equal(t, s.PendingTokens, int64(0), s.Address)
+		assert.Equal(t, s.InFlight, 0, s.Address)
+	}
+}
--- a/internal/core/target/silence.go
+++ b/internal/core/target/silence.go
@@ -49,5 +49,5 @@
 	case p.streaming:
 		return now-since >= streamTimeout
 	}
-	return now >= p.prefillDue+prefillGrace && t.lastSeen < p.began
+	return now >= t.prefillDue(p)+prefillGrace && t.lastSeen < p.began
 }
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -99,9 +99,6 @@
 	pendingCleared bool
 	// streaming is set once the first token has arrived.
 	streaming bool
-	// prefillDue is the latest time by which the prefill should be done, by the engine's published speed; 0 if none is
-	// published.
-	prefillDue core.Time
 }
 
 // InFlight returns the number of this host's dispatches, prefill helpers' parts and claims that have not ended.
@@ -126,9 +123,6 @@
 	}
 	total := t.Total()
 	p.queuedWork = total.Ahead(job.Priority) + job.Work
-	if t.Engine != nil {
-		p.prefillDue = now + t.maxPrefillTime(p.queuedWork)
-	}
 	t.inFlight[d] = p
 	t.own.add(p.load)
 }
@@ -141,18 +135,22 @@
 	prefillSlack = 300 * time.Millisecond
 )
 
-// maxPrefillTime returns the time within which an engine should finish that much prefill work, in weighted tokens.
-func (t *Target) maxPrefillTime(work int64) time.Duration {
-	ms := float64(work) / t.Engine.PrefillTokensPerMs * prefillMargin
-	return time.Duration(ms*float64(time.Millisecond)) + prefillSlack
+// prefillDue returns the latest time by which the prefill of a dispatch should be done, by the engine's published speed.
+// The target must have one.
+func (t *Target) prefillDue(p *activeDispatch) core.Time {
+	ms := float64(p.queuedWork) / t.Engine.PrefillTokensPerMs * prefillMargin
+	return p.began + time.Duration(ms*float64(time.Millisecond)) + prefillSlack
 }
 
 // ExpirePending removes prefill work that should be done by now from the pending work. The first token of a prompt
 // that several engines prefill arrives only when the slowest of them is done; the others are idle until then.
 func (tb *Table) ExpirePending(now core.Time) {
 	for _, t := range tb.ordered {
+		if t.Engine == nil {
+			continue
+		}
 		for _, p := range t.inFlight {
-			if p.prefillDue > 0 && !p.pendingCleared && now >= p.prefillDue {
+			if !p.pendingCleared && now >= t.prefillDue(p) {
 				tb.loadChanges++
 				t.clearPending(p)
 			}
--- a/internal/core/target/target_test.go
+++ b/internal/core/target/target_test.go
@@ -125,3 +125,19 @@
 	b.ApplyDigest("p", nil)
 	assert.Equal(t, b.Get("e1").Total(), target.Load{})
 }
+
+// A host may dispatch before it knows the engines' published speed. From its publication on, such a dispatch has as much
+// time as one that begins then.
+func TestSpeedPublishedAfterTheDispatchMakesNothingOverdueAtOnce(t *testing.T) {
+	tb := target.NewTable()
+	tb.Apply(listOf(1, engine("e1", "i1")))
+	e := tb.Get("e1")
+	const began = 10 * time.Second
+	e.Begin(began, dispatchOf("a"), target.Job{Work: 206_000})
+	e.Begin(began, dispatchOf("b"), target.Job{Work: 206_000})
+	e.Engine = speed
+	assert.Assert(t, !e.Unresponsive(began+time.Millisecond))
+	assert.Assert(t, e.Unresponsive(began+6*time.Second), "two seconds of prefill with their margins have passed")
+	tb.ExpirePending(began + 6*time.Second)
+	assert.Equal(t, e.PendingTokens(), int64(0), "the prefill must be done")
+}
