--- /dev/null
+++ b/client/retry_test.go
@@ -0,0 +1,102 @@
+package client
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+
+	"gotest.tools/v3/assert"
+)
+
+// refusalReply returns the bytes of a refusal.
+func refusalReply(code api.Code, outcome api.Outcome) string {
+	body := fmt.Sprintf(`{"outcome":%q,"code":%q,"message":"refused"}`, outcome, code)
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(body), body)
+}
+
+// connStep serves one connection of scriptedHost, after the headers of the request were read.
+type connStep func(conn net.Conn, reader *bufio.Reader, req *http.Request)
+
+// refuseWith writes a refusal without reading the body.
+func refuseWith(code api.Code, outcome api.Outcome) connStep {
+	return func(conn net.Conn, _ *bufio.Reader, _ *http.Request) { _, _ = io.WriteString(conn, refusalReply(code, outcome)) }
+}
+
+// readBodyAndReset reads the whole body and closes the connection without an answer.
+func readBodyAndReset(conn net.Conn, _ *bufio.Reader, req *http.Request) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	_, _ = io.Copy(io.Discard, req.Body)
+}
+
+// closeAtOnce closes the connection without an answer.
+func closeAtOnce(net.Conn, *bufio.Reader, *http.Request) {}
+
+// scriptedHost serves one connection by each step in turn, and all later ones by the last step.
+func scriptedHost(t *testing.T, steps ...connStep) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var served atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			step := steps[min(int(served.Add(1)), len(steps))-1]
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				if req, err := http.ReadRequest(reader); err == nil {
+					step(conn, reader, req)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// outcomeAt submits a request to the host until its attempts are used up.
+func outcomeAt(t *testing.T, host string, prompt []byte, idempotent bool) Result {
+	t.Helper()
+	entry := strings.TrimPrefix(lookupServer(t, host).URL, "http://")
+	req := testRequest(idempotent, 10*time.Second)
+	req.Prompt, req.PromptTokens = prompt, 100
+	got, err := New(Options{Entries: []string{entry}, Team: "desk", MaxAttempts: 4}).Do(context.Background(), req)
+	assert.NilError(t, err)
+	return got
+}
+
+// The host read the whole body of a request that is not idempotent and then died. An earlier refusal says nothing of
+// that attempt.
+func TestRefusalBeforeALostAttemptDoesNotDecideTheOutcome(t *testing.T) {
+	host := scriptedHost(t, refuseWith(api.CodeDraining, api.OutcomeNotRun), readBodyAndReset, closeAtOnce)
+	got := outcomeAt(t, host, make([]byte, 1000), false)
+	assert.Equal(t, got.Outcome, api.OutcomeUnknown)
+	assert.Equal(t, got.Code, api.CodeDeadline)
+	assert.Equal(t, got.RetryAfter, time.Duration(0))
+}
+
+func TestRefusalAfterWhichNothingWasSentDecidesTheOutcome(t *testing.T) {
+	host := scriptedHost(t, refuseWith(api.CodeDraining, api.OutcomeNotRun), closeAtOnce)
+	got := outcomeAt(t, host, make([]byte, 1000), false)
+	assert.Equal(t, got.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, got.Code, api.CodeDraining)
+}
+
+// Without a body, the headers are the whole request: a host that read them and died may have run it.
+func TestLostAttemptWithAnEmptyBodyMayHaveRun(t *testing.T) {
+	host := scriptedHost(t, closeAtOnce, refuseWith(api.CodeTooLarge, api.OutcomeNotRun))
+	got := outcomeAt(t, host, nil, true)
+	assert.Equal(t, got.Outcome, api.OutcomeFailed)
+}
