--- a/client/retry_test.go
+++ b/client/retry_test.go
@@ -28,7 +28,9 @@
 
 // refuseWith writes a refusal without reading the body.
 func refuseWith(code api.Code, outcome api.Outcome) connStep {
-	return func(conn net.Conn, _ *bufio.Reader, _ *http.Request) { _, _ = io.WriteString(conn, refusalReply(code, outcome)) }
+	return func(conn net.Conn, _ *bufio.Reader, _ *http.Request) {
+		_, _ = io.WriteString(conn, refusalReply(code, outcome))
+	}
 }
 
 // readBodyAndReset reads the whole body and closes the connection without an answer.
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -16,7 +16,7 @@
 	requests requestExecutor
 	engines  engineExecutor
 	peers    *peer.Pool
-	// loads is nil without Listen.Loads, and on a platform that publishes documents also with it.
+	// loads is nil without Listen.Loads; then the node makes no SendLoads.
 	loads      *peer.LoadExchange
 	log        hclog.Logger
 	requestLog *requestLog
--- a/internal/daemon/native.go
+++ b/internal/daemon/native.go
@@ -49,7 +49,7 @@
 func (r *nativeRequests) Start(a node.StartDispatch) {
 	ex := r.exchanges.Get(a.Key)
 	if ex == nil {
-		r.loop.Post(node.DispatchEnded{Key: a.Key, Dispatch: a.Dispatch, Target: a.Target, Ending: node.EndedNotWritten})
+		go r.loop.Post(node.DispatchEnded{Key: a.Key, Dispatch: a.Dispatch, Target: a.Target, Ending: node.EndedNotWritten})
 		return
 	}
 	go r.dispatcher.Run(a, ex)
--- a/internal/gateway/authorize.go
+++ b/internal/gateway/authorize.go
@@ -12,7 +12,8 @@
 // refusalKey is the context key under which writeError stores the error code for countRefusals.
 const refusalKey = "refusal"
 
-// countRefusals counts the requests that this process answers with an error, except those that match no route.
+// countRefusals counts the requests that this process answers with an error. Those that match no route are counted by
+// handleRouteError.
 func (g *Gateway) countRefusals(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		err := next(c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,7 @@
 
 // Register adds the routes and middleware to e.
 func (g *Gateway) Register(e *echo.Echo) {
-	e.HTTPErrorHandler = handleRouteError
+	e.HTTPErrorHandler = g.handleRouteError
 	e.Use(g.setHostHeader, g.countRefusals, g.authorize)
 	e.GET(api.PathHosts, g.lookup)
 	e.POST(api.PathRequests, g.submit)
@@ -130,7 +130,7 @@
 		}
 	case node.Attach, node.Report:
 	}
-	return g.streamAnswer(c, req, stream.Position{})
+	return g.streamAnswer(c, req, g.exchanges.Get(req.Key), stream.Position{})
 }
 
 // stoppingError returns the error for a request that got no decision from the control loop. The outcome of a request that
@@ -193,7 +193,7 @@
 	case err != nil:
 		e.Outcome = api.OutcomeUnknown
 	case chunk.Last == nil || chunk.Last.Outcome != api.OutcomeNotRun:
-		return g.streamAnswer(c, req, stream.Position{})
+		return g.streamAnswer(c, req, ex, stream.Position{})
 	}
 	return writeError(c, e)
 }
@@ -213,14 +213,18 @@
 	return body, ""
 }
 
+// notHeldError returns the error for a request whose answer has expired.
+func notHeldError(req core.Request) *api.Error {
+	return &api.Error{
+		Request: req.ID, Outcome: api.OutcomeFailed, Code: api.CodeNotFound, Message: "the answer is no longer held",
+	}
+}
+
 // streamAnswer writes frames until the answer is final or the caller disconnects. A disconnect does not end the
-// request: the caller may resume the answer later.
-func (g *Gateway) streamAnswer(c echo.Context, req core.Request, at stream.Position) error {
-	ex := g.exchanges.Get(req.Key)
+// request: the caller may resume the answer later. The exchange is nil if the answer has expired.
+func (g *Gateway) streamAnswer(c echo.Context, req core.Request, ex *stream.Exchange, at stream.Position) error {
 	if ex == nil {
-		return writeError(c, &api.Error{
-			Request: req.ID, Outcome: api.OutcomeFailed, Code: api.CodeNotFound, Message: "the answer is no longer held",
-		})
+		return writeError(c, notHeldError(req))
 	}
 	w := newFrameWriter(c.Response(), req)
 	for {
@@ -299,13 +303,14 @@
 	if fault != nil {
 		return writeError(c, fault)
 	}
+	ex := g.exchanges.Get(req.Key)
 	switch {
 	case decision.Kind == node.Forward:
 		return g.forward(c, decision.Home)
-	case decision.Kind == node.Refuse:
-		return writeError(c, refusal(req, decision))
-	case g.exchanges.Get(req.Key) == nil:
+	case decision.Kind == node.Refuse, ex == nil && decision.Result.Code != "":
 		return writeError(c, refusal(req, decision))
+	case ex == nil:
+		return writeError(c, notHeldError(req))
 	}
 	dispatch, dispatchErr := strconv.ParseUint(c.QueryParam("dispatch"), 10, 32)
 	offset, offsetErr := strconv.ParseInt(c.QueryParam("offset"), 10, 64)
@@ -313,10 +318,10 @@
 		return writeError(c, malformed("dispatch, offset: must be whole numbers"))
 	}
 	at := stream.Position{Dispatch: uint32(dispatch), Offset: offset}
-	if g.exchanges.Get(req.Key).Answer.Beyond(at) {
+	if ex.Answer.Beyond(at) {
 		return writeError(c, &api.Error{
 			Request: req.ID, Outcome: decision.Result.Outcome, Code: api.CodeOffsetOutOfRange, Message: "the answer is shorter than that",
 		})
 	}
-	return g.streamAnswer(c, req, at)
+	return g.streamAnswer(c, req, ex, at)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,23 +59,41 @@
 // Now implements gateway.Control.
 func (s *scriptedControl) Now() core.Time { return 0 }
 
-// discardObserver is an Observer that counts nothing.
-type discardObserver struct{}
+// codeCounter is an Observer that counts the refusals by code.
+type codeCounter struct {
+	mu    sync.Mutex
+	codes map[api.Code]int
+}
 
 // Refused implements gateway.Observer.
-func (discardObserver) Refused(api.Code) {}
+func (c *codeCounter) Refused(code api.Code) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.codes[code]++
+}
+
+func (c *codeCounter) count(code api.Code) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.codes[code]
+}
 
 type fixture struct {
 	control   *scriptedControl
 	exchanges *stream.Store
+	refusals  *codeCounter
 	server    *httptest.Server
 }
 
 func newFixture(t *testing.T, decide func(node.Input) (node.Decision, error)) *fixture {
 	t.Helper()
-	f := &fixture{control: &scriptedControl{decide: decide, posted: make(chan node.Input, 10)}, exchanges: stream.NewStore()}
+	f := &fixture{
+		control:   &scriptedControl{decide: decide, posted: make(chan node.Input, 10)},
+		exchanges: stream.NewStore(),
+		refusals:  &codeCounter{codes: make(map[api.Code]int)},
+	}
 	e := echo.New()
-	gateway.New(f.control, f.exchanges, testSelf, testMaxBody, netdial.Dialer{}, discardObserver{}).Register(e)
+	gateway.New(f.control, f.exchanges, testSelf, testMaxBody, netdial.Dialer{}, f.refusals).Register(e)
 	f.server = httptest.NewServer(e)
 	t.Cleanup(f.server.Close)
 	return f
@@ -341,11 +360,49 @@
 		"dispatch=1&offset=-1": api.CodeMalformed,
 		"dispatch=one":         api.CodeMalformed,
 	} {
-		req := f.submitRequest(t, "")
-		req.Method, req.Body, req.ContentLength = http.MethodGet, nil, 0
-		req.URL.Path += "/request-1/answer"
-		req.URL.RawQuery = query
-		_, e := doRefused(t, req)
+		_, e := doRefused(t, f.resumeRequest(t, query))
 		assert.Equal(t, e.Code, code, query)
 	}
 }
+
+// resumeRequest returns a request for the rest of an answer.
+func (f *fixture) resumeRequest(t *testing.T, query string) *http.Request {
+	t.Helper()
+	req := f.submitRequest(t, "")
+	req.Method, req.Body, req.ContentLength = http.MethodGet, nil, 0
+	req.URL.Path += "/request-1/answer"
+	req.URL.RawQuery = query
+	return req
+}
+
+// The request is done, but its answer has expired: no error may say that the answer is there.
+func TestResumeOfAnAnswerThatIsNoLongerHeldFails(t *testing.T) {
+	f := newFixture(t, func(node.Input) (node.Decision, error) {
+		return node.Decision{Kind: node.Report, Result: core.Result{Outcome: api.OutcomeDone}}, nil
+	})
+	head, e := doRefused(t, f.resumeRequest(t, "dispatch=1&offset=0"))
+	assert.Equal(t, head.status, http.StatusNotFound)
+	assert.Equal(t, e.Code, api.CodeNotFound)
+	assert.Equal(t, e.Outcome, api.OutcomeFailed)
+}
+
+// A request that did not run has no answer to resume; its outcome stays what it is.
+func TestResumeOfARequestThatDidNotRunReportsThat(t *testing.T) {
+	f := newFixture(t, func(node.Input) (node.Decision, error) {
+		return node.Decision{Kind: node.Report, Result: core.Result{Outcome: api.OutcomeNotRun, Code: api.CodeDeadline}}, nil
+	})
+	_, e := doRefused(t, f.resumeRequest(t, "dispatch=1&offset=0"))
+	assert.Equal(t, e.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, e.Code, api.CodeDeadline)
+}
+
+func TestRequestsThatMatchNoRouteAreCounted(t *testing.T) {
+	f := newFixture(t, nil)
+	for _, method := range []string{http.MethodGet, http.MethodPut} {
+		req, err := http.NewRequest(method, f.server.URL+"/nothing-here", http.NoBody)
+		assert.NilError(t, err)
+		_, e := doRefused(t, req)
+		assert.Equal(t, e.Code, api.CodeMalformed)
+	}
+	assert.Equal(t, f.refusals.count(api.CodeMalformed), 2)
+}
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -40,12 +40,14 @@
 	return http.StatusServiceUnavailable
 }
 
-// handleRouteError responds to requests that match no route.
-func handleRouteError(err error, c echo.Context) {
+// handleRouteError responds to requests that match no route, and counts them: countRefusals has run by then.
+func (g *Gateway) handleRouteError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
-	_ = writeError(c, malformed(c.Request().Method+" "+c.Request().URL.Path+": "+err.Error()))
+	e := malformed(c.Request().Method + " " + c.Request().URL.Path + ": " + err.Error())
+	g.observer.Refused(e.Code)
+	_ = writeError(c, e)
 }
 
 // unreadBodyTimeout bounds how long a connection waits, after an error response, for the rest of a body that is not read.
--- a/internal/peer/loads.go
+++ b/internal/peer/loads.go
@@ -54,14 +54,14 @@
 // maxDatagram is the maximum size of a datagram, in bytes.
 const maxDatagram = 60 << 10
 
-// ListenLoads listens for digests on address, an IPv4 address and port. What the result sends names peer and
+// ListenLoads listens for digests on address, an IP address and port. What the result sends names peer and
 // incarnation, the peer address and the incarnation of this process, as the sender.
 func ListenLoads(address, peer, incarnation string, control Control, log hclog.Logger) (*LoadExchange, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(parsed))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(parsed))
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
--- a/internal/peer/loads_test.go
+++ b/internal/peer/loads_test.go
@@ -41,3 +41,14 @@
 	_, err := ListenLoads("somewhere", "10.0.0.1:1", "i1", newRecorder(), hclog.NewNullLogger())
 	assert.Assert(t, err != nil)
 }
+
+func TestDigestsAreExchangedOverIPv6(t *testing.T) {
+	probe, err := net.Listen("tcp", "[::1]:0")
+	if err != nil {
+		t.Skip("this machine has no IPv6 loopback address")
+	}
+	_ = probe.Close()
+	loads, err := ListenLoads("[::1]:0", "[::1]:1", "i1", newRecorder(), hclog.NewNullLogger())
+	assert.NilError(t, err)
+	_ = loads.conn.Close()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,9 +43,9 @@
 	Callers   string `json:"callers" jsonschema:"minLength=1,description=callers' interface"`
 	Operators string `json:"operators" jsonschema:"minLength=1,description=operators' interface"`
 	Peers     string `json:"peers" jsonschema:"minLength=1,description=interface for other entry hosts"`
-	// Loads, an IPv4 address, receives the load digests of other entry hosts as datagrams on a platform with a store; if
-	// empty, they are sent in heartbeats only.
-	Loads string `json:"loads,omitempty" jsonschema:"description=load digests of other entry hosts by datagram; default: in heartbeats only"`
+	// Loads receives the load digests of other entry hosts as datagrams on a platform with a store; if empty, they are sent
+	// in heartbeats only.
+	Loads string `json:"loads,omitempty" jsonschema:"description=load digests of other entry hosts by datagram; with platform.kind store; default: in heartbeats only"`
 	// Lookup and Ready serve callers' lookups and readiness checks on a platform with a store.
 	Lookup string `json:"lookup,omitempty" jsonschema:"description=look-ups of callers; with platform.kind store"`
 	Ready  string `json:"ready,omitempty" jsonschema:"description=readiness checks; with platform.kind store"`
@@ -134,25 +134,28 @@
 	return slices.Concat(addressFaults(s), s.Security.faults(), s.storeFaults())
 }
 
-// storeFaults reports settings that a platform with a store needs and that are missing, and faults of its preset.
+// storeFaults reports settings that a platform with a store needs and that are missing, those that only such a platform
+// uses and that are present without one, and faults of the preset.
 func (s *Settings) storeFaults() []strictjson.Fault {
-	if s.Platform.Kind != PlatformStore {
-		return nil
-	}
+	isStore := s.Platform.Kind == PlatformStore
 	var faults []strictjson.Fault
 	for _, one := range []struct {
-		path    string
-		present bool
+		path              string
+		present, optional bool
 	}{
-		{"/listen/lookup", s.Listen.Lookup != ""},
-		{"/listen/ready", s.Listen.Ready != ""},
-		{"/platform/preset", s.Platform.Preset != nil},
+		{"/listen/loads", s.Listen.Loads != "", true},
+		{"/listen/lookup", s.Listen.Lookup != "", false},
+		{"/listen/ready", s.Listen.Ready != "", false},
+		{"/platform/preset", s.Platform.Preset != nil, false},
 	} {
-		if !one.present {
+		switch {
+		case isStore && !one.present && !one.optional:
 			faults = append(faults, strictjson.Fault{Path: one.path, Reason: "is needed with a platform of kind store"})
+		case !isStore && one.present:
+			faults = append(faults, strictjson.Fault{Path: one.path, Reason: "has no effect without a platform of kind store"})
 		}
 	}
-	if s.Platform.Preset != nil {
+	if isStore && s.Platform.Preset != nil {
 		faults = append(faults, s.Platform.Preset.Faults("/platform/preset")...)
 	}
 	return faults
@@ -204,6 +207,7 @@
 	for _, one := range []struct{ path, advertised string }{
 		{"/advertise/callers", cmp.Or(s.Advertise.Callers, s.Listen.Callers)},
 		{"/advertise/peers", cmp.Or(s.Advertise.Peers, s.Listen.Peers)},
+		{"/listen/loads", s.Listen.Loads}, // peers send their digests to the address itself
 	} {
 		address, err := netip.ParseAddrPort(one.advertised)
 		if err == nil && address.Addr().IsUnspecified() {
