Queue: a team's flood no longer gets middle prompts of other teams refused

Cause: admission took all queued work of a class as ahead of a new request, whoever had queued it, so during a flood of one team 60 in 100 middle prompts of the others were refused as infeasible although fair queueing would have served them next. The flooding team's refused prompts also counted as demand, and lanes sized by them left the middle lane 1 to 5 engines; and what it had placed at engines went before the others' by arrival. The flood's generated prompts shared other teams' prefixes. Change: Queue.Ahead returns what fair queueing serves before a request; a team that dominates a long backlog yields at the engines and what is refused of it is no demand; the generator gives the flood its own prefixes.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -78,6 +78,8 @@
 	// Executions counts the dispatches that may have been executed, Refusals those that UndoDispatch has undone.
 	Executions int
 	Refusals   int
+	// Yields is set for a middle request whose team dominates the backlog: at engines it yields to those of other teams.
+	Yields bool
 	// Tried are the targets of earlier dispatches that were retried or redispatched. Helpers are the prefill helpers of the
 	// current dispatch: engines that each prefill a part of the prompt; none after the first token.
 	Tried   []string
--- a/internal/core/node/demand.go
+++ b/internal/core/node/demand.go
@@ -97,6 +97,16 @@
 	return sum
 }
 
+// fleetAhead returns the part of fleetQueued that is served before a new request, taking the peers' queues to be made up
+// of the same teams as this host's.
+func (n *Node) fleetAhead(rec *ledger.Record) int64 {
+	own := n.queue.Tokens(rec.Work.Class)
+	if own == 0 {
+		return 0 // nothing orders the queues of different hosts: the request is the next one here
+	}
+	return int64(float64(n.fleetQueued(rec.Work.Class)) * float64(n.queue.Ahead(rec)) / float64(own))
+}
+
 // eachPeerWork calls f with the last reported work of each reachable peer. Peers of other cells report none.
 func (n *Node) eachPeerWork(f func(member.Work)) {
 	for _, address := range n.peers.Addresses() {
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -34,6 +34,7 @@
 	if n.adopts(rec) {
 		return n.dispatchAdopted(rec)
 	}
+	rec.Yields = n.yields(rec)
 	place := n.router.Place(n.now, rec, n.targets.All())
 	t := place.Target
 	if t == nil {
@@ -96,7 +97,7 @@
 // jobOf returns the load that a dispatch of the record adds to a target.
 func (n *Node) jobOf(rec *ledger.Record, t *target.Target) target.Job {
 	return target.Job{
-		Priority:     route.Priority(rec.Work.Class),
+		Priority:     route.RecordPriority(rec),
 		Work:         route.UncachedWork(rec, t),
 		Memory:       memoryNeed(&rec.Request),
 		LongContext:  n.isLongContext(rec),
--- a/internal/core/node/fairness.go
+++ b/internal/core/node/fairness.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// yields reports whether a request has a lower priority at engines than others of its class, because its team dominates
+// the backlog. It applies to middle requests: teams that flood short ones are refused, see checkFairShare, and long ones
+// have the lowest priority already.
+func (n *Node) yields(rec *ledger.Record) bool {
+	return rec.Work.Class == document.ClassMiddle && n.queue.Dominates(rec)
+}
+
 // meanWait returns the predicted wait of a new request before its prefill begins, as the mean over the engines of its
 // lane. It is 0 if none of them has been measured.
 func (n *Node) meanWait(rec *ledger.Record) time.Duration {
--- a/internal/core/node/feasible.go
+++ b/internal/core/node/feasible.go
@@ -20,6 +20,7 @@
 	}
 	rec := &ledger.Record{Request: *req, Work: n.workOf(req)}
 	left := req.Deadline - n.now
+	rec.Yields = n.yields(rec)
 	over := n.predictTotal(rec) - time.Duration(float64(left)*admissionFraction(rec.Work.Class))
 	if over <= 0 {
 		return core.Result{}
@@ -45,7 +46,7 @@
 }
 
 // predictTotal returns the predicted time from now to the request's last token: at the best engine of its lane, after
-// the work that is queued for that lane at all hosts. It is 0 if this host has measured none of the engines, since
+// the work that is queued for that lane at all hosts and is served before it. It is 0 if this host has measured none of the engines, since
 // nothing is refused without a measurement.
 func (n *Node) predictTotal(rec *ledger.Record) time.Duration {
 	engines := n.laneEngines(rec)
@@ -59,7 +60,7 @@
 			best = total
 		}
 	}
-	waiting := float64(n.fleetQueued(rec.Work.Class)) / (rates.prefill * float64(len(engines)))
+	waiting := float64(n.fleetAhead(rec)) / (rates.prefill * float64(len(engines)))
 	return best + time.Duration(waiting*float64(time.Second))
 }
 
@@ -109,7 +110,7 @@
 		rates.prefill, rates.gap = t.PrefillRate(), t.TokenGap()
 	}
 	load := t.Total()
-	work := load.Ahead(route.Priority(rec.Work.Class)) + n.ownWorkAt(rec, t)
+	work := load.Ahead(route.RecordPriority(rec)) + n.ownWorkAt(rec, t)
 	firstToken := time.Duration(float64(work) / rates.prefill * float64(time.Second))
 	return firstToken + time.Duration(max(rec.Work.AnswerTokens-1, 0))*rates.gap
 }
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -128,8 +128,8 @@
 
 func (n *Node) submitNew(ticket Ticket, req core.Request) {
 	result, refused := n.admission(&req)
-	if result.Code != api.CodeTeamLimit {
-		n.recordDemand(&req) // load above a team's limit must not count as demand
+	if !refused || !n.exceedsShare(&req, result) {
+		n.recordDemand(&req)
 	}
 	if refused {
 		n.closeAndRefuse(ticket, req, result)
@@ -150,6 +150,13 @@
 	n.do(Decide{Ticket: ticket, Decision: Decision{Kind: Admit, Deadline: req.Deadline}})
 }
 
+// exceedsShare reports whether a request was refused because of load above its team's limit or share. Such load must not
+// count as demand: lanes sized by it would take engines from the other teams.
+func (n *Node) exceedsShare(req *core.Request, refusal core.Result) bool {
+	return refusal.Code == api.CodeTeamLimit ||
+		refusal.Code == api.CodeOverloaded && n.queue.Dominates(&ledger.Record{Request: *req, Work: n.workOf(req)})
+}
+
 // closeAndRefuse refuses an attempt. For a request that is not idempotent, the outcome is "not run" only if the ledger
 // can record that, so that the attempt never runs later. A routed request is not recorded: it has one attempt.
 func (n *Node) closeAndRefuse(ticket Ticket, req core.Request, result core.Result) {
--- a/internal/core/queue/edf.go
+++ b/internal/core/queue/edf.go
@@ -24,6 +24,20 @@
 // Tokens implements Queue. It returns the work of all classes, which EDF does not distinguish.
 func (q *EDF) Tokens(document.Class) int64 { return q.tokens }
 
+// Ahead implements Queue.
+func (q *EDF) Ahead(rec *ledger.Record) int64 {
+	sum := int64(0)
+	for _, waiting := range q.waiting {
+		if waiting.Request.Deadline <= rec.Request.Deadline {
+			sum += waiting.Work.PrefillWork
+		}
+	}
+	return sum
+}
+
+// Dominates implements Queue. It returns false, since EDF does not distinguish teams.
+func (q *EDF) Dominates(*ledger.Record) bool { return false }
+
 // Groups implements Queue. It returns 0, since EDF does not count them.
 func (q *EDF) Groups() int { return 0 }
 
--- a/internal/core/queue/fair.go
+++ b/internal/core/queue/fair.go
@@ -41,6 +41,8 @@
 	// served is the work over weight that the team was served, plus the virtual time at which this queue was added.
 	served     float64
 	byDeadline deadlineHeap
+	// tokens is the waiting prefill work, in weighted tokens.
+	tokens int64
 }
 
 type item struct {
@@ -76,6 +78,58 @@
 	return sum
 }
 
+// Ahead implements Queue. Until the last of a team's work has been served, each other team has been served in proportion
+// to its weight, or all that it had.
+func (q *Fair) Ahead(rec *ledger.Record) int64 {
+	sum := int64(0)
+	for _, l := range q.queues {
+		if l.class == rec.Work.Class && l.model == rec.Request.Model && l.group == rec.Work.Group {
+			sum += l.ahead(rec.Request.Team, rec.Work.PrefillWork, q.weight)
+		}
+	}
+	return sum
+}
+
+// ahead returns the work that is served before the last of a team's work, if work is added to that.
+func (l *classQueue) ahead(team string, work int64, weight func(team string) int64) int64 {
+	own := int64(0)
+	for _, t := range l.teams {
+		if t.name == team {
+			own = t.tokens
+		}
+	}
+	sum := own
+	for _, t := range l.teams {
+		if t.name != team {
+			sum += min(t.tokens, (own+work)*max(weight(t.name), 1)/max(weight(team), 1))
+		}
+	}
+	return sum
+}
+
+// longBacklogTokens is the waiting work of one class from which its backlog counts as long, in weighted tokens.
+const longBacklogTokens = 300_000
+
+// Dominates implements Queue.
+func (q *Fair) Dominates(rec *ledger.Record) bool {
+	for _, l := range q.queues {
+		if l.class != rec.Work.Class || l.model != rec.Request.Model || l.group != rec.Work.Group {
+			continue
+		}
+		for _, t := range l.teams {
+			if t.name == rec.Request.Team {
+				return l.dominatedBy(t)
+			}
+		}
+	}
+	return false
+}
+
+// dominatedBy reports whether the backlog is long and most of it is the team's.
+func (l *classQueue) dominatedBy(t *teamQueue) bool {
+	return l.tokens > longBacklogTokens && 2*t.tokens > l.tokens
+}
+
 // Push implements Queue.
 func (q *Fair) Push(rec *ledger.Record) {
 	l := q.classQueueFor(classQueue{class: rec.Work.Class, model: rec.Request.Model, group: rec.Work.Group})
@@ -83,6 +137,7 @@
 	it := &item{rec: rec, queue: l, team: t}
 	heap.Push(&t.byDeadline, it)
 	l.tokens += rec.Work.PrefillWork
+	t.tokens += rec.Work.PrefillWork
 	q.items[rec.Request.Key] = it
 }
 
@@ -95,6 +150,7 @@
 	delete(q.items, key)
 	heap.Remove(&it.team.byDeadline, it.index)
 	it.queue.tokens -= it.rec.Work.PrefillWork
+	it.team.tokens -= it.rec.Work.PrefillWork
 	return true
 }
 
--- a/internal/core/queue/fair_test.go
+++ b/internal/core/queue/fair_test.go
@@ -180,3 +180,35 @@
 		assert.Equal(t, got, sum)
 	}
 }
+
+// floodedQueue holds 20 prompts of one team and one of another, each of 50,000 weighted tokens.
+func floodedQueue() *queue.Fair {
+	q := queue.NewFair(weights(map[string]int64{"flooding": 1, "small": 1}))
+	for i := range 20 {
+		q.Push(waiting(fmt.Sprint("f", i), "flooding", document.ClassMiddle, time.Minute, 50_000))
+	}
+	q.Push(waiting("s", "small", document.ClassMiddle, time.Minute, 50_000))
+	return q
+}
+
+func TestWorkAheadFollowsFairQueueing(t *testing.T) {
+	q := floodedQueue()
+	for team, want := range map[string]int64{
+		"flooding": 1_050_000, // all of it
+		"small":    50_000 + 100_000,
+		"new":      50_000 + 50_000,
+	} {
+		assert.Equal(t, q.Ahead(waiting("x", team, document.ClassMiddle, time.Minute, 50_000)), want, team)
+	}
+	assert.Equal(t, q.Ahead(waiting("x", "small", document.ClassShort, time.Minute, 1_000)), int64(0), "another class")
+}
+
+func TestTeamWithMostOfALongBacklogDominates(t *testing.T) {
+	q := floodedQueue()
+	assert.Assert(t, q.Dominates(waiting("x", "flooding", document.ClassMiddle, time.Minute, 1)))
+	assert.Assert(t, !q.Dominates(waiting("x", "small", document.ClassMiddle, time.Minute, 1)))
+	assert.Assert(t, !q.Dominates(waiting("x", "flooding", document.ClassShort, time.Minute, 1)), "another class")
+	short := queue.NewFair(weights(nil))
+	short.Push(waiting("f", "flooding", document.ClassMiddle, time.Minute, 50_000))
+	assert.Assert(t, !short.Dominates(waiting("x", "flooding", document.ClassMiddle, time.Minute, 1)), "a short backlog")
+}
--- a/internal/core/queue/objectives.go
+++ b/internal/core/queue/objectives.go
@@ -28,6 +28,12 @@
 // Tokens implements Queue.
 func (q *Objectives) Tokens(class document.Class) int64 { return q.tokens[class] }
 
+// Ahead implements Queue. It returns all of Tokens, since a later record may still go first.
+func (q *Objectives) Ahead(rec *ledger.Record) int64 { return q.tokens[rec.Work.Class] }
+
+// Dominates implements Queue. It returns false, since Objectives does not distinguish teams.
+func (q *Objectives) Dominates(*ledger.Record) bool { return false }
+
 // Groups implements Queue.
 func (q *Objectives) Groups() int { return q.groups }
 
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -13,6 +13,11 @@
 	Len() int
 	// Tokens returns the waiting prefill work of a class, in weighted tokens.
 	Tokens(class document.Class) int64
+	// Ahead returns the part of Tokens, for the record's class, that would be served before the record if it were added.
+	Ahead(rec *ledger.Record) int64
+	// Dominates reports whether the record's team has caused most of a long backlog of the record's class. By fair queueing
+	// that is a team that uses more than its share.
+	Dominates(rec *ledger.Record) bool
 	// Push adds a record.
 	Push(rec *ledger.Record)
 	// Remove removes a record and reports whether it was in the queue.
--- a/internal/core/route/feasible.go
+++ b/internal/core/route/feasible.go
@@ -112,7 +112,7 @@
 		if t.Lane == target.LaneShort {
 			return load.Ahead(0) < otherLaneAheadTokens
 		}
-		return load.Ahead(Priority(document.ClassMiddle)) < middleAheadTokens
+		return load.Ahead(RecordPriority(rec)) < middleAheadTokens
 	}
 	return load.LongContext == 0
 }
--- a/internal/core/route/predict.go
+++ b/internal/core/route/predict.go
@@ -26,6 +26,15 @@
 	return 0
 }
 
+// RecordPriority returns the scheduling priority of a request at engines.
+func RecordPriority(rec *ledger.Record) int {
+	priority := Priority(rec.Work.Class)
+	if rec.Yields {
+		priority--
+	}
+	return priority
+}
+
 // UncachedWork returns the prefill work of the part of a prompt that the target does not have cached, in weighted
 // tokens (see target.PrefillWork).
 func UncachedWork(rec *ledger.Record, t *target.Target) int64 {
@@ -36,7 +45,7 @@
 // plus its own uncached work, at the measured prefill rate; the other tokens follow at the measured inter-token gap.
 func Predict(rec *ledger.Record, t *target.Target) Estimate {
 	load := t.Total()
-	work := load.Ahead(Priority(rec.Work.Class)) + UncachedWork(rec, t)
+	work := load.Ahead(RecordPriority(rec)) + UncachedWork(rec, t)
 	firstToken := time.Duration(float64(work) / t.PrefillRate() * float64(time.Second))
 	return Estimate{FirstToken: firstToken, Total: firstToken + time.Duration(max(rec.Work.AnswerTokens-1, 0))*t.TokenGap()}
 }
--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"carobshunt/internal/model"
@@ -115,11 +116,15 @@
 	}
 }
 
-// assignTeam assigns a request to the phase's team, if it has one.
+// assignTeam assigns a request and its prefix to the phase's team, if it has one: teams share no prefixes.
 func (p Phase) assignTeam(r Request) Request {
-	if p.Team != "" {
-		r.Team = p.Team
+	if p.Team == "" {
+		return r
 	}
+	if rest, ok := strings.CutPrefix(r.Prefix, r.Team); ok && r.Prefix != "" {
+		r.Prefix = p.Team + rest
+	}
+	r.Team = p.Team
 	return r
 }
 
