Load digests by relays, three readers of the store, texts zone by zone

All hosts fetched a new text from the host that read it first. Change: internal/core/loadshare sends a host's digest to the two relays of its zone, which pass it on; datagrams are CBOR. The first three hosts of the fleet read, whatever their zone. Two hosts of each zone fetch a new text from other zones at once, the others from their own zone. The test that hosts of other zones don't read for this one is replaced by one that a host cut off from the readers reads within 1.1 s, which is the bound that it stood for.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/hostlist"
 )
@@ -144,14 +145,8 @@
 	Heartbeat member.Heartbeat
 }
 
-// SendLoads sends this host's load digest to the peers' load addresses.
-type SendLoads struct {
-	To       []string
-	Sequence uint64
-	Digest   []byte
-	// Freshness is the sender's.
-	Freshness Freshness
-}
+// SendLoads sends a bundle of load digests to the load addresses of hosts, by datagram.
+type SendLoads loadshare.Message
 
 // FetchDocument fetches from a peer the document that it has in force.
 type FetchDocument struct{ Peer string }
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -79,9 +79,7 @@
 func (n *Node) basisOf(t *target.Target) Basis {
 	load := t.Total()
 	basis := Basis{Streams: load.Streams, Pending: load.Ahead(0), Revision: n.config.Revision(), HostsVersion: n.targets.Version()}
-	for _, received := range n.loads.received {
-		basis.PeersAge = max(basis.PeersAge, n.now-received.at)
-	}
+	basis.PeersAge = n.loads.OldestAge(n.now)
 	return basis
 }
 
--- /dev/null
+++ b/internal/core/node/fetches_test.go
@@ -0,0 +1,92 @@
+package node_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/loadshare"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/rendezvous"
+
+	"gotest.tools/v3/assert"
+)
+
+// fetchFleet is a host of zone a among ten peers in each of the zones a and b.
+type fetchFleet struct {
+	*readers
+	near, far string
+}
+
+// newFetchFleet returns a fleet in which the host is, or is not, one of the two of its zone that fetch from other zones.
+func newFetchFleet(t *testing.T, fetcher bool) *fetchFleet {
+	t.Helper()
+	const self = "10.0.0.1:2"
+	f := &fetchFleet{readers: &readers{routedHost: newRoutedHost(t)}}
+	for i, added := 0, 0; added < 10; i++ {
+		peer := fmt.Sprintf("10.1.0.%d:2", i)
+		if (rendezvous.Position("fetch", self, []string{self, peer}) == 0) != fetcher {
+			continue
+		}
+		added++
+		f.near = peer
+		f.heartbeat(peer, "a")
+		f.far = fmt.Sprintf("10.2.0.%d:2", i)
+		f.heartbeat(f.far, "b")
+	}
+	return f
+}
+
+// offers delivers a digest from a peer that has a newer configuration, and reports whether the host fetches it.
+func (f *fetchFleet) offers(peer string) bool {
+	f.sequence++
+	digest := loadshare.Digest{Peer: peer, Incarnation: "j", Sequence: f.sequence}
+	digest.Freshness = loadshare.Freshness{Age: -1, Config: conf.Version{Revision: 9}}
+	f.step(node.LoadsReceived{From: peer, Bundle: loadshare.Bundle{Digests: []loadshare.Digest{digest}}})
+	return slices.ContainsFunc(f.actions, func(a node.Action) bool {
+		fetch, ok := a.(node.FetchDocument)
+		return ok && fetch.Peer == peer
+	})
+}
+
+// A new configuration spreads to 77 hosts: if each fetched it from the host that read it, that one would send it 76 times.
+func TestVersionIsFetchedFromTheOwnZoneFirst(t *testing.T) {
+	f := newFetchFleet(t, false)
+	assert.Assert(t, !f.offers(f.far), "a host of the own zone will have it soon")
+	assert.Assert(t, f.offers(f.near))
+}
+
+func TestVersionIsFetchedFromAnotherZoneIfTheOwnHasItNot(t *testing.T) {
+	f := newFetchFleet(t, false)
+	assert.Assert(t, !f.offers(f.far))
+	f.after(250 * time.Millisecond)
+	assert.Assert(t, !f.offers(f.far))
+	f.after(100 * time.Millisecond)
+	assert.Assert(t, f.offers(f.far))
+}
+
+func TestFewHostsOfAZoneFetchFromOthersAtOnce(t *testing.T) {
+	f := newFetchFleet(t, true)
+	assert.Assert(t, f.offers(f.far))
+}
+
+func TestNewVersionIsAnnouncedToTheOwnZoneAndToFewHostsOfOthers(t *testing.T) {
+	f := newFetchFleet(t, false)
+	f.publish(9)
+	announced := make(map[string]int)
+	for _, a := range f.actions {
+		if hb, ok := a.(node.SendHeartbeat); ok && hb.Heartbeat.Revision == 9 {
+			announced[hb.Peer[:5]]++
+		}
+	}
+	assert.DeepEqual(t, announced, map[string]int{"10.1.": 10, "10.2.": 2})
+	digests := 0
+	for _, a := range f.actions {
+		if loads, ok := a.(node.SendLoads); ok && loads.Bundle.Digests[0].Freshness.Config.Revision == 9 {
+			digests++
+		}
+	}
+	assert.Assert(t, digests > 0, "the others learn of it by a load digest")
+}
--- a/internal/core/node/freshness.go
+++ b/internal/core/node/freshness.go
@@ -5,31 +5,26 @@
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/rendezvous"
 )
 
 // This file decides which hosts watch the platform if the host list names no entry hosts. Hosts report to each other how
-// long ago the platform answered them. In each availability zone the first zoneReaders hosts by rendezvous hash read. A
-// host leaves out of this order those that it can't reach, that the platform does not answer, or whose newer versions it
-// failed to fetch.
+// long ago the platform answered them, and the first fleetReaders hosts by rendezvous hash read. A host leaves out of this
+// order those that it can't reach, that have not reported an answer within maxReaderAge, or whose newer versions it failed
+// to fetch. So hosts that are cut off from the readers, or whose readers are, read by themselves, whatever the zone.
 
 const (
 	// maxReaderAge is how long ago the platform may have answered a peer that counts as a reader.
 	maxReaderAge = 1100 * time.Millisecond
+	// fleetReaders is how many hosts watch the platform.
+	fleetReaders = 3
 	// dutyRead is the key of the rendezvous hash that ranks the readers.
 	dutyRead = "read"
 )
 
-// Freshness is the versions that a host has in force, and how long ago the platform answered it.
-type Freshness struct {
-	// Age is the time since the platform last answered the host; negative for never or unknown.
-	Age    time.Duration
-	Config conf.Version
-	Hosts  conf.Version
-}
-
-// peerFreshness is the last reported Freshness of a peer.
+// peerFreshness is the last reported loadshare.Freshness of a peer.
 type peerFreshness struct {
 	// answered is when the platform last answered the peer, on this host's clock.
 	answered core.Time
@@ -39,9 +34,9 @@
 	aheadSince core.Time
 }
 
-// freshness returns this host's Freshness.
-func (n *Node) freshness() Freshness {
-	out := Freshness{Age: -1, Config: n.config.Version(), Hosts: n.hostsVersion()}
+// freshness returns this host's loadshare.Freshness.
+func (n *Node) freshness() loadshare.Freshness {
+	out := loadshare.Freshness{Age: -1, Config: n.config.Version(), Hosts: n.hostsVersion()}
 	if local := n.observed.platform.local; local != never {
 		out.Age = n.now - local
 	}
@@ -57,18 +52,18 @@
 	return max(n.observed.platform.local, 0).Milliseconds()
 }
 
-// heartbeatFreshness returns the Freshness of a heartbeat's sender. The age is unknown unless the heartbeat is prompt: it
+// heartbeatFreshness returns the loadshare.Freshness of a heartbeat's sender. The age is unknown unless the heartbeat is prompt: it
 // may have been delayed while this process was suspended.
-func heartbeatFreshness(hb *member.Heartbeat, prompt bool) Freshness {
-	out := Freshness{Age: -1, Config: hb.Config(), Hosts: hb.Hosts()}
+func heartbeatFreshness(hb *member.Heartbeat, prompt bool) loadshare.Freshness {
+	out := loadshare.Freshness{Age: -1, Config: hb.Config(), Hosts: hb.Hosts()}
 	if prompt && hb.AnsweredMs > 0 {
 		out.Age = time.Duration(hb.ClockMs-hb.AnsweredMs) * time.Millisecond
 	}
 	return out
 }
 
-// freshnessReceived records a peer's Freshness if its Age is known, and fetches the peer's newer versions.
-func (n *Node) freshnessReceived(peer string, f Freshness) {
+// freshnessReceived records a peer's loadshare.Freshness if its Age is known, and fetches the peer's newer versions.
+func (n *Node) freshnessReceived(peer string, f loadshare.Freshness) {
 	if f.Age >= 0 {
 		answered := n.now - f.Age
 		n.observed.platform.recordAnswer(n.now, answered)
@@ -95,7 +90,7 @@
 			candidates = append(candidates, address)
 		}
 	}
-	return rendezvous.Position(dutyRead, n.opts.Peer, candidates) < zoneReaders
+	return rendezvous.Position(dutyRead, n.opts.Peer, candidates) < fleetReaders
 }
 
 // lacks reports whether a peer had a newer version than this host has now.
@@ -103,15 +98,14 @@
 	return fresh.config.NewerThan(n.config.Version()) || fresh.hosts.NewerThan(n.hostsVersion())
 }
 
-// readsFor reports whether a peer can read the platform for this host: it is alive and in this host's zone, the platform
-// answers it, and this host has its versions or has not yet had fetchTimeout to fetch them.
+// readsFor reports whether a peer can read the platform for this host: it is alive, the platform answers it, and this host
+// has its versions or has not yet had fetchTimeout to fetch them.
 func (n *Node) readsFor(peer string) bool {
 	fresh, ok := n.observed.platform.peers[peer]
 	if !ok || n.now-fresh.answered >= maxReaderAge {
 		return false
 	}
-	p := n.peers.Get(peer)
-	if p.Last.Zone != n.opts.Zone || !p.Alive(n.now) {
+	if !n.peers.Get(peer).Alive(n.now) {
 		return false
 	}
 	return !n.lacks(&fresh) || n.now-fresh.aheadSince < fetchTimeout
--- a/internal/core/node/freshness_test.go
+++ b/internal/core/node/freshness_test.go
@@ -1,18 +1,21 @@
 package node_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/rendezvous"
 
 	"gotest.tools/v3/assert"
 )
 
 // These tests run a host whose host list names no entry hosts: a few hosts read the platform and update the others.
 
-// readers is a host with eight peers, which may read the platform for it if they are in its availability zone.
+// readers is a host with eight peers, which may read the platform for it.
 type readers struct {
 	*routedHost
 	sequence uint64
@@ -42,9 +45,9 @@
 func (r *readers) report(age time.Duration, configRevision uint64) {
 	r.sequence++
 	for _, peer := range readerPeers {
-		r.step(node.LoadsReceived{Peer: peer, Incarnation: "j", Sequence: r.sequence, Freshness: node.Freshness{
-			Age: age, Config: conf.Version{Revision: configRevision},
-		}})
+		digest := loadshare.Digest{Peer: peer, Incarnation: "j", Sequence: r.sequence}
+		digest.Freshness = loadshare.Freshness{Age: age, Config: conf.Version{Revision: configRevision}}
+		r.step(node.LoadsReceived{From: peer, Bundle: loadshare.Bundle{Digests: []loadshare.Digest{digest}}})
 		for _, a := range r.actions {
 			_, fetch := a.(node.FetchDocument)
 			r.fetched = r.fetched || fetch
@@ -59,7 +62,7 @@
 	r := newReaders(t)
 	assert.Assert(t, r.reads(), "no peer has reported an answer of the platform")
 	r.report(100*time.Millisecond, 1)
-	assert.Assert(t, !r.reads(), "the platform answers eight peers, two of which rank before the host")
+	assert.Assert(t, !r.reads(), "the platform answers eight peers, three of which rank before the host")
 	r.after(1200 * time.Millisecond).step(node.Tick{})
 	assert.Assert(t, r.reads(), "the last answers are too old")
 	r.report(-1, 1)
@@ -83,13 +86,41 @@
 	assert.Equal(t, newReaders(t).node.Snapshot().ReadRetryPause, 450*time.Millisecond, "nine hosts")
 }
 
-func TestHostsOfOtherZonesDoNotReadForThisOne(t *testing.T) {
+// A store that drops its history fails the watches of all readers at once. If they paused like the many hosts that only read
+// in an outage, a change of the configuration would be late everywhere.
+func TestHostsWithTheDutyToReadRetrySoon(t *testing.T) {
+	const peers, self = 60, "10.0.0.1:2"
+	for _, hasDuty := range []bool{true, false} {
+		r := &readers{routedHost: newRoutedHost(t)}
+		for i, added := 0, 0; added < peers; i++ {
+			peer := fmt.Sprintf("10.1.%d.%d:2", i/250, i%250)
+			ranksFirst := rendezvous.Position("read", self, []string{self, peer}) == 0
+			if ranksFirst == hasDuty {
+				r.heartbeat(peer, "a")
+				added++
+			}
+		}
+		want := 200 * time.Millisecond
+		if !hasDuty {
+			want = want * (peers + 1) / 4
+		}
+		assert.Equal(t, r.node.Snapshot().ReadRetryPause, want)
+	}
+}
+
+// Hosts of other zones read for this one as long as they report answers that are fresh. When its zone is cut off from
+// theirs, the host must read by itself before its state is older than the bound for readers.
+func TestHostThatIsCutOffFromTheReadersReadsByItself(t *testing.T) {
 	r := &readers{routedHost: newRoutedHost(t)}
 	for _, peer := range readerPeers {
 		r.heartbeat(peer, "b")
 	}
 	r.report(100*time.Millisecond, 1)
-	assert.Assert(t, r.reads())
+	assert.Assert(t, !r.reads())
+	r.run(950 * time.Millisecond)
+	assert.Assert(t, !r.reads(), "their answers are fresh enough")
+	r.run(100 * time.Millisecond)
+	assert.Assert(t, r.reads(), "nothing was heard of them for 1.1 s")
 }
 
 func TestOutageSeenByReadersIsKnownToOtherHosts(t *testing.T) {
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -3,6 +3,7 @@
 import (
 	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
@@ -91,14 +92,10 @@
 // SeedsReloaded carries the seed peer addresses of reloaded settings.
 type SeedsReloaded struct{ Peers []string }
 
-// LoadsReceived is a peer's load digest, received by datagram.
+// LoadsReceived is a bundle of load digests, received by datagram from the host with the peer address From.
 type LoadsReceived struct {
-	Peer        string
-	Incarnation string
-	// Sequence increases with each datagram of an incarnation.
-	Sequence  uint64
-	Digest    []byte
-	Freshness Freshness
+	From   string
+	Bundle loadshare.Bundle
 }
 
 // HeartbeatReceived is a heartbeat received from another entry host.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -14,6 +14,7 @@
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/limit"
+	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/queue"
 	"carobshunt/internal/core/retry"
@@ -113,7 +114,7 @@
 	nonReporting map[string]bool
 	// table matches requests to the routes of the document in force.
 	table   *routes.Table
-	loads   loadsState
+	loads   *loadshare.Sharer
 	budgets routeBudgets
 	pacing  pacing
 }
@@ -147,6 +148,9 @@
 		lanesSized:    -laneInterval,
 		budgets:       make(routeBudgets),
 		pacing:        newPacing(),
+		loads: loadshare.New(
+			loadshare.Member{Peer: opts.Peer, Zone: opts.Zone, LoadsAddress: opts.LoadsAddress}, opts.Self.Incarnation,
+		),
 	}
 	n.queue = newQueue(opts.Policy, n.teamWeight)
 	return n
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -5,9 +5,7 @@
 	"maps"
 	"reflect"
 	"slices"
-	"time"
 
-	"carobshunt/internal/core"
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/member"
@@ -123,46 +121,6 @@
 	n.freshnessReceived(hb.Peer, heartbeatFreshness(&hb, received.Fresh))
 }
 
-// fetchNewer fetches from a peer the document and the host list that are newer than this host's, unless a fetch of the same
-// or a newer version may still be answered, or the document of that version was refused within refusedFetchPause.
-func (n *Node) fetchNewer(peer string, config, hosts conf.Version) {
-	if config.NewerThan(n.observed.config) {
-		n.observed.config = config
-	}
-	if hosts.NewerThan(n.observed.hosts) {
-		n.observed.hosts = hosts
-	}
-	if n.observed.documentFetch.due(n.now, config, n.config.Version()) {
-		n.do(FetchDocument{Peer: peer})
-	}
-	if n.observed.hostsFetch.due(n.now, hosts, n.hostsVersion()) {
-		n.do(FetchHosts{Peer: peer})
-	}
-}
-
-// fetch is the last request to a peer for a document or a host list. After until, the same version may be requested
-// again.
-type fetch struct {
-	version conf.Version
-	until   core.Time
-}
-
-const (
-	// fetchTimeout is how long a fetch may take before the same version is requested again.
-	fetchTimeout = 500 * time.Millisecond
-	// refusedFetchPause is how long a version of the document that was refused is not fetched again.
-	refusedFetchPause = 10 * time.Second
-)
-
-// due reports whether an offered version is to be fetched now, and if so records the fetch.
-func (f *fetch) due(now core.Time, offered, have conf.Version) bool {
-	if !offered.NewerThan(have) || (now < f.until && !offered.NewerThan(f.version)) {
-		return false
-	}
-	*f = fetch{version: offered, until: now + fetchTimeout}
-	return true
-}
-
 func (n *Node) documentReceived(in DocumentReceived) {
 	conflicts, _ := n.config.Conflicts()
 	switch n.config.Offer(n.now, in.Raw, in.Source) {
@@ -189,14 +147,6 @@
 	}
 }
 
-// announceVersions sends this host's state to the peers whose known configuration or host list is older.
-func (n *Node) announceVersions() {
-	config, hosts := n.config.Version(), n.hostsVersion()
-	n.announce(func(p *member.Peer) bool {
-		return config.NewerThan(p.Last.Config()) || hosts.NewerThan(p.Last.Hosts())
-	})
-}
-
 func (n *Node) hostsReceived(in HostsReceived) {
 	text, err := delta.Encode(in.List)
 	version := conf.Version{Revision: in.List.Version, Digest: text.Digest}
@@ -261,7 +211,7 @@
 func (n *Node) peerSilent(address string) {
 	delete(n.alive, address)
 	n.targets.ForgetPeer(address)
-	delete(n.loads.received, address)
+	n.loads.Forget(address)
 	delete(n.observed.platform.peers, address)
 	n.do(StateChange{Event: EventPeerSilent, Text: address})
 }
--- a/internal/core/node/readers.go
+++ b/internal/core/node/readers.go
@@ -5,6 +5,7 @@
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/rendezvous"
 )
 
 // Only some hosts of each availability zone watch the platform, the first ones by rendezvous hash. The others learn of
@@ -93,14 +94,18 @@
 const (
 	// retryPause is the mean pause of a host after a failed read, for up to retryHosts live hosts. It grows in proportion
 	// to their number above that, so that the rate of all retries to a store that is down stays constant. The first
-	// host that it answers informs the others.
+	// host that it answers informs the others. Hosts with the duty to read keep the short pause.
 	retryPause = 200 * time.Millisecond
 	retryHosts = 4
 )
 
 // readRetryPause returns the mean pause after a failed read of the platform.
 func (n *Node) readRetryPause() time.Duration {
-	return retryPause * time.Duration(max(len(n.liveHosts()), retryHosts)) / retryHosts
+	live := n.liveHosts()
+	if rank := rendezvous.Position(dutyRead, n.opts.Peer, live); rank < fleetReaders {
+		return retryPause
+	}
+	return retryPause * time.Duration(max(len(live), retryHosts)) / retryHosts
 }
 
 const (
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -10,6 +10,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/group"
+	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
@@ -393,11 +394,15 @@
 		return d.Basis.Streams
 	}
 	e.end(d, node.EndedDone)
-	e.step(node.LoadsReceived{Peer: "10.0.0.2:2", Incarnation: "j1", Sequence: 7, Digest: sent.Digest})
+	receive := func(incarnation string, sequence uint64, loads []byte) {
+		digest := loadshare.Digest{Peer: "10.0.0.2:2", Incarnation: incarnation, Sequence: sequence, Loads: loads}
+		e.step(node.LoadsReceived{From: digest.Peer, Bundle: loadshare.Bundle{Digests: []loadshare.Digest{digest}}})
+	}
+	receive("j1", 7, sent.Bundle.Digests[0].Loads)
 	assert.Equal(t, streams(), int64(1))
-	e.step(node.LoadsReceived{Peer: "10.0.0.2:2", Incarnation: "j1", Sequence: 6, Digest: nil})
+	receive("j1", 6, nil)
 	assert.Equal(t, streams(), int64(2), "an out-of-order digest is ignored")
-	e.step(node.LoadsReceived{Peer: "10.0.0.2:2", Incarnation: "j0", Sequence: 9, Digest: nil})
+	receive("j0", 9, nil)
 	assert.Equal(t, streams(), int64(3), "so is a digest of another process")
 }
 
--- a/internal/core/target/load.go
+++ b/internal/core/target/load.go
@@ -116,7 +116,7 @@
 		}
 		digest = r.rest
 		if t := tb.byDigest[id]; t != nil {
-			t.setPeer(peer, load)
+			tb.setPeer(t, peer, load)
 		}
 	}
 }
@@ -153,17 +153,21 @@
 
 // ForgetPeer drops the load that a peer reported. The dispatches of a peer that is gone end with its connections.
 func (tb *Table) ForgetPeer(peer string) {
-	for _, t := range tb.ordered {
+	for _, t := range tb.withPeer[peer] {
 		if old, ok := t.peers[peer]; ok {
 			t.others.subtract(old)
 			delete(t.peers, peer)
 		}
 	}
+	delete(tb.withPeer, peer)
 }
 
-func (t *Target) setPeer(peer string, load Load) {
+// setPeer sets the load that a peer reports at a target.
+func (tb *Table) setPeer(t *Target, peer string, load Load) {
 	if old, ok := t.peers[peer]; ok {
 		t.others.subtract(old)
+	} else {
+		tb.withPeer[peer] = append(tb.withPeer[peer], t)
 	}
 	t.peers[peer] = load
 	t.others.add(load)
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -227,14 +227,16 @@
 	byAddress map[string]*Target
 	ordered   []*Target
 	// byDigest holds the targets by their identifier in load digests.
-	byDigest    map[uint64]*Target
+	byDigest map[uint64]*Target
+	// withPeer holds the targets at which each peer reports load, by peer address. Some may have left the table since.
+	withPeer    map[string][]*Target
 	evidence    *evidence
 	loadChanges uint64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{byAddress: make(map[string]*Target), evidence: newEvidence()}
+	return &Table{byAddress: make(map[string]*Target), withPeer: make(map[string][]*Target), evidence: newEvidence()}
 }
 
 // Apply takes a host list. It reports false, and changes nothing, if the list's version is below the last one's. A
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -65,7 +65,7 @@
 		group.Go(func() error { return serveHTTP(ctx, server, httplog.Listener(listener, d.log)) })
 	}
 	if d.settings.Listen.Loads != "" {
-		loads, err := peer.ListenLoads(d.settings.Listen.Loads, d.settings.Advertise.Peers, d.self.Incarnation, d.loop, d.log)
+		loads, err := peer.ListenLoads(d.settings.Listen.Loads, d.settings.Advertise.Peers, d.loop, d.log)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/peer/loads.go
+++ b/internal/peer/loads.go
@@ -2,61 +2,106 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"time"
 
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/node"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 )
 
-// loadsMessage is the content of one datagram. Loads are absolute values, not changes, so a lost datagram needs no
+// loadsMessage is the content of one datagram, in CBOR. Loads are absolute values, not changes, so a lost datagram needs no
 // repair.
 type loadsMessage struct {
-	Peer        string `json:"peer"`
-	Incarnation string `json:"incarnation"`
-	Sequence    uint64 `json:"sequence"`
-	Loads       []byte `json:"loads"`
-	// AgeMs is the time since the platform answered the sender, in milliseconds; negative for never.
-	AgeMs  int64        `json:"age_ms"`
-	Config conf.Version `json:"config"`
-	Hosts  conf.Version `json:"hosts"`
+	_ struct{} `cbor:",toarray"`
+	// From is the sender's peer address.
+	From    string
+	Hop     loadshare.Hop
+	Digests []digestMessage
 }
 
-func newLoadsMessage(a *node.SendLoads) loadsMessage {
-	age := int64(-1)
-	if a.Freshness.Age >= 0 {
-		age = a.Freshness.Age.Milliseconds()
+type digestMessage struct {
+	_           struct{} `cbor:",toarray"`
+	Peer        string
+	Incarnation string
+	Sequence    uint64
+	Loads       []byte
+	// AgeMs is the time since the platform answered the host, in milliseconds; negative for never.
+	AgeMs  int64
+	Config versionMessage
+	Hosts  versionMessage
+}
+
+type versionMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Digest   uint64
+}
+
+// newLoadsMessage returns the content of a datagram from the host with the peer address from.
+func newLoadsMessage(from string, b *loadshare.Bundle) loadsMessage {
+	out := loadsMessage{From: from, Hop: b.Hop}
+	for i := range b.Digests {
+		d := &b.Digests[i]
+		m := digestMessage{
+			Peer: d.Peer, Incarnation: d.Incarnation, Sequence: d.Sequence, Loads: d.Loads, AgeMs: -1,
+			Config: versionMessage{Revision: d.Freshness.Config.Revision, Digest: d.Freshness.Config.Digest},
+			Hosts:  versionMessage{Revision: d.Freshness.Hosts.Revision, Digest: d.Freshness.Hosts.Digest},
+		}
+		if d.Freshness.Age >= 0 {
+			m.AgeMs = d.Freshness.Age.Milliseconds()
+		}
+		out.Digests = append(out.Digests, m)
 	}
-	return loadsMessage{Sequence: a.Sequence, Loads: a.Digest, AgeMs: age, Config: a.Freshness.Config, Hosts: a.Freshness.Hosts}
+	return out
 }
 
-func (m *loadsMessage) input() node.LoadsReceived {
-	return node.LoadsReceived{
-		Peer: m.Peer, Incarnation: m.Incarnation, Sequence: m.Sequence, Digest: m.Loads,
-		Freshness: node.Freshness{Age: time.Duration(m.AgeMs) * time.Millisecond, Config: m.Config, Hosts: m.Hosts},
+// errUnknownHop is the error for a datagram with a Hop that this version does not know.
+const errUnknownHop = errors.ConstError("unknown hop")
+
+// decodeLoads returns the input for the control loop that a datagram carries.
+func decodeLoads(raw []byte) (node.LoadsReceived, error) {
+	var m loadsMessage
+	if err := cbor.Unmarshal(raw, &m); err != nil {
+		return node.LoadsReceived{}, errors.Trace(err)
+	}
+	if m.Hop < loadshare.HopFinal || m.Hop > loadshare.HopToZone {
+		return node.LoadsReceived{}, errors.Annotatef(errUnknownHop, "%d", m.Hop)
 	}
+	in := node.LoadsReceived{From: m.From, Bundle: loadshare.Bundle{Hop: m.Hop}}
+	for i := range m.Digests {
+		d := &m.Digests[i]
+		in.Bundle.Digests = append(in.Bundle.Digests, loadshare.Digest{
+			Peer: d.Peer, Incarnation: d.Incarnation, Sequence: d.Sequence, Loads: d.Loads,
+			Freshness: loadshare.Freshness{
+				Age:    time.Duration(d.AgeMs) * time.Millisecond,
+				Config: conf.Version{Revision: d.Config.Revision, Digest: d.Config.Digest},
+				Hosts:  conf.Version{Revision: d.Hosts.Revision, Digest: d.Hosts.Digest},
+			},
+		})
+	}
+	return in, nil
 }
 
 // LoadExchange sends and receives load digests of entry hosts by datagram.
 type LoadExchange struct {
-	conn        *net.UDPConn
-	control     Control
-	peer        string
-	incarnation string
-	log         hclog.Logger
+	conn    *net.UDPConn
+	control Control
+	peer    string
+	log     hclog.Logger
 }
 
 // maxDatagram is the maximum size of a datagram, in bytes.
 const maxDatagram = 60 << 10
 
-// ListenLoads listens for digests on address, an IP address and port. What the result sends names peer and
-// incarnation, the peer address and the incarnation of this process, as the sender.
-func ListenLoads(address, peer, incarnation string, control Control, log hclog.Logger) (*LoadExchange, error) {
+// ListenLoads listens for digests on address, an IP address and port. What the result sends names peer, the peer address of
+// this process, as the sender.
+func ListenLoads(address, peer string, control Control, log hclog.Logger) (*LoadExchange, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -65,16 +110,14 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
-	return &LoadExchange{conn: conn, control: control, peer: peer, incarnation: incarnation, log: log}, nil
+	return &LoadExchange{conn: conn, control: control, peer: peer, log: log}, nil
 }
 
-// Send sends a digest to each of the action's hosts. It logs errors and does not retry: datagrams may get lost anyway.
+// Send sends a bundle to each of the action's hosts. It logs errors and does not retry: datagrams may get lost anyway.
 func (l *LoadExchange) Send(a node.SendLoads) {
-	message := newLoadsMessage(&a)
-	message.Peer, message.Incarnation = l.peer, l.incarnation
-	raw, err := json.Marshal(message)
+	raw, err := cbor.Marshal(newLoadsMessage(l.peer, &a.Bundle))
 	if err != nil || len(raw) > maxDatagram {
-		l.log.Warn("load digest not sent", "bytes", len(raw), "error", err)
+		l.log.Warn("load digests not sent", "bytes", len(raw), "error", err)
 		return
 	}
 	for _, to := range a.To {
@@ -102,11 +145,11 @@
 			l.log.Debug("load digest not received", "error", err.Error())
 			continue
 		}
-		var m loadsMessage
-		if err := json.Unmarshal(buffer[:n], &m); err != nil {
+		in, err := decodeLoads(buffer[:n])
+		if err != nil {
 			l.log.Warn("malformed load digest", "error", err.Error())
 			continue
 		}
-		l.control.Post(m.input())
+		l.control.Post(in)
 	}
 }
