Route: engines of the host's own availability zone first

All hosts also split long prompts over the same idle engines. Change: an engine of another zone costs a little more, for short prompts more than packing gains, so each zone fills its own engines and hosts of one zone, which know each other's placements soonest, share them. Digests skip fields that a later version adds.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -132,7 +132,7 @@
 		peers:         member.NewTable(opts.Peer, opts.Zone, opts.Seeds),
 		targets:       target.NewTable(),
 		ledger:        ledger.NewLedger(opts.Records),
-		router:        newRouter(opts.Policy, rng),
+		router:        newRouter(opts.Policy, opts.Zone, rng),
 		limits:        limit.New(opts.Peer),
 		retries:       retry.New(),
 		shares:        fair.New(),
--- a/internal/core/node/policy.go
+++ b/internal/core/node/policy.go
@@ -32,10 +32,10 @@
 	return []Policy{PolicyInForce, PolicyPendingTokens, PolicyFewestInFlight, PolicyRoundRobin}
 }
 
-func newRouter(policy Policy, rng *rand.Rand) *route.Router {
+func newRouter(policy Policy, zone string, rng *rand.Rand) *route.Router {
 	switch policy {
 	case PolicyPacked:
-		return route.NewPacked(rng)
+		return route.NewPacked(zone, rng)
 	case PolicyRoundRobin:
 		return route.NewRoundRobin(rng)
 	case PolicyFewestInFlight:
--- a/internal/core/route/long.go
+++ b/internal/core/route/long.go
@@ -42,9 +42,12 @@
 // first token in milliseconds.
 type ratedEngine struct {
 	engineState
-	delayCost, lateCost, firstToken float64
+	delayCost, lateCost, zoneCost, firstToken float64
 }
 
+// total returns the cost by which engines are preferred.
+func (e *ratedEngine) total() float64 { return e.delayCost + e.lateCost + e.zoneCost }
+
 // rate computes the costs of one part of a prompt at each engine, if it is split into that number of equal parts.
 func rate(rec *ledger.Record, states []engineState, parts int) []ratedEngine {
 	out := make([]ratedEngine, len(states))
@@ -52,7 +55,9 @@
 		prefill := prefillMs(rec, s.target) / float64(parts)
 		firstToken := s.firstToken(prefill)
 		lateCost := firstTokenCost(firstToken/milliseconds(rec.FirstTokenTarget)) * answerUtility(rec.Request.PromptTokens)
-		out[i] = ratedEngine{engineState: s, delayCost: s.delayCost(prefill), lateCost: lateCost, firstToken: firstToken}
+		out[i] = ratedEngine{
+			engineState: s, delayCost: s.delayCost(prefill), lateCost: lateCost, zoneCost: s.zoneCost(partZoneCost), firstToken: firstToken,
+		}
 	}
 	return out
 }
@@ -62,16 +67,17 @@
 func chooseParts(rec *ledger.Record, fixed, others []engineState, parts int) (chosen []engineState, cost, delayCost float64) {
 	list := rate(rec, others, parts)
 	slices.SortStableFunc(list, func(a, b ratedEngine) int {
-		return cmp.Or(cmp.Compare(a.delayCost+a.lateCost, b.delayCost+b.lateCost), cmp.Compare(a.firstToken, b.firstToken))
+		return cmp.Or(cmp.Compare(a.total(), b.total()), cmp.Compare(a.firstToken, b.firstToken))
 	})
 	list = append(rate(rec, fixed, parts), list[:parts-len(fixed)]...)
-	lateCost := 0.0
+	lateCost, zoneCost := 0.0, 0.0
 	for _, s := range list {
 		chosen = append(chosen, s.engineState)
 		delayCost += s.delayCost
+		zoneCost += s.zoneCost
 		lateCost = max(lateCost, s.lateCost)
 	}
-	return chosen, delayCost + lateCost, delayCost
+	return chosen, delayCost + lateCost + zoneCost, delayCost
 }
 
 // placementOf assigns the answer to the engine with the fewest streams that has memory and a free slot for it; the
--- a/internal/core/route/packed.go
+++ b/internal/core/route/packed.go
@@ -9,10 +9,11 @@
 	"carobshunt/internal/core/target"
 )
 
-// NewPacked returns the router for engines with a published speed: see Place. Of other targets it picks the one with the
-// lowest fraction of its slots in use.
-func NewPacked(rng *rand.Rand) *Router {
+// NewPacked returns the router of a host in an availability zone, for engines with a published speed: see Place. Of other
+// targets it picks the one with the lowest fraction of its slots in use.
+func NewPacked(zone string, rng *rand.Rand) *Router {
 	return &Router{
+		zone:           zone,
 		filters:        []Filter{eligibleFilter{}, modelFilter{}, untriedFilter{}},
 		scorers:        []Scorer{slotsScorer{}},
 		rng:            rng,
--- a/internal/core/route/packed_test.go
+++ b/internal/core/route/packed_test.go
@@ -54,7 +54,7 @@
 }
 
 func place(rec *ledger.Record, engines []*target.Target) route.Placement {
-	return route.NewPacked(rand.New(rand.NewPCG(1, 1))).Place(0, rec, engines)
+	return route.NewPacked("", rand.New(rand.NewPCG(1, 1))).Place(0, rec, engines)
 }
 
 // addStreams adds streams of short prompts that are past their prefill.
@@ -142,7 +142,7 @@
 // that a request may list, also in a large idle fleet.
 func TestOversizedPromptNamesNoMoreEnginesThanOneRequestMay(t *testing.T) {
 	engines := publishedEngines(69)
-	r := route.NewPacked(rand.New(rand.NewPCG(1, 1)))
+	r := route.NewPacked("", rand.New(rand.NewPCG(1, 1)))
 	for _, members := range []int{2, 9, 16} {
 		helpers, ok := r.HelpersFor(0, routedPrompt(450_000), engines[:members], engines)
 		assert.Assert(t, ok)
@@ -161,7 +161,7 @@
 	}
 	for _, self := range c.Live {
 		c.Self = self
-		r := route.NewPacked(rand.New(rand.NewPCG(1, 1)))
+		r := route.NewPacked("", rand.New(rand.NewPCG(1, 1)))
 		r.SetContention(c)
 		assert.Equal(t, r.Place(0, routedPrompt(5_000), engines).Target, engines[1], self)
 	}
--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -60,6 +60,8 @@
 	// milliseconds.
 	iteration float64
 	prefill   float64
+	// otherZone is set for an engine outside the host's own availability zone.
+	otherZone bool
 }
 
 func engineStateOf(t *target.Target) engineState {
--- a/internal/core/route/place.go
+++ b/internal/core/route/place.go
@@ -25,7 +25,9 @@
 		if t.Engine == nil || !r.keep(now, rec, t) {
 			continue
 		}
-		out = append(out, engineStateOf(t))
+		s := engineStateOf(t)
+		s.otherZone = r.zone != "" && t.Zone != r.zone
+		out = append(out, s)
 	}
 	return out
 }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -40,6 +40,8 @@
 	blocks *wholeBlockFilter
 	// iterationModel is set when engines with a published speed are rated by the cost model of their iterations.
 	iterationModel bool
+	// zone is the host's availability zone; empty if all zones are alike.
+	zone string
 	// contention divides the last free slots of an engine among the hosts.
 	contention Contention
 }
--- a/internal/core/route/short.go
+++ b/internal/core/route/short.go
@@ -58,7 +58,7 @@
 	if objective := milliseconds(rec.Request.Routed.GapTarget); objective > 0 {
 		cost += missProbability((s.iteration+s.prefill)/objective, gapMet, gapMissed)
 	}
-	cost += s.delayCost(prefill)
+	cost += s.delayCost(prefill) + s.zoneCost(shortZoneCost)
 	slots := float64(s.target.Slots)
 	streams := float64(s.load.Streams)
 	if streams < slots*packedFraction {
--- a/internal/core/target/load.go
+++ b/internal/core/target/load.go
@@ -137,14 +137,19 @@
 	return v
 }
 
-// load decodes what appendLoad encoded. The order of the fields must be that of Load.fields.
+// load decodes what appendLoad encoded. The order of the fields must be that of Load.fields. Fields that only a later
+// version of this program knows are skipped.
 func (r *digestReader) load() Load {
-	mask := r.next()
 	var v [loadFields]int64
-	for i := range v {
-		if mask&(1<<i) != 0 && !r.truncated {
-			v[i] = int64(r.next())
+	mask := r.next()
+	for i := 0; mask != 0 && !r.truncated; i++ {
+		if mask&1 != 0 {
+			value := int64(r.next())
+			if i < loadFields {
+				v[i] = value
+			}
 		}
+		mask >>= 1
 	}
 	return Load{
 		Pending: [Priorities]int64{v[0], v[1], v[2]}, Held: v[3], Streams: v[4], LongContext: v[5], GapSensitive: v[6],
--- a/internal/core/target/load_test.go
+++ b/internal/core/target/load_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -113,3 +114,25 @@
 	assert.Assert(t, e.PrefillRate() > 9_990 && e.PrefillRate() < 10_010)
 	assert.Equal(t, e.TokenGap().Round(time.Millisecond), 30*time.Millisecond)
 }
+
+// A later version may add fields to the load of a target.
+func TestFieldsOfALaterVersionAreSkipped(t *testing.T) {
+	tb := target.NewTable()
+	tb.Apply(listOf(1, engine("e1", "i1"), engine("e2", "i2")))
+	tb.Get("e1").Begin(0, dispatchOf("a"), target.Job{Memory: 70})
+	tb.Get("e2").Begin(0, dispatchOf("b"), target.Job{Memory: 80})
+	digest := tb.Digest()
+	id, idLength := binary.Uvarint(digest)
+	later := binary.AppendUvarint(nil, id)
+	const held, streams, unknown = 1 << 3, 1 << 4, 1 << 40
+	for _, v := range []uint64{held | streams | unknown, 70, 1, 12_345} {
+		later = binary.AppendUvarint(later, v)
+	}
+	firstEntry := idLength + 3 // its mask, 70 and 1 take a byte each
+	later = append(later, digest[firstEntry:]...)
+	other := target.NewTable()
+	other.Apply(listOf(1, engine("e1", "i1"), engine("e2", "i2")))
+	other.ApplyDigest("10.0.0.2:2", later)
+	assert.Equal(t, other.Get("e1").Total(), target.Load{Held: 70, Streams: 1})
+	assert.Equal(t, other.Get("e2").Total(), target.Load{Held: 80, Streams: 1})
+}
