--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -11,16 +11,11 @@
 // short prompts: the request's own, and those of the other streams at the engine. The prefill of a long prompt is split
 // among as many engines as minimize that cost.
 
-const (
-	// utilityTokens is the number of prompt tokens that add as much utility to an answer as one short prompt has.
-	utilityTokens = 13_000
-	// maxUtility bounds the utility of one answer. Prefill grows with the square of the length: without a bound, the
-	// longest prompts would take all engines from everybody else.
-	maxUtility = 14
-)
+// utilityTokens is the number of prompt tokens that add as much utility to an answer as one short prompt has.
+const utilityTokens = 13_000
 
 // answerUtility returns the utility of an answer in time, in answers to short prompts.
-func answerUtility(promptTokens int64) float64 { return min(1+float64(promptTokens)/utilityTokens, maxUtility) }
+func answerUtility(promptTokens int64) float64 { return 1 + float64(promptTokens)/utilityTokens }
 
 // Bounds of the predicted time as a fraction of its objective. Below the lower one the objective is certainly met, above
 // the upper one certainly missed; the width in between is the error of predictions. The bounds gapMet and gapMissed also
