--- a/internal/core/loadshare/loadshare.go
+++ b/internal/core/loadshare/loadshare.go
@@ -42,11 +42,11 @@
 type Hop int
 
 const (
-	// HopFinal: nobody passes it on.
+	// HopFinal is for bundles that nobody passes on.
 	HopFinal Hop = iota
-	// HopToRelay: the receiver passes it on to the hosts of its zone and to a relay of each other zone.
+	// HopToRelay is for bundles that the receiver passes on to the hosts of its zone and to a relay of each other zone.
 	HopToRelay
-	// HopToZone: the receiver passes it on to the hosts of its own zone.
+	// HopToZone is for bundles that the receiver passes on to the hosts of its own zone.
 	HopToZone
 )
 
