--- a/internal/core/loadshare/loadshare.go
+++ b/internal/core/loadshare/loadshare.go
@@ -11,6 +11,7 @@
 package loadshare
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -282,12 +283,7 @@
 // takePending removes the pending digests. It returns all of them and those that also go to other zones, in order of peer
 // address, with their age as of now.
 func (s *Sharer) takePending(now core.Time) (inZone, acrossZones []Digest) {
-	peers := make([]string, 0, len(s.pending))
-	for peer := range s.pending {
-		peers = append(peers, peer)
-	}
-	slices.Sort(peers)
-	for _, peer := range peers {
+	for _, peer := range slices.Sorted(maps.Keys(s.pending)) {
 		p := s.pending[peer]
 		if p.digest.Freshness.Age >= 0 {
 			p.digest.Freshness.Age += now - p.at
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -78,9 +78,10 @@
 // versions in force.
 func (n *Node) basisOf(t *target.Target) Basis {
 	load := t.Total()
-	basis := Basis{Streams: load.Streams, Pending: load.Ahead(0), Revision: n.config.Revision(), HostsVersion: n.targets.Version()}
-	basis.PeersAge = n.loads.OldestAge(n.now)
-	return basis
+	return Basis{
+		Streams: load.Streams, Pending: load.Ahead(0), PeersAge: n.loads.OldestAge(n.now),
+		Revision: n.config.Revision(), HostsVersion: n.targets.Version(),
+	}
 }
 
 func (n *Node) streamOf(rec *ledger.Record, number uint32) core.Stream {
--- a/internal/core/queue/fair.go
+++ b/internal/core/queue/fair.go
@@ -81,13 +81,21 @@
 // Ahead implements Queue. Until the last of a team's work has been served, each other team has been served in proportion
 // to its weight, or all that it had.
 func (q *Fair) Ahead(rec *ledger.Record) int64 {
-	sum := int64(0)
-	for _, l := range q.queues {
-		if l.class == rec.Work.Class && l.model == rec.Request.Model && l.group == rec.Work.Group {
-			sum += l.ahead(rec.Request.Team, rec.Work.PrefillWork, q.weight)
-		}
+	if l := q.queueOf(rec); l != nil {
+		return l.ahead(rec.Request.Team, rec.Work.PrefillWork, q.weight)
 	}
-	return sum
+	return 0
+}
+
+// queueOf returns the class queue that a record belongs to, or nil if there is none.
+func (q *Fair) queueOf(rec *ledger.Record) *classQueue {
+	i := slices.IndexFunc(q.queues, func(l *classQueue) bool {
+		return l.class == rec.Work.Class && l.model == rec.Request.Model && l.group == rec.Work.Group
+	})
+	if i < 0 {
+		return nil
+	}
+	return q.queues[i]
 }
 
 // ahead returns the work that is served before the last of a team's work, if work is added to that.
@@ -112,22 +120,13 @@
 
 // Dominates implements Queue.
 func (q *Fair) Dominates(rec *ledger.Record) bool {
-	for _, l := range q.queues {
-		if l.class != rec.Work.Class || l.model != rec.Request.Model || l.group != rec.Work.Group {
-			continue
-		}
-		for _, t := range l.teams {
-			if t.name == rec.Request.Team {
-				return l.dominatedBy(t)
-			}
-		}
+	l := q.queueOf(rec)
+	if l == nil || l.tokens <= longBacklogTokens {
+		return false
 	}
-	return false
-}
-
-// dominatedBy reports whether the backlog is long and most of it is the team's.
-func (l *classQueue) dominatedBy(t *teamQueue) bool {
-	return l.tokens > longBacklogTokens && 2*t.tokens > l.tokens
+	return slices.ContainsFunc(l.teams, func(t *teamQueue) bool {
+		return t.name == rec.Request.Team && 2*t.tokens > l.tokens
+	})
 }
 
 // Push implements Queue.
