Platform, node: what targets say of themselves is decoded and logged

The adapter now decodes Server-Limit, Server-Leaving and the Retry-After of a 503 once, and the node logs and counts when a limit is first known, changes and ends, when a target says that it leaves, and what can't be decoded. Nothing is decided by it yet.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -178,6 +178,12 @@
 	EventResumed            Event = "the process slept"
 	EventSuspects           Event = "suspicion of own link or zones changed"
 	EventTargetUnresponsive Event = "target unresponsive"
+	// EventTargetLimit: a target named a limit, or another one, or ceased to name one.
+	EventTargetLimit Event = "limit of a target"
+	// EventTargetLeaving: a target said that it is about to stop.
+	EventTargetLeaving Event = "target leaving"
+	// EventNoticeInvalid: a target said something of itself that can't be decoded.
+	EventNoticeInvalid Event = "notice of a target not understood"
 	// EventReadsPlatform: this host became, or ceased to be, one of those that read the platform.
 	EventReadsPlatform Event = "reading the platform"
 )
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -117,7 +117,11 @@
 
 func (n *Node) dispatchFirstToken(in DispatchFirstToken) {
 	rec := n.active[in.Key]
-	if rec == nil || rec.LastDispatch != in.Dispatch || rec.Timing.FirstToken != 0 {
+	if rec == nil || rec.LastDispatch != in.Dispatch {
+		return
+	}
+	n.noticeReceived(rec.Target, target.Dispatch{Key: in.Key, Number: in.Dispatch}, in.Notice)
+	if rec.Timing.FirstToken != 0 {
 		return
 	}
 	rec.Timing.FirstToken = n.now
@@ -160,7 +164,9 @@
 	if t == nil {
 		return
 	}
-	t.End(target.Dispatch{Key: in.Key, Number: in.Dispatch})
+	dispatch := target.Dispatch{Key: in.Key, Number: in.Dispatch}
+	n.noticeReceived(in.Target, dispatch, in.Notice)
+	t.End(dispatch)
 	if in.Ending == EndedDone || in.Ending == EndedRefused || in.Ending == EndedFailed {
 		t.MarkSeen(n.now)
 	}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -58,6 +58,8 @@
 type DispatchFirstToken struct {
 	Key      core.Key
 	Dispatch uint32
+	// Notice is what the target says of itself in the head of the answer; nil if nothing is known of that.
+	Notice *target.Notice
 }
 
 // DispatchEnded reports the end of a dispatch, including an aborted one.
@@ -69,6 +71,9 @@
 	Message  string
 	// Blame is the target at fault if it is not Target; empty otherwise.
 	Blame string
+	// Notice is what the target says of itself in the head of the answer; nil without one, and if a DispatchFirstToken
+	// carried it.
+	Notice *target.Notice
 }
 
 // Cancel asks to end a request early. An answer "not run" closes the identifier.
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -65,6 +65,7 @@
 	GapObjective time.Duration
 	// loadChanges points to the table's counter.
 	loadChanges *uint64
+	standing    Standing
 }
 
 // Dispatch identifies one dispatch of a request, a prefill helper's part or the claim of a group.
