--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -34,6 +34,9 @@
 func (w *World) AddHost(opts node.Options) *Host {
 	h := &Host{world: w, opts: opts}
 	w.hosts[opts.Peer] = h
+	if opts.LoadsAddress != "" {
+		w.byLoads[opts.LoadsAddress] = opts.Peer
+	}
 	w.order = append(w.order, h)
 	h.Start()
 	return h
@@ -171,7 +174,7 @@
 	}
 }
 
-// execute carries out an action. It ignores those that it doesn't list: the ones for logs, caller buffers and load digests.
+// execute carries out an action. It ignores those that it doesn't list: the ones for logs and caller buffers.
 func (h *Host) execute(action node.Action) {
 	switch a := action.(type) {
 	case node.Decide:
@@ -196,6 +199,8 @@
 		}
 	case node.SendHeartbeat:
 		h.send(a.Peer, node.HeartbeatReceived{Heartbeat: a.Heartbeat})
+	case node.SendLoads:
+		h.sendLoads(a)
 	case node.FetchDocument:
 		h.fetch(a.Peer, func(s *node.Snapshot) node.Input {
 			return node.DocumentReceived{Raw: s.RawDocument, Source: a.Peer}
@@ -231,6 +236,15 @@
 	})
 }
 
+// sendLoads sends a bundle of load digests to the hosts with the given load addresses.
+func (h *Host) sendLoads(a node.SendLoads) {
+	for _, address := range a.To {
+		if peer, ok := h.world.byLoads[address]; ok {
+			h.send(peer, node.LoadsReceived{From: h.opts.Peer, Bundle: a.Bundle})
+		}
+	}
+}
+
 // fetch posts a part of a peer's state; the request and the answer each cross the network. A peer that is dead or paused
 // doesn't answer.
 func (h *Host) fetch(peer string, answer func(*node.Snapshot) node.Input) {
--- a/internal/virtual/world.go
+++ b/internal/virtual/world.go
@@ -44,11 +44,13 @@
 	// hosts holds the hosts by peer address, order holds them in the order in which they were added.
 	hosts map[string]*Host
 	order []*Host
+	// byLoads maps addresses for load digests to peer addresses.
+	byLoads map[string]string
 }
 
 // New returns an empty world at time zero.
 func New(network Network) *World {
-	return &World{Network: network, Targets: make(map[string]Target), hosts: make(map[string]*Host)}
+	return &World{Network: network, Targets: make(map[string]Target), hosts: make(map[string]*Host), byLoads: make(map[string]string)}
 }
 
 // Now returns the current instant.
--- /dev/null
+++ b/test/notices/fleet_test.go
@@ -0,0 +1,197 @@
+package notices
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/group"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/document"
+	"carobshunt/internal/hostlist"
+	"carobshunt/internal/virtual"
+
+	"gotest.tools/v3/assert"
+)
+
+// Services of the fleet: model engines, and a plain service whose requests are idempotent.
+const (
+	serviceEngines = "llm"
+	serviceDesk    = "desk"
+)
+
+// fleetOptions describe a fleet.
+type fleetOptions struct {
+	hosts, engines, desks int
+	seed                  uint64
+}
+
+// fleet is a number of hosts that find each other by seeds, and their targets. It implements virtual.Network.
+type fleet struct {
+	t       *testing.T
+	world   *virtual.World
+	rng     *rand.Rand
+	hosts   []*virtual.Host
+	targets []*target
+	list    *hostlist.List
+	// down holds the hosts that are cut off from all others, by peer address.
+	down map[string]bool
+	// excusedUntil is when a host that was killed, paused or cut off counts again, by peer address.
+	excusedUntil map[string]virtual.Time
+	serial       int
+	outcomes     map[api.Outcome]int
+	// messages counts the messages between hosts.
+	messages int
+}
+
+// Delay implements virtual.Network: between hosts 0.5 to 1.5 ms, and one of a hundred messages is lost.
+func (f *fleet) Delay(_ virtual.Time, from, to string) (time.Duration, bool) {
+	f.messages++
+	if f.down[from] || f.down[to] || f.rng.IntN(100) == 0 {
+		return 0, false
+	}
+	return 500*time.Microsecond + time.Duration(f.rng.Int64N(int64(time.Millisecond))), true
+}
+
+// zoneCount is the number of availability zones.
+const zoneCount = 3
+
+func zone(i int) string { return string(rune('a' + i%zoneCount)) }
+
+func peerAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:2", i/250, i%250+1) }
+
+func newFleet(t *testing.T, opts fleetOptions) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, rng: rand.New(rand.NewPCG(opts.seed, 0x6e6f74)), list: &hostlist.List{Version: 1}, down: make(map[string]bool),
+		excusedUntil: make(map[string]virtual.Time), outcomes: make(map[api.Outcome]int),
+	}
+	f.world = virtual.New(f)
+	for i := range opts.engines + opts.desks {
+		f.addTarget(i, i < opts.engines)
+	}
+	for i := range opts.hosts {
+		f.addHost(i)
+	}
+	f.world.Run(5 * time.Second)
+	for _, h := range f.hosts {
+		assert.Assert(t, h.Snapshot().Ready)
+		assert.Equal(t, len(h.Snapshot().Status.Peers), opts.hosts-1)
+	}
+	return f
+}
+
+func (f *fleet) addTarget(i int, engine bool) {
+	entry := hostlist.Host{
+		Address: fmt.Sprintf("10.1.0.%d:1", i+1), Zone: zone(i), Role: hostlist.RoleService, State: hostlist.StateLive,
+		Models: []string{serviceDesk}, Instance: fmt.Sprint("i-", i), Slots: 6,
+	}
+	if engine {
+		entry.Role, entry.Models, entry.Slots = hostlist.RoleEngine, []string{serviceEngines}, 16
+	}
+	f.list.Hosts = append(f.list.Hosts, entry)
+	t := &target{fleet: f, address: entry.Address, engine: engine, told: make(map[core.Home]virtual.Time)}
+	f.targets = append(f.targets, t)
+	f.world.Targets[entry.Address] = t
+}
+
+func (f *fleet) addHost(i int) {
+	h := f.world.AddHost(node.Options{
+		Self: core.Home{Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1)}, Peer: peerAddress(i), Zone: zone(i),
+		LoadsAddress: fmt.Sprintf("10.0.%d.%d:3", i/250, i%250+1),
+		Seeds:        []string{peerAddress(0), peerAddress(1), peerAddress(2)},
+		Records:      1 << 16, BodyBytes: 1 << 30, Seed: f.rng.Uint64(), Policy: node.PolicyPacked, LookupTTL: time.Second,
+		EnginesExpire: true, PlatformCurrent: true,
+		ReservationTiming: group.Timing{Expiry: 4 * time.Second, MaxWait: time.Second, RenewInterval: time.Second, RefuseWhenFull: true},
+	})
+	h.OnFinish = func(a node.Finish) { f.outcomes[a.Result.Outcome]++ }
+	f.hosts = append(f.hosts, h)
+	f.inform(h)
+}
+
+// inform posts what the platform publishes.
+func (f *fleet) inform(h *virtual.Host) {
+	raw, err := json.Marshal(fleetDocument())
+	assert.NilError(f.t, err)
+	h.Post(node.PlatformAnswered{})
+	h.Post(node.DocumentReceived{Raw: raw, Source: conf.SourcePlatform})
+	h.Post(node.HostsReceived{List: f.list, Source: conf.SourcePlatform})
+}
+
+func fleetDocument() *document.Document {
+	route := func(name string, kind document.Kind, service string) document.Route {
+		return document.Route{
+			Name: name, Authority: "a.example", Prefix: "/" + name + "/", Kind: kind, Resumable: kind == document.KindStream,
+			Services: []document.WeightedService{{Name: service, Weight: 1}}, MaxExecutions: 2, TimeoutMs: 5_000, FirstTokenTargetMs: 300,
+			GapTargetMs: 250, Public: true,
+		}
+	}
+	return &document.Document{
+		Revision: 1, Active: "p",
+		Presets: map[string]document.Preset{"p": {
+			Budgets:            document.Budgets{ShortMs: 10_000, MiddleMs: 60_000, LongMs: 900_000},
+			FirstTokenTargetMs: 300, ShortPromptTokens: 20_000, MiddlePromptTokens: 80_000, RetryPercent: 20,
+		}},
+		Teams:  []document.Team{{Name: "all", Weight: 1, TokensPerSecond: 1, Unmetered: true}},
+		Routes: []document.Route{route("ask", document.KindStream, serviceEngines), route("read", document.KindIdempotent, serviceDesk)},
+		Services: []document.Service{
+			{Name: serviceDesk, MaxConnections: 100},
+			{Name: serviceEngines, MaxConnections: 300, Engine: &document.Engine{
+				Slots: 16, MemoryTokens: 232_000, StepsPerIteration: 43, ChunkTokens: 2048, StepMs: 1, PrefillTokensPerMs: 206, AttentionPairsMs: 0.1,
+			}},
+		},
+	}
+}
+
+// Paths of requests to the two services.
+const (
+	pathAsk  = "/ask/1"
+	pathRead = "/read/1"
+)
+
+// send submits requests to a host at random intervals with the given mean rate a second, until an instant.
+func (f *fleet) send(h *virtual.Host, path string, rate float64, until virtual.Time) {
+	pause := time.Duration(f.rng.ExpFloat64() / rate * float64(time.Second))
+	f.world.After(pause, func() {
+		if f.world.Now() >= until {
+			return
+		}
+		f.submit(h, path)
+		f.send(h, path, rate, until)
+	})
+}
+
+// promptTokens is the length of the prompts of requests to engines.
+const promptTokens = 3_000
+
+// submit submits one request and its body.
+func (f *fleet) submit(h *virtual.Host, path string) {
+	f.serial++
+	req := core.Request{
+		Key: core.Key{ID: fmt.Sprint("r", f.serial)}, Attempt: 1, Budget: 4 * time.Second,
+		Routed: &core.Routed{Authority: "a.example", Path: path},
+	}
+	if path == pathAsk {
+		req.PromptTokens, req.AnswerTokens = promptTokens, 300
+	}
+	h.Submit(req, func(d node.Decision) {
+		if d.Kind != node.Admit {
+			f.outcomes[d.Result.Outcome]++
+			return
+		}
+		h.Post(node.BodyEnded{Key: req.Key, Attempt: 1})
+	})
+}
+
+// excuse records that a host was disturbed until now: it counts again after a while.
+func (f *fleet) excuse(h *virtual.Host) { f.excusedUntil[h.Peer()] = f.world.Now() + stableTime }
+
+// excused reports whether a host is disturbed, or was until a moment ago.
+func (f *fleet) excused(h *virtual.Host) bool {
+	return !h.Alive() || h.Paused() || f.down[h.Peer()] || f.world.Now() < f.excusedUntil[h.Peer()]
+}
--- /dev/null
+++ b/test/notices/target_test.go
@@ -0,0 +1,100 @@
+package notices
+
+import (
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/node"
+	coretarget "carobshunt/internal/core/target"
+	"carobshunt/internal/virtual"
+)
+
+// target is a fake target that says something of itself in its answers. It records what reaches it.
+type target struct {
+	fleet   *fleet
+	address string
+	engine  bool
+	// notice is what it says now. limitedSince is when it first named its limit.
+	notice       coretarget.Notice
+	limitedSince virtual.Time
+	// refuses is set while it refuses all requests, with its notice.
+	refuses bool
+	// told is when a process has first passed on an answer that named the limit in force.
+	told     map[core.Home]virtual.Time
+	arrivals []arrival
+}
+
+// arrival is a request that has reached a target.
+type arrival struct {
+	at   virtual.Time
+	home core.Home
+	// told is when the sender had first passed on an answer that named the limit, never if it had not.
+	told virtual.Time
+	// excused is set if the sender was disturbed shortly before.
+	excused bool
+}
+
+// never is the instant of an event that has not happened.
+const never = virtual.Time(-1)
+
+// Times of targets: on the network, to the answer of a plain service, and to the first and last token of an engine.
+const (
+	networkTime    = time.Millisecond
+	deskTime       = 15 * time.Millisecond
+	firstTokenTime = 60 * time.Millisecond
+	streamTime     = 1200 * time.Millisecond
+)
+
+// nameLimit makes the target name a limit, in requests a second, from now on.
+func (t *target) nameLimit(rate float64) {
+	t.notice.Limited, t.notice.Limit = true, rate
+	t.limitedSince = t.fleet.world.Now()
+	clear(t.told)
+}
+
+// endLimit makes the target name no limit any more.
+func (t *target) endLimit() { t.notice.Limited, t.notice.Limit = false, 0 }
+
+// Start implements virtual.Target.
+func (t *target) Start(w *virtual.World, from *virtual.Host, start node.StartDispatch) {
+	post, home := from.Poster(), from.Self()
+	w.After(networkTime, func() {
+		t.arrive(from, home)
+		end := node.DispatchEnded{Key: start.Key, Dispatch: start.Dispatch, Target: start.Target, Ending: node.EndedDone}
+		switch {
+		case t.refuses:
+			end.Ending = node.EndedRefused
+			t.answer(w, home, 0, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+		case t.engine:
+			first := node.DispatchFirstToken{Key: start.Key, Dispatch: start.Dispatch}
+			t.answer(w, home, firstTokenTime, func(n *coretarget.Notice) { first.Notice = n; post(first) })
+			w.After(streamTime, func() { post(end) })
+		default:
+			t.answer(w, home, deskTime, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+		}
+	})
+}
+
+// answer passes the notice in force after a time to the process that asked, which passes the answer on at once.
+func (t *target) answer(w *virtual.World, home core.Home, after time.Duration, deliver func(*coretarget.Notice)) {
+	w.After(after, func() {
+		notice := t.notice
+		w.After(networkTime, func() {
+			if _, ok := t.told[home]; !ok && notice.Limited && t.notice.Limited {
+				t.told[home] = w.Now()
+			}
+			deliver(&notice)
+		})
+	})
+}
+
+func (t *target) arrive(from *virtual.Host, home core.Home) {
+	a := arrival{at: t.fleet.world.Now(), home: home, told: never, excused: t.fleet.excused(from)}
+	if told, ok := t.told[home]; ok {
+		a.told = told
+	}
+	t.arrivals = append(t.arrivals, a)
+}
+
+// Abort implements virtual.Target. A request that has arrived runs to its end.
+func (t *target) Abort(*virtual.World, *virtual.Host, node.AbortDispatch) {}
