Throttle: the limit that a target names holds over all hosts

Cause: nothing read Server-Limit. A host chose targets by load alone, and no mechanism bound what all hosts together send to one target. The limits of teams do not fit: they count tokens, lend half of a share by heartbeats that are 0.45 to 3.6 s apart, and a host that packs its own zone sends all requests of an engine, so a quarter each would waste three quarters.

Change: a few hosts by rendezvous hash may send to a limited target. Each counts its requests, and the count travels with the load digests, which every host of the cell has within milliseconds. All senders take from copies of one bucket that knows of all counts; the equal share of a sender whose count is older than 0.7 s is left to it. A limit is announced to all hosts by heartbeat when one learns of it, and ends with the first answer to a later request that does not name it. What the limit does not allow in time is refused at once (target_limit) with the time when it will.

--- a/api/api.go
+++ b/api/api.go
@@ -105,6 +105,7 @@
 	CodeNoTarget         Code = "no_target"
 	CodeTargetFailed     Code = "target_failed"  // the target answered with a failure
 	CodeTargetRefused    Code = "target_refused" // the target did not execute the request
+	CodeTargetLimit      Code = "target_limit"   // the targets take no more requests from all hosts together now
 	CodeTargetLost       Code = "target_lost"    // the target may have executed the request and gave no complete answer
 	CodeCanceled         Code = "canceled"
 	CodeNotFound         Code = "not_found"
--- a/api/status.go
+++ b/api/status.go
@@ -84,6 +84,12 @@
 	InFlight int    `json:"in_flight"`
 	// PendingTokens is the prefill work dispatched by this host and not yet answered, in weighted tokens.
 	PendingTokens int64 `json:"pending_tokens"`
+	// Limit is the number of requests a second that the target takes from all hosts together; 0 for no limit.
+	Limit float64 `json:"limit,omitempty"`
+	// SaysLeaving is set when the target has said in an answer that it is about to stop.
+	SaysLeaving bool `json:"says_leaving,omitempty"`
+	// HeldOffMs is how much longer this host sends the target nothing because the target asked for that, in milliseconds.
+	HeldOffMs int64 `json:"held_off_ms,omitempty"`
 }
 
 // RequestsStatus counts this host's requests.
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -54,6 +54,8 @@
 	LoadsAddress string `json:"loads_address,omitempty"`
 	// Introduces are the peer addresses of the hosts that the sender sees alive, where no host list names entry hosts.
 	Introduces []string `json:"introduces,omitempty"`
+	// Notices are what targets have said of themselves to any host, as far as it holds. Hosts of other cells don't get them.
+	Notices []target.PublishedNotice `json:"notices,omitempty"`
 	// State is incremented whenever any of the fields above changes, except Demands and Grants, which only full heartbeats
 	// carry, and ClockMs, Revision, Digest, PlatformAgesMs, AnsweredMs, Loads and Work, which brief heartbeats carry too.
 	State uint64 `json:"state,omitempty"`
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -17,6 +17,9 @@
 	n.router.SetGroupsWaiting(n.groupsWait())
 	n.router.SetContention(route.Contention{Self: n.opts.Peer, Live: n.liveHosts()})
 	n.queue.Each(n.now, n.dispatch)
+	if n.targets.AnyLimited() {
+		n.refuseLimited()
+	}
 }
 
 // dispatch tries to place a waiting request; it reports whether the request leaves the queue.
@@ -57,6 +60,7 @@
 	basis := n.basisOf(t)
 	number := n.ledger.Dispatch(n.now, rec, t.Address)
 	t.Begin(n.now, target.Dispatch{Key: rec.Request.Key, Number: number}, job)
+	t.TakePermit(n.now)
 	n.noteLongPlaced(rec)
 	return StartDispatch{
 		Key:      rec.Request.Key,
@@ -164,12 +168,7 @@
 	if t == nil {
 		return
 	}
-	dispatch := target.Dispatch{Key: in.Key, Number: in.Dispatch}
-	n.noticeReceived(in.Target, dispatch, in.Notice)
-	t.End(dispatch)
-	if in.Ending == EndedDone || in.Ending == EndedRefused || in.Ending == EndedFailed {
-		t.MarkSeen(n.now)
-	}
+	n.releaseLoad(t, in)
 	if blamed := n.targets.Get(in.Blame); blamed != nil && blamed != t {
 		blamed.Failed(n.now)
 		return
@@ -187,6 +186,19 @@
 	}
 }
 
+// releaseLoad removes an ended dispatch from the load of its target, and records what the target said.
+func (n *Node) releaseLoad(t *target.Target, in DispatchEnded) {
+	dispatch := target.Dispatch{Key: in.Key, Number: in.Dispatch}
+	n.noticeReceived(in.Target, dispatch, in.Notice)
+	if in.Ending == EndedNotWritten {
+		t.ReturnPermit(n.now)
+	}
+	t.End(dispatch)
+	if in.Ending == EndedDone || in.Ending == EndedRefused || in.Ending == EndedFailed {
+		t.MarkSeen(n.now)
+	}
+}
+
 // outOfTime reports whether a dispatch ended at or after its request's deadline, with a target that was seen alive since
 // the dispatch began.
 func (n *Node) outOfTime(rec *ledger.Record, t *target.Target) bool {
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -154,6 +154,10 @@
 		n.releaseGroup(key)
 		return false
 	}
+	if !members[0].MaySend(n.now) {
+		rec.Obstacle = core.ObstacleTargets
+		return false
+	}
 	n.removeGroupLoad(key, claim) // the request must not wait for its own prefill work
 	helpers, ready := n.router.HelpersFor(n.now, rec, members, n.targets.All())
 	if !ready {
@@ -176,7 +180,7 @@
 }
 
 // groupMembers returns the engines of a plan, or nil if one is gone. With PolicyPacked the engine with the fewest
-// streams comes first.
+// streams comes first, of those whose limit allows a request now.
 func (n *Node) groupMembers(plan group.Plan) []*target.Target {
 	var out []*target.Target
 	for _, address := range plan.Engines {
@@ -188,12 +192,26 @@
 	}
 	if n.opts.Policy == PolicyPacked {
 		slices.SortStableFunc(out, func(a, b *target.Target) int {
-			return cmp.Compare(a.Total().Streams, b.Total().Streams)
+			return cmp.Or(
+				compareBools(b.MaySend(n.now), a.MaySend(n.now)),
+				cmp.Compare(a.Total().Streams, b.Total().Streams),
+			)
 		})
 	}
 	return out
 }
 
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // claimGroup begins to reserve engines for a request, unless it is in its backoff, memory is short or its prefill would
 // delay other requests too much.
 func (n *Node) claimGroup(rec *ledger.Record) {
--- a/internal/core/node/loads.go
+++ b/internal/core/node/loads.go
@@ -45,7 +45,7 @@
 		return p != nil && p.Last.Incarnation == incarnation
 	}
 	for _, d := range n.loads.Receive(n.now, in.From, in.Bundle, current) {
-		n.targets.ApplyDigest(d.Peer, d.Loads)
+		n.targets.ApplyDigest(n.now, d.Peer, d.Loads)
 		if n.resume.active {
 			d.Freshness.Age = -1 // the datagram may have been delayed while this process was suspended
 		}
@@ -61,5 +61,5 @@
 	if ok && incarnation == hb.Incarnation && n.now-at < datagramPrecedence {
 		return
 	}
-	n.targets.ApplyDigest(hb.Peer, hb.Loads)
+	n.targets.ApplyDigest(n.now, hb.Peer, hb.Loads)
 }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -117,6 +117,7 @@
 	loads   *loadshare.Sharer
 	budgets routeBudgets
 	pacing  pacing
+	senders senderState
 }
 
 // New returns the Node of a process that has just started, with its clock at zero.
@@ -153,6 +154,7 @@
 		),
 	}
 	n.queue = newQueue(opts.Policy, n.teamWeight)
+	n.targets.JoinFleet(n)
 	return n
 }
 
@@ -233,6 +235,8 @@
 	n.peers.Expire(n.now)
 	n.trackPeers()
 	n.reportSuspects()
+	n.updateSenders()
+	n.targets.ExpireStandings(n.now)
 	n.sweepTick()
 	n.groupsTick()
 	n.ordersTick()
--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -2,11 +2,20 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
+	"carobshunt/api"
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/target"
+	"carobshunt/internal/core/throttle"
+	"carobshunt/internal/hostlist"
 )
 
-// noticeReceived records what a target says of itself in the answer to a dispatch. A nil notice has no effect.
+// noticeReceived records what a target says of itself in the answer to a dispatch, and tells the other hosts what has
+// changed. A nil notice has no effect.
 func (n *Node) noticeReceived(address string, d target.Dispatch, notice *target.Notice) {
 	t := n.targets.Get(address)
 	if notice == nil || t == nil {
@@ -15,8 +24,19 @@
 	for _, fault := range notice.Faults {
 		n.do(StateChange{Event: EventNoticeInvalid, Text: address + ": " + fault})
 	}
-	if change, changed := t.ApplyNotice(n.now, d, notice); changed {
-		n.reportStanding(change, "answer")
+	if change, changed := n.targets.ApplyNotice(n.now, t, d, notice); changed {
+		n.reportStanding(change, "its answer")
+		n.announce(func(p *member.Peer) bool { return n.sameCell(p.Last.Peer) })
+	}
+}
+
+// noticesPublished records what a peer's heartbeat tells of targets.
+func (n *Node) noticesPublished(hb *member.Heartbeat) {
+	for i := range hb.Notices {
+		age := time.Duration(hb.ClockMs-hb.Notices[i].HeardMs) * time.Millisecond
+		if change, changed := n.targets.ApplyPublished(n.now, age, &hb.Notices[i]); changed {
+			n.reportStanding(change, fmt.Sprintf("%s, %d ms old", hb.Peer, age.Milliseconds()))
+		}
 	}
 }
 
@@ -32,3 +52,110 @@
 		n.do(StateChange{Event: EventTargetLeaving, Text: fmt.Sprintf("%s, by %s", c.Address, source)})
 	}
 }
+
+// senderState is what a host knows of the hosts that may send to limited targets.
+type senderState struct {
+	// hosts are the peer addresses of the hosts that take part, this one included if it does. They have been the same since
+	// hostsSince.
+	hosts      []string
+	hostsSince core.Time
+}
+
+const (
+	// senderTimeout is how long a host that is no longer heard from counts as a sender. It may only be cut off.
+	senderTimeout = 15 * time.Second
+	// senderSettleTime is how long the hosts must have been the same for all to agree on the senders.
+	senderSettleTime = 3 * time.Second
+)
+
+// updateSenders updates the hosts that may send to limited targets.
+func (n *Node) updateSenders() {
+	var hosts []string
+	if !n.drain.active {
+		hosts = append(hosts, n.opts.Peer)
+	}
+	for _, address := range n.peers.Addresses() {
+		if p := n.peers.Get(address); n.mayBeSender(p) {
+			hosts = append(hosts, address)
+		}
+	}
+	slices.Sort(hosts)
+	if !slices.Equal(hosts, n.senders.hosts) {
+		n.senders.hosts, n.senders.hostsSince = hosts, n.now
+	}
+	n.targets.UpdateSenders(n.now)
+}
+
+// mayBeSender reports whether a peer may be sending to limited targets.
+func (n *Node) mayBeSender(p *member.Peer) bool {
+	recent := p.Alive(n.now) || p.Known && n.now-p.LastSeen < senderTimeout
+	return recent && !p.Last.Draining && !p.Leaving
+}
+
+// Self implements target.Fleet.
+func (n *Node) Self() string { return n.opts.Peer }
+
+// Senders implements target.Fleet.
+func (n *Node) Senders(address string, limit float64) []string {
+	return throttle.Senders(address, limit, n.inCellOf(address, n.senders.hosts))
+}
+
+// Settled implements target.Fleet.
+func (n *Node) Settled() bool { return n.now-n.senders.hostsSince >= senderSettleTime }
+
+// refuseLimited ends the waiting requests that only limited targets could serve, and not within the time that the requests
+// may wait. It refuses them at once, with the time until this host has a request to send again.
+func (n *Node) refuseLimited() {
+	type refusal struct {
+		rec   *ledger.Record
+		after time.Duration
+	}
+	var refused []refusal
+	ahead := make(map[string]int) // waiting requests by service
+	n.queue.Each(n.now, func(rec *ledger.Record) bool {
+		if rec.Request.Routed == nil {
+			return false
+		}
+		wait, limited := n.limitedWait(rec, ahead[rec.Request.Model])
+		if limited && n.now+wait > rec.WaitingSince+n.waitLimit(rec) {
+			refused = append(refused, refusal{rec, wait})
+			return false
+		}
+		ahead[rec.Request.Model]++
+		return false
+	})
+	for _, r := range refused {
+		n.finish(r.rec, core.Result{
+			Outcome:    outcomeWithoutAnswer(r.rec),
+			Code:       api.CodeTargetLimit,
+			Message:    "the targets take no more requests now",
+			RetryAfter: r.after + n.retryAfter(overloadRetryAfter),
+		})
+	}
+}
+
+// limitedWait returns how long a request has to wait for a target behind the given number of others, if all the targets
+// that could serve it are limited or want no requests for a while. It reports false if there is another reason why it waits.
+func (n *Node) limitedWait(rec *ledger.Record, ahead int) (time.Duration, bool) {
+	soonest := time.Duration(-1)
+	for _, t := range n.targets.All() {
+		if !t.Serves(rec.Request.Model) || t.State != hostlist.StateLive {
+			continue
+		}
+		if !t.Limited() || !t.Eligible(n.now) {
+			return 0, false
+		}
+		wait, sender := t.LimitWait(n.now, ahead)
+		if !sender {
+			wait = limitElsewhere
+		}
+		if soonest < 0 || wait < soonest {
+			soonest = wait
+		}
+	}
+	return soonest, soonest >= 0
+}
+
+// limitElsewhere is the time after which a caller may return if only other hosts send to the targets: it may reach one of
+// them.
+const limitElsewhere = time.Second
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -35,11 +35,11 @@
 	}
 }
 
-// heartbeatFor removes from a heartbeat to a peer of another cell what only hosts of this host's cell use: its loads
-// and its work.
+// heartbeatFor removes from a heartbeat to a peer of another cell what only hosts of this host's cell use: its loads, its
+// work, and what targets have said of themselves.
 func (n *Node) heartbeatFor(hb member.Heartbeat, peer string) member.Heartbeat {
 	if !n.sameCell(peer) {
-		hb.Loads, hb.Work = nil, member.Work{}
+		hb.Loads, hb.Work, hb.Notices = nil, member.Work{}, nil
 	}
 	return hb
 }
@@ -57,6 +57,7 @@
 	hb.Grants = n.limits.Lend(n.now, n.borrowers())
 	hb.Loads = n.targets.Digest()
 	hb.Work = n.ownWork()
+	hb.Notices = n.targets.Notices(n.now)
 	if content := hb.Content(); !reflect.DeepEqual(content, n.sent.content) {
 		n.sent.content = content
 		n.sent.changes++
@@ -111,6 +112,9 @@
 	}
 	received := n.peers.Receive(n.now, hb)
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
+	if received.Fresh {
+		n.noticesPublished(&hb)
+	}
 	n.applyHeartbeatLoads(&hb)
 	n.peers.Introduce(n.now, hb.Introduces)
 	n.resume.fresh = n.resume.fresh || received.Fresh
--- a/internal/core/route/place.go
+++ b/internal/core/route/place.go
@@ -37,7 +37,7 @@
 	if r.iterationModel && rec.Request.Routed != nil {
 		if states := r.engineStates(now, rec, targets); len(states) > 0 {
 			if IsLong(rec) {
-				return placeLong(rec, states)
+				return placeLong(rec, withoutLimited(states))
 			}
 			return placeShort(rec, slices.DeleteFunc(states, func(s engineState) bool {
 				return s.overloaded(now, rec) || r.exceedsShare(now, &s)
@@ -52,3 +52,13 @@
 
 // IsLong reports whether the prompt is long enough for several engines to share its prefill.
 func IsLong(rec *ledger.Record) bool { return rec.Request.PromptTokens >= longPromptTokens }
+
+// withoutLimited leaves out engines that name a limit, unless all do: such an engine is in need, and the part of a long
+// prompt is much work for one request.
+func withoutLimited(states []engineState) []engineState {
+	unlimited := slices.DeleteFunc(slices.Clone(states), func(s engineState) bool { return s.target.Limited() })
+	if len(unlimited) == 0 {
+		return states
+	}
+	return unlimited
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -141,7 +141,7 @@
 
 // Keep implements Filter.
 func (eligibleFilter) Keep(now core.Time, _ *ledger.Record, t *target.Target) bool {
-	return t.Eligible(now)
+	return t.Eligible(now) && t.MaySend(now)
 }
 
 type modelFilter struct{}
--- a/internal/core/target/load.go
+++ b/internal/core/target/load.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"time"
 
+	"carobshunt/internal/core"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -71,23 +73,46 @@
 // route to different targets.
 func digestID(address string) uint32 { return uint32(xxhash.Sum64String(address)) }
 
-// Digest encodes the load that this host has placed at all targets, for its peers. For each target with any load it
+// digestEntry is what a digest holds for one target: the load that a host has placed there, and the number of requests that
+// it has sent since the target named its limit, 0 without a limit.
+type digestEntry struct {
+	load Load
+	sent uint64
+}
+
+// digestFields is the number of integers in an encoded digestEntry.
+const digestFields = loadFields + 1
+
+// fields returns the fields in the order of a digest, in which digestReader.entry reads them.
+func (e *digestEntry) fields() [digestFields]int64 {
+	var out [digestFields]int64
+	load := e.load.fields()
+	copy(out[:], load[:])
+	out[loadFields] = int64(e.sent)
+	return out
+}
+
+// Digest encodes the load that this host has placed at all targets, for its peers. For each target with any load or limit it
 // holds the identifier, a bit mask of the fields that are above zero, and these fields, as variable-length integers.
 func (tb *Table) Digest() []byte {
 	var out []byte
 	for _, t := range tb.ordered {
-		if t.own == (Load{}) {
+		e := digestEntry{load: t.own}
+		if t.Limited() {
+			e.sent = t.standing.bucket.Sent()
+		}
+		if e == (digestEntry{}) {
 			continue
 		}
 		out = binary.AppendUvarint(out, uint64(digestID(t.Address)))
-		out = appendLoad(out, t.own.fields())
+		out = appendFields(out, e.fields())
 	}
 	return out
 }
 
-// appendLoad appends the bit mask of the fields above zero and these fields, in the order of Load.fields. Fields that are
-// zero or negative are omitted; digestReader.load reads them as zero.
-func appendLoad(out []byte, fields [loadFields]int64) []byte {
+// appendFields appends the bit mask of the fields above zero and these fields, in the order of digestEntry.fields. Fields
+// that are zero or negative are omitted; digestReader.entry reads them as zero.
+func appendFields(out []byte, fields [digestFields]int64) []byte {
 	mask := uint64(0)
 	for i, v := range fields {
 		if v > 0 {
@@ -103,22 +128,27 @@
 	return out
 }
 
-// ApplyDigest replaces a peer's load with that of its digest. Targets that this host does not route to are skipped; a
-// truncated digest is applied as far as it can be decoded.
-func (tb *Table) ApplyDigest(peer string, digest []byte) {
-	tb.ForgetPeer(peer)
+// ApplyDigest replaces a peer's load with that of its digest, and its counts of requests to limited targets. Targets that
+// this host does not route to are skipped; a truncated digest is applied as far as it can be decoded.
+func (tb *Table) ApplyDigest(now core.Time, peer string, digest []byte) {
+	tb.forgetLoad(peer)
+	sent := make(map[*Target]uint64)
 	for len(digest) > 0 {
 		r := digestReader{rest: digest}
 		id := r.next()
-		load := r.load()
+		entry := r.entry()
 		if r.truncated {
 			return
 		}
 		digest = r.rest
 		if t := tb.byDigest[id]; t != nil {
-			tb.setPeer(t, peer, load)
+			tb.setPeer(t, peer, entry.load)
+			sent[t] = entry.sent
 		}
 	}
+	for _, t := range tb.limited {
+		t.standing.bucket.Hear(now, peer, sent[t])
+	}
 }
 
 // digestReader decodes integers from a digest; truncated is set when one is missing.
@@ -137,27 +167,39 @@
 	return v
 }
 
-// load decodes what appendLoad encoded. The order of the fields must be that of Load.fields. Fields that only a later
-// version of this program knows are skipped.
-func (r *digestReader) load() Load {
-	var v [loadFields]int64
+// entry decodes what appendFields encoded. The order of the fields must be that of digestEntry.fields. Fields that only a
+// later version of this program knows are skipped.
+func (r *digestReader) entry() digestEntry {
+	var v [digestFields]int64
 	mask := r.next()
 	for i := 0; mask != 0 && !r.truncated; i++ {
 		if mask&1 != 0 {
 			value := int64(r.next())
-			if i < loadFields {
+			if i < digestFields {
 				v[i] = value
 			}
 		}
 		mask >>= 1
 	}
-	return Load{
-		Pending: [Priorities]int64{v[0], v[1], v[2]}, Held: v[3], Streams: v[4], LongContext: v[5], GapSensitive: v[6],
+	return digestEntry{
+		load: Load{
+			Pending: [Priorities]int64{v[0], v[1], v[2]}, Held: v[3], Streams: v[4], LongContext: v[5], GapSensitive: v[6],
+		},
+		sent: uint64(max(v[loadFields], 0)),
 	}
 }
 
-// ForgetPeer drops the load that a peer reported. The dispatches of a peer that is gone end with its connections.
+// ForgetPeer drops the load and the counts that a peer reported. The dispatches of a peer that is gone end with its
+// connections.
 func (tb *Table) ForgetPeer(peer string) {
+	tb.forgetLoad(peer)
+	for _, t := range tb.limited {
+		t.standing.bucket.Forget(peer)
+	}
+}
+
+// forgetLoad drops the load that a peer reported.
+func (tb *Table) forgetLoad(peer string) {
 	for _, t := range tb.withPeer[peer] {
 		if old, ok := t.peers[peer]; ok {
 			t.others.subtract(old)
--- a/internal/core/target/load_test.go
+++ b/internal/core/target/load_test.go
@@ -50,7 +50,7 @@
 				break
 			}
 		}
-		mine.ApplyDigest("peer", theirs.Digest())
+		mine.ApplyDigest(0, "peer", theirs.Digest())
 		for i := range mine.All() {
 			assert.Equal(t, mine.All()[i].Total(), theirs.All()[i].Total())
 		}
@@ -69,7 +69,7 @@
 	for i, address := range []string{"e001", "e004"} {
 		theirs.Get(address).Begin(0, target.Dispatch{Number: uint32(i)}, job)
 	}
-	mine.ApplyDigest("peer", theirs.Digest())
+	mine.ApplyDigest(0, "peer", theirs.Digest())
 	assert.Equal(t, mine.Get("e001").Total(), theirs.Get("e001").Total())
 	assert.Equal(t, mine.Get("e000").Total(), target.Load{})
 }
@@ -81,10 +81,10 @@
 	}
 	whole := theirs.Digest()
 	for n := range whole {
-		mine.ApplyDigest("peer", whole[:n])
+		mine.ApplyDigest(0, "peer", whole[:n])
 	}
-	mine.ApplyDigest("peer", []byte{200, 1, 1, 1, 1, 1, 1, 1}) // a target that is not known here
-	mine.ApplyDigest("peer", []byte{255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255})
+	mine.ApplyDigest(0, "peer", []byte{200, 1, 1, 1, 1, 1, 1, 1}) // a target that is not known here
+	mine.ApplyDigest(0, "peer", []byte{255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255})
 	for _, e := range mine.All() {
 		assert.Equal(t, e.Total(), target.Load{})
 	}
@@ -132,7 +132,7 @@
 	later = append(later, digest[firstEntry:]...)
 	other := target.NewTable()
 	other.Apply(listOf(1, engine("e1", "i1"), engine("e2", "i2")))
-	other.ApplyDigest("10.0.0.2:2", later)
+	other.ApplyDigest(0, "10.0.0.2:2", later)
 	assert.Equal(t, other.Get("e1").Total(), target.Load{Held: 70, Streams: 1})
 	assert.Equal(t, other.Get("e2").Total(), target.Load{Held: 80, Streams: 1})
 }
--- /dev/null
+++ b/internal/core/target/standing.go
@@ -0,0 +1,271 @@
+package target
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/throttle"
+)
+
+// Process identifies one run of a target: another one may have its address later.
+type Process struct {
+	Address  string `json:"a"`
+	Instance string `json:"i,omitempty"`
+	Start    int64  `json:"s,omitempty"`
+}
+
+func processOf(t *Target) Process {
+	return Process{Address: t.Address, Instance: t.Instance, Start: t.Start}
+}
+
+// Standing is what one run of a target has said of itself to any host, as far as it still holds. It outlives the target's
+// entry in the host list, which may be missing for a moment.
+type Standing struct {
+	process Process
+	// Limit is the number of requests a second that the target takes from all hosts together; 0 for no limit.
+	Limit float64
+	// Leaving is set for good once the target has said that it is about to stop.
+	Leaving bool
+	// bucket bounds the requests of all hosts to Limit; nil without a limit.
+	bucket *throttle.Bucket
+	// heard is when a host learned of what holds, on this host's clock. confirmed is when the target last told this host.
+	heard     core.Time
+	confirmed core.Time
+	// unlistedSince is since when no target of the host list is this process; never while one is.
+	unlistedSince core.Time
+}
+
+// never is the time of an event that has not happened.
+const never = core.Time(-1)
+
+// Bounds of a limit, in requests a second. A target that names less than the lowest one still gets a request now and then,
+// since only its answers show when the limit has ended.
+const (
+	minLimit = 0.1
+	maxLimit = 1e6
+)
+
+// clampLimit returns a limit within the bounds; 0 for a value that is no limit.
+func clampLimit(limit float64) float64 {
+	if math.IsNaN(limit) {
+		return 0
+	}
+	return min(max(limit, minLimit), maxLimit)
+}
+
+const (
+	// standingTTL is how long the standing of a process that is not listed is kept.
+	standingTTL = 10 * time.Minute
+	// noticeTTL is how long the end of a limit is told to other hosts.
+	noticeTTL = time.Minute
+	// maxStandings bounds the standings, maxPublished those that a heartbeat carries.
+	maxStandings = 16_384
+	maxPublished = 64
+)
+
+// StandingChange is a change of what holds of a target.
+type StandingChange struct {
+	Address string
+	// Limit is the new limit and WasLimit the one before, in requests a second; 0 for none.
+	Limit, WasLimit float64
+	// NowLeaving is set if the target is about to stop and was not known to be.
+	NowLeaving bool
+}
+
+// standingChange returns a change that changes nothing.
+func standingChange(s *Standing) StandingChange {
+	return StandingChange{Address: s.process.Address, Limit: s.Limit, WasLimit: s.Limit}
+}
+
+// Fleet tells which hosts share the limits of targets.
+type Fleet interface {
+	// Self is this host's peer address.
+	Self() string
+	// Senders returns the peer addresses of the hosts that may send to a target with a limit in requests a second.
+	Senders(target string, limit float64) []string
+	// Settled reports whether the hosts have known each other for long enough to agree on the senders.
+	Settled() bool
+}
+
+// lone is the fleet of a host that has no others.
+type lone struct{}
+
+// Self implements Fleet.
+func (lone) Self() string { return "" }
+
+// Senders implements Fleet.
+func (lone) Senders(string, float64) []string { return []string{""} }
+
+// Settled implements Fleet.
+func (lone) Settled() bool { return true }
+
+// JoinFleet sets the fleet that shares the limits of targets.
+func (tb *Table) JoinFleet(fleet Fleet) { tb.fleet = fleet }
+
+// change applies a change that a host learned of at an instant, and reports whether there was one.
+func (tb *Table) change(now, heard core.Time, s *Standing, next StandingChange) bool {
+	if next.Limit == s.Limit && !next.NowLeaving {
+		return false
+	}
+	s.Leaving = s.Leaving || next.NowLeaving
+	s.heard = heard
+	if next.Limit != s.Limit {
+		tb.setLimit(now, s, next.Limit)
+	}
+	return true
+}
+
+func (tb *Table) setLimit(now core.Time, s *Standing, limit float64) {
+	s.Limit = limit
+	switch {
+	case limit == 0:
+		s.bucket = nil
+	case s.bucket == nil:
+		s.bucket = throttle.New(now, tb.fleet.Self(), limit, tb.fleet.Senders(s.process.Address, limit), tb.fleet.Settled())
+	default:
+		s.bucket.SetRate(now, limit)
+	}
+	tb.indexLimited()
+}
+
+// indexLimited rebuilds the list of limited targets.
+func (tb *Table) indexLimited() {
+	tb.limited = tb.limited[:0]
+	for _, t := range tb.ordered {
+		if t.Limited() {
+			tb.limited = append(tb.limited, t)
+		}
+	}
+}
+
+// standingOf returns the standing of a process and creates it if there is none. It returns nil if there is no room.
+func (tb *Table) standingOf(p Process) *Standing {
+	if s := tb.standings[p]; s != nil {
+		return s
+	}
+	if len(tb.standings) >= maxStandings {
+		return nil
+	}
+	s := &Standing{process: p, heard: never, confirmed: never, unlistedSince: never}
+	tb.standings[p] = s
+	return s
+}
+
+// attach gives a listed target its standing.
+func (tb *Table) attach(t *Target) {
+	t.standing = tb.standingOf(processOf(t))
+	if t.standing == nil {
+		t.standing = &Standing{process: processOf(t), heard: never, confirmed: never}
+	}
+	t.standing.unlistedSince = never
+}
+
+// UpdateSenders updates the hosts that may send to the limited targets.
+func (tb *Table) UpdateSenders(now core.Time) {
+	for _, t := range tb.limited {
+		t.standing.bucket.SetSenders(now, tb.fleet.Senders(t.Address, t.standing.Limit))
+	}
+}
+
+// ExpireStandings drops the standings of processes that have not been listed for standingTTL.
+func (tb *Table) ExpireStandings(now core.Time) {
+	for p, s := range tb.standings {
+		t := tb.byAddress[p.Address]
+		switch {
+		case t != nil && t.standing == s:
+		case s.unlistedSince == never:
+			s.unlistedSince = now
+		case now-s.unlistedSince >= standingTTL:
+			delete(tb.standings, p)
+		}
+	}
+}
+
+// PublishedNotice is what one run of a target has said of itself, as hosts tell it each other in heartbeats.
+type PublishedNotice struct {
+	Process
+	// Limit is in requests a second; 0 for no limit.
+	Limit   float64 `json:"l,omitempty"`
+	Leaving bool    `json:"v,omitempty"`
+	// HeardMs is the sender's clock when a host learned of it, in milliseconds.
+	HeardMs int64 `json:"h"`
+}
+
+// Notices returns what targets have said of themselves, for the heartbeats to peers, the newest maxPublished in order of
+// address.
+func (tb *Table) Notices(now core.Time) []PublishedNotice {
+	var out []PublishedNotice
+	for _, s := range tb.standings {
+		ended := s.Limit == 0 && !s.Leaving
+		if s.heard == never || ended && now-s.heard >= noticeTTL {
+			continue
+		}
+		out = append(out, PublishedNotice{Process: s.process, Limit: s.Limit, Leaving: s.Leaving, HeardMs: s.heard.Milliseconds()})
+	}
+	slices.SortFunc(out, func(a, b PublishedNotice) int {
+		return cmp.Or(cmp.Compare(b.HeardMs, a.HeardMs), compareProcesses(a.Process, b.Process))
+	})
+	out = out[:min(len(out), maxPublished)]
+	slices.SortFunc(out, func(a, b PublishedNotice) int { return compareProcesses(a.Process, b.Process) })
+	return out
+}
+
+func compareProcesses(a, b Process) int {
+	return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Start, b.Start))
+}
+
+// ApplyPublished records what a peer tells of a target, which a host learned that long ago. The later of two words on a
+// limit holds. That a target leaves holds for good.
+func (tb *Table) ApplyPublished(now core.Time, age time.Duration, p *PublishedNotice) (StandingChange, bool) {
+	s := tb.standingOf(p.Process)
+	if s == nil {
+		return StandingChange{}, false
+	}
+	heard := max(now-max(age, 0), 0)
+	next := standingChange(s)
+	limit := 0.0
+	if p.Limit > 0 {
+		limit = clampLimit(p.Limit)
+	}
+	switch {
+	case limit == s.Limit:
+	case heard > max(s.heard, s.confirmed):
+		next.Limit = limit
+	default:
+		s.heard = max(s.heard, s.confirmed) // the peer has older word, so tell it how recent this host's is
+	}
+	next.NowLeaving = p.Leaving && !s.Leaving
+	return next, tb.change(now, heard, s, next)
+}
+
+// Limited reports whether the target names a limit.
+func (t *Target) Limited() bool { return t.standing.bucket != nil }
+
+// AnyLimited reports whether any target names a limit.
+func (tb *Table) AnyLimited() bool { return len(tb.limited) > 0 }
+
+// MaySend reports whether this host may send the target a request now, within the limit that the target names.
+func (t *Target) MaySend(now core.Time) bool {
+	if !t.Limited() {
+		return true
+	}
+	wait, sender := t.standing.bucket.Wait(now)
+	return sender && wait == 0
+}
+
+// Standing returns what the target has said of itself.
+func (t *Target) Standing() Standing { return *t.standing }
+
+// LimitWait returns how long this host has to wait until it may send to a limited target behind that many other requests,
+// if all senders use their equal shares. It reports false if other hosts send there.
+func (t *Target) LimitWait(now core.Time, ahead int) (time.Duration, bool) {
+	b := t.standing.bucket
+	wait, sender := b.Wait(now)
+	if !sender {
+		return 0, false
+	}
+	return wait + time.Duration(float64(ahead)/b.EqualShare()*float64(time.Second)), true
+}
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -65,7 +65,7 @@
 	GapObjective time.Duration
 	// loadChanges points to the table's counter.
 	loadChanges *uint64
-	standing    Standing
+	standing    *Standing
 }
 
 // Dispatch identifies one dispatch of a request, a prefill helper's part or the claim of a group.
@@ -128,6 +128,20 @@
 	t.own.add(p.load)
 }
 
+// TakePermit counts a request of this host against the target's limit.
+func (t *Target) TakePermit(now core.Time) {
+	if t.Limited() {
+		t.standing.bucket.Take(now)
+	}
+}
+
+// ReturnPermit records that a request did not reach the target after all.
+func (t *Target) ReturnPermit(now core.Time) {
+	if t.Limited() {
+		t.standing.bucket.Refund(now)
+	}
+}
+
 // How much longer than at the published speed a prefill may take, with all work ahead of it.
 const (
 	// prefillMargin is a factor on the time at the published speed.
@@ -196,7 +210,7 @@
 // Serves reports whether the target serves a model or service.
 func (t *Target) Serves(model string) bool { return slices.Contains(t.Models, model) }
 
-// Eligible reports whether new work may be sent to the target.
+// Eligible reports whether new work may be sent to the target, as far as its limit allows: see MaySend.
 func (t *Target) Eligible(now core.Time) bool {
 	return t.State == hostlist.StateLive && now >= max(t.evidence.eligibleAt(t), t.refusedUntil)
 }
@@ -233,11 +247,22 @@
 	withPeer    map[string][]*Target
 	evidence    *evidence
 	loadChanges uint64
+	// standings hold what targets have said of themselves, by process.
+	standings map[Process]*Standing
+	// limited are the targets that name a limit, in order of address.
+	limited []*Target
+	fleet   Fleet
 }
 
-// NewTable returns an empty table.
+// NewTable returns an empty table, of a host without others until JoinFleet.
 func NewTable() *Table {
-	return &Table{byAddress: make(map[string]*Target), withPeer: make(map[string][]*Target), evidence: newEvidence()}
+	return &Table{
+		byAddress: make(map[string]*Target),
+		withPeer:  make(map[string][]*Target),
+		evidence:  newEvidence(),
+		standings: make(map[Process]*Standing),
+		fleet:     lone{},
+	}
 }
 
 // Apply takes a host list. It reports false, and changes nothing, if the list's version is below the last one's. A
@@ -310,13 +335,15 @@
 	} else if t != nil {
 		t.evidence.forget(t) // another target has the address now, or this one has restarted
 	}
-	tb.byAddress[host.Address] = &Target{
+	t := &Target{
 		Host:        host,
 		inFlight:    make(map[Dispatch]*activeDispatch),
 		peers:       make(map[string]Load),
 		evidence:    tb.evidence,
 		loadChanges: &tb.loadChanges,
 	}
+	tb.attach(t)
+	tb.byAddress[host.Address] = t
 }
 
 // LoadChanges returns the number of changes to the load that this host has placed.
@@ -332,6 +359,7 @@
 	}
 	sort.Slice(tb.ordered, func(i, j int) bool { return tb.ordered[i].Address < tb.ordered[j].Address })
 	tb.evidence.setTargets(tb.ordered)
+	tb.indexLimited()
 }
 
 // Get returns the target at an address, or nil.
--- a/internal/core/target/target_test.go
+++ b/internal/core/target/target_test.go
@@ -115,14 +115,14 @@
 	a.Get("e1").Begin(0, dispatchOf("b"), target.Job{Work: 90_000, Memory: 100_000, LongContext: true})
 	a.Get("e2").Begin(0, dispatchOf("c"), target.Job{Work: 7, PrefillOnly: true})
 	digest := a.Digest()
-	b.ApplyDigest("p", digest)
+	b.ApplyDigest(0, "p", digest)
 	for _, address := range []string{"e1", "e2"} {
 		assert.Equal(t, b.Get(address).Total(), a.Get(address).Total())
 	}
 	for cut := range digest {
-		b.ApplyDigest("p", digest[:cut])
+		b.ApplyDigest(0, "p", digest[:cut])
 	}
-	b.ApplyDigest("p", nil)
+	b.ApplyDigest(0, "p", nil)
 	assert.Equal(t, b.Get("e1").Total(), target.Load{})
 }
 
--- a/internal/ctl/query_status.go
+++ b/internal/ctl/query_status.go
@@ -140,17 +140,32 @@
 
 func (r *statusReport) targetsTable(w *tableWriter) {
 	w.line("")
-	w.row("HOST", "TARGET", "ZONE", "KIND", "STATE", "ELIGIBLE", "IN FLIGHT", "PENDING TOKENS")
+	w.row("HOST", "TARGET", "ZONE", "KIND", "STATE", "ELIGIBLE", "IN FLIGHT", "PENDING TOKENS", "SAYS")
 	for _, h := range r.Hosts {
 		if h.Status == nil {
 			continue
 		}
 		for _, t := range h.Status.Targets {
-			w.row(h.Operator, t.Address, t.Zone, t.Kind, t.State, t.Eligible, t.InFlight, t.PendingTokens)
+			w.row(h.Operator, t.Address, t.Zone, t.Kind, t.State, t.Eligible, t.InFlight, t.PendingTokens, targetSays(&t))
 		}
 	}
 }
 
+// targetSays returns what a target has said of itself, as far as it holds.
+func targetSays(t *api.TargetStatus) string {
+	var says []string
+	if t.Limit > 0 {
+		says = append(says, fmt.Sprintf("limit %g/s", t.Limit))
+	}
+	if t.SaysLeaving {
+		says = append(says, "leaving")
+	}
+	if t.HeldOffMs > 0 {
+		says = append(says, "nothing for "+formatMs(t.HeldOffMs))
+	}
+	return orDash(strings.Join(says, ", "))
+}
+
 func (r *statusReport) notes(w *tableWriter) {
 	for _, h := range r.Hosts {
 		if h.Status == nil {
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -20,6 +20,7 @@
 	adoptions *prometheus.Desc
 	peers     *prometheus.Desc
 	targets   *prometheus.Desc
+	notices   *prometheus.Desc
 }
 
 // stateMetric is a metric without labels that is read from the status.
@@ -65,6 +66,7 @@
 		adoptions: describe("adoptions_total", "Streams taken over from hosts that are gone, by step.", "step"),
 		peers:     describe("peers", "Other entry hosts, by whether they were heard lately.", "alive"),
 		targets:   describe("targets", "Targets by kind, and by whether new work may go there.", "kind", "eligible"),
+		notices:   describe("target_notices", "Targets by what they say of themselves: a limit, leaving, no requests for a while.", "says"),
 	}
 }
 
@@ -115,6 +117,7 @@
 	out <- c.adoptions
 	out <- c.peers
 	out <- c.targets
+	out <- c.notices
 }
 
 // Collect implements prometheus.Collector.
@@ -135,6 +138,7 @@
 	}
 	c.collectPeers(out, status.Peers)
 	c.collectTargets(out, status.Targets)
+	c.collectNotices(out, status.Targets)
 	c.collectEngines(out, snap)
 }
 
@@ -191,3 +195,27 @@
 		out <- prometheus.MustNewConstMetric(c.targets, prometheus.GaugeValue, float64(count), group.kind, boolLabel(group.eligible))
 	}
 }
+
+// collectNotices counts the targets by what they have said of themselves.
+func (c *stateCollector) collectNotices(out chan<- prometheus.Metric, targets []api.TargetStatus) {
+	limited, leaving, heldOff := 0, 0, 0
+	for i := range targets {
+		t := &targets[i]
+		limited += oneIf(t.Limit > 0)
+		leaving += oneIf(t.SaysLeaving)
+		heldOff += oneIf(t.HeldOffMs > 0)
+	}
+	for _, one := range []struct {
+		says  string
+		count int
+	}{{"limit", limited}, {"leaving", leaving}, {"held_off", heldOff}} {
+		out <- prometheus.MustNewConstMetric(c.notices, prometheus.GaugeValue, float64(one.count), one.says)
+	}
+}
+
+func oneIf(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/test/notices/fleet_test.go
+++ b/test/notices/fleet_test.go
@@ -45,10 +45,17 @@
 	excusedUntil map[string]virtual.Time
 	serial       int
 	outcomes     map[api.Outcome]int
+	refusals     []refusal
 	// messages counts the messages between hosts.
 	messages int
 }
 
+// refusal is the result of a request without an answer, and how long it was held.
+type refusal struct {
+	core.Result
+	waited time.Duration
+}
+
 // Delay implements virtual.Network: between hosts 0.5 to 1.5 ms, and one of a hundred messages is lost.
 func (f *fleet) Delay(_ virtual.Time, from, to string) (time.Duration, bool) {
 	f.messages++
@@ -109,7 +116,12 @@
 		EnginesExpire: true, PlatformCurrent: true,
 		ReservationTiming: group.Timing{Expiry: 4 * time.Second, MaxWait: time.Second, RenewInterval: time.Second, RefuseWhenFull: true},
 	})
-	h.OnFinish = func(a node.Finish) { f.outcomes[a.Result.Outcome]++ }
+	h.OnFinish = func(a node.Finish) {
+		f.outcomes[a.Result.Outcome]++
+		if a.Result.Outcome != api.OutcomeDone {
+			f.refusals = append(f.refusals, refusal{Result: a.Result, waited: a.Timing.Finished - a.Timing.Admitted})
+		}
+	}
 	f.hosts = append(f.hosts, h)
 	f.inform(h)
 }
--- a/test/notices/limit_test.go
+++ b/test/notices/limit_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"carobshunt/api"
 	"carobshunt/internal/virtual"
 
 	"gotest.tools/v3/assert"
@@ -80,3 +81,50 @@
 		})
 	}
 }
+
+// TestEndOfALimitIsLearnedFromAnswers guards against a limit that stays in force after the target has ceased to name it, at
+// the host that sent to it or at the others.
+func TestEndOfALimitIsLearnedFromAnswers(t *testing.T) {
+	f := newFleet(t, fleetOptions{hosts: 4, engines: 1, desks: 1, seed: 2})
+	desk := f.targets[1]
+	until := f.world.Now() + 40*time.Second
+	for _, h := range f.hosts {
+		f.send(h, pathRead, 5, until)
+	}
+	desk.nameLimit(1)
+	f.world.Run(f.world.Now() + 15*time.Second)
+	desk.endLimit()
+	ended := f.world.Now()
+	f.world.Run(until)
+	late := 0
+	for _, a := range desk.arrivals {
+		if a.at >= ended+2*time.Second {
+			late++
+		}
+	}
+	assert.Assert(t, late > 400, "%d of about 460 requests reach the target after the limit has ended", late)
+	for _, h := range f.hosts {
+		assert.Assert(t, h.Snapshot().Status.Targets[1].Limit == 0)
+	}
+}
+
+// TestRefusalBecauseOfALimitTellsWhenToComeBack guards against requests that wait for a limited target until their time is
+// over: what the limit does not allow soon is refused at once, as not run, with a time that fits the limit.
+func TestRefusalBecauseOfALimitTellsWhenToComeBack(t *testing.T) {
+	f := newFleet(t, fleetOptions{hosts: 4, engines: 1, desks: 1, seed: 3})
+	f.targets[1].nameLimit(0.5)
+	until := f.world.Now() + 30*time.Second
+	for _, h := range f.hosts {
+		f.send(h, pathRead, 10, until)
+	}
+	f.world.Run(f.world.Now() + 5*time.Second)
+	f.refusals = nil
+	f.world.Run(until)
+	assert.Assert(t, len(f.refusals) > 900, "%d", len(f.refusals))
+	for _, r := range f.refusals {
+		assert.Equal(t, r.Outcome, api.OutcomeNotRun)
+		assert.Equal(t, r.Code, api.CodeTargetLimit)
+		assert.Assert(t, r.waited <= 350*time.Millisecond, "%v", r.waited)
+		assert.Assert(t, r.RetryAfter >= 250*time.Millisecond && r.RetryAfter <= 12*time.Second, "%v", r.RetryAfter)
+	}
+}
