Daemon: SIGHUP is received from the start of the process on

Cause: the handler was registered after the settings had been read, some ten milliseconds after the process began; a change of the settings in that time ended the process. Now the package hangup receives the signal from its initialization on, before all but the standard library. What remains are the moments before the runtime has its own handlers, which no program can shorten: a supervisor that starts the process with SIGHUP ignored closes them.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/hangup"
 	"carobshunt/internal/settings"
 
 	"github.com/hashicorp/go-hclog"
@@ -79,11 +80,8 @@
 	out := newLogWriter(os.Stdout)
 	defer out.flush()
 	log := newLogger(s.LogLevel, out)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	d := New(s, log)
-	go d.reloadOn(hangup, path)
+	go d.reloadOn(hangup.Signals, path)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err := d.Run(ctx)
@@ -93,8 +91,8 @@
 
 // reloadOn reloads the settings file at each signal until the channel is closed. It applies the settings that can change
 // in a running process: the log level, the preset (if there is one) and the peers. Invalid settings are logged and ignored.
-func (d *Daemon) reloadOn(hangup <-chan os.Signal, path string) {
-	for range hangup {
+func (d *Daemon) reloadOn(signals <-chan os.Signal, path string) {
+	for range signals {
 		s, err := settings.Load(path)
 		if err != nil {
 			d.log.Warn("settings not reloaded", "error", err.Error())
