Tests: addresses are reserved, and a process that ends early ends the wait

Loopback networks of test processes were chosen by process ID, which two processes may share.

A daemon or process that ends before the test has asked for it ends every wait of its test at once with its error and log. Nothing is tried again and no range is fixed.

--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -58,9 +58,6 @@
 	return 0
 }
 
-// clusterCount is the number of clusters so far in this process; it gives each its own loopback subnet.
-var clusterCount atomic.Uint32
-
 // cluster is a small deployment: the entry hosts are child processes, everything else runs in the test process. The
 // platform, every target and every host's peer interface is reached through a proxy.
 type cluster struct {
@@ -92,8 +89,11 @@
 	// peersAddr is the address that other hosts use, that of peerProxy.
 	peersAddr string
 	peerProxy *testpipe.Proxy
-	cmd       *exec.Cmd
 	zone      string
+	// cmd is the latest process. Its end is in ended, and stopping is set once the test has asked for it.
+	cmd      *exec.Cmd
+	ended    chan error
+	stopping *atomic.Bool
 }
 
 const (
@@ -120,15 +120,12 @@
 	return c
 }
 
-// prepareCluster is newCluster without starting the entry hosts. The process ID is part of the subnet, so that test
-// processes that run at the same time are unlikely to use the same addresses.
+// prepareCluster is newCluster without starting the entry hosts.
 func prepareCluster(t *testing.T, hosts, engines int) *cluster {
 	t.Helper()
-	n := clusterCount.Add(1)
-	pid := os.Getpid()
 	c := &cluster{
 		t:        t,
-		subnet:   fmt.Sprintf("127.%d.%d", 100+pid%100, (uint32(pid/100)+n)%250),
+		subnet:   testproc.ReserveNetwork(t),
 		dir:      t.TempDir(),
 		platform: fake.NewPlatform(),
 		service:  fake.NewService(),
@@ -283,24 +280,42 @@
 	assert.NilError(h.c.t, err)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	assert.NilError(h.c.t, h.cmd.Start())
-	cmd := h.cmd
+	cmd, ended, stopping := h.cmd, make(chan error, 1), &atomic.Bool{}
+	h.ended, h.stopping = ended, stopping
+	gone := make(chan struct{})
+	go func() {
+		err := cmd.Wait()
+		if !stopping.Load() {
+			testproc.ReportEnd(h.c.t, &testproc.EndedEarlyError{Name: "the host at " + h.ip, Cause: err, Log: h.readLog()})
+		}
+		ended <- err
+		close(gone)
+	}()
 	h.c.t.Cleanup(func() {
+		stopping.Store(true)
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+		<-gone
 		_ = log.Close()
 		h.printLog()
 	})
 }
 
+// readLog returns the log of the host's processes so far, or why it can't be read.
+func (h *host) readLog() string {
+	raw, err := os.ReadFile(filepath.Join(h.c.dir, h.ip+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
 // printLog prints the host's log if the test has failed.
 func (h *host) printLog() {
 	if !h.c.t.Failed() {
 		return
 	}
-	if raw, err := os.ReadFile(filepath.Join(h.c.dir, h.ip+".log")); err == nil {
-		h.c.t.Logf("log of %s:\n%s", h.ip, raw)
-	}
+	h.c.t.Logf("log of %s:\n%s", h.ip, h.readLog())
 }
 
 // settings returns the host's settings, with the cluster's adjustments.
@@ -326,8 +341,9 @@
 // kill ends the process with SIGKILL and waits for its end.
 func (h *host) kill() {
 	h.c.t.Helper()
+	h.stopping.Store(true)
 	assert.NilError(h.c.t, h.cmd.Process.Kill())
-	_ = h.cmd.Wait()
+	_ = h.awaitEnd() // it was killed
 }
 
 // pause suspends the process with SIGSTOP and returns when it has stopped.
@@ -344,7 +360,13 @@
 func (h *host) resume() { assert.NilError(h.c.t, h.cmd.Process.Signal(syscall.SIGCONT)) }
 
 // terminate sends SIGTERM, which starts a planned stop.
-func (h *host) terminate() { assert.NilError(h.c.t, h.cmd.Process.Signal(syscall.SIGTERM)) }
+func (h *host) terminate() {
+	h.stopping.Store(true)
+	assert.NilError(h.c.t, h.cmd.Process.Signal(syscall.SIGTERM))
+}
+
+// awaitEnd waits until the process has ended, and returns how.
+func (h *host) awaitEnd() error { return <-h.ended }
 
 // cutFrom cuts the connections from another host to this host's peer interface.
 func (h *host) cutFrom(other *host) { h.peerProxy.Cut(other.ip) }
@@ -364,11 +386,11 @@
 // waitFor waits until the host's status meets a condition, for up to waitTimeout.
 func (h *host) waitFor(want func(api.Status) bool) {
 	h.c.t.Helper()
-	poll.WaitOn(h.c.t, func(poll.LogT) poll.Result {
+	poll.WaitOn(h.c.t, testproc.WhileRunning(h.c.t, func(poll.LogT) poll.Result {
 		s, err := h.status()
 		if err == nil && want(s) {
 			return poll.Success()
 		}
 		return poll.Continue("host %s: %v %+v", h.ip, err, s)
-	}, poll.WithTimeout(waitTimeout), poll.WithDelay(20*time.Millisecond))
+	}), poll.WithTimeout(waitTimeout), poll.WithDelay(20*time.Millisecond))
 }
--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -13,6 +13,8 @@
 	"carobshunt/client"
 	"carobshunt/internal/hostlist"
 
+	"carobshunt/internal/testproc"
+
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -30,13 +32,13 @@
 func (c *cluster) waitRevision(revision uint64, hosts ...*host) {
 	c.t.Helper()
 	for _, h := range hosts {
-		poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		poll.WaitOn(c.t, testproc.WhileRunning(c.t, func(poll.LogT) poll.Result {
 			s, err := h.status()
 			if err == nil && s.Config.Revision == revision {
 				return poll.Success()
 			}
 			return poll.Continue("host %s: %v %+v", h.ip, err, s.Config)
-		}, poll.WithTimeout(inForceBound), poll.WithDelay(10*time.Millisecond))
+		}), poll.WithTimeout(inForceBound), poll.WithDelay(10*time.Millisecond))
 	}
 }
 
@@ -211,7 +213,7 @@
 	begin := time.Now()
 	for _, h := range c.hosts {
 		h.terminate()
-		assert.NilError(t, h.cmd.Wait())
+		assert.NilError(t, h.awaitEnd())
 		h.start()
 		c.waitReady()
 	}
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -74,5 +74,5 @@
 	c.hosts[0].waitFor(func(s api.Status) bool { return s.Requests.Running == 1 })
 	c.hosts[0].terminate()
 	assert.Equal(t, <-outcome, api.OutcomeDone)
-	assert.NilError(t, c.hosts[0].cmd.Wait())
+	assert.NilError(t, c.hosts[0].awaitEnd())
 }
--- a/test/process/memory_test.go
+++ b/test/process/memory_test.go
@@ -12,6 +12,8 @@
 	"carobshunt/internal/core/order"
 	"carobshunt/internal/document"
 
+	"carobshunt/internal/testproc"
+
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -23,14 +25,14 @@
 // waitEngines waits until want reports true for every engine; its second result describes the state found.
 func (c *cluster) waitEngines(within time.Duration, want func(i int) (bool, string)) {
 	c.t.Helper()
-	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+	poll.WaitOn(c.t, testproc.WhileRunning(c.t, func(poll.LogT) poll.Result {
 		for i := range c.engines {
 			if ok, found := want(i); !ok {
 				return poll.Continue("engine %d: %s", i, found)
 			}
 		}
 		return poll.Success()
-	}, poll.WithTimeout(within), poll.WithDelay(50*time.Millisecond))
+	}), poll.WithTimeout(within), poll.WithDelay(50*time.Millisecond))
 }
 
 // newLongPromptCluster starts a cluster whose team has a token rate high enough for several long prompts at a time.
@@ -71,12 +73,12 @@
 			}
 		}
 	}()
-	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+	poll.WaitOn(c.t, testproc.WhileRunning(c.t, func(poll.LogT) poll.Result {
 		if used := c.usedTokens(); used < want {
 			return poll.Continue("%d tokens used, %d wanted", used, want)
 		}
 		return poll.Success()
-	}, poll.WithTimeout(waitTimeout), poll.WithDelay(10*time.Millisecond))
+	}), poll.WithTimeout(waitTimeout), poll.WithDelay(10*time.Millisecond))
 }
 
 // Two hosts are killed, one with a prompt on a group of engines and one with a stream. One of them is started again, the
@@ -149,7 +151,7 @@
 // waitStarted waits until all engines together have started exactly want streams.
 func (c *cluster) waitStarted(want int) {
 	c.t.Helper()
-	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+	poll.WaitOn(c.t, testproc.WhileRunning(c.t, func(poll.LogT) poll.Result {
 		started := 0
 		for _, e := range c.engines {
 			started += e.Started()
@@ -158,7 +160,7 @@
 			return poll.Continue("%d streams started", started)
 		}
 		return poll.Success()
-	}, poll.WithTimeout(waitTimeout), poll.WithDelay(10*time.Millisecond))
+	}), poll.WithTimeout(waitTimeout), poll.WithDelay(10*time.Millisecond))
 }
 
 // place publishes a revision that places these versions of the model on every engine.
--- a/test/process/secure_test.go
+++ b/test/process/secure_test.go
@@ -23,6 +23,8 @@
 	"carobshunt/internal/settings"
 	"carobshunt/internal/testcert"
 
+	"carobshunt/internal/testproc"
+
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -122,14 +124,14 @@
 	h := c.hosts[0]
 	h.start()
 	url := "http://" + h.operatorsAddr
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	poll.WaitOn(t, testproc.WhileRunning(t, func(poll.LogT) poll.Result {
 		conn, err := net.Dial("tcp", h.operatorsAddr)
 		if err != nil {
 			return poll.Continue("%v", err)
 		}
 		_ = conn.Close()
 		return poll.Success()
-	}, poll.WithTimeout(waitTimeout))
+	}), poll.WithTimeout(waitTimeout))
 	for _, path := range []string{api.PathStatus, api.PathDocument, "/metrics", api.PathRequests + "/walk-0001?team=desk"} {
 		for _, key := range []string{"", teamKey} {
 			status, _ := get(t, url+path, key)
@@ -140,12 +142,12 @@
 	assert.Equal(t, status, http.StatusOK)
 
 	assert.NilError(t, os.WriteFile(keysFile, []byte(sha256Hex("renewed")+"\n"), 0o600))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	poll.WaitOn(t, testproc.WhileRunning(t, func(poll.LogT) poll.Result {
 		if status, _ := get(t, url+api.PathStatus, "renewed"); status != http.StatusOK {
 			return poll.Continue("status %d", status)
 		}
 		return poll.Success()
-	}, poll.WithTimeout(waitTimeout), poll.WithDelay(100*time.Millisecond))
+	}), poll.WithTimeout(waitTimeout), poll.WithDelay(100*time.Millisecond))
 	status, _ = get(t, url+api.PathStatus, operatorKey)
 	assert.Equal(t, status, http.StatusUnauthorized, "the replaced key must be refused")
 	c.assertNoSecretInLogs(operatorKey, teamKey, "renewed-", sha256Hex(operatorKey))
@@ -194,14 +196,14 @@
 	home := c.hosts[0]
 	old := dialTLS(t, home.callersAddr, identity)
 	renewedSerial := authority.Issue(home.certificateFile(), home.privateKeyFile(), home.ip)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	poll.WaitOn(t, testproc.WhileRunning(t, func(poll.LogT) poll.Result {
 		conn := dialTLS(t, home.callersAddr, identity)
 		defer func() { _ = conn.Close() }()
 		if serial := conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(); serial != renewedSerial {
 			return poll.Continue("serial %d", serial)
 		}
 		return poll.Success()
-	}, poll.WithTimeout(waitTimeout), poll.WithDelay(100*time.Millisecond))
+	}), poll.WithTimeout(waitTimeout), poll.WithDelay(100*time.Millisecond))
 	_, err = fmt.Fprintf(old, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", api.PathHosts)
 	assert.NilError(t, err)
 	statusLine := make([]byte, len("HTTP/1.1 200"))
