Targets: one that says it leaves, or wants nothing for a while, is left alone

A target that says that it leaves gets nothing new from then on, from any host: the word goes to the others with the notice of limits, holds for good for that run of the target, survives a host list that lacks its entry for a moment or lists it as live again, and reaches a host that restarts by its peers' first heartbeats. Another target at the address is served.

Requests that only such targets could serve are refused at once with the time until one returns.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -182,6 +182,8 @@
 	EventTargetLimit Event = "limit of a target"
 	// EventTargetLeaving: a target said that it is about to stop.
 	EventTargetLeaving Event = "target leaving"
+	// EventTargetHeldOff: a target wants no requests from this host for a while.
+	EventTargetHeldOff Event = "target held off"
 	// EventNoticeInvalid: a target said something of itself that can't be decoded.
 	EventNoticeInvalid Event = "notice of a target not understood"
 	// EventReadsPlatform: this host became, or ceased to be, one of those that read the platform.
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -17,8 +17,8 @@
 	n.router.SetGroupsWaiting(n.groupsWait())
 	n.router.SetContention(route.Contention{Self: n.opts.Peer, Live: n.liveHosts()})
 	n.queue.Each(n.now, n.dispatch)
-	if n.targets.AnyLimited() {
-		n.refuseLimited()
+	if n.targets.AnyRestricts(n.now) {
+		n.refuseRestricted()
 	}
 }
 
@@ -168,6 +168,10 @@
 	if t == nil {
 		return
 	}
+	dispatch := target.Dispatch{Key: in.Key, Number: in.Dispatch}
+	if in.Ending == EndedDone {
+		t.Answered(dispatch)
+	}
 	n.releaseLoad(t, in)
 	if blamed := n.targets.Get(in.Blame); blamed != nil && blamed != t {
 		blamed.Failed(n.now)
@@ -175,7 +179,6 @@
 	}
 	switch in.Ending {
 	case EndedDone:
-		t.Answered()
 		n.sampleGap(t, in)
 	case EndedRefused:
 		t.Refused(n.now)
--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -11,7 +11,6 @@
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/target"
 	"carobshunt/internal/core/throttle"
-	"carobshunt/internal/hostlist"
 )
 
 // noticeReceived records what a target says of itself in the answer to a dispatch, and tells the other hosts what has
@@ -24,12 +23,25 @@
 	for _, fault := range notice.Faults {
 		n.do(StateChange{Event: EventNoticeInvalid, Text: address + ": " + fault})
 	}
+	if notice.RetryAfter > 0 {
+		n.holdOff(t, notice.RetryAfter)
+	}
 	if change, changed := n.targets.ApplyNotice(n.now, t, d, notice); changed {
 		n.reportStanding(change, "its answer")
 		n.announce(func(p *member.Peer) bool { return n.sameCell(p.Last.Peer) })
 	}
 }
 
+// holdJitter is the inverse of the part by which a hold is longer than the target asked for, at most. The hosts that it
+// refused at the same moment then do not all return at once.
+const holdJitter = 4
+
+// holdOff sends a target nothing for at least the time that it asked for.
+func (n *Node) holdOff(t *target.Target, d time.Duration) {
+	t.HoldOff(n.now, d+time.Duration(n.rng.Int64N(int64(d/holdJitter)+1)))
+	n.do(StateChange{Event: EventTargetHeldOff, Text: fmt.Sprintf("%s wants nothing for %v, held for %v", t.Address, d, t.HeldFor(n.now))})
+}
+
 // noticesPublished records what a peer's heartbeat tells of targets.
 func (n *Node) noticesPublished(hb *member.Heartbeat) {
 	for i := range hb.Notices {
@@ -103,9 +115,9 @@
 // Settled implements target.Fleet.
 func (n *Node) Settled() bool { return n.now-n.senders.hostsSince >= senderSettleTime }
 
-// refuseLimited ends the waiting requests that only limited targets could serve, and not within the time that the requests
-// may wait. It refuses them at once, with the time until this host has a request to send again.
-func (n *Node) refuseLimited() {
+// refuseRestricted ends the waiting requests that only targets could serve that name a limit or want no requests for a while,
+// if none will take them within the time that they may wait. It refuses them at once, with the time until one will.
+func (n *Node) refuseRestricted() {
 	type refusal struct {
 		rec   *ledger.Record
 		after time.Duration
@@ -116,8 +128,8 @@
 		if rec.Request.Routed == nil {
 			return false
 		}
-		wait, limited := n.limitedWait(rec, ahead[rec.Request.Model])
-		if limited && n.now+wait > rec.WaitingSince+n.waitLimit(rec) {
+		wait, restricted := n.restrictedWait(rec, ahead[rec.Request.Model])
+		if restricted && n.now+wait > rec.WaitingSince+n.waitLimit(rec) {
 			refused = append(refused, refusal{rec, wait})
 			return false
 		}
@@ -134,20 +146,22 @@
 	}
 }
 
-// limitedWait returns how long a request has to wait for a target behind the given number of others, if all the targets
-// that could serve it are limited or want no requests for a while. It reports false if there is another reason why it waits.
-func (n *Node) limitedWait(rec *ledger.Record, ahead int) (time.Duration, bool) {
+// restrictedWait returns how long a request has to wait for a target behind the given number of others, if all the targets
+// that could serve it name a limit or want no requests for a while. It reports false if there is another reason why it
+// waits.
+func (n *Node) restrictedWait(rec *ledger.Record, ahead int) (time.Duration, bool) {
 	soonest := time.Duration(-1)
 	for _, t := range n.targets.All() {
-		if !t.Serves(rec.Request.Model) || t.State != hostlist.StateLive {
+		if !t.Serves(rec.Request.Model) || t.Leaves() {
 			continue
 		}
-		if !t.Limited() || !t.Eligible(n.now) {
+		wait := t.HeldFor(n.now)
+		switch {
+		case wait > 0:
+		case !t.Limited() || !t.Eligible(n.now):
 			return 0, false
-		}
-		wait, sender := t.LimitWait(n.now, ahead)
-		if !sender {
-			wait = limitElsewhere
+		default:
+			wait = n.limitWait(t, ahead)
 		}
 		if soonest < 0 || wait < soonest {
 			soonest = wait
@@ -159,3 +173,11 @@
 // limitElsewhere is the time after which a caller may return if only other hosts send to the targets: it may reach one of
 // them.
 const limitElsewhere = time.Second
+
+// limitWait returns how long a request has to wait for a limited target behind the given number of others.
+func (n *Node) limitWait(t *target.Target, ahead int) time.Duration {
+	if wait, sender := t.LimitWait(n.now, ahead); sender {
+		return wait
+	}
+	return limitElsewhere
+}
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -190,6 +190,7 @@
 			PendingTokens: t.PendingTokens(),
 			Limit:         t.Standing().Limit,
 			SaysLeaving:   t.Standing().Leaving,
+			HeldOffMs:     t.HeldFor(n.now).Milliseconds(),
 		})
 	}
 	return out
--- a/internal/core/target/evidence_test.go
+++ b/internal/core/target/evidence_test.go
@@ -37,7 +37,7 @@
 			case cut(t):
 				t.Failed(now)
 			default:
-				t.Answered()
+				t.Answered(Dispatch{})
 			}
 		}
 	}
@@ -137,6 +137,6 @@
 	target := table.All()[0]
 	target.Refused(2 * time.Second)
 	assert.Assert(t, !target.Eligible(2*time.Second+initialBackoff))
-	target.Answered()
+	target.Answered(Dispatch{})
 	assert.Assert(t, target.Eligible(2*time.Second))
 }
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -8,6 +8,7 @@
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/throttle"
+	"carobshunt/internal/hostlist"
 )
 
 // Process identifies one run of a target: another one may have its address later.
@@ -29,6 +30,8 @@
 	Limit float64
 	// Leaving is set for good once the target has said that it is about to stop.
 	Leaving bool
+	// hold is since the target refused a request of this host and asked for none for a while.
+	hold hold
 	// bucket bounds the requests of all hosts to Limit; nil without a limit.
 	bucket *throttle.Bucket
 	// heard is when a host learned of what holds, on this host's clock. confirmed is when the target last told this host.
@@ -241,11 +244,14 @@
 	return next, tb.change(now, heard, s, next)
 }
 
+// Leaves reports whether the target is about to stop, by the host list or by what it has said.
+func (t *Target) Leaves() bool { return t.State != hostlist.StateLive || t.standing.Leaving }
+
 // Limited reports whether the target names a limit.
 func (t *Target) Limited() bool { return t.standing.bucket != nil }
 
-// AnyLimited reports whether any target names a limit.
-func (tb *Table) AnyLimited() bool { return len(tb.limited) > 0 }
+// AnyRestricts reports whether any target names a limit or wants no requests for a while.
+func (tb *Table) AnyRestricts(now core.Time) bool { return len(tb.limited) > 0 || now < tb.lastHold }
 
 // MaySend reports whether this host may send the target a request now, within the limit that the target names.
 func (t *Target) MaySend(now core.Time) bool {
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -66,6 +66,8 @@
 	// loadChanges points to the table's counter.
 	loadChanges *uint64
 	standing    *Standing
+	// lastHold points to the table's.
+	lastHold *core.Time
 }
 
 // Dispatch identifies one dispatch of a request, a prefill helper's part or the claim of a group.
@@ -116,6 +118,8 @@
 	}
 	if job.PrefillOnly {
 		p.load.Streams, p.load.GapSensitive = 0, 0
+	} else {
+		t.standing.hold.begin(d)
 	}
 	p.load.Pending[job.Priority] = job.Work
 	*t.loadChanges++
@@ -181,6 +185,7 @@
 	}
 	p.streaming = true
 	t.lastSeen = now
+	t.standing.hold.answered(d)
 	if p.pendingCleared {
 		return
 	}
@@ -212,14 +217,16 @@
 
 // Eligible reports whether new work may be sent to the target, as far as its limit allows: see MaySend.
 func (t *Target) Eligible(now core.Time) bool {
-	return t.State == hostlist.StateLive && now >= max(t.evidence.eligibleAt(t), t.refusedUntil)
+	return !t.Leaves() && !t.held(now) &&
+		now >= max(t.evidence.eligibleAt(t), t.refusedUntil)
 }
 
 // Failed records a failure that is the target's fault: of a dispatch, or that the target is unresponsive.
 func (t *Target) Failed(now core.Time) { t.evidence.failed(now, t) }
 
-// Answered records a complete answer, which clears earlier failures and refusals.
-func (t *Target) Answered() {
+// Answered records the complete answer to a dispatch that has not ended, which clears earlier failures and refusals.
+func (t *Target) Answered(d Dispatch) {
+	t.standing.hold.answered(d)
 	t.evidence.answered(t)
 	t.refusals = 0
 	t.refusedUntil = 0
@@ -252,6 +259,8 @@
 	// limited are the targets that name a limit, in order of address.
 	limited []*Target
 	fleet   Fleet
+	// lastHold is the end of the last hold of any target.
+	lastHold core.Time
 }
 
 // NewTable returns an empty table, of a host without others until JoinFleet.
@@ -341,6 +350,7 @@
 		peers:       make(map[string]Load),
 		evidence:    tb.evidence,
 		loadChanges: &tb.loadChanges,
+		lastHold:    &tb.lastHold,
 	}
 	tb.attach(t)
 	tb.byAddress[host.Address] = t
--- a/test/notices/fleet_test.go
+++ b/test/notices/fleet_test.go
@@ -38,7 +38,11 @@
 	rng     *rand.Rand
 	hosts   []*virtual.Host
 	targets []*target
-	list    *hostlist.List
+	// list is the published list, all are the entries of all targets.
+	list *hostlist.List
+	all  []hostlist.Host
+	// submitted is when callers sent the requests, by identifier.
+	submitted map[string]virtual.Time
 	// down holds the hosts that are cut off from all others, by peer address.
 	down map[string]bool
 	// excusedUntil is when a host that was killed, paused or cut off counts again, by peer address.
@@ -76,6 +80,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(opts.seed, 0x6e6f74)), list: &hostlist.List{Version: 1}, down: make(map[string]bool),
+		submitted:    make(map[string]virtual.Time),
 		excusedUntil: make(map[string]virtual.Time), outcomes: make(map[api.Outcome]int),
 	}
 	f.world = virtual.New(f)
@@ -102,7 +107,11 @@
 		entry.Role, entry.Models, entry.Slots = hostlist.RoleEngine, []string{serviceEngines}, 16
 	}
 	f.list.Hosts = append(f.list.Hosts, entry)
-	t := &target{fleet: f, address: entry.Address, engine: engine, told: make(map[core.Home]virtual.Time)}
+	f.all = append(f.all, entry)
+	t := &target{
+		fleet: f, address: entry.Address, engine: engine, told: make(map[core.Home]virtual.Time),
+		toldLeaving: make(map[core.Home]virtual.Time), refused: make(map[core.Home][]virtual.Time),
+	}
 	f.targets = append(f.targets, t)
 	f.world.Targets[entry.Address] = t
 }
@@ -191,6 +200,7 @@
 	if path == pathAsk {
 		req.PromptTokens, req.AnswerTokens = promptTokens, 300
 	}
+	f.submitted[req.ID] = f.world.Now()
 	h.Submit(req, func(d node.Decision) {
 		if d.Kind != node.Admit {
 			f.outcomes[d.Result.Outcome]++
--- a/test/notices/target_test.go
+++ b/test/notices/target_test.go
@@ -22,6 +22,11 @@
 	// told is when a process has first passed on an answer that named the limit in force.
 	told     map[core.Home]virtual.Time
 	arrivals []arrival
+	// leavingSince is when it first said that it leaves, toldLeaving when a process first passed on such an answer, and
+	// refused when processes got refusals that ask them to stay away.
+	leavingSince virtual.Time
+	toldLeaving  map[core.Home]virtual.Time
+	refused      map[core.Home][]virtual.Time
 }
 
 // arrival is a request that has reached a target.
@@ -30,6 +35,8 @@
 	home core.Home
 	// told is when the sender had first passed on an answer that named the limit, never if it had not.
 	told virtual.Time
+	// submitted is when the caller sent the request.
+	submitted virtual.Time
 	// excused is set if the sender was disturbed shortly before.
 	excused bool
 }
@@ -59,12 +66,13 @@
 func (t *target) Start(w *virtual.World, from *virtual.Host, start node.StartDispatch) {
 	post, home := from.Poster(), from.Self()
 	w.After(networkTime, func() {
-		t.arrive(from, home)
+		t.arrive(from, home, start.Key)
 		end := node.DispatchEnded{Key: start.Key, Dispatch: start.Dispatch, Target: start.Target, Ending: node.EndedDone}
 		switch {
 		case t.refuses:
 			end.Ending = node.EndedRefused
 			t.answer(w, home, 0, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+			t.refused[home] = append(t.refused[home], w.Now()+networkTime)
 		case t.engine:
 			first := node.DispatchFirstToken{Key: start.Key, Dispatch: start.Dispatch}
 			t.answer(w, home, firstTokenTime, func(n *coretarget.Notice) { first.Notice = n; post(first) })
@@ -83,13 +91,16 @@
 			if _, ok := t.told[home]; !ok && notice.Limited && t.notice.Limited {
 				t.told[home] = w.Now()
 			}
+			if _, ok := t.toldLeaving[home]; !ok && notice.Leaving {
+				t.toldLeaving[home] = w.Now()
+			}
 			deliver(&notice)
 		})
 	})
 }
 
-func (t *target) arrive(from *virtual.Host, home core.Home) {
-	a := arrival{at: t.fleet.world.Now(), home: home, told: never, excused: t.fleet.excused(from)}
+func (t *target) arrive(from *virtual.Host, home core.Home, key core.Key) {
+	a := arrival{at: t.fleet.world.Now(), home: home, told: never, submitted: t.fleet.submitted[key.ID], excused: t.fleet.excused(from)}
 	if told, ok := t.told[home]; ok {
 		a.told = told
 	}
