Platform, targets: a store that comes back from an older copy

Now the version of a list has the era above the revision, so that lists of a restored store are newer than all before, on all hosts alike. A starting host takes the platform's configuration for the newest only if the platform was never restored, and hears its peers first otherwise.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -165,11 +165,13 @@
 
 // The events, except EventBehind, which is declared with the orders.
 const (
-	EventRevision   Event = "configuration in force"
-	EventRejected   Event = "configuration refused"
-	EventReady      Event = "ready"
-	EventDraining   Event = "draining"
-	EventHosts      Event = "host list in force"
+	EventRevision Event = "configuration in force"
+	EventRejected Event = "configuration refused"
+	EventReady    Event = "ready"
+	EventDraining Event = "draining"
+	EventHosts    Event = "host list in force"
+	// EventRestored: the platform has come back from an older copy.
+	EventRestored   Event = "platform restored from an older copy"
 	EventPeerAlive  Event = "peer alive"
 	EventPeerSilent Event = "peer silent"
 	EventConflict   Event = "two configurations under one revision"
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -121,7 +121,10 @@
 }
 
 // PlatformAnswered reports that the platform answered with status 200, or with 304 for no change; errors are not reported.
-type PlatformAnswered struct{}
+type PlatformAnswered struct {
+	// Restores is how often the platform has come back from an older copy, as far as it says; 0 for never or unknown.
+	Restores uint64
+}
 
 // LoadReceived is a target's load report.
 type LoadReceived struct {
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -51,7 +51,8 @@
 	LookupTTL time.Duration
 	// ReservationTiming configures the timing of memory reservations at engines; the zero value means group.DefaultTiming.
 	ReservationTiming group.Timing
-	// PlatformCurrent is set if the platform never answers with a version older than the one in force.
+	// PlatformCurrent is set if the platform answers with a version older than the one in force only after it has been
+	// restored from an older copy: see PlatformAnswered.
 	PlatformCurrent bool
 	// EnginesExpire is set if engines drop state that no host holds any more on their own, and can't list their state.
 	EnginesExpire bool
@@ -217,7 +218,7 @@
 	case HostsReceived:
 		n.hostsReceived(in)
 	case PlatformAnswered:
-		n.platformAnswered()
+		n.platformAnswered(in)
 	case OrdersRead:
 		n.recordFence(in)
 		n.ordersRead(in)
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -11,6 +11,7 @@
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/routes"
 	"carobshunt/internal/delta"
+	"carobshunt/internal/hostlist"
 )
 
 // heartbeat sends this host's state to the peers that are due for it, once an interval. It also
@@ -157,8 +158,12 @@
 	if err != nil || !version.NewerThan(n.hostsVersion()) {
 		return
 	}
+	if n.hosts != nil && hostlist.RestoresOf(in.List.Version) > hostlist.RestoresOf(n.hosts.Version) {
+		n.observed.platform.recovered = n.now // entries that were written since the copy are yet to be written again
+		n.do(StateChange{Event: EventRestored, Text: fmt.Sprintf("%d times, version %d", hostlist.RestoresOf(in.List.Version), in.List.Version)})
+	}
 	cells := cell.New(in.List)
-	if !n.targets.ApplyWithGrace(cells.Scope(in.List, n.opts.Peer), n.observed.platform.relistDeadline()) {
+	if !n.targets.ApplyWithGrace(n.now, cells.Scope(in.List, n.opts.Peer), n.observed.platform.relistDeadline()) {
 		return
 	}
 	n.targets.DropGone(n.now)
--- a/internal/core/node/readers.go
+++ b/internal/core/node/readers.go
@@ -28,6 +28,8 @@
 	local core.Time
 	// recovered is when this host last learned that it answered after an outage; never if there was none.
 	recovered core.Time
+	// restored is set once the platform has told this host that it came back from an older copy, at any time.
+	restored bool
 	// byRank is when it last answered the first hosts of this availability zone by rank; never if unknown.
 	byRank [maxZoneReaders]core.Time
 	// peers holds the last freshness of the peers that reported an answer of the platform, by peer address. It counts in
@@ -124,7 +126,8 @@
 	return p.recovered + relistTime
 }
 
-func (n *Node) platformAnswered() {
+func (n *Node) platformAnswered(in PlatformAnswered) {
+	n.observed.platform.restored = in.Restores > 0
 	n.observed.platform.recordAnswer(n.now, n.now)
 	n.observed.platform.local = n.now
 	if rank := n.peers.Rank(); rank >= 0 && rank < maxZoneReaders {
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -82,19 +82,24 @@
 
 // settled reports whether everyone who may know a newer configuration has answered, or settleTime has passed. Answers of
 // all peers suffice only if one of them is ready, since hosts that all start at once know no more than the platform. A
-// configuration from the platform suffices if Options.PlatformCurrent is set. Neither does while a peer is known to have
-// a newer version.
+// configuration from the platform suffices if platformSuffices. Neither does while a peer is known to have a newer version.
 func (n *Node) settled() bool {
 	if n.observed.configuredAt != never && n.now >= n.observed.configuredAt+settleTime {
 		return true
 	}
-	if n.opts.PlatformCurrent && n.observed.platform.local != never && n.config.Source() == conf.SourcePlatform && !n.behind() {
+	if n.platformSuffices() && !n.behind() {
 		return true
 	}
 	all, ready := n.peers.AllAlive(n.now)
 	return all && ready && !n.behind()
 }
 
+// platformSuffices reports whether the configuration in force is the newest one because the platform has told this host.
+func (n *Node) platformSuffices() bool {
+	p := &n.observed.platform
+	return n.opts.PlatformCurrent && p.local != never && !p.restored && n.config.Source() == conf.SourcePlatform
+}
+
 // behind reports whether a peer has had a newer configuration or host list in force.
 func (n *Node) behind() bool {
 	return n.observed.config.NewerThan(n.config.Version()) || n.observed.hosts.NewerThan(n.hostsVersion())
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -30,6 +30,8 @@
 	Limit float64
 	// Leaving is set for good once the target has said that it is about to stop.
 	Leaving bool
+	// retired is set while the process is listed as leaving, or no longer listed.
+	retired bool
 	// hold is since the target refused a request of this host and asked for none for a while.
 	hold hold
 	// bucket bounds the requests of all hosts to Limit; nil without a limit.
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -57,6 +57,8 @@
 	evidence     *evidence
 	// lastSeen is when this host last saw the target alive, see MarkSeen; the first token of a dispatch counts too.
 	lastSeen core.Time
+	// trustedAt is when a target counts as live that is listed as live again but kept as leaving until then; 0 for none.
+	trustedAt core.Time
 	// goneAt is when a target that is missing from the host list counts as gone; 0 while it is listed.
 	goneAt core.Time
 	// Engine is the published speed of the target; nil if none is published.
@@ -261,6 +263,9 @@
 	fleet   Fleet
 	// lastHold is the end of the last hold of any target.
 	lastHold core.Time
+	// distrustUntil is until when a target that has left is not taken back because a host list has it as live: see
+	// trackRetirement.
+	distrustUntil core.Time
 }
 
 // NewTable returns an empty table, of a host without others until JoinFleet.
@@ -277,7 +282,7 @@
 // Apply takes a host list. It reports false, and changes nothing, if the list's version is below the last one's. A
 // target that is no longer listed is kept as leaving until its dispatches have ended.
 func (tb *Table) Apply(list *hostlist.List) bool {
-	if !tb.ApplyWithGrace(list, 0) {
+	if !tb.ApplyWithGrace(0, list, 0) {
 		return false
 	}
 	tb.DropGone(goneImmediately)
@@ -290,10 +295,13 @@
 // ApplyWithGrace takes a host list like Apply, but a target that is no longer listed counts as gone only from goneFrom
 // on: after an outage of the platform, entries that expired meanwhile have yet to be written again. DropGone must be called
 // next.
-func (tb *Table) ApplyWithGrace(list *hostlist.List, goneFrom core.Time) bool {
+func (tb *Table) ApplyWithGrace(now core.Time, list *hostlist.List, goneFrom core.Time) bool {
 	if list.Version < tb.version {
 		return false
 	}
+	if tb.version > 0 && hostlist.RestoresOf(list.Version) > hostlist.RestoresOf(tb.version) {
+		tb.distrustUntil = now + distrustTime
+	}
 	tb.version = list.Version
 	listed := make(map[string]bool)
 	for _, host := range list.Hosts {
@@ -301,7 +309,7 @@
 			continue
 		}
 		listed[host.Address] = true
-		tb.put(host)
+		tb.put(now, host)
 	}
 	for address, t := range tb.byAddress {
 		if !listed[address] && t.goneAt == 0 {
@@ -316,11 +324,13 @@
 func (tb *Table) DropGone(now core.Time) {
 	changed := false
 	for address, t := range tb.byAddress {
+		changed = t.regainTrust(now) || changed
 		if t.goneAt == 0 || now < t.goneAt {
 			continue
 		}
 		changed = changed || t.State != hostlist.StateLeaving
 		t.State = hostlist.StateLeaving
+		t.standing.retired = true
 		if t.InFlight() == 0 {
 			t.evidence.forget(t)
 			delete(tb.byAddress, address)
@@ -336,10 +346,11 @@
 func (tb *Table) Version() uint64 { return tb.version }
 
 // put adds a listed host or updates its entry.
-func (tb *Table) put(host hostlist.Host) {
+func (tb *Table) put(now core.Time, host hostlist.Host) {
 	if t := tb.byAddress[host.Address]; t != nil && t.Instance == host.Instance && t.Start == host.Start {
 		t.Host = host
 		t.goneAt = 0
+		tb.trackRetirement(now, t)
 		return
 	} else if t != nil {
 		t.evidence.forget(t) // another target has the address now, or this one has restarted
@@ -354,6 +365,7 @@
 	}
 	tb.attach(t)
 	tb.byAddress[host.Address] = t
+	tb.trackRetirement(now, t)
 }
 
 // LoadChanges returns the number of changes to the load that this host has placed.
--- a/internal/core/target/target_test.go
+++ b/internal/core/target/target_test.go
@@ -77,13 +77,13 @@
 func TestEntryThatLapsedMeanwhileIsWaitedFor(t *testing.T) {
 	tb := target.NewTable()
 	tb.Apply(listOf(1, engine("e1", "i1"), engine("e2", "i2")))
-	assert.Assert(t, tb.ApplyWithGrace(listOf(2, engine("e1", "i1")), 5*time.Second))
+	assert.Assert(t, tb.ApplyWithGrace(0, listOf(2, engine("e1", "i1")), 5*time.Second))
 	tb.DropGone(4900 * time.Millisecond)
 	assert.Assert(t, tb.Get("e2").Eligible(0), "its entry may be written again until then")
-	assert.Assert(t, tb.ApplyWithGrace(listOf(3, engine("e1", "i1"), engine("e2", "i2")), 5*time.Second))
+	assert.Assert(t, tb.ApplyWithGrace(0, listOf(3, engine("e1", "i1"), engine("e2", "i2")), 5*time.Second))
 	tb.DropGone(6 * time.Second)
 	assert.Assert(t, tb.Get("e2").Eligible(0), "its entry was written again")
-	assert.Assert(t, tb.ApplyWithGrace(listOf(4, engine("e1", "i1")), 0))
+	assert.Assert(t, tb.ApplyWithGrace(0, listOf(4, engine("e1", "i1")), 0))
 	tb.DropGone(6 * time.Second)
 	assert.Assert(t, tb.Get("e2") == nil, "without a grace period it is removed at once")
 }
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -37,6 +37,19 @@
 	Hosts   []Host `json:"hosts"`
 }
 
+// revisionBits is the number of bits of a version that hold the revision of a store, below the number of its restores.
+const revisionBits = 40
+
+// VersionOf returns the version of a list that was read from a store at a revision, after the store has been restored from
+// an older copy that many times. Both are bounded to the bits that there are for them.
+func VersionOf(restores, revision uint64) uint64 {
+	return min(restores, 1<<(64-revisionBits)-1)<<revisionBits | min(revision, 1<<revisionBits-1)
+}
+
+// RestoresOf returns how often the store had been restored when a list of that version was read from it; 0 for a list that
+// was not read from a store.
+func RestoresOf(version uint64) uint64 { return version >> revisionBits }
+
 // Host is one entry of the list.
 type Host struct {
 	// Address is the IP address and port to which callers connect, or for a target the entry hosts.
