--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -22,6 +22,8 @@
 	// idleSince is when the last answer ended; the connection is not reused after idleTimeout from then.
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// reused is set once an earlier request was answered on the connection.
+	reused bool
 	// sending is set while a request is being written, and stays set if that fails.
 	sending atomic.Bool
 }
@@ -65,6 +67,9 @@
 	}
 }
 
+// Reused reports whether an earlier request was answered on the connection.
+func (c *Conn) Reused() bool { return c.reused }
+
 // CloseOnDone closes the connection when the context ends. Calling stop prevents that; it returns false if it is too
 // late.
 func (c *Conn) CloseOnDone(ctx context.Context) (stop func() bool) {
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -78,6 +78,7 @@
 		_ = c.Close()
 		return
 	}
+	c.reused = true
 	c.idleSince = time.Now()
 	c.idleTimeout = defaultIdleTimeout
 	if keepAlive > 0 {
