Node: a host that starts hears a ready peer before it serves

It was ready as soon as the platform had answered, some milliseconds before the first heartbeat of a peer told it. Now it waits for a ready peer, 150 ms at most; a host alone does not wait.

--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -137,12 +137,17 @@
 		return false
 	})
 	for _, r := range refused {
-		n.finish(r.rec, core.Result{
-			Outcome:    outcomeWithoutAnswer(r.rec),
-			Code:       api.CodeTargetLimit,
-			Message:    "the targets take no more requests now",
-			RetryAfter: r.after + n.retryAfter(overloadRetryAfter),
-		})
+		n.finish(r.rec, n.restrictedResult(r.rec, r.after))
+	}
+}
+
+// restrictedResult returns the result of a request whose targets take no more requests for a time.
+func (n *Node) restrictedResult(rec *ledger.Record, after time.Duration) core.Result {
+	return core.Result{
+		Outcome:    outcomeWithoutAnswer(rec),
+		Code:       api.CodeTargetLimit,
+		Message:    "the targets take no more requests now",
+		RetryAfter: after + n.retryAfter(overloadRetryAfter),
 	}
 }
 
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -87,7 +87,7 @@
 	if n.observed.configuredAt != never && n.now >= n.observed.configuredAt+settleTime {
 		return true
 	}
-	if n.platformSuffices() && !n.behind() {
+	if n.platformSuffices() && !n.behind() && n.peersAsked() {
 		return true
 	}
 	all, ready := n.peers.AllAlive(n.now)
@@ -100,6 +100,22 @@
 	return n.opts.PlatformCurrent && p.local != never && !p.restored && n.config.Source() == conf.SourcePlatform
 }
 
+// peerAnswerTime is how long a starting host waits for a ready peer to tell it what targets have said of themselves.
+const peerAnswerTime = 150 * time.Millisecond
+
+// peersAsked reports whether a ready peer has answered since this host started, or none will: the platform does not know
+// which targets have said that they leave.
+func (n *Node) peersAsked() bool {
+	addresses := n.peers.Addresses()
+	if len(addresses) == 0 || n.observed.configuredAt != never && n.now >= n.observed.configuredAt+peerAnswerTime {
+		return true
+	}
+	return slices.ContainsFunc(addresses, func(address string) bool {
+		p := n.peers.Get(address)
+		return p.Alive(n.now) && p.Last.Ready
+	})
+}
+
 // behind reports whether a peer has had a newer configuration or host list in force.
 func (n *Node) behind() bool {
 	return n.observed.config.NewerThan(n.config.Version()) || n.observed.hosts.NewerThan(n.hostsVersion())
--- a/internal/core/node/restore_test.go
+++ b/internal/core/node/restore_test.go
@@ -82,6 +82,7 @@
 		e.publish(7)
 		e.step(node.PlatformAnswered{Restores: restores})
 		e.step(node.HostsReceived{List: targetList(hostlist.VersionOf(restores, 9), "e1", "s1"), Source: conf.SourcePlatform})
+		e.wait(200 * time.Millisecond)
 		return e
 	}
 	assert.Assert(t, start(0).node.Snapshot().Ready, "a platform that was never restored has the newest configuration")
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -171,6 +171,10 @@
 		return false
 	})
 	for _, rec := range waited {
+		if wait, restricted := n.restrictedWait(rec, 0); restricted {
+			n.finish(rec, n.restrictedResult(rec, wait))
+			continue
+		}
 		n.finish(rec, core.Result{
 			Outcome:    outcomeWithoutAnswer(rec),
 			Code:       api.CodeNoRoom,
--- a/test/notices/disturbed_test.go
+++ b/test/notices/disturbed_test.go
@@ -93,10 +93,13 @@
 	return uses, float64(f.messages-messages) / float64(p.hosts) / (until - from).Seconds()
 }
 
-// limitSeeds returns the seeds of a test: up to the given number, or to LIMIT_SEEDS.
-func limitSeeds(t *testing.T, inCI uint64) uint64 {
+// limitSeeds returns the number of seeds of a test: the given one, or LIMIT_SEEDS.
+func limitSeeds(t *testing.T, inCI uint64) uint64 { return fromEnvironment(t, "LIMIT_SEEDS", inCI) }
+
+// fromEnvironment returns the number in an environment variable, or the given one without it.
+func fromEnvironment(t *testing.T, variable string, inCI uint64) uint64 {
 	t.Helper()
-	text := os.Getenv("LIMIT_SEEDS")
+	text := os.Getenv(variable)
 	if text == "" {
 		return inCI
 	}
@@ -117,12 +120,14 @@
 	}
 }
 
-// TestLimitHoldsOverManyHosts guards against a limit that each of many hosts may exceed by a little.
+// TestLimitHoldsOverManyHosts guards against a limit that each of many hosts may exceed by a little. LIMIT_HOSTS sets their
+// number.
 func TestLimitHoldsOverManyHosts(t *testing.T) {
+	hosts := int(fromEnvironment(t, "LIMIT_HOSTS", 77))
 	for seed := range limitSeeds(t, 1) {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			uses, messages := limitedPlay{hosts: 77, seed: seed, length: 25 * time.Second}.run(t)
+			uses, messages := limitedPlay{hosts: hosts, seed: seed, length: 25 * time.Second}.run(t)
 			t.Logf("%+v, %.0f messages a host and second", uses, messages)
 		})
 	}
