--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -92,6 +92,8 @@
 	// target.Load. The load of the request's own group is included.
 	Streams int64
 	Pending int64
+	// Limit is the number of requests a second that the target takes from all hosts together; 0 for no limit.
+	Limit float64
 	// PeersAge is the age of the oldest of the peers' last load digests that came by datagram; 0 without any.
 	PeersAge time.Duration
 	// Revision and HostsVersion are the versions of the configuration and the host list in force.
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -83,7 +83,7 @@
 func (n *Node) basisOf(t *target.Target) Basis {
 	load := t.Total()
 	return Basis{
-		Streams: load.Streams, Pending: load.Ahead(0), PeersAge: n.loads.OldestAge(n.now),
+		Streams: load.Streams, Pending: load.Ahead(0), Limit: t.Standing().Limit, PeersAge: n.loads.OldestAge(n.now),
 		Revision: n.config.Revision(), HostsVersion: n.targets.Version(),
 	}
 }
