--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -155,7 +155,7 @@
 		),
 	}
 	n.queue = newQueue(opts.Policy, n.teamWeight)
-	n.targets.JoinFleet(n)
+	n.targets.JoinFleet(fleetView{n})
 	return n
 }
 
--- /dev/null
+++ b/internal/core/target/published.go
@@ -0,0 +1,73 @@
+package target
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carobshunt/internal/core"
+)
+
+const (
+	// endedNoticeTTL is how long the end of a limit is told to other hosts.
+	endedNoticeTTL = time.Minute
+	// maxPublished is the number of notices that a heartbeat carries at most.
+	maxPublished = 64
+)
+
+// PublishedNotice is what one run of a target has said of itself, as hosts tell it each other in heartbeats.
+type PublishedNotice struct {
+	Process
+	// Limit is in requests a second; 0 for no limit.
+	Limit   float64 `json:"l,omitempty"`
+	Leaving bool    `json:"v,omitempty"`
+	// HeardMs is the sender's clock when a host learned of it, in milliseconds.
+	HeardMs int64 `json:"h"`
+}
+
+// Notices returns what targets have said of themselves, for the heartbeats to peers, the newest maxPublished in order of
+// address.
+func (tb *Table) Notices(now core.Time) []PublishedNotice {
+	var out []PublishedNotice
+	for _, s := range tb.standings {
+		ended := s.Limit == 0 && !s.Leaving
+		if s.heard == never || ended && now-s.heard >= endedNoticeTTL {
+			continue
+		}
+		out = append(out, PublishedNotice{Process: s.process, Limit: s.Limit, Leaving: s.Leaving, HeardMs: s.heard.Milliseconds()})
+	}
+	slices.SortFunc(out, func(a, b PublishedNotice) int {
+		return cmp.Or(cmp.Compare(b.HeardMs, a.HeardMs), compareProcesses(a.Process, b.Process))
+	})
+	out = out[:min(len(out), maxPublished)]
+	slices.SortFunc(out, func(a, b PublishedNotice) int { return compareProcesses(a.Process, b.Process) })
+	return out
+}
+
+func compareProcesses(a, b Process) int {
+	return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Start, b.Start))
+}
+
+// ApplyPublished records what a peer tells of a target, which a host learned that long ago. The later of two words on a
+// limit holds. That a target leaves holds for good.
+func (tb *Table) ApplyPublished(now core.Time, age time.Duration, p *PublishedNotice) (StandingChange, bool) {
+	s := tb.standingOf(p.Process)
+	if s == nil {
+		return StandingChange{}, false
+	}
+	heard := max(now-max(age, 0), 0)
+	next := standingChange(s)
+	limit := 0.0
+	if p.Limit > 0 {
+		limit = clampLimit(p.Limit)
+	}
+	switch {
+	case limit == s.Limit:
+	case heard > max(s.heard, s.confirmed):
+		next.Limit = limit
+	default:
+		s.heard = max(s.heard, s.confirmed) // the peer has older word, so tell it how recent this host's is
+	}
+	next.NowLeaving = p.Leaving && !s.Leaving
+	return next, tb.change(now, heard, s, next)
+}
