Notices: bounded reports, small changes of a limit ride on heartbeats

Found on reading the change: a target that always says something invalid had a log line for each answer, a limit that changes with each answer made each host send a heartbeat to all others each time, and each load digest cost an allocation where no target is limited. Reports of invalid notices come at most every 10 s a target; a limit that changes by less than a quarter goes with the next heartbeat.

--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"carobshunt/internal/core/member"
@@ -15,14 +16,21 @@
 	if notice == nil || t == nil {
 		return
 	}
-	for _, fault := range notice.Faults {
-		n.do(StateChange{Event: EventNoticeInvalid, Text: address + ": " + fault})
+	if len(notice.Faults) > 0 && t.ReportsFaults(n.now) {
+		n.do(StateChange{Event: EventNoticeInvalid, Text: address + ": " + strings.Join(notice.Faults, "; ")})
 	}
 	if notice.RetryAfter > 0 {
 		n.holdOff(t, notice.RetryAfter)
 	}
 	if change, changed := n.targets.ApplyNotice(n.now, t, d, notice); changed {
 		n.reportStanding(change, "its answer")
+		n.tellNotices(change)
+	}
+}
+
+// tellNotices tells the hosts of this cell at once of an urgent change; they hear of others with the next heartbeat.
+func (n *Node) tellNotices(change target.StandingChange) {
+	if change.Urgent() {
 		n.announce(func(p *member.Peer) bool { return n.sameCell(p.Last.Peer) })
 	}
 }
--- a/internal/core/target/load.go
+++ b/internal/core/target/load.go
@@ -132,7 +132,7 @@
 // this host does not route to are skipped; a truncated digest is applied as far as it can be decoded.
 func (tb *Table) ApplyDigest(now core.Time, peer string, digest []byte) {
 	tb.forgetLoad(peer)
-	sent := make(map[*Target]uint64)
+	counts := make(map[*Target]uint64, len(tb.limited))
 	for len(digest) > 0 {
 		r := digestReader{rest: digest}
 		id := r.next()
@@ -143,11 +143,13 @@
 		digest = r.rest
 		if t := tb.byDigest[id]; t != nil {
 			tb.setPeer(t, peer, entry.load)
-			sent[t] = entry.sent
+			if t.Limited() {
+				counts[t] = entry.sent
+			}
 		}
 	}
 	for _, t := range tb.limited {
-		t.standing.bucket.Hear(now, peer, sent[t])
+		t.standing.bucket.Hear(now, peer, counts[t])
 	}
 }
 
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -37,6 +37,8 @@
 	// heard is when a host learned of what holds, on this host's clock. confirmed is when the target last told this host.
 	heard     core.Time
 	confirmed core.Time
+	// faultsReported is when invalid notices were last reported; never at first.
+	faultsReported core.Time
 	// unlistedSince is since when no target of the host list is this process; never while one is.
 	unlistedSince core.Time
 }
@@ -80,6 +82,15 @@
 	return StandingChange{Address: s.process.Address, Limit: s.Limit, WasLimit: s.Limit}
 }
 
+// Urgent reports whether other hosts are to be told at once, rather than with the next heartbeat: not if a limit has only
+// changed a little.
+func (c *StandingChange) Urgent() bool {
+	return c.NowLeaving || c.WasLimit == 0 || c.Limit == 0 || max(c.Limit, c.WasLimit) > urgentFactor*min(c.Limit, c.WasLimit)
+}
+
+// urgentFactor is the factor between two limits from which the change is urgent.
+const urgentFactor = 1.25
+
 // Fleet tells which hosts share the limits of targets.
 type Fleet interface {
 	// Self is this host's peer address.
@@ -141,6 +152,11 @@
 	}
 }
 
+// newStanding returns the standing of a process that has said nothing.
+func newStanding(p Process) *Standing {
+	return &Standing{process: p, heard: never, confirmed: never, faultsReported: never, unlistedSince: never}
+}
+
 // standingOf returns the standing of a process and creates it if there is none. It returns nil if there is no room.
 func (tb *Table) standingOf(p Process) *Standing {
 	if s := tb.standings[p]; s != nil {
@@ -149,7 +165,7 @@
 	if len(tb.standings) >= maxStandings {
 		return nil
 	}
-	s := &Standing{process: p, heard: never, confirmed: never, unlistedSince: never}
+	s := newStanding(p)
 	tb.standings[p] = s
 	return s
 }
@@ -158,7 +174,7 @@
 func (tb *Table) attach(t *Target) {
 	t.standing = tb.standingOf(processOf(t))
 	if t.standing == nil {
-		t.standing = &Standing{process: processOf(t), heard: never, confirmed: never}
+		t.standing = newStanding(processOf(t))
 	}
 	t.standing.unlistedSince = never
 }
@@ -187,6 +203,19 @@
 // Leaves reports whether the target is about to stop, by the host list or by what it has said.
 func (t *Target) Leaves() bool { return t.State != hostlist.StateLive || t.standing.Leaving }
 
+// faultReportInterval is the time between two reports of invalid notices of one target.
+const faultReportInterval = 10 * time.Second
+
+// ReportsFaults reports whether invalid notices of the target are to be reported now, and records that they are.
+func (t *Target) ReportsFaults(now core.Time) bool {
+	s := t.standing
+	if s.faultsReported != never && now-s.faultsReported < faultReportInterval {
+		return false
+	}
+	s.faultsReported = now
+	return true
+}
+
 // Limited reports whether the target names a limit.
 func (t *Target) Limited() bool { return t.standing.bucket != nil }
 
