--- a/internal/core/node/malformed_test.go
+++ b/internal/core/node/malformed_test.go
@@ -22,7 +22,9 @@
 		{
 			Peer: "", Incarnation: "j", IntervalMs: -1, AnsweredMs: 1 << 62, PlatformAgesMs: []int64{-1, 1 << 62}, Ask: true,
 			Introduces: []string{"", "10.0.0.1:2"}, LoadsAddress: "x",
-			Notices: []target.PublishedNotice{{Process: target.Process{Address: "s1", Instance: "is1"}, Limit: -3, HeardMs: -1 << 62, Leaving: true}},
+			Notices: []target.PublishedNotice{{
+				Process: target.Process{Address: "s1", Instance: "is1"}, Limit: -3, HeardMs: -1 << 62, Leaving: true,
+			}},
 		},
 	} {
 		raw, err := json.Marshal(hb)
