--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -83,7 +83,7 @@
 func (n *Node) basisOf(t *target.Target) Basis {
 	load := t.Total()
 	return Basis{
-		Streams: load.Streams, Pending: load.Ahead(0), Limit: t.Standing().Limit, PeersAge: n.loads.OldestAge(n.now),
+		Streams: load.Streams, Pending: load.Ahead(0), Limit: t.Limit(), PeersAge: n.loads.OldestAge(n.now),
 		Revision: n.config.Revision(), HostsVersion: n.targets.Version(),
 	}
 }
@@ -168,10 +168,6 @@
 	if t == nil {
 		return
 	}
-	dispatch := target.Dispatch{Key: in.Key, Number: in.Dispatch}
-	if in.Ending == EndedDone {
-		t.Answered(dispatch)
-	}
 	n.releaseLoad(t, in)
 	if blamed := n.targets.Get(in.Blame); blamed != nil && blamed != t {
 		blamed.Failed(n.now)
@@ -189,9 +185,12 @@
 	}
 }
 
-// releaseLoad removes an ended dispatch from the load of its target, and records what the target said.
+// releaseLoad removes an ended dispatch from the load of its target, and records that the target answered and what it said.
 func (n *Node) releaseLoad(t *target.Target, in DispatchEnded) {
 	dispatch := target.Dispatch{Key: in.Key, Number: in.Dispatch}
+	if in.Ending == EndedDone {
+		t.Answered(dispatch)
+	}
 	n.noticeReceived(in.Target, dispatch, in.Notice)
 	if in.Ending == EndedNotWritten {
 		t.ReturnPermit(n.now)
--- a/internal/core/node/senders.go
+++ b/internal/core/node/senders.go
@@ -17,12 +17,8 @@
 	hostsSince core.Time
 }
 
-const (
-	// senderTimeout is how long a host that is no longer heard from counts as a sender. It may only be cut off.
-	senderTimeout = 15 * time.Second
-	// senderSettleTime is how long the hosts must have been the same for all to agree on the senders.
-	senderSettleTime = 3 * time.Second
-)
+// senderTimeout is how long a host that is no longer heard from counts as a sender. It may only be cut off.
+const senderTimeout = 15 * time.Second
 
 // updateSenders updates the hosts that may send to limited targets.
 func (n *Node) updateSenders() {
@@ -60,4 +56,4 @@
 }
 
 // Settled implements target.Fleet.
-func (f fleetView) Settled() bool { return f.n.now-f.n.senders.hostsSince >= senderSettleTime }
+func (f fleetView) Settled() bool { return f.n.now-f.n.senders.hostsSince >= throttle.SettleTime }
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -188,8 +188,8 @@
 			Eligible:      t.Eligible(n.now),
 			InFlight:      t.InFlight(),
 			PendingTokens: t.PendingTokens(),
-			Limit:         t.Standing().Limit,
-			SaysLeaving:   t.Standing().Leaving,
+			Limit:         t.Limit(),
+			SaysLeaving:   t.SaysLeaving(),
 			HeldOffMs:     t.HeldFor(n.now).Milliseconds(),
 		})
 	}
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -231,8 +231,11 @@
 	return sender && wait == 0
 }
 
-// Standing returns what the target has said of itself.
-func (t *Target) Standing() Standing { return *t.standing }
+// Limit returns the number of requests a second that the target takes from all hosts together; 0 for no limit.
+func (t *Target) Limit() float64 { return t.standing.Limit }
+
+// SaysLeaving reports whether the target has said that it is about to stop.
+func (t *Target) SaysLeaving() bool { return t.standing.Leaving }
 
 // LimitWait returns how long this host has to wait until it may send to a limited target behind that many other requests,
 // if all senders use their equal shares. It reports false if other hosts send there.
--- a/internal/core/throttle/throttle.go
+++ b/internal/core/throttle/throttle.go
@@ -28,8 +28,9 @@
 	debtRequests = 2
 	// countTimeout is the age above which a sender's count is not fresh. An unchanged load digest is sent again every 0.5 s.
 	countTimeout = 700 * time.Millisecond
-	// settleTime is how long a host that was not a sender before waits until it sends: until other hosts know that it is.
-	settleTime = 3 * time.Second
+	// SettleTime is how long the hosts must have been the same for all to agree on the senders. A host that was not a sender
+	// before waits for as long until it sends.
+	SettleTime = 3 * time.Second
 )
 
 // Senders returns those of the hosts that may send to a target that takes that many requests a second.
@@ -68,7 +69,7 @@
 func New(now core.Time, self string, rate float64, senders []string, settled bool) *Bucket {
 	b := &Bucket{self: self, rate: rate, updated: now, counts: make(map[string]count), senders: senders, senderSince: now}
 	if settled {
-		b.senderSince = now - settleTime
+		b.senderSince = now - SettleTime
 	}
 	return b
 }
@@ -133,7 +134,7 @@
 		return 0, false
 	}
 	b.advance(now)
-	wait := max(b.senderSince+settleTime-now, 0)
+	wait := max(b.senderSince+SettleTime-now, 0)
 	if b.balance < 1 {
 		wait = max(wait, seconds((1-b.balance)/b.ownRate(now)))
 	}
--- a/internal/core/throttle/throttle_test.go
+++ b/internal/core/throttle/throttle_test.go
@@ -50,7 +50,7 @@
 	b.SetSenders(time.Second, []string{"a", "b"})
 	wait, ok := b.Wait(time.Second)
 	assert.Assert(t, ok)
-	assert.Equal(t, wait, settleTime)
+	assert.Equal(t, wait, SettleTime)
 }
 
 // TestDebtIsBounded guards against a target that gets nothing for long after more than its limit was sent.
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -198,24 +198,17 @@
 
 // collectNotices counts the targets by what they have said of themselves.
 func (c *stateCollector) collectNotices(out chan<- prometheus.Metric, targets []api.TargetStatus) {
-	limited, leaving, heldOff := 0, 0, 0
+	limited, leaving, heldOff := 0.0, 0.0, 0.0
 	for i := range targets {
 		t := &targets[i]
-		limited += oneIf(t.Limit > 0)
-		leaving += oneIf(t.SaysLeaving)
-		heldOff += oneIf(t.HeldOffMs > 0)
+		limited += boolValue(t.Limit > 0)
+		leaving += boolValue(t.SaysLeaving)
+		heldOff += boolValue(t.HeldOffMs > 0)
 	}
 	for _, one := range []struct {
 		says  string
-		count int
+		count float64
 	}{{"limit", limited}, {"leaving", leaving}, {"held_off", heldOff}} {
-		out <- prometheus.MustNewConstMetric(c.notices, prometheus.GaugeValue, float64(one.count), one.says)
+		out <- prometheus.MustNewConstMetric(c.notices, prometheus.GaugeValue, one.count, one.says)
 	}
 }
-
-func oneIf(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
