Platform, log: the parts of a lost prompt are decoded and logged

To tell apart the hypotheses of the incident of prompts that end engines: the line "no whole answer" names the parts of the prompt and whether the answer had begun. Nothing is decided by it yet.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,8 @@
 	// Prefix names a shared prompt prefix of PrefixTokens tokens; empty for none.
 	Prefix       string
 	PrefixTokens int64
+	// Parts identify the parts of the prompt that it may share with other requests, in order and each once.
+	Parts []PartID
 	// Idempotent requests may be executed more than once.
 	Idempotent bool
 	// Home is the only process that may execute the request if it is not idempotent.
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -120,6 +120,10 @@
 	Requeued bool
 	// RetryBudget is the number of dispatches left in the retry budget.
 	RetryBudget float64
+	// Began reports whether the answer had begun: its first event had arrived.
+	Began bool
+	// Parts are the parts of the request's prompt.
+	Parts []core.PartID
 }
 
 // AbortDispatch aborts a dispatch, which ends its connection. If package dispatch may have written bytes of it to an engine,
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -146,6 +146,7 @@
 		return
 	}
 	rec := n.active[in.Key]
+	began := rec.Timing.FirstToken != 0
 	if !n.adoptionFailed(rec, in) {
 		n.handleEnding(rec, in)
 	}
@@ -153,6 +154,7 @@
 		n.do(Unanswered{
 			Key: in.Key, Dispatch: in.Dispatch, Target: in.Target, Ending: in.Ending, Message: in.Message,
 			Requeued: rec.State == ledger.Queued, RetryBudget: n.retries.Balance(),
+			Began: began, Parts: rec.Request.Parts,
 		})
 	}
 	n.dispatchQueued()
--- /dev/null
+++ b/internal/core/part.go
@@ -0,0 +1,27 @@
+package core
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PartID identifies a part of a prompt that several requests may share.
+type PartID uint64
+
+// maxPartDigits is the number of hexadecimal digits of the largest PartID.
+const maxPartDigits = 16
+
+// NewPartID returns the identifier of a part that a caller names by a text. Hexadecimal numbers keep their value, so that
+// they read the same in logs; other names are hashed.
+func NewPartID(name string) PartID {
+	if len(name) <= maxPartDigits {
+		if id, err := strconv.ParseUint(name, 16, 64); err == nil {
+			return PartID(id)
+		}
+	}
+	return PartID(xxhash.Sum64String(name))
+}
+
+// String returns the identifier in hexadecimal.
+func (p PartID) String() string { return strconv.FormatUint(uint64(p), 16) }
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"strings"
+
+	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 
 	"github.com/hashicorp/go-hclog"
@@ -47,5 +50,18 @@
 
 func (l *requestLog) unanswered(a *node.Unanswered) {
 	l.log.Info("no whole answer", "id", a.Key.ID, "team", a.Key.Team, "dispatch", a.Dispatch, "target", a.Target,
-		"ending", a.Ending.String(), "why", a.Message, "again", a.Requeued, "retry_budget", a.RetryBudget)
+		"ending", a.Ending.String(), "why", a.Message, "again", a.Requeued, "retry_budget", a.RetryBudget,
+		"began", a.Began, "parts", partsText(a.Parts))
+}
+
+// maxLoggedParts is the number of parts of a prompt that a log line names at most.
+const maxLoggedParts = 16
+
+// partsText returns the identifiers of a prompt's parts for a log line, separated by spaces.
+func partsText(parts []core.PartID) string {
+	names := make([]string, 0, maxLoggedParts)
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, p.String())
+	}
+	return strings.Join(names, " ")
 }
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -106,6 +106,9 @@
 	req.AnswerTokens = p.number(api.HeaderAnswerTokens, true, 1, maxTokens)
 	req.Prefix = p.text(api.HeaderPrefix, false)
 	req.PrefixTokens = p.number(api.HeaderPrefixTokens, false, 0, req.PromptTokens)
+	if req.Prefix != "" {
+		req.Parts = []core.PartID{core.NewPartID(req.Prefix)}
+	}
 	req.Adopt = core.Adoption{Target: p.text(api.HeaderAdoptTarget, false), Stream: p.text(api.HeaderAdoptStream, false)}
 	req.BodyChecksum = p.text(api.HeaderBodyChecksum, true)
 	req.BodyBytes = r.ContentLength
