--- a/test/notices/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -1,4 +1,4 @@
-package notices
+package fleet
 
 import (
 	"encoding/json"
@@ -52,6 +52,12 @@
 	refusals     []refusal
 	// messages counts the messages between hosts.
 	messages int
+	// harms returns the cause for which a prompt ends each engine that begins to write its answer; nil for no such prompt.
+	harms func(parts []core.PartID) (cause core.PartID, harmful bool)
+	// ends are the ends of engines' processes, in order.
+	ends []end
+	// begun holds the requests whose answer an engine has begun to write.
+	begun map[string]bool
 }
 
 // refusal is the result of a request without an answer, and how long it was held.
@@ -81,6 +87,8 @@
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(opts.seed, 0x6e6f74)), list: &hostlist.List{Version: 1}, down: make(map[string]bool),
 		submitted:    make(map[string]virtual.Time),
+		harms:        func([]core.PartID) (core.PartID, bool) { return 0, false },
+		begun:        make(map[string]bool),
 		excusedUntil: make(map[string]virtual.Time), outcomes: make(map[api.Outcome]int),
 	}
 	f.world = virtual.New(f)
@@ -109,7 +117,7 @@
 	f.list.Hosts = append(f.list.Hosts, entry)
 	f.all = append(f.all, entry)
 	t := &target{
-		fleet: f, address: entry.Address, engine: engine, told: make(map[core.Home]virtual.Time),
+		fleet: f, address: entry.Address, engine: engine, instance: entry.Instance, told: make(map[core.Home]virtual.Time),
 		toldLeaving: make(map[core.Home]virtual.Time), refused: make(map[core.Home][]virtual.Time),
 	}
 	f.targets = append(f.targets, t)
@@ -191,11 +199,14 @@
 const promptTokens = 3_000
 
 // submit submits one request and its body.
-func (f *fleet) submit(h *virtual.Host, path string) {
+func (f *fleet) submit(h *virtual.Host, path string) { f.submitPrompt(h, path, nil) }
+
+// submitPrompt submits one request, whose prompt has the given parts, and its body. It returns the request's identifier.
+func (f *fleet) submitPrompt(h *virtual.Host, path string, parts []core.PartID) string {
 	f.serial++
 	req := core.Request{
 		Key: core.Key{ID: fmt.Sprint("r", f.serial)}, Attempt: 1, Budget: 4 * time.Second,
-		Routed: &core.Routed{Authority: "a.example", Path: path},
+		Routed: &core.Routed{Authority: "a.example", Path: path}, Parts: parts,
 	}
 	if path == pathAsk {
 		req.PromptTokens, req.AnswerTokens = promptTokens, 300
@@ -208,6 +219,7 @@
 		}
 		h.Post(node.BodyEnded{Key: req.Key, Attempt: 1})
 	})
+	return req.ID
 }
 
 // excuse records that a host was disturbed until now: it counts again after a while.
--- /dev/null
+++ b/test/fleet/harm_test.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/virtual"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// knownEnds is the number of ends of engines by one part after which hosts must know the part.
+	knownEnds = 5
+	// maxLateArrivals is the number of requests with such a part that may still reach engines afterwards.
+	maxLateArrivals = 3
+	// minSoundShare is the least share of sound requests that begin, of those that begin on a calm day, while others with a
+	// harmful part still come.
+	minSoundShare = 0.9
+)
+
+// harm is one part that ends each engine that begins to write an answer on it.
+type harm struct {
+	part core.PartID
+	// position is the place of the part in the prompt; rate is the number of requests with it a second.
+	position int
+	rate     float64
+}
+
+// harmPlay is a play of hosts and engines with prompts that end the engines that run them.
+type harmPlay struct {
+	hosts, engines int
+	// rate is the number of sound requests a second.
+	rate  float64
+	harms []harm
+	seed  uint64
+	// length is how long requests with the harmful parts come.
+	length  time.Duration
+	disturb bool
+}
+
+// harmResult is what a play has shown, by harmful part and in all.
+type harmResult struct {
+	late  map[core.PartID]int
+	ended map[core.PartID]int
+	// soundShare is the share of the sound requests that begin once hosts must know the parts.
+	soundShare float64
+}
+
+// calmTime is how long sound requests come before the first harmful one.
+const calmTime = 5 * time.Second
+
+// run plays, and checks what reaches the engines and which sound requests begin.
+func (p harmPlay) run(t *testing.T) harmResult {
+	t.Helper()
+	f := newFleet(t, fleetOptions{hosts: p.hosts, engines: p.engines, seed: p.seed})
+	from := f.world.Now() + calmTime
+	until := from + p.length
+	prompts := &prompts{rng: rand.New(rand.NewPCG(p.seed, 0x68))}
+	f.harms = p.cause
+	var sound []string
+	f.repeat(p.rate, f.world.Now(), until, func(h *virtual.Host) {
+		sound = append(sound, f.submitPrompt(h, pathAsk, prompts.sound()))
+	})
+	for _, harm := range p.harms {
+		f.repeat(harm.rate, from, until, func(h *virtual.Host) {
+			f.submitPrompt(h, pathAsk, prompts.withPart(harm.part, harm.position))
+		})
+	}
+	if p.disturb {
+		f.disturb(until)
+	}
+	f.world.Run(until + 5*time.Second)
+	result := harmResult{late: make(map[core.PartID]int), ended: make(map[core.PartID]int)}
+	known := from
+	for _, harm := range p.harms {
+		last, reached := f.knownEnd(harm.part)
+		result.ended[harm.part] = f.endsBy(harm.part)
+		known = max(known, last)
+		if !reached {
+			continue
+		}
+		late := f.arrivalsWith(harm.part, last+stableTime)
+		result.late[harm.part] = late
+		assert.Check(t, late <= maxLateArrivals, "%d requests with part %v reach engines later than %v after the fifth end, at %v; %d ended",
+			late, harm.part, stableTime, last, result.ended[harm.part])
+	}
+	result.soundShare = f.begunShare(sound, known+2*stableTime, until)
+	return result
+}
+
+// cause returns the harmful part of a prompt.
+func (p harmPlay) cause(parts []core.PartID) (core.PartID, bool) {
+	for _, harm := range p.harms {
+		if slices.Contains(parts, harm.part) {
+			return harm.part, true
+		}
+	}
+	return 0, false
+}
+
+// repeat calls a function at random intervals with the given mean rate a second, with a host drawn at random.
+func (f *fleet) repeat(rate float64, from, until virtual.Time, call func(*virtual.Host)) {
+	f.world.At(from+time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if f.world.Now() >= until {
+			return
+		}
+		call(f.hosts[f.rng.IntN(len(f.hosts))])
+		f.repeat(rate, f.world.Now(), until, call)
+	})
+}
+
+// endsBy returns how many processes of engines a part has ended.
+func (f *fleet) endsBy(part core.PartID) int {
+	n := 0
+	for i := range f.ends {
+		if f.ends[i].cause == part {
+			n++
+		}
+	}
+	return n
+}
+
+// knownEnd returns when a part ended an engine for the knownEnds-th time, and true, or for the last time if it did so less
+// often.
+func (f *fleet) knownEnd(part core.PartID) (virtual.Time, bool) {
+	at := virtual.Time(0)
+	n := 0
+	for i := range f.ends {
+		if f.ends[i].cause == part && n < knownEnds {
+			n++
+			at = f.ends[i].at
+		}
+	}
+	return at, n == knownEnds
+}
+
+// arrivalsWith counts the requests with a part that hosts in touch sent to engines after an instant.
+func (f *fleet) arrivalsWith(part core.PartID, after virtual.Time) int {
+	n := 0
+	for _, t := range f.targets {
+		for _, a := range t.arrivals {
+			if a.at > after && !a.excused && slices.Contains(a.parts, part) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// begunShare returns the share of requests that callers sent in a time, and that an engine has begun to answer.
+func (f *fleet) begunShare(ids []string, from, until virtual.Time) float64 {
+	sent, begun := 0, 0
+	for _, id := range ids {
+		if at := f.submitted[id]; at < from || at >= until {
+			continue
+		}
+		sent++
+		if f.begun[id] {
+			begun++
+		}
+	}
+	if sent == 0 {
+		return 1
+	}
+	return float64(begun) / float64(sent)
+}
+
+// TestPartThatEndsEnginesIsSentNoMore guards against prompts that end one engine after the other: they share a part under
+// which each engine ends, and hosts that see only that engines fail go on sending them.
+func TestPartThatEndsEnginesIsSentNoMore(t *testing.T) {
+	for name, harms := range map[string][]harm{
+		"middle, 30 of 100":    {{part: harmfulParts, position: 1, rate: 13}},
+		"first, 10 of 100":     {{part: harmfulParts, position: 0, rate: 3.3}},
+		"middle, now and then": {{part: harmfulParts, position: 1, rate: 0.4}},
+		"two parts":            {{part: harmfulParts, position: 1, rate: 4}, {part: harmfulParts + 1, position: 2, rate: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			result := harmPlay{hosts: 4, engines: 21, rate: 30, harms: harms, seed: 1, length: 40 * time.Second}.run(t)
+			t.Log(fmt.Sprintf("%+v", result))
+			assert.Check(t, result.soundShare >= minSoundShare, "%.2f of the sound requests begin", result.soundShare)
+		})
+	}
+}
--- a/test/notices/limit_test.go
+++ b/test/fleet/limit_test.go
@@ -1,4 +1,4 @@
-package notices
+package fleet
 
 import (
 	"fmt"
--- a/test/notices/target_test.go
+++ b/test/fleet/target_test.go
@@ -1,4 +1,4 @@
-package notices
+package fleet
 
 import (
 	"time"
@@ -9,7 +9,8 @@
 	"carobshunt/internal/virtual"
 )
 
-// target is a fake target that says something of itself in its answers. It records what reaches it.
+// target is a fake target that says something of itself in its answers, and that some work may end. It records what reaches
+// it.
 type target struct {
 	fleet   *fleet
 	address string
@@ -27,6 +28,11 @@
 	leavingSince virtual.Time
 	toldLeaving  map[core.Home]virtual.Time
 	refused      map[core.Home][]virtual.Time
+	// instance identifies its process; down is set while it has none. runs are the requests of the process that have not
+	// ended.
+	instance string
+	down     bool
+	runs     []*run
 }
 
 // arrival is a request that has reached a target.
@@ -39,6 +45,8 @@
 	submitted virtual.Time
 	// excused is set if the sender was disturbed shortly before.
 	excused bool
+	// parts are the parts of its prompt.
+	parts []core.PartID
 }
 
 // never is the instant of an event that has not happened.
@@ -66,17 +74,23 @@
 func (t *target) Start(w *virtual.World, from *virtual.Host, start node.StartDispatch) {
 	post, home := from.Poster(), from.Self()
 	w.After(networkTime, func() {
-		t.arrive(from, home, start.Key)
 		end := node.DispatchEnded{Key: start.Key, Dispatch: start.Dispatch, Target: start.Target, Ending: node.EndedDone}
+		if t.down {
+			end.Ending = node.EndedNotWritten
+			post(end)
+			return
+		}
+		t.arrive(from, home, &start)
 		switch {
+		case start.Instance != t.instance:
+			end.Ending = node.EndedRefused
+			w.After(networkTime, func() { post(end) })
 		case t.refuses:
 			end.Ending = node.EndedRefused
 			t.answer(w, home, 0, func(n *coretarget.Notice) { end.Notice = n; post(end) })
 			t.refused[home] = append(t.refused[home], w.Now()+networkTime)
 		case t.engine:
-			first := node.DispatchFirstToken{Key: start.Key, Dispatch: start.Dispatch}
-			t.answer(w, home, firstTokenTime, func(n *coretarget.Notice) { first.Notice = n; post(first) })
-			w.After(streamTime, func() { post(end) })
+			t.run(w, home, post, &start)
 		default:
 			t.answer(w, home, deskTime, func(n *coretarget.Notice) { end.Notice = n; post(end) })
 		}
@@ -99,8 +113,11 @@
 	})
 }
 
-func (t *target) arrive(from *virtual.Host, home core.Home, key core.Key) {
-	a := arrival{at: t.fleet.world.Now(), home: home, told: never, submitted: t.fleet.submitted[key.ID], excused: t.fleet.excused(from)}
+func (t *target) arrive(from *virtual.Host, home core.Home, start *node.StartDispatch) {
+	a := arrival{
+		at: t.fleet.world.Now(), home: home, told: never, submitted: t.fleet.submitted[start.Key.ID], excused: t.fleet.excused(from),
+		parts: start.Request.Parts,
+	}
 	if told, ok := t.told[home]; ok {
 		a.told = told
 	}
