Quarantine: prompts that end the targets that run them are withheld

What callers saw: one part of some prompts ended every engine that began to write an answer on it.

Cause: a lost target was evidence against the target, its zone or the own link, and never against the work. Nothing read what the lost prompts had in common.

Fix: internal/core/quarantine, a module without I/O. A dispatch that is cut before anything shows its prompt to be harmless is a loss and suspects its parts; a whole answer, or a target that lives 400 ms after the first event, clears them. Hosts tell each other losses, proofs and verdicts with their heartbeats. A verdict needs three separate moments, other prompts that do no harm, and a chance of 1 in 10,000 or less that all losses are accidents. Requests that a verdict covers are refused at once as not run; a lost prompt that is suspected is not dispatched again.

--- a/api/api.go
+++ b/api/api.go
@@ -106,6 +106,7 @@
 	CodeTargetFailed     Code = "target_failed"  // the target answered with a failure
 	CodeTargetRefused    Code = "target_refused" // the target did not execute the request
 	CodeTargetLimit      Code = "target_limit"   // the targets take no more requests from all hosts together now
+	CodeHarmfulPrompt    Code = "harmful_prompt" // prompts that share parts with this one have ended the targets that ran them
 	CodeTargetLost       Code = "target_lost"    // the target may have executed the request and gave no complete answer
 	CodeCanceled         Code = "canceled"
 	CodeNotFound         Code = "not_found"
--- a/client/submit.go
+++ b/client/submit.go
@@ -336,6 +336,8 @@
 		return retryOtherHost
 	case refused.Code == api.CodeHomeUnreachable:
 		return retrySameHost
+	case refused.Code == api.CodeHarmfulPrompt:
+		return finished
 	case refused.RetryAfterMs > 0 && s.client.opts.RetryRefused:
 		return retrySameHost
 	}
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -27,6 +27,9 @@
 	if !n.ledger.MayDispatch(n.now, rec) {
 		return false
 	}
+	if n.refuseWithheld(rec) {
+		return true
+	}
 	if n.mustPace(rec) {
 		rec.Obstacle = core.ObstaclePacing
 		return false
@@ -59,8 +62,10 @@
 func (n *Node) begin(rec *ledger.Record, t *target.Target, job target.Job) StartDispatch {
 	basis := n.basisOf(t)
 	number := n.ledger.Dispatch(n.now, rec, t.Address)
-	t.Begin(n.now, target.Dispatch{Key: rec.Request.Key, Number: number}, job)
+	d := target.Dispatch{Key: rec.Request.Key, Number: number}
+	t.Begin(n.now, d, job)
 	t.TakePermit(n.now)
+	n.quarantineBegin(rec, t, d)
 	n.noteLongPlaced(rec)
 	return StartDispatch{
 		Key:      rec.Request.Key,
@@ -129,6 +134,7 @@
 		return
 	}
 	rec.Timing.FirstToken = n.now
+	n.quarantine.FirstEvent(n.now, target.Dispatch{Key: in.Key, Number: in.Dispatch})
 	n.removeHelperLoad(rec)
 	n.groupPrefilled(in.Key)
 	if t := n.targets.Get(rec.Target); t != nil {
@@ -167,6 +173,8 @@
 		n.removeHelperLoad(rec)
 	}
 	t := n.targets.Get(in.Target)
+	blameless := in.Blame != "" || !n.awaits(in) || n.active[in.Key].DeadlineAborted || t != nil && n.outOfTime(n.active[in.Key], t)
+	n.quarantineEnded(in, blameless)
 	if t == nil {
 		return
 	}
@@ -181,7 +189,7 @@
 	case EndedRefused:
 		t.Refused(n.now)
 	case EndedNotWritten, EndedLost:
-		if n.awaits(in) && !n.active[in.Key].DeadlineAborted && !n.outOfTime(n.active[in.Key], t) {
+		if !blameless {
 			t.Failed(n.now)
 		}
 	}
@@ -250,9 +258,11 @@
 
 // handleLost handles a dispatch that may have been executed but returned no whole answer: it ended as EndedLost, or
 // failClaim has aborted it. It reads only the Message of in, since failClaim sets no Ending. Only an idempotent request is
-// retried.
+// retried, and not if its prompt is suspected of having ended targets.
 func (n *Node) handleLost(rec *ledger.Record, in DispatchEnded) {
 	switch {
+	case rec.Request.Idempotent && n.quarantine.Suspects(rec.Request.Parts):
+		n.finish(rec, core.Result{Outcome: outcomeWithoutAnswer(rec), Code: api.CodeTargetLost, Message: in.Message})
 	case rec.Request.Idempotent:
 		n.ledger.Requeue(rec)
 		n.retry(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -16,6 +16,7 @@
 	"carobshunt/internal/core/limit"
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/quarantine"
 	"carobshunt/internal/core/queue"
 	"carobshunt/internal/core/retry"
 	"carobshunt/internal/core/route"
@@ -119,6 +120,9 @@
 	budgets routeBudgets
 	pacing  pacing
 	senders senderState
+	// quarantine is what this host knows of harmful prompts. quarantineTold is when it last told the others what is new.
+	quarantine     *quarantine.Table
+	quarantineTold core.Time
 }
 
 // New returns the Node of a process that has just started, with its clock at zero.
@@ -150,6 +154,7 @@
 		lanesSized:    -laneInterval,
 		budgets:       make(routeBudgets),
 		pacing:        newPacing(),
+		quarantine:    quarantine.New(opts.Peer),
 		loads: loadshare.New(
 			loadshare.Member{Peer: opts.Peer, Zone: opts.Zone, LoadsAddress: opts.LoadsAddress}, opts.Self.Incarnation,
 		),
@@ -207,7 +212,7 @@
 		n.heartbeatReceived(in)
 	case TargetAlive:
 		if t := n.targets.Get(in.Target); t != nil {
-			t.MarkSeen(n.now)
+			n.targetAlive(t)
 		}
 	case LoadsReceived:
 		n.loadsReceived(in)
@@ -238,6 +243,7 @@
 	n.reportSuspects()
 	n.updateSenders()
 	n.targets.ExpireStandings(n.now)
+	n.quarantineTick()
 	n.sweepTick()
 	n.groupsTick()
 	n.ordersTick()
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/quarantine"
 	"carobshunt/internal/core/routes"
 	"carobshunt/internal/delta"
 	"carobshunt/internal/hostlist"
@@ -37,10 +38,11 @@
 }
 
 // heartbeatFor removes from a heartbeat to a peer of another cell what only hosts of this host's cell use: its loads, its
-// work, and what targets have said of themselves.
+// work, what targets have said of themselves, and the evidence against prompts. Verdicts on prompts hold for all cells.
 func (n *Node) heartbeatFor(hb member.Heartbeat, peer string) member.Heartbeat {
 	if !n.sameCell(peer) {
 		hb.Loads, hb.Work, hb.Notices = nil, member.Work{}, nil
+		hb.PromptRates, hb.Prompts.Losses, hb.Prompts.Proofs = quarantine.Rates{}, nil, nil
 	}
 	return hb
 }
@@ -59,6 +61,8 @@
 	hb.Loads = n.targets.Digest()
 	hb.Work = n.ownWork()
 	hb.Notices = n.targets.Notices(n.now)
+	hb.PromptRates = n.quarantine.Rates(n.now)
+	hb.Prompts = n.quarantine.Published()
 	if content := hb.Content(); !reflect.DeepEqual(content, n.sent.content) {
 		n.sent.content = content
 		n.sent.changes++
@@ -115,6 +119,7 @@
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
 	if received.Fresh {
 		n.noticesPublished(&hb)
+		n.quarantineReceived(&hb)
 	}
 	n.applyHeartbeatLoads(&hb)
 	n.peers.Introduce(n.now, hb.Introduces)
@@ -221,6 +226,7 @@
 	delete(n.alive, address)
 	n.targets.ForgetPeer(address)
 	n.loads.Forget(address)
+	n.quarantine.Forget(address)
 	delete(n.observed.platform.peers, address)
 	n.do(StateChange{Event: EventPeerSilent, Text: address})
 }
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -161,6 +161,7 @@
 func (n *Node) detectSuspension(now core.Time) {
 	if now-n.now >= suspensionGap && n.now > 0 {
 		n.resume = resumeState{active: true, since: now}
+		n.quarantine.Resumed()
 	}
 }
 
--- a/internal/core/node/redispatch.go
+++ b/internal/core/node/redispatch.go
@@ -60,6 +60,7 @@
 			return
 		}
 		n.abort(rec)
+		n.quarantine.Lost(n.now, target.Dispatch{Key: rec.Request.Key, Number: rec.LastDispatch})
 		n.removeHelperLoad(rec)
 		n.ledger.Requeue(rec)
 		rec.Tried = append(rec.Tried, rec.Target)
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -150,10 +150,10 @@
 	n.do(Decide{Ticket: ticket, Decision: Decision{Kind: Admit, Deadline: req.Deadline}})
 }
 
-// exceedsShare reports whether a request was refused because of load above its team's limit or share. Such load must not
-// count as demand: lanes sized by it would take engines from the other teams.
+// exceedsShare reports whether a request was refused because of load above its team's limit or share, or because its prompt is
+// withheld. Such load must not count as demand: lanes sized by it would take engines from the other teams.
 func (n *Node) exceedsShare(req *core.Request, refusal core.Result) bool {
-	return refusal.Code == api.CodeTeamLimit ||
+	return refusal.Code == api.CodeTeamLimit || refusal.Code == api.CodeHarmfulPrompt ||
 		refusal.Code == api.CodeOverloaded && n.queue.Dominates(&ledger.Record{Request: *req, Work: n.workOf(req)})
 }
 
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,5 +24,14 @@
 	return PartID(xxhash.Sum64String(name))
 }
 
+// PartsText returns identifiers separated by spaces.
+func PartsText(parts []PartID) string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = p.String()
+	}
+	return strings.Join(names, " ")
+}
+
 // String returns the identifier in hexadecimal.
 func (p PartID) String() string { return strconv.FormatUint(uint64(p), 16) }
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -16,7 +16,8 @@
 	Start    int64  `json:"s,omitempty"`
 }
 
-func processOf(t *Target) Process {
+// Process returns the run of the target that the host list has.
+func (t *Target) Process() Process {
 	return Process{Address: t.Address, Instance: t.Instance, Start: t.Start}
 }
 
@@ -172,9 +173,9 @@
 
 // attach gives a listed target its standing.
 func (tb *Table) attach(t *Target) {
-	t.standing = tb.standingOf(processOf(t))
+	t.standing = tb.standingOf(t.Process())
 	if t.standing == nil {
-		t.standing = newStanding(processOf(t))
+		t.standing = newStanding(t.Process())
 	}
 	t.standing.unlistedSince = never
 }
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -163,6 +163,19 @@
 	return p.began + time.Duration(ms*float64(time.Millisecond)) + prefillSlack
 }
 
+// ExpectedPrefill returns how long the prefill of a dispatch probably takes from its begin, with all work ahead of it.
+func (t *Target) ExpectedPrefill(d Dispatch) time.Duration {
+	p := t.inFlight[d]
+	if p == nil {
+		return 0
+	}
+	rate := t.PrefillRate()
+	if t.Engine != nil {
+		rate = t.Engine.PrefillTokensPerMs * float64(time.Second/time.Millisecond)
+	}
+	return time.Duration(float64(p.queuedWork) / rate * float64(time.Second))
+}
+
 // ExpirePending removes prefill work that should be done by now from the pending work. The first token of a prompt
 // that several engines prefill arrives only when the slowest of them is done; the others are idle until then.
 func (tb *Table) ExpirePending(now core.Time) {
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"strings"
-
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 
@@ -57,11 +55,7 @@
 // maxLoggedParts is the number of parts of a prompt that a log line names at most.
 const maxLoggedParts = 16
 
-// partsText returns the identifiers of a prompt's parts for a log line, separated by spaces.
+// partsText returns the first parts of a prompt for a log line.
 func partsText(parts []core.PartID) string {
-	names := make([]string, 0, maxLoggedParts)
-	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
-		names = append(names, p.String())
-	}
-	return strings.Join(names, " ")
+	return core.PartsText(parts[:min(len(parts), maxLoggedParts)])
 }
--- a/test/fleet/engine_test.go
+++ b/test/fleet/engine_test.go
@@ -48,9 +48,19 @@
 			t.crash(cause)
 		}
 	})
+	for at := firstTokenTime; at < streamTime; at += eventReportInterval {
+		w.After(at+networkTime, func() {
+			if !r.over {
+				post(node.TargetAlive{Target: t.address})
+			}
+		})
+	}
 	w.After(streamTime, func() { t.finish(r, node.EndedDone) })
 }
 
+// eventReportInterval is the time between two events of a stream that the host reports to its core.
+const eventReportInterval = 300 * time.Millisecond
+
 // finish ends a request that has not ended.
 func (t *target) finish(r *run, ending node.Ending) {
 	if r.over {
--- a/test/fleet/harm_test.go
+++ b/test/fleet/harm_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -182,7 +181,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			result := harmPlay{hosts: 4, engines: 21, rate: 30, harms: harms, seed: 1, length: 40 * time.Second}.run(t)
-			t.Log(fmt.Sprintf("%+v", result))
+			t.Logf("%+v", result)
 			assert.Check(t, result.soundShare >= minSoundShare, "%.2f of the sound requests begin", result.soundShare)
 		})
 	}
