--- a/api/status.go
+++ b/api/status.go
@@ -24,6 +24,24 @@
 	Peers    []PeerStatus   `json:"peers"`
 	Targets  []TargetStatus `json:"targets"`
 	Requests RequestsStatus `json:"requests"`
+	// Withheld are the prompts that this host refuses because such prompts have ended targets.
+	Withheld []WithheldPrompts `json:"withheld,omitempty"`
+}
+
+// WithheldPrompts are the prompts with some parts, which end the targets that run them.
+type WithheldPrompts struct {
+	// Parts identify the parts, in hexadecimal. Prompts with all of them are withheld.
+	Parts []string `json:"parts"`
+	// SinceMs is for how long they have been withheld, in milliseconds, By the peer address of the host that found them.
+	SinceMs int64  `json:"since_ms"`
+	By      string `json:"by"`
+	// Ends is the number of moments at which targets ended before, and Hosts are the peer addresses of hosts that saw it.
+	Ends  int      `json:"ends"`
+	Hosts []string `json:"hosts"`
+	// Probes is the number of requests that were let through since, to see whether they still end targets. The next one is
+	// in NextProbeMs milliseconds.
+	Probes      int   `json:"probes"`
+	NextProbeMs int64 `json:"next_probe_ms"`
 }
 
 // ConfigStatus reports the configuration in force.
@@ -100,6 +118,8 @@
 	BodyBytes int64 `json:"body_bytes"`
 	// Outcomes counts the requests finished and the attempts refused since the process started.
 	Outcomes []OutcomeCount `json:"outcomes"`
+	// Withheld counts the requests that were refused because their prompts are withheld.
+	Withheld uint64 `json:"withheld"`
 }
 
 // OutcomeCount is the number of requests and refused attempts that ended with one outcome.
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -80,6 +80,8 @@
 	Refusals   int
 	// Yields is set for a middle request whose team dominates the backlog: at engines it yields to those of other teams.
 	Yields bool
+	// Probe is set if the request was let through although its prompt is withheld, to see whether it still ends targets.
+	Probe bool
 	// Tried are the targets of earlier dispatches that were retried or redispatched. Helpers are the prefill helpers of the
 	// current dispatch: engines that each prefill a part of the prompt; none after the first token.
 	Tried   []string
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -27,8 +27,9 @@
 	if !n.ledger.MayDispatch(n.now, rec) {
 		return false
 	}
-	if n.refuseWithheld(rec) {
-		return true
+	if n.withholds(&rec.Request) != nil {
+		n.coveredWaits = true
+		return false
 	}
 	if n.mustPace(rec) {
 		rec.Obstacle = core.ObstaclePacing
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -123,6 +123,10 @@
 	// quarantine is what this host knows of harmful prompts. quarantineTold is when it last told the others what is new.
 	quarantine     *quarantine.Table
 	quarantineTold core.Time
+	// coveredWaits is set while a request waits that a verdict covers.
+	coveredWaits bool
+	// withheldRequests counts the requests that were refused because their prompts are withheld.
+	withheldRequests uint64
 }
 
 // New returns the Node of a process that has just started, with its clock at zero.
--- a/internal/core/node/quarantine.go
+++ b/internal/core/node/quarantine.go
@@ -21,6 +21,7 @@
 	parts := rec.Request.Parts
 	if v := n.quarantine.Withholds(parts); v != nil {
 		n.quarantine.Probe(n.now, v)
+		rec.Probe = true
 		text := fmt.Sprintf("%s with %s at %s, number %d", rec.Request.ID, verdictParts(v), t.Address, v.Probes)
 		n.do(StateChange{Event: EventPromptProbed, Text: text})
 	}
@@ -52,21 +53,28 @@
 
 // quarantineTick applies what has changed, and tells the other hosts.
 func (n *Node) quarantineTick() {
-	for _, change := range n.quarantine.Tick(n.now) {
-		n.quarantineChanged(&change)
-	}
+	n.applyVerdicts()
 	n.tellQuarantine()
 }
 
-// quarantineChanged reports that prompts are withheld, or no longer. Requests that are covered and whose answer has not
-// begun end at once: each may end a target.
-func (n *Node) quarantineChanged(c *quarantine.Change) {
+// applyVerdicts reports which prompts are withheld, or no longer, and ends the requests that are covered.
+func (n *Node) applyVerdicts() {
+	changes := n.quarantine.Tick(n.now)
+	for i := range changes {
+		n.reportVerdict(&changes[i])
+	}
+	if len(changes) > 0 || n.coveredWaits {
+		n.coveredWaits = false
+		n.endCovered()
+	}
+}
+
+func (n *Node) reportVerdict(c *quarantine.Change) {
 	if c.Ended {
 		n.do(StateChange{Event: EventPromptReleased, Text: verdictParts(&c.Verdict) + ": " + c.Reason})
 		return
 	}
 	n.do(StateChange{Event: EventPromptWithheld, Text: withheldText(c)})
-	n.endCovered()
 }
 
 // withheldText tells which prompts are withheld, and on which evidence.
@@ -76,40 +84,41 @@
 		verdictParts(v), v.By, v.Ends, v.Since-v.First, strings.Join(v.Hosts, ", "), c.Reason)
 }
 
-// endCovered ends the requests that a verdict covers and whose answer has not begun.
+// endCovered ends the requests that a verdict covers and whose answer has not begun: each may end a target. The one that was
+// let through goes on.
 func (n *Node) endCovered() {
 	var covered []*ledger.Record
 	for _, rec := range n.active {
-		if rec.Timing.FirstToken == 0 && n.quarantine.Withholds(rec.Request.Parts) != nil {
+		if rec.Timing.FirstToken == 0 && !rec.Probe && n.withholds(&rec.Request) != nil {
 			covered = append(covered, rec)
 		}
 	}
 	slices.SortFunc(covered, func(a, b *ledger.Record) int { return a.Request.Compare(b.Request.Key) })
 	for _, rec := range covered {
 		n.abort(rec)
-		n.finishWithheld(rec, n.quarantine.Withholds(rec.Request.Parts))
+		n.finishWithheld(rec, n.withholds(&rec.Request))
 	}
 }
 
-// checkQuarantine refuses a request whose prompt is withheld.
-func (n *Node) checkQuarantine(req *core.Request) core.Result {
+// withholds returns the verdict that covers a request, unless this host may let one through now; nil for none.
+func (n *Node) withholds(req *core.Request) *quarantine.Verdict {
 	if v := n.quarantine.Withholds(req.Parts); v != nil && !n.mayProbe(v) {
-		return n.withheldResult(v)
+		return v
 	}
-	return core.Result{}
+	return nil
 }
 
-// refuseWithheld ends a waiting request whose prompt is withheld by now, and reports whether it did.
-func (n *Node) refuseWithheld(rec *ledger.Record) bool {
-	v := n.quarantine.Withholds(rec.Request.Parts)
-	if v == nil || n.mayProbe(v) {
-		return false
+// checkQuarantine refuses a request whose prompt is withheld.
+func (n *Node) checkQuarantine(req *core.Request) core.Result {
+	if v := n.withholds(req); v != nil {
+		n.withheldRequests++
+		return n.withheldResult(v)
 	}
-	n.finishWithheld(rec, v)
-	return true
+	return core.Result{}
 }
 
 func (n *Node) finishWithheld(rec *ledger.Record, v *quarantine.Verdict) {
+	n.withheldRequests++
 	result := n.withheldResult(v)
 	result.Outcome = outcomeWithoutAnswer(rec)
 	n.finish(rec, result)
@@ -165,4 +174,21 @@
 func (n *Node) quarantineReceived(hb *member.Heartbeat) {
 	from := quarantine.Sender{Peer: hb.Peer, Incarnation: hb.Incarnation, Clock: core.Time(hb.ClockMs) * time.Millisecond}
 	n.quarantine.Receive(n.now, from, hb.PromptRates, &hb.Prompts)
+	n.applyVerdicts()
+}
+
+// withheldStatus returns the verdicts in force for operators.
+func (n *Node) withheldStatus() []api.WithheldPrompts {
+	var out []api.WithheldPrompts
+	for _, v := range n.quarantine.Verdicts() {
+		w := api.WithheldPrompts{
+			SinceMs: (n.now - v.Since).Milliseconds(), By: v.By, Ends: v.Ends, Hosts: v.Hosts, Probes: v.Probes,
+			NextProbeMs: max(v.NextProbe()-n.now, 0).Milliseconds(),
+		}
+		for _, part := range v.Parts {
+			w.Parts = append(w.Parts, part.String())
+		}
+		out = append(out, w)
+	}
+	return out
 }
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -224,8 +224,12 @@
 	n.dispatchQueued()
 }
 
-// enqueue queues a request for dispatch to a target.
+// enqueue queues a request for dispatch to a target, unless its prompt is withheld by now.
 func (n *Node) enqueue(rec *ledger.Record) {
+	if v := n.withholds(&rec.Request); v != nil {
+		n.finishWithheld(rec, v)
+		return
+	}
 	rec.WaitingSince = n.now
 	n.queue.Push(rec)
 }
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -115,6 +115,7 @@
 		Peers:          n.peerStatus(),
 		Targets:        n.cachedTargets(),
 		Requests:       n.requestsStatus(),
+		Withheld:       n.withheldStatus(),
 	}
 }
 
@@ -203,6 +204,7 @@
 		Records:   n.ledger.Len(),
 		BodyBytes: n.bodyBytes,
 		Outcomes:  []api.OutcomeCount{},
+		Withheld:  n.withheldRequests,
 	}
 	for outcome, count := range n.outcomes {
 		status.Outcomes = append(status.Outcomes, api.OutcomeCount{Outcome: outcome, Count: count})
--- a/internal/core/quarantine/published.go
+++ b/internal/core/quarantine/published.go
@@ -11,6 +11,8 @@
 const (
 	// newsTTL is how long a loss or a proof is told to other hosts.
 	newsTTL = 4 * time.Second
+	// maxToldParts is the number of parts of a loss that other hosts are told.
+	maxToldParts = 16
 	// maxNews is the number of losses, and of proofs, that are told at a time.
 	maxNews = 64
 )
@@ -119,7 +121,7 @@
 	for _, l := range tb.news.losses {
 		out.Losses = append(out.Losses, PublishedLoss{
 			Number: l.number, Process: l.process, AtMs: l.at.Milliseconds(), ExposureMs: l.exposure.Milliseconds(),
-			RanMs: l.ran.Milliseconds(), Parts: l.parts,
+			RanMs: l.ran.Milliseconds(), Parts: l.parts[:min(len(l.parts), maxToldParts)],
 		})
 	}
 	for _, v := range tb.verdicts {
--- a/internal/core/quarantine/rates.go
+++ b/internal/core/quarantine/rates.go
@@ -7,30 +7,35 @@
 	"carobshunt/internal/core"
 )
 
-// rateTime is the time constant with which past runs count less.
-const rateTime = 10 * time.Second
+// rateTime is the time constant with which past runs count less, briefTime a shorter one: accidents may only have begun.
+const (
+	rateTime  = 10 * time.Second
+	briefTime = 2 * time.Second
+)
 
 // Rates tell how prompts that were not proven harmless yet have fared lately, with a weight that falls with their age.
 type Rates struct {
 	// Proven counts those that were proven harmless.
 	Proven float64 `json:"p,omitempty"`
-	// ExposureMs is how long all ran until they were lost or proven harmless, in milliseconds.
+	// ExposureMs is how long all ran until they were lost or proven harmless, in milliseconds; BriefMs is the same with the
+	// weights of briefTime.
 	ExposureMs float64 `json:"e,omitempty"`
+	BriefMs    float64 `json:"b,omitempty"`
 }
 
 // plus returns the sum of two rates.
 func (r Rates) plus(o Rates) Rates {
-	return Rates{Proven: r.Proven + o.Proven, ExposureMs: r.ExposureMs + o.ExposureMs}
+	return Rates{Proven: r.Proven + o.Proven, ExposureMs: r.ExposureMs + o.ExposureMs, BriefMs: r.BriefMs + o.BriefMs}
 }
 
 // rounded returns the rates with few digits, for messages.
 func (r Rates) rounded() Rates {
-	return Rates{Proven: math.Round(r.Proven*10) / 10, ExposureMs: math.Round(r.ExposureMs)}
+	return Rates{Proven: math.Round(r.Proven*10) / 10, ExposureMs: math.Round(r.ExposureMs), BriefMs: math.Round(r.BriefMs)}
 }
 
 // valid reports whether rates that a peer sent are finite and not negative.
 func (r Rates) valid() bool {
-	for _, v := range []float64{r.Proven, r.ExposureMs} {
+	for _, v := range []float64{r.Proven, r.ExposureMs, r.BriefMs} {
 		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
 			return false
 		}
@@ -44,28 +49,31 @@
 	at core.Time
 }
 
-// weight returns the weight of what is that old.
-func weight(age time.Duration) float64 { return math.Exp(-float64(max(age, 0)) / float64(rateTime)) }
+// weight returns the weight of what is that old, for a time constant.
+func weight(age, constant time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(constant))
+}
 
 // decay brings the rates up to an instant.
 func (r *rates) decay(now core.Time) {
-	w := weight(now - r.at)
+	w := weight(now-r.at, rateTime)
 	r.Proven *= w
 	r.ExposureMs *= w
+	r.BriefMs *= weight(now-r.at, briefTime)
 	r.at = now
 }
 
-// lost counts a prompt that was lost after an exposure.
-func (r *rates) lost(now core.Time, exposure time.Duration) {
+// exposed counts the time that a prompt ran until it was lost or proven harmless.
+func (r *rates) exposed(now core.Time, exposure time.Duration) {
 	r.decay(now)
 	r.ExposureMs += ms(exposure)
+	r.BriefMs += ms(exposure)
 }
 
 // proven counts a prompt that was proven harmless after an exposure.
 func (r *rates) proven(now core.Time, exposure time.Duration) {
-	r.decay(now)
+	r.exposed(now, exposure)
 	r.Proven++
-	r.ExposureMs += ms(exposure)
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/core/quarantine/suspect.go
+++ b/internal/core/quarantine/suspect.go
@@ -142,32 +142,44 @@
 func (tb *Table) Suspects(parts []core.PartID) bool {
 	return slices.ContainsFunc(parts, func(part core.PartID) bool {
 		s := tb.suspects[part]
-		return s != nil && len(moments(s.losses)) >= minMoments-1
+		return s != nil && endsOf(s.losses).moments >= minMoments-1
 	})
 }
 
-// momentTime is the time within which the ends of processes count as one: a failure of a zone or of a path ends many.
-const momentTime = 200 * time.Millisecond
+// momentTime is the time within which the ends of processes may have one cause, such as a failure of a zone or of a path.
+const momentTime = 100 * time.Millisecond
 
-// moments returns one loss for each moment at which processes ended, the one with the longest exposure. A process ends
-// once.
-func moments(losses []*loss) []*loss {
+// maxEndsAtMoment is the number of processes that count of those that ended at one moment.
+const maxEndsAtMoment = 2
+
+// ends are the ends of processes at which the prompts of a suspect were lost.
+type ends struct {
+	// moments is the number of moments apart from each other, counted one loss for each end that counts.
+	moments int
+	counted []*loss
+}
+
+// endsOf returns the ends that losses show. A process ends once.
+func endsOf(losses []*loss) ends {
 	ordered := slices.Clone(losses)
-	slices.SortStableFunc(ordered, func(a, b *loss) int { return cmp.Compare(a.at, b.at) })
-	var out []*loss
+	slices.SortStableFunc(ordered, func(a, b *loss) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(b.exposure, a.exposure))
+	})
+	var out ends
 	var began core.Time
+	atMoment := 0
 	ended := make(map[target.Process]bool)
 	for _, l := range ordered {
 		if ended[l.process] && identified(l.process) {
 			continue
 		}
 		ended[l.process] = true
-		switch {
-		case len(out) == 0 || l.at-began >= momentTime:
-			began = l.at
-			out = append(out, l)
-		case l.exposure > out[len(out)-1].exposure:
-			out[len(out)-1] = l
+		if out.moments == 0 || l.at-began >= momentTime {
+			began, atMoment = l.at, 0
+			out.moments++
+		}
+		if atMoment++; atMoment <= maxEndsAtMoment {
+			out.counted = append(out.counted, l)
 		}
 	}
 	return out
@@ -180,31 +192,51 @@
 	priorExposure = 2 * time.Second
 )
 
-// evidence returns the logarithm of how unlikely it is that all of a suspect's losses are accidents, one loss for each
-// moment. How often accidents come is seen from the losses at processes that did not end with the suspect, and so is the
-// chance of one within a loss's exposure. What was lost together with the suspect is no accident if the suspect did it.
-func (tb *Table) evidence(now core.Time, s *suspect, moments []*loss) float64 {
-	with := make(map[target.Process]bool, len(s.losses))
-	for _, l := range s.losses {
-		with[l.process] = true
-	}
-	lost, exposure := 0.0, tb.totalRates(now).ExposureMs
-	for _, l := range tb.recent {
-		w := weight(now - l.at)
-		if with[l.process] || tb.explained(l) {
-			exposure -= w * ms(l.ran)
-		} else {
-			lost += w
-		}
-	}
-	rate := (lost + priorLost) / (max(exposure, 0) + ms(priorExposure))
+// evidence returns the logarithm of how unlikely it is that all counted losses are accidents. How often accidents come is
+// seen from the losses at processes that have another cause, and so is the chance of one within a loss's exposure.
+func (tb *Table) evidence(now core.Time, counted []*loss, caused map[target.Process]bool) float64 {
+	rate := tb.accidentRate(now, caused)
 	sum := 0.0
-	for _, l := range moments {
+	for _, l := range counted {
 		sum -= math.Log(-math.Expm1(-rate * ms(l.exposure)))
 	}
 	return sum
 }
 
+// accidentRate returns how often a prompt is lost by accident, in 1/ms: the higher one of the last seconds and of a longer
+// time. The ends of the caused processes are no accidents, nor is what was lost with them.
+func (tb *Table) accidentRate(now core.Time, caused map[target.Process]bool) float64 {
+	all := tb.totalRates(now)
+	lately := accidents{exposure: all.ExposureMs, constant: rateTime}
+	briefly := accidents{exposure: all.BriefMs, constant: briefTime}
+	for _, l := range tb.recent {
+		lately.add(now, l, !caused[l.process])
+		briefly.add(now, l, !caused[l.process])
+	}
+	return max(lately.rate(), briefly.rate())
+}
+
+// accidents counts losses by accident, with weights that fall with their age by a time constant.
+type accidents struct {
+	lost, exposure float64
+	constant       time.Duration
+}
+
+// add counts a loss, or leaves it out with its exposure if it was no accident.
+func (a *accidents) add(now core.Time, l *loss, accident bool) {
+	w := weight(now-l.at, a.constant)
+	if accident {
+		a.lost += w
+	} else {
+		a.exposure -= w * ms(l.ran)
+	}
+}
+
+// rate returns the accidents for each millisecond of exposure.
+func (a *accidents) rate() float64 {
+	return (a.lost + priorLost) / (max(a.exposure, 0) + ms(priorExposure))
+}
+
 // totalRates returns the rates of all hosts.
 func (tb *Table) totalRates(now core.Time) Rates {
 	tb.rates.decay(now)
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -12,7 +12,7 @@
 //
 // Invariants:
 //   - Nothing is withheld while no other prompts are proven harmless: then the targets fail for another reason.
-//   - A loss that a verdict explains is no evidence against the other parts of its prompt.
+//   - What was lost where a verdict explains the end of the process is no evidence against other parts.
 //   - A verdict ends when a prompt that it covers is proven harmless. Until then one request at a time is let through at
 //     growing intervals, see Verdict.
 //   - The memory is bounded, whatever peers and callers send.
@@ -136,7 +136,7 @@
 		return
 	}
 	delete(tb.runs, d)
-	tb.rates.lost(now, now-r.began)
+	tb.rates.exposed(now, now-r.began)
 	tb.recordOwnLoss(now, r)
 }
 
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/target"
 )
 
 // Verdict withholds the prompts that have all of some parts. After a while it lets one request through, to see whether the
-// targets have been mended since; if that one is lost, the next is let through after twice the time.
+// targets have been mended since, or the verdict is wrong; if that one is lost, the next is let through after a longer time.
 type Verdict struct {
 	// Parts are the parts, sorted. There are several while the losses do not tell which of them does the harm.
 	Parts []core.PartID
@@ -36,15 +37,18 @@
 const (
 	// minMoments is the least number of moments at which processes must have ended.
 	minMoments = 3
-	// minEvidence is the least evidence for a verdict: a chance of 1 in 10,000 that all losses are accidents.
-	minEvidence = 9.2
+	// minEvidence is the least evidence for a verdict: a chance of 1 in 100,000 that all losses are accidents.
+	minEvidence = 11.5
 	// minProven is the least number of other prompts that must have been proven harmless lately.
 	minProven = 3
 	// maxVerdicts is the number of verdicts in force.
 	maxVerdicts = 64
 	// Times after which a request is let through: at first, and at most.
-	firstProbeAfter = 5 * time.Minute
+	firstProbeAfter = 20 * time.Second
 	maxProbeAfter   = time.Hour
+	// probeFactor is the factor between one of these times and the next.
+	probeFactor   = 6
+	maxProbeSteps = 4
 	// releaseTTL is how long it is remembered and told that a verdict has ended.
 	releaseTTL = time.Minute
 )
@@ -60,7 +64,10 @@
 
 // NextProbe returns when the next request is let through.
 func (v *Verdict) NextProbe() core.Time {
-	after := min(firstProbeAfter<<min(v.Probes, 8), maxProbeAfter)
+	after := firstProbeAfter
+	for range min(v.Probes, maxProbeSteps) {
+		after = min(after*probeFactor, maxProbeAfter)
+	}
 	return max(v.Since, v.ProbedAt) + after
 }
 
@@ -81,6 +88,7 @@
 func (tb *Table) Probe(now core.Time, v *Verdict) {
 	v.Probes++
 	v.ProbedAt = now
+	tb.news.urgent = true
 }
 
 // judge gives the verdicts that the evidence asks for, the clearest first, since each explains losses of other parts too.
@@ -95,32 +103,86 @@
 
 // judgeClearest gives the verdict with the most evidence. It reports false if there is none to give.
 func (tb *Table) judgeClearest(now core.Time) bool {
-	var best *Verdict
-	most := 0.0
-	for _, part := range tb.suspectedParts() {
-		s := tb.suspects[part]
-		losses := tb.unexplained(s)
-		distinct := moments(losses)
-		if len(distinct) < minMoments {
-			continue
-		}
-		common := commonParts(losses)
-		if tb.covered(common) {
-			continue
+	cases := tb.cases()
+	var best *suspicion
+	for _, c := range cases {
+		c.evidence = tb.evidence(now, c.ends.counted, tb.causedBy(c.losses))
+		for _, rival := range cases {
+			if c.evidence < minEvidence && rival != c {
+				c.evidence = tb.evidenceBeside(now, c, rival)
+			}
 		}
-		if e := tb.evidence(now, s, distinct); e >= minEvidence && e > most {
-			most = e
-			best = newVerdict(now, tb.self, common, losses, distinct)
+		if c.evidence >= minEvidence && (best == nil || c.evidence > best.evidence) {
+			best = c
 		}
 	}
 	if best == nil {
 		return false
 	}
-	tb.give(best, fmt.Sprintf("evidence %.1f, %s", most, tb.ratesText(now)))
+	tb.give(newVerdict(now, tb.self, best), fmt.Sprintf("evidence %.1f, %s", best.evidence, tb.ratesText(now)))
 	tb.news.urgent = true
 	return true
 }
 
+// suspicion is a suspect whose losses may be enough for a verdict.
+type suspicion struct {
+	// losses are those that no verdict explains, common are the parts that all of them have.
+	losses   []*loss
+	common   []core.PartID
+	ends     ends
+	evidence float64
+}
+
+// cases returns the suspects with ends at enough moments, in a fixed order, without those that a verdict covers.
+func (tb *Table) cases() []*suspicion {
+	var out []*suspicion
+	for _, part := range tb.suspectedParts() {
+		losses := tb.unexplained(tb.suspects[part])
+		ends := endsOf(losses)
+		if ends.moments < minMoments {
+			continue
+		}
+		if common := commonParts(losses); !tb.covered(common) {
+			out = append(out, &suspicion{losses: losses, common: common, ends: ends})
+		}
+	}
+	return out
+}
+
+// evidenceBeside returns the evidence of a case if another one has caused ends too: that of its losses at the other
+// processes. It is 0 unless the evidence of the other case stands in the same way.
+func (tb *Table) evidenceBeside(now core.Time, c, rival *suspicion) float64 {
+	caused := tb.causedBy(c.losses, rival.losses)
+	own, other := lossesApart(c, rival), lossesApart(rival, c)
+	if own.moments < minMoments || other.moments < minMoments {
+		return 0
+	}
+	if tb.evidence(now, other.counted, caused) < minEvidence {
+		return 0
+	}
+	return tb.evidence(now, own.counted, caused)
+}
+
+// lossesApart returns the ends of a case at processes where the other one had no loss.
+func lossesApart(c, other *suspicion) ends {
+	with := make(map[target.Process]bool, len(other.losses))
+	for _, l := range other.losses {
+		with[l.process] = true
+	}
+	return endsOf(slices.DeleteFunc(slices.Clone(c.losses), func(l *loss) bool { return with[l.process] }))
+}
+
+// causedBy returns the processes at which there were losses, and those whose ends verdicts explain.
+func (tb *Table) causedBy(losses ...[]*loss) map[target.Process]bool {
+	caused := tb.endsExplained(func(*Verdict) bool { return true })
+	for _, some := range losses {
+		for _, l := range some {
+			caused[l.process] = true
+		}
+	}
+	return caused
+}
+
 // suspectedParts returns the suspected parts in a fixed order.
 func (tb *Table) suspectedParts() []core.PartID {
 	parts := make([]core.PartID, 0, len(tb.suspects))
@@ -131,9 +193,9 @@
 	return parts
 }
 
-func newVerdict(now core.Time, by string, parts []core.PartID, losses, distinct []*loss) *Verdict {
-	v := &Verdict{Parts: parts, Since: now, First: distinct[0].at, Ends: len(distinct), ProbedAt: never, By: by}
-	for _, l := range losses {
+func newVerdict(now core.Time, by string, c *suspicion) *Verdict {
+	v := &Verdict{Parts: c.common, Since: now, First: c.ends.counted[0].at, Ends: c.ends.moments, ProbedAt: never, By: by}
+	for _, l := range c.losses {
 		if !slices.Contains(v.Hosts, l.host) {
 			v.Hosts = append(v.Hosts, l.host)
 		}
@@ -142,25 +204,29 @@
 	return v
 }
 
-// unexplained returns the losses of a suspect that no verdict on other parts explains.
+// unexplained returns the losses of a suspect at processes that no verdict on other parts explains the end of.
 func (tb *Table) unexplained(s *suspect) []*loss {
-	var out []*loss
-	for _, l := range s.losses {
-		byOther := slices.ContainsFunc(tb.verdicts, func(v *Verdict) bool {
-			return !slices.Contains(v.Parts, s.part) && l.has(v.Parts)
-		})
-		if !byOther {
-			out = append(out, l)
+	explained := tb.endsExplained(func(v *Verdict) bool { return !slices.Contains(v.Parts, s.part) })
+	return slices.DeleteFunc(slices.Clone(s.losses), func(l *loss) bool { return explained[l.process] })
+}
+
+// endsExplained returns the processes whose end one of the selected verdicts explains: a prompt that it covers was lost there.
+func (tb *Table) endsExplained(selected func(*Verdict) bool) map[target.Process]bool {
+	out := make(map[target.Process]bool)
+	for _, v := range tb.verdicts {
+		s := tb.suspects[v.Parts[0]]
+		if s == nil || !selected(v) {
+			continue
+		}
+		for _, l := range s.losses {
+			if l.has(v.Parts) {
+				out[l.process] = true
+			}
 		}
 	}
 	return out
 }
 
-// explained reports whether a verdict in force explains a loss.
-func (tb *Table) explained(l *loss) bool {
-	return slices.ContainsFunc(tb.verdicts, func(v *Verdict) bool { return l.has(v.Parts) })
-}
-
 // commonParts returns the parts that all the losses have, sorted.
 func commonParts(losses []*loss) []core.PartID {
 	common := slices.Clone(losses[0].parts)
@@ -196,6 +262,7 @@
 // release ends a verdict, as of an instant.
 func (tb *Table) release(at core.Time, v *Verdict, reason string) {
 	tb.verdicts = slices.DeleteFunc(tb.verdicts, func(o *Verdict) bool { return o == v })
+	tb.makeReleaseRoom()
 	tb.released[key(v.Parts)] = release{parts: v.Parts, at: at}
 	for _, part := range v.Parts {
 		delete(tb.suspects, part)
@@ -203,6 +270,21 @@
 	tb.changes = append(tb.changes, Change{Verdict: *v, Ended: true, Reason: reason})
 }
 
+// makeReleaseRoom forgets the oldest end of a verdict if there is no room for another.
+func (tb *Table) makeReleaseRoom() {
+	if len(tb.released) < maxVerdicts {
+		return
+	}
+	oldest := ""
+	for k, r := range tb.released {
+		o, ok := tb.released[oldest]
+		if !ok || r.at < o.at || r.at == o.at && k < oldest {
+			oldest = k
+		}
+	}
+	delete(tb.released, oldest)
+}
+
 // ratesText describes how prompts fare, for the log.
 func (tb *Table) ratesText(now core.Time) string {
 	r := tb.totalRates(now)
--- a/internal/ctl/query_status.go
+++ b/internal/ctl/query_status.go
@@ -195,11 +195,20 @@
 	for _, warning := range s.Warnings {
 		w.line("%s warns: %s", operator, warning)
 	}
+	for i := range s.Withheld {
+		w.line("%s withholds %s", operator, withheldText(&s.Withheld[i]))
+	}
 	if s.Config.Rejected > 0 {
 		w.line("%s refused %d documents, the last: %s", operator, s.Config.Rejected, s.Config.LastRejection)
 	}
 }
 
+// withheldText describes prompts that a host withholds, and why.
+func withheldText(p *api.WithheldPrompts) string {
+	return fmt.Sprintf("prompts with parts %s for %s: targets ended at %d moments, seen by %s; found by %s, %d let through, the next in %s",
+		strings.Join(p.Parts, " "), formatMs(p.SinceMs), p.Ends, strings.Join(p.Hosts, ", "), p.By, p.Probes, formatMs(p.NextProbeMs))
+}
+
 // viewCollector groups hosts by the value that they report on each matter. matters lists each matter once.
 type viewCollector struct {
 	matters []string
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -56,6 +56,8 @@
 	harms func(parts []core.PartID) (cause core.PartID, harmful bool)
 	// ends are the ends of engines' processes, in order.
 	ends []end
+	// withheld holds the requests that were refused because their prompts are withheld.
+	withheld map[string]bool
 	// begun holds the requests whose answer an engine has begun to write.
 	begun map[string]bool
 }
@@ -89,6 +91,7 @@
 		submitted:    make(map[string]virtual.Time),
 		harms:        func([]core.PartID) (core.PartID, bool) { return 0, false },
 		begun:        make(map[string]bool),
+		withheld:     make(map[string]bool),
 		excusedUntil: make(map[string]virtual.Time), outcomes: make(map[api.Outcome]int),
 	}
 	f.world = virtual.New(f)
@@ -135,6 +138,7 @@
 	})
 	h.OnFinish = func(a node.Finish) {
 		f.outcomes[a.Result.Outcome]++
+		f.noteWithheld(a.Key.ID, a.Result)
 		if a.Result.Outcome != api.OutcomeDone {
 			f.refusals = append(f.refusals, refusal{Result: a.Result, waited: a.Timing.Finished - a.Timing.Admitted})
 		}
@@ -215,6 +219,7 @@
 	h.Submit(req, func(d node.Decision) {
 		if d.Kind != node.Admit {
 			f.outcomes[d.Result.Outcome]++
+			f.noteWithheld(req.ID, d.Result)
 			return
 		}
 		h.Post(node.BodyEnded{Key: req.Key, Attempt: 1})
@@ -222,6 +227,13 @@
 	return req.ID
 }
 
+// noteWithheld records a request that was refused because its prompt is withheld.
+func (f *fleet) noteWithheld(id string, result core.Result) {
+	if result.Code == api.CodeHarmfulPrompt {
+		f.withheld[id] = true
+	}
+}
+
 // excuse records that a host was disturbed until now: it counts again after a while.
 func (f *fleet) excuse(h *virtual.Host) { f.excusedUntil[h.Peer()] = f.world.Now() + stableTime }
 
--- a/test/fleet/harm_test.go
+++ b/test/fleet/harm_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -40,6 +41,8 @@
 	// length is how long requests with the harmful parts come.
 	length  time.Duration
 	disturb bool
+	// trouble ends engines for other reasons from an instant on; nil for none.
+	trouble func(f *fleet, from, until virtual.Time)
 }
 
 // harmResult is what a play has shown, by harmful part and in all.
@@ -48,6 +51,8 @@
 	ended map[core.PartID]int
 	// soundShare is the share of the sound requests that begin once hosts must know the parts.
 	soundShare float64
+	// withheld is the number of sound requests that were withheld, otherEnds that of engines that ended for other reasons.
+	withheld, otherEnds int
 }
 
 // calmTime is how long sound requests come before the first harmful one.
@@ -73,6 +78,9 @@
 	if p.disturb {
 		f.disturb(until)
 	}
+	if p.trouble != nil {
+		p.trouble(f, from, until)
+	}
 	f.world.Run(until + 5*time.Second)
 	result := harmResult{late: make(map[core.PartID]int), ended: make(map[core.PartID]int)}
 	known := from
@@ -89,6 +97,13 @@
 			late, harm.part, stableTime, last, result.ended[harm.part])
 	}
 	result.soundShare = f.begunShare(sound, known+2*stableTime, until)
+	result.otherEnds = f.endsBy(0)
+	for _, id := range sound {
+		if f.withheld[id] {
+			result.withheld++
+		}
+	}
+	assert.Check(t, result.withheld == 0, "%d sound requests are withheld", result.withheld)
 	return result
 }
 
@@ -180,9 +195,119 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			result := harmPlay{hosts: 4, engines: 21, rate: 30, harms: harms, seed: 1, length: 40 * time.Second}.run(t)
+			for seed := range harmSeeds(t, 3) {
+				result := harmPlay{hosts: 4, engines: 21, rate: 30, harms: harms, seed: seed + 1, length: 40 * time.Second}.run(t)
+				t.Logf("seed %d: %+v", seed+1, result)
+				assert.Check(t, result.soundShare >= minSoundShare, "%.2f of the sound requests begin", result.soundShare)
+			}
+		})
+	}
+}
+
+// harmSeeds returns the number of seeds of a test: the given one, or HARM_SEEDS.
+func harmSeeds(t *testing.T, inCI uint64) uint64 { return fromEnvironment(t, "HARM_SEEDS", inCI) }
+
+// TestPartOfRareRequestsIsFound guards against evidence that is forgotten before it is enough: a part that comes once in 40
+// seconds, or less often.
+func TestPartOfRareRequestsIsFound(t *testing.T) {
+	t.Parallel()
+	for seed := range harmSeeds(t, 2) {
+		result := harmPlay{
+			hosts: 4, engines: 21, rate: 10, harms: []harm{{part: harmfulParts, position: 1, rate: 1.0 / 40}}, seed: seed, length: 10 * time.Minute,
+		}.run(t)
+		t.Logf("seed %d: %+v", seed, result)
+		assert.Check(t, result.ended[harmfulParts] <= knownEnds+maxLateArrivals, "%d engines ended", result.ended[harmfulParts])
+	}
+}
+
+// TestPartIsFoundWhileHostsComeAndGo guards against evidence that is lost with the host that has it.
+func TestPartIsFoundWhileHostsComeAndGo(t *testing.T) {
+	for seed := range harmSeeds(t, 6) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			harms := []harm{{part: harmfulParts, position: 1, rate: 3}, {part: harmfulParts + 1, position: 0, rate: 0.5}}
+			result := harmPlay{hosts: 4, engines: 21, rate: 30, harms: harms, seed: seed, length: time.Minute, disturb: true}.run(t)
 			t.Logf("%+v", result)
-			assert.Check(t, result.soundShare >= minSoundShare, "%.2f of the sound requests begin", result.soundShare)
 		})
 	}
 }
+
+// TestPartIsFoundOverManyHosts guards against evidence that each of many hosts has too little of. HARM_HOSTS sets their
+// number.
+func TestPartIsFoundOverManyHosts(t *testing.T) {
+	t.Parallel()
+	hosts := int(fromEnvironment(t, "HARM_HOSTS", 77))
+	for seed := range harmSeeds(t, 1) {
+		harms := []harm{{part: harmfulParts, position: 1, rate: 10}, {part: harmfulParts + 1, position: 0, rate: 0.5}}
+		result := harmPlay{hosts: hosts, engines: 2 * hosts, rate: 100, harms: harms, seed: seed, length: 20 * time.Second}.run(t)
+		t.Logf("seed %d: %+v", seed, result)
+		assert.Check(t, result.soundShare >= minSoundShare, "%.2f of the sound requests begin", result.soundShare)
+	}
+}
+
+// TestSoundPromptsAreNeverWithheld guards against blaming what engines run for ends that have another reason, while most
+// prompts have the same first part and many share a document.
+func TestSoundPromptsAreNeverWithheld(t *testing.T) {
+	for name, trouble := range map[string]func(*fleet, virtual.Time, virtual.Time){
+		"a zone loses power":        zonePower,
+		"engines end one by one":    engineFaults(4),
+		"engines end all the time":  engineFaults(12),
+		"all engines end in a loop": crashLoop,
+		"planned replacement":       replacement,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range harmSeeds(t, 2) {
+				for _, rate := range []float64{5, 30, 90} {
+					result := harmPlay{hosts: 4, engines: 21, rate: rate, seed: seed, length: 40 * time.Second, trouble: trouble}.run(t)
+					t.Logf("seed %d, %g requests a second: %+v", seed, rate, result)
+				}
+			}
+		})
+	}
+}
+
+// TestAccidentsInARowWithholdNothing guards against a verdict on a document whose prompts were lost by accident four times in
+// a row, the first two of them the same prompts, while no other prompt with it was run.
+func TestAccidentsInARowWithholdNothing(t *testing.T) {
+	result := harmPlay{hosts: 4, engines: 21, rate: 30, seed: 33, length: 40 * time.Second, trouble: engineFaults(4)}.run(t)
+	t.Logf("%+v", result)
+}
+
+// zonePower ends all engines of a zone at the same time, every eight seconds.
+func zonePower(f *fleet, from, until virtual.Time) {
+	for i, at := 0, from; at < until; i, at = i+1, at+8*time.Second {
+		f.world.At(at, func() {
+			for j, t := range f.targets {
+				if zone(j) == zone(i) {
+					t.crash(0)
+				}
+			}
+		})
+	}
+}
+
+// engineFaults ends engines at random, a number of them a second.
+func engineFaults(rate float64) func(*fleet, virtual.Time, virtual.Time) {
+	return func(f *fleet, from, until virtual.Time) {
+		f.repeat(rate, from, until, func(*virtual.Host) { f.targets[f.rng.IntN(len(f.targets))].crash(0) })
+	}
+}
+
+// crashLoop ends each engine again and again, a second after it has started.
+func crashLoop(f *fleet, from, until virtual.Time) {
+	for i, t := range f.targets {
+		for at := from + time.Duration(i)*50*time.Millisecond; at < until; at += 4 * time.Second {
+			f.world.At(at, func() { t.crash(0) })
+		}
+	}
+}
+
+// replacement ends one engine after the other, two seconds apart.
+func replacement(f *fleet, from, until virtual.Time) {
+	for i, t := range f.targets {
+		if at := from + time.Duration(i)*2*time.Second; at < until {
+			f.world.At(at, func() { t.crash(0) })
+		}
+	}
+}
