--- a/test/fleet/harm_test.go
+++ b/test/fleet/harm_test.go
@@ -311,3 +311,53 @@
 		}
 	}
 }
+
+// TestPartIsServedAgainOnceEnginesAreMended guards against prompts that are withheld for good, and against engines that are
+// spent on finding out whether they may be served.
+func TestPartIsServedAgainOnceEnginesAreMended(t *testing.T) {
+	f := newFleet(t, fleetOptions{hosts: 4, engines: 21, seed: 5})
+	prompts := &prompts{rng: rand.New(rand.NewPCG(5, 0x68))}
+	from := f.world.Now()
+	until := from + 20*time.Minute
+	mended := from + 3*time.Minute
+	play := harmPlay{harms: []harm{{part: harmfulParts}}}
+	f.harms = func(parts []core.PartID) (core.PartID, bool) {
+		cause, harmful := play.cause(parts)
+		return cause, harmful && f.world.Now() < mended
+	}
+	f.repeat(10, from, until, func(h *virtual.Host) { f.submitPrompt(h, pathAsk, prompts.sound()) })
+	var late []string
+	f.repeat(1, from, until, func(h *virtual.Host) {
+		id := f.submitPrompt(h, pathAsk, prompts.withPart(harmfulParts, 1))
+		if f.world.Now() > until-5*time.Minute {
+			late = append(late, id)
+		}
+	})
+	f.world.Run(until)
+	ended := f.endsBy(harmfulParts)
+	assert.Assert(t, ended <= knownEnds+maxLateArrivals, "%d engines ended", ended)
+	served := f.begunShare(late, from, until)
+	assert.Assert(t, served > 0.99, "%.2f are served", served)
+	for _, h := range f.hosts {
+		assert.Equal(t, len(h.Snapshot().Status.Withheld), 0)
+	}
+}
+
+// TestHostThatStartsKnowsWhatIsWithheld guards against a host that has forgotten, when it starts, which prompts end engines.
+func TestHostThatStartsKnowsWhatIsWithheld(t *testing.T) {
+	f := newFleet(t, fleetOptions{hosts: 4, engines: 21, seed: 6})
+	prompts := &prompts{rng: rand.New(rand.NewPCG(6, 0x68))}
+	f.harms = harmPlay{harms: []harm{{part: harmfulParts}}}.cause
+	until := f.world.Now() + 18*time.Second
+	f.repeat(30, f.world.Now(), until, func(h *virtual.Host) { f.submitPrompt(h, pathAsk, prompts.sound()) })
+	f.repeat(4, f.world.Now(), until, func(h *virtual.Host) { f.submitPrompt(h, pathAsk, prompts.withPart(harmfulParts, 1)) })
+	f.world.Run(f.world.Now() + 8*time.Second)
+	ended := f.endsBy(harmfulParts)
+	for _, h := range f.hosts {
+		assert.Equal(t, len(h.Snapshot().Status.Withheld), 1)
+		f.restart(h)
+		f.world.Run(f.world.Now() + 2*time.Second)
+		assert.Equal(t, len(h.Snapshot().Status.Withheld), 1)
+	}
+	assert.Equal(t, f.endsBy(harmfulParts), ended)
+}
