--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,6 +40,9 @@
 	peerTraffic netdial.Traffic
 	// preset is the preset in the settings, replaced by a reload; nil without one.
 	preset atomic.Pointer[document.Preset]
+	// halted is done once Halt was called.
+	halted context.Context
+	halt   context.CancelFunc
 }
 
 // New returns a daemon with these settings. It does nothing until Run is called.
@@ -62,9 +65,13 @@
 	}
 	d := &Daemon{settings: s, log: log, loop: control.NewLoop(node.New(options), clock), self: self}
 	d.preset.Store(s.Platform.Preset)
+	d.halted, d.halt = context.WithCancel(context.Background())
 	return d
 }
 
+// Halt ends Run at once, without a planned stop: requests are cut.
+func (d *Daemon) Halt() { d.halt() }
+
 // newIncarnation returns a random name that distinguishes this process from all others, and a random seed.
 func newIncarnation() (string, uint64) {
 	var raw [16]byte
@@ -87,7 +94,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	runCtx, stop := context.WithCancel(context.Background())
+	runCtx, stop := context.WithCancel(d.halted)
 	defer stop()
 	dialer := netdial.From(d.settings.Listen.Peers)
 	x := &executor{
@@ -114,9 +121,9 @@
 	group.Go(func() error { d.watchCredentials(runCtx, creds, m); return nil })
 	group.Go(func() error {
 		awaitReady(groupCtx, func() bool { return d.loop.Snapshot().Ready })
-		return serveHTTP(groupCtx, callers, listeners.callers)
+		return d.serveHTTP(groupCtx, callers, listeners.callers)
 	})
-	group.Go(func() error { return serveHTTP(groupCtx, operators, listeners.operators) })
+	group.Go(func() error { return d.serveHTTP(groupCtx, operators, listeners.operators) })
 	group.Go(func() error { return servePeers(groupCtx, peer.NewServer(d.loop), listeners.peers) })
 	context.AfterFunc(ctx, func() { d.loop.Post(node.Drain{}) })
 	d.log.Info("started", "host", d.self.String(), "zone", d.settings.Zone)
--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -111,14 +111,16 @@
 	return d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 }
 
-// serveHTTP serves until ctx is done, then waits up to shutdownTimeout for open answers to end.
-func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+// serveHTTP serves until ctx is done, then waits up to shutdownTimeout for open answers to end, unless the daemon is halted.
+func (d *Daemon) serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
 	shutdownDone := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(shutdownDone)
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		shutdownCtx, cancel := context.WithTimeout(d.halted, shutdownTimeout)
 		defer cancel()
-		_ = server.Shutdown(shutdownCtx)
+		if err := server.Shutdown(shutdownCtx); err != nil {
+			_ = server.Close() // the answers that are still open are cut
+		}
 	})
 	httplog.Prepare(server)
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -62,7 +62,7 @@
 		}
 		server := platform.NewServer(one.handler)
 		server.ErrorLog = d.connectionLogger()
-		group.Go(func() error { return serveHTTP(ctx, server, httplog.Listener(listener, d.log)) })
+		group.Go(func() error { return d.serveHTTP(ctx, server, httplog.Listener(listener, d.log)) })
 	}
 	if d.settings.Listen.Loads != "" {
 		loads, err := peer.ListenLoads(d.settings.Listen.Loads, d.settings.Advertise.Peers, d.loop, d.log)
--- a/internal/testproc/ends.go
+++ b/internal/testproc/ends.go
@@ -25,6 +25,12 @@
 	return fmt.Sprintf("%s has ended too early: %v\n%s", e.Name, e.Cause, e.Log)
 }
 
+// ForgetEnds makes the end of the test forget what was recorded of its processes. Whoever starts processes calls it first, so
+// that they have ended by then.
+func ForgetEnds(t testing.TB) {
+	t.Cleanup(func() { unexpectedEnds.Delete(t.Name()) })
+}
+
 // ReportEnd records that a process of the test has ended too early. It may be called on any goroutine.
 func ReportEnd(t testing.TB, end *EndedEarlyError) { unexpectedEnds.LoadOrStore(t.Name(), end) }
 
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -123,6 +123,7 @@
 // prepareCluster is newCluster without starting the entry hosts.
 func prepareCluster(t *testing.T, hosts, engines int) *cluster {
 	t.Helper()
+	testproc.ForgetEnds(t)
 	c := &cluster{
 		t:        t,
 		subnet:   testproc.ReserveNetwork(t),
