Targets: bytes without end in a head or an event are given up

What can happen: a target that sends a line, headers or events without end made a host keep them all until the request's deadline, or until the process is over its memory and ends with everything it serves. net/http's ReadResponse bounds no head, and the length of an event was checked only after each of its lines.

Change: a head, with the informational answers before it, is read up to 64 KB, an event up to 1 MB, counted as it arrives.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -18,6 +18,8 @@
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head bounds what the reader takes for the head of an answer.
+	head   *headLimit
 	target string
 	// idleSince is when the last answer ended; the connection is not reused after idleTimeout from then.
 	idleSince   time.Time
@@ -32,7 +34,31 @@
 const readBufferBytes = 4096
 
 func newConn(inner net.Conn, target string) *Conn {
-	return &Conn{Conn: inner, reader: bufio.NewReaderSize(inner, readBufferBytes), target: target}
+	head := &headLimit{inner: inner}
+	return &Conn{Conn: inner, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, target: target}
+}
+
+// maxHeadBytes bounds the head of an answer, with those of the informational answers before it.
+const maxHeadBytes = 64 << 10
+
+// headLimit reads from a connection, and while a head is read no more than maxHeadBytes.
+type headLimit struct {
+	inner  io.Reader
+	active bool
+	left   int
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.inner.Read(p)
+	}
+	if l.left == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.inner.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // Send writes a request. It returns the number of bytes that the connection accepted; if it is 0, the target received
@@ -56,8 +82,13 @@
 // Receive reads the status line and headers of the answer to a request with the given method, and skips informational
 // answers (1xx). The body is read from the returned response.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.head.active, c.head.left = true, maxHeadBytes
+	defer func() { c.head.active = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.head.left == 0 {
+			return nil, ErrHeadTooLarge
+		}
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/httpwire/events.go
+++ b/internal/httpwire/events.go
@@ -21,10 +21,13 @@
 // ErrTruncatedEvent is returned if the stream ends within an event.
 const ErrTruncatedEvent = errors.ConstError("the stream ended within an event")
 
+// ErrHeadTooLarge is returned for a head of an answer that is larger than maxHeadBytes.
+const ErrHeadTooLarge = errors.ConstError("the head of the answer is too long")
+
 // ErrEventTooLarge is returned for an event larger than maxEventBytes.
 const ErrEventTooLarge = errors.ConstError("an event of the stream is too long")
 
-// maxEventBytes bounds the size of one event. It is checked after each line.
+// maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
 // Events splits a stream into server-sent events.
@@ -37,7 +40,7 @@
 func (e *Events) Next() (Event, error) {
 	var out Event
 	for {
-		line, err := e.reader.ReadBytes('\n')
+		line, err := e.readLine(maxEventBytes - len(out.Raw))
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(out.Raw)+len(line) > 0 {
 				return Event{}, ErrTruncatedEvent
@@ -45,9 +48,6 @@
 			return Event{}, err
 		}
 		out.Raw = append(out.Raw, line...)
-		if len(out.Raw) > maxEventBytes {
-			return Event{}, ErrEventTooLarge
-		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			return out, nil
@@ -56,6 +56,21 @@
 	}
 }
 
+// readLine reads a line with its end, of at most limit bytes.
+func (e *Events) readLine(limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > limit {
+			return nil, ErrEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
 // readID sets the event's ID if line is an id field with a number.
 func (e *Event) readID(line []byte) {
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
