--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -245,8 +245,8 @@
 	}
 }
 
-// fetch posts a part of a peer's state; the request and the answer each cross the network. A peer that is dead or paused
-// doesn't answer.
+// fetch posts a part of a peer's state; the request and the answer each cross the network. A peer that is dead or paused, or
+// that has neither a document nor a host list yet, doesn't answer.
 func (h *Host) fetch(peer string, answer func(*node.Snapshot) node.Input) {
 	post := h.Poster()
 	h.world.deliver(h.opts.Peer, peer, func() {
@@ -254,7 +254,11 @@
 		if other == nil || other.node == nil || other.paused {
 			return
 		}
-		in := answer(other.node.Snapshot())
+		snapshot := other.node.Snapshot()
+		if snapshot.Document == nil || snapshot.HostList == nil {
+			return
+		}
+		in := answer(snapshot)
 		h.world.deliver(peer, h.opts.Peer, func() { post(in) })
 	})
 }
--- a/test/outcomes/caller_test.go
+++ b/test/outcomes/caller_test.go
@@ -24,6 +24,8 @@
 	via        *virtual.Host
 	attempt    uint32
 	conn       *conn
+	// parts are the parts of its prompt, if the schedule has such.
+	parts []core.PartID
 	// bodySent is set once the body may have left the caller, answerLost once an attempt that sent it may stay unanswered.
 	bodySent   bool
 	answerLost bool
@@ -77,9 +79,16 @@
 	c.submit()
 }
 
+// rebind chooses a home again after a lookup that failed. A copy of an attempt may have sent the body meanwhile, which binds
+// a request that is not idempotent to its home.
 func (c *caller) rebind() {
-	if !c.finished {
+	switch {
+	case c.finished:
+	case c.idempotent || !c.bodySent:
 		c.bind()
+	default:
+		c.via = c.s.anyHost()
+		c.submit()
 	}
 }
 
@@ -97,7 +106,7 @@
 	req := core.Request{
 		Key: c.key, Attempt: c.attempt, Model: engineModel, PromptTokens: 10, AnswerTokens: 5,
 		Idempotent: c.idempotent, Home: c.home, Deadline: c.deadline, Budget: c.start + c.budget - c.s.world.Now(),
-		BodyBytes: bodyBytes, BodyChecksum: "sum",
+		BodyBytes: bodyBytes, BodyChecksum: "sum", Parts: c.parts,
 	}
 	if !c.idempotent {
 		req.Model = serviceModel
@@ -185,6 +194,7 @@
 	case result.Code == api.CodeDraining, result.Code == api.CodeNotReady, homeLost && !c.bodySent:
 		c.failOver()
 	case result.Code == api.CodeHomeUnreachable, result.RetryAfter > 0 && c.retries:
+		c.answerLost = c.answerLost || result.Outcome == api.OutcomeFailed // it ran, whatever becomes of the next attempt
 		c.s.world.After(max(result.RetryAfter, retryInterval), c.submit)
 	default:
 		c.finish(result.Outcome, result.Code)
--- a/test/outcomes/schedule_test.go
+++ b/test/outcomes/schedule_test.go
@@ -29,6 +29,16 @@
 	long bool
 	// tight leaves hosts room for few records and bodies.
 	tight bool
+	// harms lets some prompts end the target that begins to answer them, with all that it runs.
+	harms bool
+}
+
+// callers returns the number of callers.
+func (k kind) callers() int {
+	if k.harms {
+		return harmCallerCount
+	}
+	return callerCount
 }
 
 var kinds = []kind{
@@ -51,6 +61,8 @@
 	bodyBytes    = 1000
 	hostCount    = 3
 	callerCount  = 8
+	// harmCallerCount is the number of callers where prompts end targets: others must be served beside these.
+	harmCallerCount = 60
 	// startWithin is the time within which callers start.
 	startWithin    = 1500 * time.Millisecond
 	shortestBudget = 200 * time.Millisecond
@@ -108,8 +120,12 @@
 }
 
 func newSchedule(seed uint64, number int, without mechanism) *schedule {
+	return newScheduleOf(kindOf(number), seed, number, without)
+}
+
+func newScheduleOf(kind kind, seed uint64, number int, without mechanism) *schedule {
 	s := &schedule{
-		kind:      kindOf(number),
+		kind:      kind,
 		rng:       rand.New(rand.NewPCG(seed, uint64(number))),
 		oracle:    newOracle(),
 		byAddress: make(map[string]*virtual.Host),
@@ -217,11 +233,14 @@
 
 // run runs the schedule and returns the faults that its oracle found.
 func (s *schedule) run() []string {
-	for i := range callerCount {
+	for i := range s.kind.callers() {
 		c := &caller{
 			s: s, key: core.Key{Team: teamName, ID: fmt.Sprintf("request-%d", i)},
 			idempotent: s.chance(0.3), retries: s.chance(0.5), budget: shortestBudget + s.upTo(longestBudget-shortestBudget),
 		}
+		if s.kind.harms {
+			c.parts = s.randomParts(i)
+		}
 		s.callers = append(s.callers, c)
 		s.world.At(s.upTo(startWithin), c.begin)
 		if s.chance(0.3) {
--- a/test/outcomes/target_test.go
+++ b/test/outcomes/target_test.go
@@ -1,6 +1,7 @@
 package outcomes
 
 import (
+	"slices"
 	"time"
 
 	"carobshunt/internal/core"
@@ -30,6 +31,8 @@
 	address string
 	faulty  bool
 	running map[dispatchKey]*dispatch
+	// downUntil is when a process takes the place of one that has ended.
+	downUntil virtual.Time
 }
 
 type dispatchKey struct {
@@ -105,7 +108,7 @@
 
 func (d *dispatch) write() {
 	s := d.target.s
-	if d.behavior == behaviorNoConnection || d.aborted || d.from.Clock() >= d.start.Deadline {
+	if d.behavior == behaviorNoConnection || s.world.Now() < d.target.downUntil || d.aborted || d.from.Clock() >= d.start.Deadline {
 		d.end(node.EndedNotWritten)
 		return
 	}
@@ -131,6 +134,10 @@
 }
 
 func (d *dispatch) answer() {
+	if d.target.s.kind.harms && slices.Contains(d.start.Request.Parts, harmfulPart) {
+		d.target.endProcess()
+		return
+	}
 	switch d.behavior {
 	case behaviorHang, behaviorArriveLate:
 	case behaviorFail:
