Quarantine: bounds of what is remembered of losses

A peer that tells ever new losses could make a host remember 64 of them for each heartbeat for 15 minutes. Identifiers are kept for a minute, as losses are told for 4 s, and 16,384 of them and of ended processes at most.

--- a/internal/core/quarantine/published.go
+++ b/internal/core/quarantine/published.go
@@ -209,7 +209,7 @@
 // receiveLoss records a loss of another host, unless this one has proven its prompt harmless, which the sender is told.
 func (tb *Table) receiveLoss(now core.Time, from Sender, p *PublishedLoss) {
 	id := lossID{host: from.Peer, incarnation: from.Incarnation, number: p.Number}
-	if _, ok := tb.seen[id]; ok || len(p.Parts) > maxLossParts {
+	if _, ok := tb.seen[id]; ok || len(p.Parts) > maxLossParts || len(tb.seen) >= maxRemembered {
 		return
 	}
 	tb.seen[id] = now
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -305,6 +305,7 @@
 	assert.Assert(t, len(h.verdicts) <= maxVerdicts)
 	assert.Assert(t, len(h.proofs.current) <= maxProofs+1000)
 	assert.Assert(t, len(h.recent) <= maxRecent+64)
+	assert.Assert(t, len(h.seen) <= maxRemembered && len(h.lost) <= maxRemembered)
 	raw, err := json.Marshal(h.Published())
 	assert.NilError(t, err)
 	assert.Assert(t, len(raw) < 200_000, "%d bytes", len(raw))
--- a/internal/core/quarantine/suspect.go
+++ b/internal/core/quarantine/suspect.go
@@ -77,7 +77,9 @@
 
 // addLoss adds a loss to the suspects of its parts.
 func (tb *Table) addLoss(l *loss) {
-	tb.lost[l.process] = max(tb.lost[l.process], l.at)
+	if at, ok := tb.lost[l.process]; ok || len(tb.lost) < maxRemembered {
+		tb.lost[l.process] = max(at, l.at)
+	}
 	tb.recent = append(tb.recent, l)
 	for _, part := range l.parts {
 		s := tb.suspects[part]
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -203,6 +203,10 @@
 	aliveTTL = 10 * time.Second
 	// lossTTL is how long a loss is evidence. Prompts with a harmful part may be minutes apart.
 	lossTTL = 15 * time.Minute
+	// seenTTL is how long the identifier of a loss is remembered. It is told for a few seconds.
+	seenTTL = time.Minute
+	// maxRemembered is the number of identifiers of losses, and of ended processes, that are remembered.
+	maxRemembered = 16_384
 	// recentTime is how long losses count in rates; by then their weight is small. maxRecent bounds their number.
 	recentTime = 3 * rateTime
 	maxRecent  = 4096
@@ -228,7 +232,7 @@
 		}
 	}
 	for id, at := range tb.seen {
-		if now-at >= lossTTL {
+		if now-at >= seenTTL {
 			delete(tb.seen, id)
 		}
 	}
