--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -119,7 +119,8 @@
 		shutdownCtx, cancel := context.WithTimeout(d.halted, shutdownTimeout)
 		defer cancel()
 		if err := server.Shutdown(shutdownCtx); err != nil {
-			_ = server.Close() // the answers that are still open are cut
+			d.log.Info("open answers cut", "address", listener.Addr().String(), "why", err.Error())
+			_ = server.Close()
 		}
 	})
 	httplog.Prepare(server)
