--- a/internal/core/quarantine/published.go
+++ b/internal/core/quarantine/published.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -134,23 +135,13 @@
 		}
 		out.Verdicts = append(out.Verdicts, p)
 	}
-	for _, k := range tb.releasedKeys() {
+	for _, k := range slices.Sorted(maps.Keys(tb.released)) {
 		r := tb.released[k]
 		out.Verdicts = append(out.Verdicts, PublishedVerdict{Parts: r.parts, SinceMs: r.at.Milliseconds(), Ended: true})
 	}
 	return out
 }
 
-// releasedKeys returns the keys of the verdicts that have ended, sorted.
-func (tb *Table) releasedKeys() []string {
-	keys := make([]string, 0, len(tb.released))
-	for k := range tb.released {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // Sender is a host whose heartbeat has arrived.
 type Sender struct {
 	Peer, Incarnation string
@@ -251,7 +242,7 @@
 	case p.Ended:
 	case known != nil:
 		known.merge(p, from, now)
-	case released && ended.at >= at, tb.covered(parts), tb.provenSince(parts, first):
+	case released && ended.at >= at, tb.Withholds(parts) != nil, tb.provenSince(parts, first):
 	default:
 		v := &Verdict{Parts: parts, Since: at, First: first, ProbedAt: never, By: p.By, Hosts: p.Hosts[:min(len(p.Hosts), maxNews)], Ends: p.Ends}
 		v.merge(p, from, now)
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -140,7 +141,7 @@
 // cases returns the suspects with ends at enough moments, the most ends first, without those that a verdict covers.
 func (tb *Table) cases(explained explainedEnds) []*suspicion {
 	var out []*suspicion
-	for _, part := range tb.suspectedParts() {
+	for _, part := range slices.Sorted(maps.Keys(tb.suspects)) {
 		losses := explained.unexplained(tb.suspects[part])
 		if len(losses) < minMoments {
 			continue
@@ -149,7 +150,7 @@
 		if ends.moments < minMoments {
 			continue
 		}
-		if common := commonParts(losses); !tb.covered(common) {
+		if common := commonParts(losses); tb.Withholds(common) == nil {
 			out = append(out, &suspicion{losses: losses, common: common, ends: ends})
 		}
 	}
@@ -173,23 +174,10 @@
 
 // lossesApart returns the ends of a case at processes where the other one had no loss.
 func lossesApart(c, other *suspicion) ends {
-	with := make(map[target.Process]bool, len(other.losses))
-	for _, l := range other.losses {
-		with[l.process] = true
-	}
+	with := processesOf(other.losses)
 	return endsOf(slices.DeleteFunc(slices.Clone(c.losses), func(l *loss) bool { return with[l.process] }))
 }
 
-// suspectedParts returns the suspected parts in a fixed order.
-func (tb *Table) suspectedParts() []core.PartID {
-	parts := make([]core.PartID, 0, len(tb.suspects))
-	for part := range tb.suspects {
-		parts = append(parts, part)
-	}
-	slices.Sort(parts)
-	return parts
-}
-
 func newVerdict(now core.Time, by string, c *suspicion) *Verdict {
 	v := &Verdict{Parts: c.common, Since: now, First: c.ends.counted[0].at, Ends: c.ends.moments, ProbedAt: never, By: by}
 	for _, l := range c.losses {
@@ -235,18 +223,22 @@
 
 // with returns the processes whose ends have a cause: a verdict, or one of the losses.
 func (e explainedEnds) with(losses ...[]*loss) map[target.Process]bool {
-	caused := make(map[target.Process]bool)
+	caused := processesOf(losses...)
 	for _, ended := range e {
-		for process := range ended {
-			caused[process] = true
-		}
+		maps.Copy(caused, ended)
 	}
+	return caused
+}
+
+// processesOf returns the processes at which there were losses.
+func processesOf(losses ...[]*loss) map[target.Process]bool {
+	out := make(map[target.Process]bool)
 	for _, some := range losses {
 		for _, l := range some {
-			caused[l.process] = true
+			out[l.process] = true
 		}
 	}
-	return caused
+	return out
 }
 
 // commonParts returns the parts that all the losses have, sorted.
@@ -259,9 +251,6 @@
 	return common
 }
 
-// covered reports whether a verdict in force withholds all prompts with the given parts.
-func (tb *Table) covered(parts []core.PartID) bool { return tb.Withholds(parts) != nil }
-
 // give puts a verdict in force in place of those that it covers, and of the oldest if there are too many.
 func (tb *Table) give(v *Verdict, reason string) {
 	tb.verdicts = slices.DeleteFunc(tb.verdicts, func(o *Verdict) bool { return containsAll(o.Parts, v.Parts) })
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -159,7 +159,7 @@
 // prefillDue returns the latest time by which the prefill of a dispatch should be done, by the engine's published speed.
 // The target must have one.
 func (t *Target) prefillDue(p *activeDispatch) core.Time {
-	ms := float64(p.queuedWork) / t.Engine.PrefillTokensPerMs * prefillMargin
+	ms := t.publishedPrefillMs(p) * prefillMargin
 	return p.began + time.Duration(ms*float64(time.Millisecond)) + prefillSlack
 }
 
@@ -169,11 +169,16 @@
 	if p == nil {
 		return 0
 	}
-	rate := t.PrefillRate()
 	if t.Engine != nil {
-		rate = t.Engine.PrefillTokensPerMs * float64(time.Second/time.Millisecond)
+		return time.Duration(t.publishedPrefillMs(p) * float64(time.Millisecond))
 	}
-	return time.Duration(float64(p.queuedWork) / rate * float64(time.Second))
+	return time.Duration(float64(p.queuedWork) / t.PrefillRate() * float64(time.Second))
+}
+
+// publishedPrefillMs returns how long the prefill of a dispatch takes at the engine's published speed, with all work ahead of
+// it, in milliseconds. The target must have one.
+func (t *Target) publishedPrefillMs(p *activeDispatch) float64 {
+	return float64(p.queuedWork) / t.Engine.PrefillTokensPerMs
 }
 
 // ExpirePending removes prefill work that should be done by now from the pending work. The first token of a prompt
--- a/internal/httpwire/events.go
+++ b/internal/httpwire/events.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 
+	"carobshunt/internal/lines"
+
 	"github.com/juju/errors"
 )
 
@@ -40,11 +42,13 @@
 func (e *Events) Next() (Event, error) {
 	var out Event
 	for {
-		line, err := e.readLine(maxEventBytes - len(out.Raw))
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(out.Raw)+len(line) > 0 {
-				return Event{}, ErrTruncatedEvent
-			}
+		line, err := lines.Read(e.reader, maxEventBytes-len(out.Raw))
+		switch {
+		case errors.Is(err, lines.ErrTooLong):
+			return Event{}, ErrEventTooLarge
+		case errors.Is(err, io.EOF) && len(out.Raw)+len(line) > 0:
+			return Event{}, ErrTruncatedEvent
+		case err != nil:
 			return Event{}, err
 		}
 		out.Raw = append(out.Raw, line...)
@@ -56,21 +60,6 @@
 	}
 }
 
-// readLine reads a line with its end, of at most limit bytes.
-func (e *Events) readLine(limit int) ([]byte, error) {
-	var line []byte
-	for {
-		part, err := e.reader.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > limit {
-			return nil, ErrEventTooLarge
-		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return line, err
-		}
-	}
-}
-
 // readID sets the event's ID if line is an id field with a number.
 func (e *Event) readID(line []byte) {
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
--- /dev/null
+++ b/internal/lines/lines.go
@@ -0,0 +1,27 @@
+// Package lines reads lines of bounded length from streams whose senders are not trusted.
+package lines
+
+import (
+	"bufio"
+
+	"github.com/juju/errors"
+)
+
+// ErrTooLong is returned for a line that is longer than the limit.
+const ErrTooLong = errors.ConstError("the line is too long")
+
+// Read reads a line with its end, of at most limit bytes. It takes no more than that and one buffer of the reader from the
+// stream. On another error it returns what it has read of the line.
+func Read(r *bufio.Reader, limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if len(line)+len(part) > limit {
+			return nil, ErrTooLong
+		}
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -7,6 +7,8 @@
 	"io"
 	"log"
 
+	"carobshunt/internal/lines"
+
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -42,18 +44,12 @@
 
 // ReadObject implements jsonrpc2.ObjectCodec.
 func (c lineCodec) ReadObject(stream *bufio.Reader, v any) error {
-	var line []byte
-	for {
-		part, err := stream.ReadSlice('\n')
-		if len(line)+len(part) > c.limit {
-			return &MessageSizeError{Limit: c.limit}
-		}
-		line = append(line, part...)
-		if err == nil {
-			return errors.Trace(json.Unmarshal(line, v))
-		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return err
-		}
+	line, err := lines.Read(stream, c.limit)
+	switch {
+	case errors.Is(err, lines.ErrTooLong):
+		return &MessageSizeError{Limit: c.limit}
+	case err != nil:
+		return err
 	}
+	return errors.Trace(json.Unmarshal(line, v))
 }
--- a/test/fleet/engine_test.go
+++ b/test/fleet/engine_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"carobshunt/internal/core"
-	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
 	coretarget "carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
@@ -102,24 +101,21 @@
 
 // listEngine publishes a version of the host list with or without an engine.
 func (f *fleet) listEngine(t *target, listed bool) {
-	next := &hostlist.List{Version: f.list.Version + 1}
+	var entries []hostlist.Host
 	for _, entry := range f.list.Hosts {
 		if entry.Address != t.address {
-			next.Hosts = append(next.Hosts, entry)
+			entries = append(entries, entry)
 		}
 	}
 	if listed {
 		for _, entry := range f.all {
 			if entry.Address == t.address {
 				entry.Instance = t.instance
-				next.Hosts = append(next.Hosts, entry)
+				entries = append(entries, entry)
 			}
 		}
 	}
-	f.list = next
-	for _, h := range f.hosts {
-		h.Post(node.HostsReceived{List: f.list, Source: conf.SourcePlatform})
-	}
+	f.publish(entries)
 }
 
 // Identifiers of parts, by what they are shared by.
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -156,6 +156,14 @@
 	h.Post(node.HostsReceived{List: f.list, Source: conf.SourcePlatform})
 }
 
+// publish publishes a new version of the host list.
+func (f *fleet) publish(entries []hostlist.Host) {
+	f.list = &hostlist.List{Version: f.list.Version + 1, Hosts: entries}
+	for _, h := range f.hosts {
+		h.Post(node.HostsReceived{List: f.list, Source: conf.SourcePlatform})
+	}
+}
+
 func fleetDocument() *document.Document {
 	route := func(name string, kind document.Kind, service string) document.Route {
 		return document.Route{
--- a/test/fleet/leaving_test.go
+++ b/test/fleet/leaving_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"carobshunt/internal/core"
-	"carobshunt/internal/core/conf"
-	"carobshunt/internal/core/node"
 	coretarget "carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/virtual"
@@ -37,16 +35,13 @@
 
 // relist publishes a new version of the host list, with or without a target.
 func (f *fleet) relist(without *target) {
-	next := &hostlist.List{Version: f.list.Version + 1}
+	var entries []hostlist.Host
 	for _, entry := range f.all {
 		if without == nil || entry.Address != without.address {
-			next.Hosts = append(next.Hosts, entry)
+			entries = append(entries, entry)
 		}
 	}
-	f.list = next
-	for _, h := range f.hosts {
-		h.Post(node.HostsReceived{List: f.list, Source: conf.SourcePlatform})
-	}
+	f.publish(entries)
 }
 
 // TestTargetThatSaysItLeavesGetsNothingNew guards against requests to a target that has said in an answer that it leaves,
