Tests of targets that leave while the host list shows another start or instance, listed red

What callers' requests met: targets that had said that they leave, 2.9 s after their hosts had passed that on. The fake targets now have processes: lateness is judged at each arrival, for the process that spoke and the host's process that passed its word on.

--- a/test/fleet/engine_test.go
+++ b/test/fleet/engine_test.go
@@ -29,11 +29,11 @@
 }
 
 // run answers a request, unless its prompt ends the engine when it begins to write.
-func (t *target) run(w *virtual.World, home core.Home, post func(node.Input), start *node.StartDispatch) {
+func (t *target) run(w *virtual.World, from *virtual.Host, post func(node.Input), start *node.StartDispatch) {
 	r := &run{post: post, end: node.DispatchEnded{Key: start.Key, Dispatch: start.Dispatch, Target: start.Target}}
 	t.runs = append(t.runs, r)
 	first := node.DispatchFirstToken{Key: start.Key, Dispatch: start.Dispatch}
-	t.answer(w, home, firstTokenTime, func(n *coretarget.Notice) {
+	t.answer(w, from, firstTokenTime, func(n *coretarget.Notice) {
 		if first.Notice = n; !r.over {
 			post(first)
 		}
@@ -94,6 +94,7 @@
 	f.world.After(entryTimeout, func() { f.listEngine(t, false) })
 	f.world.After(restartMin+time.Duration(f.rng.Int64N(int64(restartSpread))), func() {
 		t.down = false
+		t.nextProcess()
 		t.instance += "+"
 		f.listEngine(t, true)
 	})
@@ -110,7 +111,7 @@
 	if listed {
 		for _, entry := range f.all {
 			if entry.Address == t.address {
-				entry.Instance = t.instance
+				entry.Instance, entry.Start = t.instance, t.startMs
 				entries = append(entries, entry)
 			}
 		}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -109,10 +109,13 @@
 	return f
 }
 
+// firstStartMs is the start of the first process of each target.
+const firstStartMs = 1
+
 func (f *fleet) addTarget(i int, engine bool) {
 	entry := hostlist.Host{
 		Address: fmt.Sprintf("10.1.0.%d:1", i+1), Zone: zone(i), Role: hostlist.RoleService, State: hostlist.StateLive,
-		Models: []string{serviceDesk}, Instance: fmt.Sprint("i-", i), Slots: 6,
+		Models: []string{serviceDesk}, Instance: fmt.Sprint("i-", i), Start: firstStartMs, Slots: 6,
 	}
 	if engine {
 		entry.Role, entry.Models, entry.Slots = hostlist.RoleEngine, []string{serviceEngines}, 16
@@ -120,7 +123,7 @@
 	f.list.Hosts = append(f.list.Hosts, entry)
 	f.all = append(f.all, entry)
 	t := &target{
-		fleet: f, address: entry.Address, engine: engine, instance: entry.Instance, told: make(map[core.Home]virtual.Time),
+		fleet: f, address: entry.Address, engine: engine, instance: entry.Instance, startMs: entry.Start, told: make(map[core.Home]virtual.Time),
 		toldLeaving: make(map[core.Home]virtual.Time), refused: make(map[core.Home][]virtual.Time),
 	}
 	f.targets = append(f.targets, t)
--- a/test/fleet/leaving_test.go
+++ b/test/fleet/leaving_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
 	"carobshunt/internal/core"
-	coretarget "carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/virtual"
 
@@ -24,15 +22,6 @@
 	t.leavingSince = t.fleet.world.Now()
 }
 
-// lateArrivals returns the requests that callers sent later than drainTime after the process that passed them on had
-// passed on an answer that says that the target leaves.
-func (t *target) lateArrivals() []arrival {
-	return slices.DeleteFunc(slices.Clone(t.arrivals), func(a arrival) bool {
-		told, ok := t.toldLeaving[a.home]
-		return !ok || a.submitted <= told+drainTime
-	})
-}
-
 // relist publishes a new version of the host list, with or without a target.
 func (f *fleet) relist(without *target) {
 	var entries []hostlist.Host
@@ -68,7 +57,7 @@
 			f.restart(restarted) // it has forgotten what it knew
 			f.world.Run(until)
 			for _, left := range []*target{engine, desk} {
-				late := len(left.lateArrivals())
+				late := len(left.late)
 				assert.Check(t, late == 0, "%s: %d requests after it had said that it leaves", left.address, late)
 				last := left.arrivals[len(left.arrivals)-1]
 				assert.Check(t, last.at < left.leavingSince+drainTime, "%s: %v sends to it, which was told by others", left.address, last.home)
@@ -89,10 +78,11 @@
 	desk := f.targets[1]
 	desk.sayLeaving()
 	f.world.Run(f.world.Now() + 5*time.Second)
-	desk.notice = coretarget.Notice{}
+	desk.nextProcess()
 	for i := range f.all {
 		if f.all[i].Address == desk.address {
-			f.all[i].Instance = "another"
+			f.all[i].Instance, f.all[i].Start = "another", desk.startMs
+			desk.instance = "another"
 		}
 	}
 	f.relist(nil)
--- a/test/fleet/target_test.go
+++ b/test/fleet/target_test.go
@@ -23,14 +23,19 @@
 	// told is when a process has first passed on an answer that named the limit in force.
 	told     map[core.Home]virtual.Time
 	arrivals []arrival
-	// leavingSince is when it first said that it leaves, toldLeaving when a process first passed on such an answer, and
-	// refused when processes got refusals that ask them to stay away.
+	// leavingSince is when its process first said that it leaves, toldLeaving when hosts' processes first passed on such an
+	// answer, and refused when they got refusals that ask them to stay away.
 	leavingSince virtual.Time
 	toldLeaving  map[core.Home]virtual.Time
 	refused      map[core.Home][]virtual.Time
-	// instance identifies its process; down is set while it has none. runs are the requests of the process that have not
-	// ended.
+	// late are the requests that callers sent later than drainTime after the host's process that sent them on had passed on
+	// an answer in which the target's process says that it leaves.
+	late []arrival
+	// instance is the name of its process and startMs its start, as in its entry in the host list. starts counts the
+	// processes; down is set while there is none. runs are the requests of the process that have not ended.
 	instance string
+	startMs  int64
+	starts   int
 	down     bool
 	runs     []*run
 }
@@ -87,32 +92,45 @@
 			w.After(networkTime, func() { post(end) })
 		case t.refuses:
 			end.Ending = node.EndedRefused
-			t.answer(w, home, 0, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+			t.answer(w, from, 0, func(n *coretarget.Notice) { end.Notice = n; post(end) })
 			t.refused[home] = append(t.refused[home], w.Now()+networkTime)
 		case t.engine:
-			t.run(w, home, post, &start)
+			t.run(w, from, post, &start)
 		default:
-			t.answer(w, home, deskTime, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+			t.answer(w, from, deskTime, func(n *coretarget.Notice) { end.Notice = n; post(end) })
 		}
 	})
 }
 
-// answer passes the notice in force after a time to the process that asked, which passes the answer on at once.
-func (t *target) answer(w *virtual.World, home core.Home, after time.Duration, deliver func(*coretarget.Notice)) {
+// answer passes the notice in force after a time to the host's process that asked, which passes the answer on at once. The
+// answer is lost with either process.
+func (t *target) answer(w *virtual.World, from *virtual.Host, after time.Duration, deliver func(*coretarget.Notice)) {
+	home, process := from.Self(), t.starts
 	w.After(after, func() {
+		if t.starts != process {
+			return
+		}
 		notice := t.notice
 		w.After(networkTime, func() {
-			if _, ok := t.told[home]; !ok && notice.Limited && t.notice.Limited {
-				t.told[home] = w.Now()
-			}
-			if _, ok := t.toldLeaving[home]; !ok && notice.Leaving {
-				t.toldLeaving[home] = w.Now()
+			if from.Alive() && !from.Paused() && from.Self() == home {
+				t.passedOn(home, process, &notice)
 			}
 			deliver(&notice)
 		})
 	})
 }
 
+// passedOn records that a host's process has passed on an answer of a process of the target.
+func (t *target) passedOn(home core.Home, process int, notice *coretarget.Notice) {
+	now := t.fleet.world.Now()
+	if _, ok := t.told[home]; !ok && notice.Limited && t.notice.Limited {
+		t.told[home] = now
+	}
+	if _, ok := t.toldLeaving[home]; !ok && notice.Leaving && t.starts == process {
+		t.toldLeaving[home] = now
+	}
+}
+
 func (t *target) arrive(from *virtual.Host, home core.Home, start *node.StartDispatch) {
 	a := arrival{
 		at: t.fleet.world.Now(), home: home, told: never, submitted: t.fleet.submitted[start.Key.ID], excused: t.fleet.excused(from),
@@ -121,8 +139,20 @@
 	if told, ok := t.told[home]; ok {
 		a.told = told
 	}
+	if told, ok := t.toldLeaving[home]; ok && start.Instance == t.instance && a.submitted > told+drainTime {
+		t.late = append(t.late, a)
+	}
 	t.arrivals = append(t.arrivals, a)
 }
 
+// nextProcess gives the target a process that says nothing of itself, under the name that the one before had.
+func (t *target) nextProcess() {
+	t.starts++
+	t.startMs = t.fleet.world.Now().Milliseconds()
+	t.notice = coretarget.Notice{}
+	t.refuses = false
+	clear(t.toldLeaving)
+}
+
 // Abort implements virtual.Target. A request that has arrived runs to its end.
 func (t *target) Abort(*virtual.World, *virtual.Host, node.AbortDispatch) {}
