--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -79,6 +79,8 @@
 	Work  core.Work
 	// Instance identifies the target process; a different process at the address must refuse.
 	Instance string
+	// Start is the start of that process in the host list, which may be out of date.
+	Start int64
 	// Basis is the state that the choice of the target was based on.
 	Basis Basis
 	// Helpers are prefill helpers: engines that each prefill a part of the prompt for the target.
@@ -190,6 +192,8 @@
 	EventTargetLimit Event = "limit of a target"
 	// EventTargetLeaving: a target said that it is about to stop.
 	EventTargetLeaving Event = "target leaving"
+	// EventTargetReplaced: the host list has another process at the address of a target.
+	EventTargetReplaced Event = "target replaced"
 	// EventTargetHeldOff: a target wants no requests from this host for a while.
 	EventTargetHeldOff Event = "target held off"
 	// EventNoticeInvalid: a target said something of itself that can't be decoded.
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -79,6 +79,7 @@
 		Request:  rec.Request,
 		Work:     rec.Work,
 		Instance: t.Instance,
+		Start:    t.Start,
 		Basis:    basis,
 	}
 }
--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -55,15 +55,29 @@
 	}
 }
 
+// maxReportedReplaced is the number of replaced targets that one host list is reported with at most.
+const maxReportedReplaced = 50
+
+// reportReplaced reports the targets that have another process by a host list, and who sent the list.
+func (n *Node) reportReplaced(source string) {
+	replaced := n.targets.TakeReplaced()
+	for _, r := range replaced[:min(len(replaced), maxReportedReplaced)] {
+		n.do(StateChange{
+			Event: EventTargetReplaced,
+			Text:  fmt.Sprintf("%v by instance %q, start %d, list from %s, %d in all", r.Old, r.New.Instance, r.New.Start, source, len(replaced)),
+		})
+	}
+}
+
 // reportStanding reports a change of what holds of a target, and where it was learned.
 func (n *Node) reportStanding(c target.StandingChange, source string) {
 	if c.Limit != c.WasLimit {
 		n.do(StateChange{
 			Event: EventTargetLimit,
-			Text:  fmt.Sprintf("%s takes %g requests a second, before %g (0: no limit), by %s", c.Address, c.Limit, c.WasLimit, source),
+			Text:  fmt.Sprintf("%v takes %g requests a second, before %g (0: no limit), by %s", c.Process, c.Limit, c.WasLimit, source),
 		})
 	}
 	if c.NowLeaving {
-		n.do(StateChange{Event: EventTargetLeaving, Text: fmt.Sprintf("%s, by %s", c.Address, source)})
+		n.do(StateChange{Event: EventTargetLeaving, Text: fmt.Sprintf("%v, by %s", c.Process, source)})
 	}
 }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -172,6 +172,7 @@
 		return
 	}
 	n.targets.DropGone(n.now)
+	n.reportReplaced(in.Source)
 	n.hosts = in.List
 	n.cells = cells
 	n.setEngineSpeeds()
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -16,6 +17,11 @@
 	Start    int64  `json:"s,omitempty"`
 }
 
+// String returns the process for logs.
+func (p Process) String() string {
+	return fmt.Sprintf("%s (instance %q, start %d)", p.Address, p.Instance, p.Start)
+}
+
 // Process returns the run of the target that the host list has.
 func (t *Target) Process() Process {
 	return Process{Address: t.Address, Instance: t.Instance, Start: t.Start}
@@ -71,7 +77,7 @@
 
 // StandingChange is a change of what holds of a target.
 type StandingChange struct {
-	Address string
+	Process Process
 	// Limit is the new limit and WasLimit the one before, in requests a second; 0 for none.
 	Limit, WasLimit float64
 	// NowLeaving is set if the target is about to stop and was not known to be.
@@ -80,7 +86,7 @@
 
 // standingChange returns a change that changes nothing.
 func standingChange(s *Standing) StandingChange {
-	return StandingChange{Address: s.process.Address, Limit: s.Limit, WasLimit: s.Limit}
+	return StandingChange{Process: s.process, Limit: s.Limit, WasLimit: s.Limit}
 }
 
 // Urgent reports whether other hosts are to be told at once, rather than with the next heartbeat: not if a limit has only
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -281,6 +281,8 @@
 	fleet   Fleet
 	// lastHold is the end of the last hold of any target.
 	lastHold core.Time
+	// replaced are the replacements of processes by Apply since the last TakeReplaced.
+	replaced []Replacement
 	// distrustUntil is until when a target that has left is not taken back because a host list has it as live: see
 	// trackRetirement.
 	distrustUntil core.Time
@@ -371,6 +373,7 @@
 		tb.trackRetirement(now, t)
 		return
 	} else if t != nil {
+		tb.replaced = append(tb.replaced, Replacement{Old: t.Process(), New: Process{host.Address, host.Instance, host.Start}})
 		t.evidence.forget(t) // another target has the address now, or this one has restarted
 	}
 	t := &Target{
@@ -386,6 +389,16 @@
 	tb.trackRetirement(now, t)
 }
 
+// Replacement is that the host list has another process at an address.
+type Replacement struct{ Old, New Process }
+
+// TakeReplaced returns the replacements since the last call.
+func (tb *Table) TakeReplaced() []Replacement {
+	out := tb.replaced
+	tb.replaced = nil
+	return out
+}
+
 // LoadChanges returns the number of changes to the load that this host has placed.
 func (tb *Table) LoadChanges() uint64 { return tb.loadChanges }
 
