Targets: what a target said outlives its start in the host list; a check of its health proves a new process

Cause: what a target says was kept by address, instance and start, but no answer tells which start it comes from. A list with another start (an older copy of the store, an entry read late) made all hosts forget it at once. Class: state keyed by a value that comes from another source than the state itself, and later or earlier. Change: it is kept by address and instance. Word of leaving ends only when a check of the target's health, which began after that word, shows that the process there takes requests; checks are made only while the list has another start than when the word was heard. Each host checks for itself, as a peer's word has no exact time. Limits and holds now last over a start too: they end by answers and by time. That the list had a process as leaving is still kept by start.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -10,8 +10,8 @@
 )
 
 // Action is an effect that the caller of Step must carry out. The Node has no other output, apart from Snapshot. The method
-// action does nothing; it only marks the types that are actions: those of this file, Reserve and Release in groups.go,
-// ListMemory and CancelHolding in memory.go, and ReadOrders and SendOrder in orders.go.
+// action does nothing; it only marks the types that are actions: those of this file, CheckTarget in checks.go, Reserve and
+// Release in groups.go, ListMemory and CancelHolding in memory.go, and ReadOrders and SendOrder in orders.go.
 type Action interface{ action() }
 
 // DecisionKind is how the server that received a caller's request proceeds with it.
@@ -192,6 +192,10 @@
 	EventTargetLimit Event = "limit of a target"
 	// EventTargetLeaving: a target said that it is about to stop.
 	EventTargetLeaving Event = "target leaving"
+	// EventTargetServing: another process has taken the place of one that was about to stop.
+	EventTargetServing Event = "target serving again"
+	// EventTargetChecked: a check of a target's health has ended.
+	EventTargetChecked Event = "health of a target checked"
 	// EventTargetReplaced: the host list has another process at the address of a target.
 	EventTargetReplaced Event = "target replaced"
 	// EventTargetHeldOff: a target wants no requests from this host for a while.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -214,6 +214,8 @@
 	switch in := in.(type) {
 	case HeartbeatReceived:
 		n.heartbeatReceived(in)
+	case TargetChecked:
+		n.targetChecked(in)
 	case TargetAlive:
 		if t := n.targets.Get(in.Target); t != nil {
 			n.targetAlive(t)
@@ -253,6 +255,7 @@
 	n.ordersTick()
 	n.targets.DropGone(n.now)
 	n.targets.ExpirePending(n.now)
+	n.checkTargets()
 	n.redispatchUnresponsive()
 	n.expireWaiting()
 	n.sizeLanes()
--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -80,4 +80,7 @@
 	if c.NowLeaving {
 		n.do(StateChange{Event: EventTargetLeaving, Text: fmt.Sprintf("%v, by %s", c.Process, source)})
 	}
+	if c.NowServing {
+		n.do(StateChange{Event: EventTargetServing, Text: fmt.Sprintf("%v, by %s", c.Process, source)})
+	}
 }
--- a/internal/core/target/notice.go
+++ b/internal/core/target/notice.go
@@ -36,7 +36,10 @@
 		next.Limit = 0
 		s.confirmed = now
 	}
-	next.NowLeaving = notice.Leaving && !s.Leaving
+	if notice.Leaving {
+		next.NowLeaving = s.departure.said(now, t.Start)
+	}
+	next.Process = s.process()
 	return next, tb.change(now, now, s, next)
 }
 
--- a/internal/core/target/published.go
+++ b/internal/core/target/published.go
@@ -15,7 +15,8 @@
 	maxPublished = 64
 )
 
-// PublishedNotice is what one run of a target has said of itself, as hosts tell it each other in heartbeats.
+// PublishedNotice is what a target has said of itself, as hosts tell it each other in heartbeats. The start is the one that
+// the sender knows from the host list.
 type PublishedNotice struct {
 	Process
 	// Limit is in requests a second; 0 for no limit.
@@ -30,11 +31,12 @@
 func (tb *Table) Notices(now core.Time) []PublishedNotice {
 	var out []PublishedNotice
 	for _, s := range tb.standings {
-		ended := s.Limit == 0 && !s.Leaving
+		leaving := s.departure.leaving
+		ended := s.Limit == 0 && !leaving
 		if s.heard == never || ended && now-s.heard >= endedNoticeTTL {
 			continue
 		}
-		out = append(out, PublishedNotice{Process: s.process, Limit: s.Limit, Leaving: s.Leaving, HeardMs: s.heard.Milliseconds()})
+		out = append(out, PublishedNotice{Process: s.process(), Limit: s.Limit, Leaving: leaving, HeardMs: s.heard.Milliseconds()})
 	}
 	slices.SortFunc(out, func(a, b PublishedNotice) int {
 		return cmp.Or(cmp.Compare(b.HeardMs, a.HeardMs), compareProcesses(a.Process, b.Process))
@@ -49,9 +51,9 @@
 }
 
 // ApplyPublished records what a peer tells of a target, which a host learned that long ago. The later of two words on a
-// limit holds. That a target leaves holds for good.
+// limit holds. That a target leaves holds unless a later check has shown the contrary.
 func (tb *Table) ApplyPublished(now core.Time, age time.Duration, p *PublishedNotice) (StandingChange, bool) {
-	s := tb.standingOf(p.Process)
+	s := tb.standingOf(p.Identity())
 	if s == nil {
 		return StandingChange{}, false
 	}
@@ -68,6 +70,9 @@
 	default:
 		s.heard = max(s.heard, s.confirmed) // the peer has older word, so tell it how recent this host's is
 	}
-	next.NowLeaving = p.Leaving && !s.Leaving
+	if p.Leaving && !s.departure.leaving && heard > s.departure.disproved {
+		next.NowLeaving = s.departure.said(heard, p.Start)
+	}
+	next.Process = s.process()
 	return next, tb.change(now, heard, s, next)
 }
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -27,16 +27,23 @@
 	return Process{Address: t.Address, Instance: t.Instance, Start: t.Start}
 }
 
-// Standing is what one run of a target has said of itself to any host, as far as it still holds. It outlives the target's
-// entry in the host list, which may be missing for a moment.
+// Identity names a target at an address. A process that starts again may have the identity of the one before.
+type Identity struct{ Address, Instance string }
+
+// Identity returns the identity under which the process runs.
+func (p Process) Identity() Identity { return Identity{Address: p.Address, Instance: p.Instance} }
+
+// Standing is what a target has said of itself to any host, as far as it still holds. It outlives the target's entry in the
+// host list, which may be missing for a moment, and its start there, which may be out of date: answers don't tell which start
+// they come from.
 type Standing struct {
-	process Process
+	identity Identity
+	// listedStart is the last start of it in the host list.
+	listedStart int64
 	// Limit is the number of requests a second that the target takes from all hosts together; 0 for no limit.
 	Limit float64
-	// Leaving is set for good once the target has said that it is about to stop.
-	Leaving bool
-	// retired is set while the process is listed as leaving, or no longer listed.
-	retired bool
+	// departure is since the target has said that it is about to stop.
+	departure departure
 	// hold is since the target refused a request of this host and asked for none for a while.
 	hold hold
 	// bucket bounds the requests of all hosts to Limit; nil without a limit.
@@ -46,7 +53,7 @@
 	confirmed core.Time
 	// faultsReported is when invalid notices were last reported; never at first.
 	faultsReported core.Time
-	// unlistedSince is since when no target of the host list is this process; never while one is.
+	// unlistedSince is since when no target of the host list has this identity; never while one has.
 	unlistedSince core.Time
 }
 
@@ -69,7 +76,7 @@
 }
 
 const (
-	// standingTTL is how long the standing of a process that is not listed is kept.
+	// standingTTL is how long the standing of a target that is not listed is kept.
 	standingTTL = 10 * time.Minute
 	// maxStandings bounds the number of standings.
 	maxStandings = 16_384
@@ -80,13 +87,15 @@
 	Process Process
 	// Limit is the new limit and WasLimit the one before, in requests a second; 0 for none.
 	Limit, WasLimit float64
-	// NowLeaving is set if the target is about to stop and was not known to be.
+	// NowLeaving is set if the target is about to stop and was not known to be, or not with that start.
 	NowLeaving bool
+	// NowServing is set if another process has taken the place of one that was about to stop.
+	NowServing bool
 }
 
 // standingChange returns a change that changes nothing.
 func standingChange(s *Standing) StandingChange {
-	return StandingChange{Process: s.process, Limit: s.Limit, WasLimit: s.Limit}
+	return StandingChange{Process: s.process(), Limit: s.Limit, WasLimit: s.Limit}
 }
 
 // Urgent reports whether other hosts are to be told at once, rather than with the next heartbeat: not if a limit has only
@@ -128,7 +137,6 @@
 	if next.Limit == s.Limit && !next.NowLeaving {
 		return false
 	}
-	s.Leaving = s.Leaving || next.NowLeaving
 	s.heard = heard
 	if next.Limit != s.Limit {
 		tb.setLimit(now, s, next.Limit)
@@ -142,7 +150,7 @@
 	case limit == 0:
 		s.bucket = nil
 	case s.bucket == nil:
-		s.bucket = throttle.New(now, tb.fleet.Self(), limit, tb.fleet.Senders(s.process.Address, limit), tb.fleet.Settled())
+		s.bucket = throttle.New(now, tb.fleet.Self(), limit, tb.fleet.Senders(s.identity.Address, limit), tb.fleet.Settled())
 	default:
 		s.bucket.SetRate(now, limit)
 	}
@@ -159,30 +167,43 @@
 	}
 }
 
-// newStanding returns the standing of a process that has said nothing.
-func newStanding(p Process) *Standing {
-	return &Standing{process: p, heard: never, confirmed: never, faultsReported: never, unlistedSince: never}
+// newStanding returns the standing of a target that has said nothing.
+func newStanding(id Identity) *Standing {
+	return &Standing{
+		identity: id, departure: newDeparture(), heard: never, confirmed: never, faultsReported: never, unlistedSince: never,
+	}
 }
 
-// standingOf returns the standing of a process and creates it if there is none. It returns nil if there is no room.
-func (tb *Table) standingOf(p Process) *Standing {
-	if s := tb.standings[p]; s != nil {
+// standingOf returns the standing of a target and creates it if there is none. It returns nil if there is no room.
+func (tb *Table) standingOf(id Identity) *Standing {
+	if s := tb.standings[id]; s != nil {
 		return s
 	}
 	if len(tb.standings) >= maxStandings {
 		return nil
 	}
-	s := newStanding(p)
-	tb.standings[p] = s
+	s := newStanding(id)
+	tb.standings[id] = s
 	return s
 }
 
+// process returns the process that says what holds, with the start that the host list had: at the word of one that leaves.
+func (s *Standing) process() Process {
+	start := s.listedStart
+	if s.departure.leaving {
+		start = s.departure.start
+	}
+	return Process{Address: s.identity.Address, Instance: s.identity.Instance, Start: start}
+}
+
 // attach gives a listed target its standing.
 func (tb *Table) attach(t *Target) {
-	t.standing = tb.standingOf(t.Process())
+	id := t.Process().Identity()
+	t.standing = tb.standingOf(id)
 	if t.standing == nil {
-		t.standing = newStanding(t.Process())
+		t.standing = newStanding(id)
 	}
+	t.standing.listedStart = t.Start
 	t.standing.unlistedSince = never
 }
 
@@ -193,22 +214,24 @@
 	}
 }
 
-// ExpireStandings drops the standings of processes that have not been listed for standingTTL.
+// ExpireStandings drops the standings of targets that have not been listed for standingTTL, and what is known of processes
+// that left as long ago.
 func (tb *Table) ExpireStandings(now core.Time) {
-	for p, s := range tb.standings {
-		t := tb.byAddress[p.Address]
+	tb.retired.expire(now)
+	for id, s := range tb.standings {
+		t := tb.byAddress[id.Address]
 		switch {
 		case t != nil && t.standing == s:
 		case s.unlistedSince == never:
 			s.unlistedSince = now
 		case now-s.unlistedSince >= standingTTL:
-			delete(tb.standings, p)
+			delete(tb.standings, id)
 		}
 	}
 }
 
 // Leaves reports whether the target is about to stop, by the host list or by what it has said.
-func (t *Target) Leaves() bool { return t.State != hostlist.StateLive || t.standing.Leaving }
+func (t *Target) Leaves() bool { return t.State != hostlist.StateLive || t.SaysLeaving() }
 
 // faultReportInterval is the time between two reports of invalid notices of one target.
 const faultReportInterval = 10 * time.Second
@@ -242,7 +265,7 @@
 func (t *Target) Limit() float64 { return t.standing.Limit }
 
 // SaysLeaving reports whether the target has said that it is about to stop.
-func (t *Target) SaysLeaving() bool { return t.standing.Leaving }
+func (t *Target) SaysLeaving() bool { return t.standing.departure.leaving }
 
 // LimitWait returns how long this host has to wait until it may send to a limited target behind that many other requests,
 // if all senders use their equal shares. It reports false if other hosts send there.
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -274,8 +274,9 @@
 	withPeer    map[string][]*Target
 	evidence    *evidence
 	loadChanges uint64
-	// standings hold what targets have said of themselves, by process.
-	standings map[Process]*Standing
+	// standings hold what targets have said of themselves.
+	standings map[Identity]*Standing
+	retired   retirements
 	// limited are the targets that name a limit, in order of address.
 	limited []*Target
 	fleet   Fleet
@@ -294,7 +295,8 @@
 		byAddress: make(map[string]*Target),
 		withPeer:  make(map[string][]*Target),
 		evidence:  newEvidence(),
-		standings: make(map[Process]*Standing),
+		standings: make(map[Identity]*Standing),
+		retired:   make(retirements),
 		fleet:     lone{},
 	}
 }
@@ -344,13 +346,13 @@
 func (tb *Table) DropGone(now core.Time) {
 	changed := false
 	for address, t := range tb.byAddress {
-		changed = t.regainTrust(now) || changed
+		changed = tb.regainTrust(now, t) || changed
 		if t.goneAt == 0 || now < t.goneAt {
 			continue
 		}
 		changed = changed || t.State != hostlist.StateLeaving
 		t.State = hostlist.StateLeaving
-		t.standing.retired = true
+		tb.retired.add(now, t.Process())
 		if t.InFlight() == 0 {
 			t.evidence.forget(t)
 			delete(tb.byAddress, address)
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -30,7 +30,8 @@
 
 func (l *requestLog) dispatched(a *node.StartDispatch) {
 	l.log.Info("dispatched", "id", a.Key.ID, "team", a.Key.Team, "dispatch", a.Dispatch, "target", a.Target,
-		"instance", a.Instance, "start", a.Start, "helpers", len(a.Helpers)+len(a.Group), "streams", a.Basis.Streams, "pending", a.Basis.Pending, "limit", a.Basis.Limit,
+		"instance", a.Instance, "start", a.Start, "helpers", len(a.Helpers)+len(a.Group),
+		"streams", a.Basis.Streams, "pending", a.Basis.Pending, "limit", a.Basis.Limit,
 		"peers_age_ms", a.Basis.PeersAge.Milliseconds(), "revision", a.Basis.Revision, "hosts_version", a.Basis.HostsVersion)
 }
 
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -49,7 +49,7 @@
 func (d *Daemon) serveStore(ctx context.Context, group *errgroup.Group, x *executor, dialer netdial.Dialer) (*http.Server, error) {
 	ingress := platform.NewIngress(d.loop, dialer, d.log)
 	x.requests = ingress
-	x.engines = &storeEngines{orders: platform.NewOrders(d.loop, dialer), log: d.log}
+	x.engines = &storeEngines{orders: platform.NewOrders(d.loop, dialer), health: platform.NewHealth(d.loop, dialer), log: d.log}
 	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer, d.currentPreset, d.log)
 	lookup := platform.NewLookup(d.loop, d.log)
 	for _, one := range []struct {
@@ -81,9 +81,10 @@
 // currentPreset returns the preset in the settings. Settings for a platform with a store always have one.
 func (d *Daemon) currentPreset() document.Preset { return *d.preset.Load() }
 
-// storeEngines reserves and releases engine memory by the platform's protocol.
+// storeEngines reserves and releases engine memory, and checks the health of targets, by the platform's protocol.
 type storeEngines struct {
 	orders *platform.Orders
+	health *platform.Health
 	log    hclog.Logger
 }
 
@@ -92,6 +93,8 @@
 	switch a := action.(type) {
 	case node.Reserve:
 		go e.orders.Reserve(ctx, a)
+	case node.CheckTarget:
+		go e.health.Check(ctx, a)
 	case node.Release:
 		go func() {
 			if err := e.orders.Release(ctx, a); err != nil {
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -77,6 +77,9 @@
 	// MaxConnections is the maximum number of connections that one target accepts from all entry hosts together. The
 	// hosts don't apply it.
 	MaxConnections int64 `json:"max_connections" jsonschema:"minimum=1,description=connections that one target takes from all entry hosts"`
+	// HealthPath is where targets answer a GET with status 200 while they take requests; empty if nowhere. The hosts check a
+	// target only to see whether a new process has taken the place of one that said that it leaves.
+	HealthPath string `json:"health,omitempty" jsonschema:"description=path where targets answer for their health"`
 	// Engine describes the targets if they are model engines; nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -189,10 +189,6 @@
 		for _, address := range slices.Sorted(maps.Keys(h.world.Targets)) {
 			h.world.Targets[address].Abort(h.world, h, a)
 		}
-	case node.Reserve, node.Release, node.ListMemory, node.CancelHolding:
-		h.executeMemory(a)
-	case node.ReadOrders, node.SendOrder:
-		h.executeOrder(a)
 	case node.Finish:
 		if h.OnFinish != nil {
 			h.OnFinish(a)
@@ -212,6 +208,22 @@
 	case node.Stop:
 		h.stopped = true
 		h.Kill()
+	default:
+		h.executeOnTarget(action)
+	}
+}
+
+// executeOnTarget carries out an action on a target other than a dispatch.
+func (h *Host) executeOnTarget(action node.Action) {
+	switch a := action.(type) {
+	case node.CheckTarget:
+		if t, ok := h.world.Targets[a.Process.Address].(HealthTarget); ok {
+			t.Check(h.world, h, a)
+		}
+	case node.Reserve, node.Release, node.ListMemory, node.CancelHolding:
+		h.executeMemory(a)
+	case node.ReadOrders, node.SendOrder:
+		h.executeOrder(a)
 	}
 }
 
--- a/internal/virtual/world.go
+++ b/internal/virtual/world.go
@@ -22,6 +22,12 @@
 	Abort(w *World, from *Host, abort node.AbortDispatch)
 }
 
+// HealthTarget is a Target whose health hosts can check.
+type HealthTarget interface {
+	// Check answers a check of a host, or never.
+	Check(w *World, from *Host, check node.CheckTarget)
+}
+
 // Network decides when messages arrive and which are lost.
 type Network interface {
 	// Delay returns the latency of a message sent now from one address to another; false means that it is lost.
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -167,6 +167,8 @@
 	}
 }
 
+const healthPath = "/healthz"
+
 func fleetDocument() *document.Document {
 	route := func(name string, kind document.Kind, service string) document.Route {
 		return document.Route{
@@ -184,8 +186,8 @@
 		Teams:  []document.Team{{Name: "all", Weight: 1, TokensPerSecond: 1, Unmetered: true}},
 		Routes: []document.Route{route("ask", document.KindStream, serviceEngines), route("read", document.KindIdempotent, serviceDesk)},
 		Services: []document.Service{
-			{Name: serviceDesk, MaxConnections: 100},
-			{Name: serviceEngines, MaxConnections: 300, Engine: &document.Engine{
+			{Name: serviceDesk, MaxConnections: 100, HealthPath: healthPath},
+			{Name: serviceEngines, MaxConnections: 300, HealthPath: healthPath, Engine: &document.Engine{
 				Slots: 16, MemoryTokens: 232_000, StepsPerIteration: 43, ChunkTokens: 2048, StepMs: 1, PrefillTokensPerMs: 206, AttentionPairsMs: 0.1,
 			}},
 		},
--- a/test/fleet/target_test.go
+++ b/test/fleet/target_test.go
@@ -102,6 +102,26 @@
 	})
 }
 
+// checkTimeout is when a check of a target without a process fails.
+const checkTimeout = time.Second
+
+// Check implements virtual.HealthTarget.
+func (t *target) Check(w *virtual.World, from *virtual.Host, check node.CheckTarget) {
+	post := from.Poster()
+	w.After(networkTime, func() {
+		result, after := coretarget.CheckServes, networkTime
+		switch {
+		case t.down:
+			result, after = coretarget.CheckFailed, checkTimeout
+		case check.Process.Instance != t.instance:
+			result = coretarget.CheckFailed
+		case t.notice.Leaving:
+			result = coretarget.CheckLeaves
+		}
+		w.After(after, func() { post(node.TargetChecked{Process: check.Process, SentAt: check.SentAt, Result: result}) })
+	})
+}
+
 // answer passes the notice in force after a time to the host's process that asked, which passes the answer on at once. The
 // answer is lost with either process.
 func (t *target) answer(w *virtual.World, from *virtual.Host, after time.Duration, deliver func(*coretarget.Notice)) {
