Targets: a notice belongs to the process that was asked, not to what the list has at its address

Cause: a notice was applied to the process that the host list had at the address when the answer ended. While an older copy of the list had another instance there, or no entry, the word of the one that spoke was lost, and the other one was left alone for good. Class: an effect that is bound by address to what is there now, not to what was asked. Change: a notice names the process that was asked, and is kept whether or not that is listed.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -6,6 +6,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
 )
 
@@ -87,6 +88,11 @@
 	Helpers []string
 }
 
+// Process returns the process that the dispatch is meant for, as the host list has it.
+func (a *StartDispatch) Process() target.Process {
+	return target.Process{Address: a.Target, Instance: a.Instance, Start: a.Start}
+}
+
 // Basis records the load and the versions that a target was chosen with, for the log.
 type Basis struct {
 	// Streams and Pending are the known load of the target when the dispatch begins, without the dispatch itself: its
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -131,7 +131,7 @@
 	if rec == nil || rec.LastDispatch != in.Dispatch {
 		return
 	}
-	n.noticeReceived(rec.Target, target.Dispatch{Key: in.Key, Number: in.Dispatch}, in.Notice)
+	n.noticeReceived(target.Dispatch{Key: in.Key, Number: in.Dispatch}, in.Notice)
 	if rec.Timing.FirstToken != 0 {
 		return
 	}
@@ -148,6 +148,7 @@
 }
 
 func (n *Node) dispatchEnded(in DispatchEnded) {
+	n.noticeReceived(target.Dispatch{Key: in.Key, Number: in.Dispatch}, in.Notice)
 	n.releaseTarget(in)
 	n.releaseDispatchGroup(in.Key, in.Dispatch)
 	if !n.awaits(in) {
@@ -197,13 +198,12 @@
 	}
 }
 
-// releaseLoad removes an ended dispatch from the load of its target, and records that the target answered and what it said.
+// releaseLoad removes an ended dispatch from the load of its target, and records that the target answered.
 func (n *Node) releaseLoad(t *target.Target, in DispatchEnded) {
 	dispatch := target.Dispatch{Key: in.Key, Number: in.Dispatch}
 	if in.Ending == EndedDone {
 		t.Answered(dispatch)
 	}
-	n.noticeReceived(in.Target, dispatch, in.Notice)
 	if in.Ending == EndedNotWritten {
 		t.ReturnPermit(n.now)
 	}
--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -11,18 +11,17 @@
 
 // noticeReceived records what a target says of itself in the answer to a dispatch, and tells the other hosts what has
 // changed. A nil notice has no effect.
-func (n *Node) noticeReceived(address string, d target.Dispatch, notice *target.Notice) {
-	t := n.targets.Get(address)
-	if notice == nil || t == nil {
+func (n *Node) noticeReceived(d target.Dispatch, notice *target.Notice) {
+	if notice == nil {
 		return
 	}
-	if len(notice.Faults) > 0 && t.ReportsFaults(n.now) {
-		n.do(StateChange{Event: EventNoticeInvalid, Text: address + ": " + strings.Join(notice.Faults, "; ")})
+	if n.targets.ReportsFaults(n.now, notice) {
+		n.do(StateChange{Event: EventNoticeInvalid, Text: fmt.Sprintf("%v: %s", notice.From, strings.Join(notice.Faults, "; "))})
 	}
 	if notice.RetryAfter > 0 {
-		n.holdOff(t, notice.RetryAfter)
+		n.holdOff(notice.From, notice.RetryAfter)
 	}
-	if change, changed := n.targets.ApplyNotice(n.now, t, d, notice); changed {
+	if change, changed := n.targets.ApplyNotice(n.now, d, notice); changed {
 		n.reportStanding(change, "its answer")
 		n.tellNotices(change)
 	}
@@ -40,9 +39,9 @@
 const holdJitter = 4
 
 // holdOff sends a target nothing for at least the time that it asked for.
-func (n *Node) holdOff(t *target.Target, d time.Duration) {
-	t.HoldOff(n.now, d+time.Duration(n.rng.Int64N(int64(d/holdJitter)+1)))
-	n.do(StateChange{Event: EventTargetHeldOff, Text: fmt.Sprintf("%s wants nothing for %v, held for %v", t.Address, d, t.HeldFor(n.now))})
+func (n *Node) holdOff(p target.Process, d time.Duration) {
+	held := n.targets.HoldOff(n.now, p.Identity(), d+time.Duration(n.rng.Int64N(int64(d/holdJitter)+1)))
+	n.do(StateChange{Event: EventTargetHeldOff, Text: fmt.Sprintf("%v wants nothing for %v, held for %v", p, d, held)})
 }
 
 // noticesPublished records what a peer's heartbeat tells of targets.
--- a/internal/core/node/notices_test.go
+++ b/internal/core/node/notices_test.go
@@ -12,6 +12,7 @@
 
 // answer ends a dispatch with an answer in which the target says something of itself.
 func (e *routedHost) answer(d node.StartDispatch, notice target.Notice) {
+	notice.From = d.Process()
 	e.step(node.DispatchEnded{Key: d.Key, Dispatch: d.Dispatch, Target: d.Target, Ending: node.EndedDone, Notice: &notice})
 }
 
--- a/internal/core/target/departure_test.go
+++ b/internal/core/target/departure_test.go
@@ -29,7 +29,7 @@
 func TestCheckOfHealthIsDueOnlyForAnotherStart(t *testing.T) {
 	tb, x := listed(t, 5)
 	assert.Assert(t, !x.CheckDue(time.Second))
-	tb.ApplyNotice(time.Second, x, Dispatch{}, &Notice{Leaving: true})
+	tb.ApplyNotice(time.Second, Dispatch{}, &Notice{From: x.Process(), Leaving: true})
 	assert.Assert(t, !x.CheckDue(2*time.Second))
 	relist(t, tb, 6)
 	x = tb.Get("a:1")
@@ -44,7 +44,7 @@
 // TestCheckThatBeganBeforeTheWordProvesNothing guards against a check that overtakes the word of a target that begins to leave.
 func TestCheckThatBeganBeforeTheWordProvesNothing(t *testing.T) {
 	tb, x := listed(t, 5)
-	tb.ApplyNotice(time.Second, x, Dispatch{}, &Notice{Leaving: true})
+	tb.ApplyNotice(time.Second, Dispatch{}, &Notice{From: x.Process(), Leaving: true})
 	for _, c := range []struct {
 		began  core.Time
 		result CheckResult
@@ -75,3 +75,33 @@
 	tb.ApplyPublished(2*time.Second, 900*time.Millisecond, word)
 	assert.Assert(t, x.SaysLeaving())
 }
+
+// TestLateWordOfAnEarlierProcessIsCheckedAgain guards against a target that gets nothing for good because the last answer of
+// an earlier process arrives after the check of the one that has taken its place.
+func TestLateWordOfAnEarlierProcessIsCheckedAgain(t *testing.T) {
+	tb, x := listed(t, 5)
+	before := x.Process()
+	tb.ApplyNotice(time.Second, Dispatch{}, &Notice{From: before, Leaving: true})
+	relist(t, tb, 6)
+	x = tb.Get("a:1")
+	assert.Assert(t, x.CheckDue(2*time.Second))
+	tb.ApplyCheck(2*time.Second+time.Millisecond, 2*time.Second, x.Process(), CheckServes)
+	assert.Assert(t, x.Eligible(3*time.Second))
+	tb.ApplyNotice(3*time.Second, Dispatch{}, &Notice{From: before, Leaving: true})
+	assert.Assert(t, !x.Eligible(3*time.Second), "the list may be late again")
+	assert.Assert(t, x.CheckDue(3*time.Second))
+	tb.ApplyCheck(3*time.Second+time.Millisecond, 3*time.Second+time.Microsecond, x.Process(), CheckServes)
+	assert.Assert(t, x.Eligible(4*time.Second))
+}
+
+// TestWordOfATargetThatIsNotListedIsKept guards against word of leaving that is lost while the entry of the target is missing
+// or another target's entry stands at its address.
+func TestWordOfATargetThatIsNotListedIsKept(t *testing.T) {
+	tb, x := listed(t, 5)
+	from := x.Process()
+	assert.Assert(t, tb.Apply(&hostlist.List{Version: tb.Version() + 1}))
+	assert.Assert(t, tb.Get("a:1") == nil)
+	tb.ApplyNotice(time.Second, Dispatch{}, &Notice{From: from, Leaving: true})
+	relist(t, tb, 5)
+	assert.Assert(t, !tb.Get("a:1").Eligible(time.Minute))
+}
--- a/internal/core/target/hold.go
+++ b/internal/core/target/hold.go
@@ -19,13 +19,19 @@
 	trial     Dispatch
 }
 
-// HoldOff records that the target wants no requests from this host for a time, at most maxHold.
-func (t *Target) HoldOff(now core.Time, d time.Duration) {
-	h := &t.standing.hold
+// HoldOff records that a target wants no requests from this host for a time, at most maxHold. It returns how much longer the
+// target wants none now.
+func (tb *Table) HoldOff(now core.Time, id Identity, d time.Duration) time.Duration {
+	s := tb.standingFor(id)
+	if s == nil {
+		return 0
+	}
+	h := &s.hold
 	h.until = max(h.until, now+min(d, maxHold))
 	h.returning = true
 	h.trial = Dispatch{}
-	*t.lastHold = max(*t.lastHold, h.until)
+	tb.lastHold = max(tb.lastHold, h.until)
+	return h.until - now
 }
 
 // HeldFor returns how much longer the target wants no requests from this host.
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -187,6 +187,23 @@
 	return s
 }
 
+// standingFor returns the standing of a target, that of the listed one even if there was no room for it. It returns nil if
+// there is no room.
+func (tb *Table) standingFor(id Identity) *Standing {
+	if t := tb.byAddress[id.Address]; t != nil && t.standing.identity == id {
+		return t.standing
+	}
+	return tb.standingOf(id)
+}
+
+// listedAs returns the listed target that has a standing; nil if there is none.
+func (tb *Table) listedAs(s *Standing) *Target {
+	if t := tb.byAddress[s.identity.Address]; t != nil && t.standing == s {
+		return t
+	}
+	return nil
+}
+
 // process returns the process that says what holds, with the start that the host list had: at the word of one that leaves.
 func (s *Standing) process() Process {
 	start := s.listedStart
@@ -219,9 +236,8 @@
 func (tb *Table) ExpireStandings(now core.Time) {
 	tb.retired.expire(now)
 	for id, s := range tb.standings {
-		t := tb.byAddress[id.Address]
 		switch {
-		case t != nil && t.standing == s:
+		case tb.listedAs(s) != nil:
 		case s.unlistedSince == never:
 			s.unlistedSince = now
 		case now-s.unlistedSince >= standingTTL:
@@ -233,19 +249,6 @@
 // Leaves reports whether the target is about to stop, by the host list or by what it has said.
 func (t *Target) Leaves() bool { return t.State != hostlist.StateLive || t.SaysLeaving() }
 
-// faultReportInterval is the time between two reports of invalid notices of one target.
-const faultReportInterval = 10 * time.Second
-
-// ReportsFaults reports whether invalid notices of the target are to be reported now, and records that they are.
-func (t *Target) ReportsFaults(now core.Time) bool {
-	s := t.standing
-	if s.faultsReported != never && now-s.faultsReported < faultReportInterval {
-		return false
-	}
-	s.faultsReported = now
-	return true
-}
-
 // Limited reports whether the target names a limit.
 func (t *Target) Limited() bool { return t.standing.bucket != nil }
 
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -68,8 +68,6 @@
 	// loadChanges points to the table's counter.
 	loadChanges *uint64
 	standing    *Standing
-	// lastHold points to the table's.
-	lastHold *core.Time
 }
 
 // Dispatch identifies one dispatch of a request, a prefill helper's part or the claim of a group.
@@ -109,6 +107,10 @@
 // InFlight returns the number of this host's dispatches, prefill helpers' parts and claims that have not ended.
 func (t *Target) InFlight() int { return len(t.inFlight) }
 
+// Carries reports whether a dispatch of this host to the target has not ended. One that began at an earlier process at the
+// address is none of this target's.
+func (t *Target) Carries(d Dispatch) bool { return t.inFlight[d] != nil }
+
 // PendingTokens returns this host's pending prefill work at the target, see Load.Pending, in weighted tokens.
 func (t *Target) PendingTokens() int64 { return t.own.Ahead(0) }
 
@@ -384,7 +386,6 @@
 		peers:       make(map[string]Load),
 		evidence:    tb.evidence,
 		loadChanges: &tb.loadChanges,
-		lastHold:    &tb.lastHold,
 	}
 	tb.attach(t)
 	tb.byAddress[host.Address] = t
--- a/test/fleet/engine_test.go
+++ b/test/fleet/engine_test.go
@@ -33,7 +33,7 @@
 	r := &run{post: post, end: node.DispatchEnded{Key: start.Key, Dispatch: start.Dispatch, Target: start.Target}}
 	t.runs = append(t.runs, r)
 	first := node.DispatchFirstToken{Key: start.Key, Dispatch: start.Dispatch}
-	t.answer(w, from, firstTokenTime, func(n *coretarget.Notice) {
+	t.answer(w, from, start, firstTokenTime, func(n *coretarget.Notice) {
 		if first.Notice = n; !r.over {
 			post(first)
 		}
--- a/test/fleet/target_test.go
+++ b/test/fleet/target_test.go
@@ -92,12 +92,12 @@
 			w.After(networkTime, func() { post(end) })
 		case t.refuses:
 			end.Ending = node.EndedRefused
-			t.answer(w, from, 0, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+			t.answer(w, from, &start, 0, func(n *coretarget.Notice) { end.Notice = n; post(end) })
 			t.refused[home] = append(t.refused[home], w.Now()+networkTime)
 		case t.engine:
 			t.run(w, from, post, &start)
 		default:
-			t.answer(w, from, deskTime, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+			t.answer(w, from, &start, deskTime, func(n *coretarget.Notice) { end.Notice = n; post(end) })
 		}
 	})
 }
@@ -124,13 +124,16 @@
 
 // answer passes the notice in force after a time to the host's process that asked, which passes the answer on at once. The
 // answer is lost with either process.
-func (t *target) answer(w *virtual.World, from *virtual.Host, after time.Duration, deliver func(*coretarget.Notice)) {
+func (t *target) answer(
+	w *virtual.World, from *virtual.Host, start *node.StartDispatch, after time.Duration, deliver func(*coretarget.Notice),
+) {
 	home, process := from.Self(), t.starts
 	w.After(after, func() {
 		if t.starts != process {
 			return
 		}
 		notice := t.notice
+		notice.From = start.Process()
 		w.After(networkTime, func() {
 			if from.Alive() && !from.Paused() && from.Self() == home {
 				t.passedOn(home, process, &notice)
