Node: what a target says with the first event of a stream is kept when the request is over

Callers saw: the event may reach a caller while its request ends (the caller leaves, the dispatch is given up); then the host did not know that the target leaves, and sent it others. Cause: dispatchFirstToken returned for a request that is no longer active, or has another dispatch, before it read the notice, and the end of the dispatch carries none after that. By reading, and by a test that failed before: TestWordOfLeavingIsKeptWhenItsRequestIsOver, both cases. The notice needs no request any more, so it is read first.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -127,12 +127,9 @@
 const percent = 100
 
 func (n *Node) dispatchFirstToken(in DispatchFirstToken) {
-	rec := n.active[in.Key]
-	if rec == nil || rec.LastDispatch != in.Dispatch {
-		return
-	}
 	n.noticeReceived(target.Dispatch{Key: in.Key, Number: in.Dispatch}, in.Notice)
-	if rec.Timing.FirstToken != 0 {
+	rec := n.active[in.Key]
+	if rec == nil || rec.LastDispatch != in.Dispatch || rec.Timing.FirstToken != 0 {
 		return
 	}
 	rec.Timing.FirstToken = n.now
--- a/internal/core/node/notices_test.go
+++ b/internal/core/node/notices_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -67,3 +68,22 @@
 	e.answer(slow, target.Notice{})
 	assert.Equal(t, e.node.Snapshot().Status.Targets[0].Limit, 4.0)
 }
+
+// TestWordOfLeavingIsKeptWhenItsRequestIsOver guards against word that a target gives with the first event of a stream whose
+// caller has left, or which is given up, in the same moment: the event may still reach the caller.
+func TestWordOfLeavingIsKeptWhenItsRequestIsOver(t *testing.T) {
+	for name, over := range map[string]func(*routedHost, node.StartDispatch){
+		"caller-left":   func(e *routedHost, d node.StartDispatch) { e.step(node.CallerLeft{Key: d.Key}) },
+		"dispatch-lost": func(e *routedHost, d node.StartDispatch) { e.end(d, node.EndedLost) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newRoutedHost(t)
+			d := e.send("/ask/1")
+			over(e, d)
+			notice := &target.Notice{From: d.Process(), Leaving: true}
+			e.step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch, Notice: notice})
+			e.wait(10 * time.Second)
+			assert.Assert(t, !slices.Contains(e.eligible(), d.Target))
+		})
+	}
+}
