Node: the end of a dispatch is no evidence of the next process at the address

Ends and events now count only at the target that the dispatch was sent to. TestEndOfADispatchIsNoEvidenceOfTheNextProcess failed before in all three cases.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -88,6 +88,9 @@
 	Helpers []string
 }
 
+// ID identifies the dispatch.
+func (a *StartDispatch) ID() target.Dispatch { return target.Dispatch{Key: a.Key, Number: a.Dispatch} }
+
 // Process returns the process that the dispatch is meant for, as the host list has it.
 func (a *StartDispatch) Process() target.Process {
 	return target.Process{Address: a.Target, Instance: a.Instance, Start: a.Start}
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -167,7 +167,8 @@
 }
 
 // releaseTarget removes an ended dispatch from the load of its target and records what the ending shows of the target or
-// of in.Blame. That no answer came counts as the target's failure only if the request awaits this dispatch.
+// of in.Blame. That no answer came counts as the target's failure only if the request awaits this dispatch. The end shows
+// nothing of another process that has the address now.
 func (n *Node) releaseTarget(in DispatchEnded) {
 	if rec := n.active[in.Key]; rec != nil && rec.LastDispatch == in.Dispatch {
 		n.removeHelperLoad(rec)
@@ -175,7 +176,7 @@
 	t := n.targets.Get(in.Target)
 	blameless := in.Blame != "" || !n.awaits(in) || n.active[in.Key].DeadlineAborted || t != nil && n.outOfTime(n.active[in.Key], t)
 	n.quarantineEnded(in, blameless)
-	if t == nil {
+	if t == nil || !t.Carries(target.Dispatch{Key: in.Key, Number: in.Dispatch}) {
 		return
 	}
 	n.releaseLoad(t, in)
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -91,8 +91,12 @@
 // CallerLeft reports that the caller of a routed request closed its connection.
 type CallerLeft struct{ Key core.Key }
 
-// TargetAlive reports that a target is alive: it sent an event of a stream. Not every event is reported.
-type TargetAlive struct{ Target string }
+// TargetAlive reports that a target is alive: it sent an event of the stream that answers a dispatch. Not every event is
+// reported.
+type TargetAlive struct {
+	Target   string
+	Dispatch target.Dispatch
+}
 
 // SeedsReloaded carries the seed peer addresses of reloaded settings.
 type SeedsReloaded struct{ Peers []string }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -217,7 +217,7 @@
 	case TargetChecked:
 		n.targetChecked(in)
 	case TargetAlive:
-		if t := n.targets.Get(in.Target); t != nil {
+		if t := n.targets.Get(in.Target); t != nil && t.Carries(in.Dispatch) {
 			n.targetAlive(t)
 		}
 	case LoadsReceived:
--- a/internal/core/node/notices_test.go
+++ b/internal/core/node/notices_test.go
@@ -87,3 +87,20 @@
 		})
 	}
 }
+
+// TestEndOfADispatchIsNoEvidenceOfTheNextProcess guards against a new process that is left alone because of what became of the
+// dispatches to the one before at its address.
+func TestEndOfADispatchIsNoEvidenceOfTheNextProcess(t *testing.T) {
+	for _, ending := range []node.Ending{node.EndedLost, node.EndedNotWritten, node.EndedRefused} {
+		t.Run(ending.String(), func(t *testing.T) {
+			e := newRoutedHost(t)
+			e.list(targetList(2, "s1"))
+			before := e.send("/read/1")
+			next := targetList(3, "s1")
+			next.Hosts[0].Instance = "next"
+			e.list(next)
+			e.end(before, ending)
+			assert.DeepEqual(t, e.eligible(), []string{"s1"})
+		})
+	}
+}
--- a/test/fleet/engine_test.go
+++ b/test/fleet/engine_test.go
@@ -50,7 +50,7 @@
 	for at := firstTokenTime; at < streamTime; at += eventReportInterval {
 		w.After(at+networkTime, func() {
 			if !r.over {
-				post(node.TargetAlive{Target: t.address})
+				post(node.TargetAlive{Target: t.address, Dispatch: start.ID()})
 			}
 		})
 	}
