--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -13,6 +13,8 @@
 type Host struct {
 	// OnFinish, if set, is called for every request that gets its final result on this host.
 	OnFinish func(node.Finish)
+	// OnChange, if set, is called for every state change that a process on this host reports.
+	OnChange func(node.StateChange)
 
 	world *World
 	opts  node.Options
@@ -193,6 +195,10 @@
 		if h.OnFinish != nil {
 			h.OnFinish(a)
 		}
+	case node.StateChange:
+		if h.OnChange != nil {
+			h.OnChange(a)
+		}
 	case node.SendHeartbeat:
 		h.send(a.Peer, node.HeartbeatReceived{Heartbeat: a.Heartbeat})
 	case node.SendLoads:
--- a/test/fleet/engine_test.go
+++ b/test/fleet/engine_test.go
@@ -100,8 +100,8 @@
 	})
 }
 
-// listEngine publishes a version of the host list with or without an engine.
-func (f *fleet) listEngine(t *target, listed bool) {
+// relistEngine publishes the host list in force with or without an engine.
+func (f *fleet) relistEngine(t *target, listed bool) {
 	var entries []hostlist.Host
 	for _, entry := range f.list.Hosts {
 		if entry.Address != t.address {
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -58,6 +58,8 @@
 	ends []end
 	// withheld holds the requests that were refused because their prompts are withheld.
 	withheld map[string]bool
+	// listEngine publishes a version of the host list with or without an engine.
+	listEngine func(t *target, listed bool)
 	// begun holds the requests whose answer an engine has begun to write.
 	begun map[string]bool
 }
@@ -94,6 +96,7 @@
 		withheld:     make(map[string]bool),
 		excusedUntil: make(map[string]virtual.Time), outcomes: make(map[api.Outcome]int),
 	}
+	f.listEngine = f.relistEngine
 	f.world = virtual.New(f)
 	for i := range opts.engines + opts.desks {
 		f.addTarget(i, i < opts.engines)
--- a/test/fleet/target_test.go
+++ b/test/fleet/target_test.go
@@ -92,12 +92,12 @@
 			w.After(networkTime, func() { post(end) })
 		case t.refuses:
 			end.Ending = node.EndedRefused
-			t.answer(w, from, &start, 0, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+			t.answer(w, from, &start, 0, func(n *coretarget.Notice) { post(endedWith(end, n)) })
 			t.refused[home] = append(t.refused[home], w.Now()+networkTime)
 		case t.engine:
 			t.run(w, from, post, &start)
 		default:
-			t.answer(w, from, &start, deskTime, func(n *coretarget.Notice) { end.Notice = n; post(end) })
+			t.answer(w, from, &start, deskTime, func(n *coretarget.Notice) { post(endedWith(end, n)) })
 		}
 	})
 }
@@ -122,14 +122,24 @@
 	})
 }
 
-// answer passes the notice in force after a time to the host's process that asked, which passes the answer on at once. The
-// answer is lost with either process.
+// endedWith returns the end of a dispatch with a notice; without one it was lost.
+func endedWith(end node.DispatchEnded, notice *coretarget.Notice) node.DispatchEnded {
+	end.Notice = notice
+	if notice == nil {
+		end.Ending = node.EndedLost
+	}
+	return end
+}
+
+// answer passes the notice in force after a time to the host's process that asked, which passes the answer on at once. If the
+// target's process has ended by then, it passes nil on.
 func (t *target) answer(
 	w *virtual.World, from *virtual.Host, start *node.StartDispatch, after time.Duration, deliver func(*coretarget.Notice),
 ) {
 	home, process := from.Self(), t.starts
 	w.After(after, func() {
-		if t.starts != process {
+		if t.starts != process || t.down {
+			deliver(nil)
 			return
 		}
 		notice := t.notice
