--- a/internal/core/target/published.go
+++ b/internal/core/target/published.go
@@ -11,6 +11,9 @@
 const (
 	// endedNoticeTTL is how long the end of a limit is told to other hosts.
 	endedNoticeTTL = time.Minute
+	// unlistedNoticeTTL is how long notices of a target that is not listed are told to other hosts. An older copy of the
+	// platform's list may have it for some seconds.
+	unlistedNoticeTTL = time.Minute
 	// maxPublished is the number of notices that a heartbeat carries at most.
 	maxPublished = 64
 )
@@ -33,7 +36,8 @@
 	for _, s := range tb.standings {
 		leaving := s.departure.leaving
 		ended := s.Limit == 0 && !leaving
-		if s.heard == never || ended && now-s.heard >= endedNoticeTTL {
+		gone := s.unlistedSince != never && now-s.unlistedSince >= unlistedNoticeTTL
+		if s.heard == never || gone || ended && now-s.heard >= endedNoticeTTL {
 			continue
 		}
 		out = append(out, PublishedNotice{Process: s.process(), Limit: s.Limit, Leaving: leaving, HeardMs: s.heard.Milliseconds()})
