--- a/test/outcomes/faults_test.go
+++ b/test/outcomes/faults_test.go
@@ -51,6 +51,7 @@
 	}
 	h.Pause()
 	process := h.Self()
+	s.forgetLeaving(process)
 	s.world.After(s.upTo(longestPause), func() {
 		if h.Alive() && h.Self() == process {
 			s.resumedAt[h] = h.Clock()
--- a/test/outcomes/schedule_test.go
+++ b/test/outcomes/schedule_test.go
@@ -31,16 +31,40 @@
 	tight bool
 	// harms lets some prompts end the target that begins to answer them, with all that it runs.
 	harms bool
+	// leaves lets targets say that they leave while the host list shows false entries of them.
+	leaves bool
 }
 
 // callers returns the number of callers.
 func (k kind) callers() int {
-	if k.harms {
+	switch {
+	case k.harms:
 		return harmCallerCount
+	case k.leaves:
+		return leavingCallerCount
 	}
 	return callerCount
 }
 
+// startWithin returns the time within which callers start, and length how long the schedule runs.
+func (k kind) startWithin() time.Duration {
+	if k.leaves {
+		return leavingStartWithin
+	}
+	return startWithin
+}
+
+func (k kind) length() time.Duration {
+	length := scheduleLength + k.startWithin() - startWithin
+	if k.delays {
+		length += longestDelay
+	}
+	if k.long {
+		length = longLength + longestBudget + time.Second // the last arrival still has its whole budget
+	}
+	return length
+}
+
 var kinds = []kind{
 	{name: "no fault"},
 	{name: "targets", targets: true},
@@ -161,7 +185,10 @@
 			host.Role, host.Models = hostlist.RoleService, []string{serviceModel}
 		}
 		s.list.Hosts = append(s.list.Hosts, host)
-		t := &fakeTarget{s: s, address: host.Address, faulty: s.kind.targets, running: make(map[dispatchKey]*dispatch)}
+		t := &fakeTarget{
+			s: s, address: host.Address, faulty: s.kind.targets,
+			running: make(map[dispatchKey]*dispatch), toldLeaving: make(map[core.Home]virtual.Time),
+		}
 		s.targets = append(s.targets, t)
 		s.world.Targets[host.Address] = t
 	}
@@ -242,20 +269,16 @@
 			c.parts = s.randomParts(i)
 		}
 		s.callers = append(s.callers, c)
-		s.world.At(s.upTo(startWithin), c.begin)
+		s.world.At(s.upTo(s.kind.startWithin()), c.begin)
 		if s.chance(0.3) {
 			s.world.At(s.upTo(scheduleLength), func() { c.ask(s.chance(0.5)) })
 		}
 	}
 	s.planFaults()
-	length := scheduleLength
-	if s.kind.delays {
-		length += longestDelay
-	}
-	if s.kind.long {
-		length = longLength + longestBudget + time.Second // the last arrival still has its whole budget
+	if s.kind.leaves {
+		s.planLeaving()
 	}
-	s.world.Run(length)
+	s.world.Run(s.kind.length())
 	s.check()
 	return s.oracle.faults
 }
--- a/test/outcomes/target_test.go
+++ b/test/outcomes/target_test.go
@@ -31,6 +31,9 @@
 	address string
 	faulty  bool
 	running map[dispatchKey]*dispatch
+	// leaving is set once it says that it leaves, toldLeaving when hosts' processes first passed on such an answer.
+	leaving     bool
+	toldLeaving map[core.Home]virtual.Time
 	// downUntil is when a process takes the place of one that has ended.
 	downUntil virtual.Time
 }
@@ -130,6 +133,7 @@
 
 // arrive records the arrival. Written bytes arrive even if the sender has ended.
 func (d *dispatch) arrive() {
+	d.checkLeaving()
 	d.target.s.oracle.arrived(d.start.Request, d.target.s.world.Now())
 }
 
@@ -145,7 +149,7 @@
 	case behaviorLoseAfterArrival, behaviorLoseBeforeArrival:
 		d.end(node.EndedLost)
 	default:
-		d.post(node.DispatchFirstToken{Key: d.start.Key, Dispatch: d.start.Dispatch})
+		d.post(node.DispatchFirstToken{Key: d.start.Key, Dispatch: d.start.Dispatch, Notice: d.takeNotice()})
 		d.target.s.world.After(d.target.s.upTo(200*time.Millisecond), func() { d.onHost(func() { d.end(node.EndedDone) }) })
 	}
 }
