Node: no announcement after a check of a target's health, path looked up only when a check is due

Each host checks for itself and word of peers from before is not believed, so an announcement by each host of a cell to all others carried nothing.

--- a/internal/core/node/checks.go
+++ b/internal/core/node/checks.go
@@ -33,8 +33,10 @@
 // new process is to get requests. A target whose service has no path for that gets none under the same identity.
 func (n *Node) checkTargets() {
 	for _, t := range n.targets.All() {
-		path := n.healthPath(t)
-		if path != "" && t.CheckDue(n.now) {
+		if !t.CheckDue(n.now) {
+			continue
+		}
+		if path := n.healthPath(t); path != "" {
 			n.do(CheckTarget{Process: t.Process(), Path: path, SentAt: n.now})
 		}
 	}
@@ -54,7 +56,7 @@
 	return ""
 }
 
-// targetChecked records what a check has shown.
+// targetChecked records what a check has shown. Other hosts check for themselves.
 func (n *Node) targetChecked(in TargetChecked) {
 	n.do(StateChange{Event: EventTargetChecked, Text: fmt.Sprintf("%v: %v %s", in.Process, in.Result, in.Detail)})
 	change, changed := n.targets.ApplyCheck(n.now, in.SentAt, in.Process, in.Result)
@@ -62,6 +64,5 @@
 		return
 	}
 	n.reportStanding(change, "a check of its health")
-	n.tellNotices(change)
 	n.dispatchQueued()
 }
