--- a/internal/core/target/departure_test.go
+++ b/internal/core/target/departure_test.go
@@ -105,3 +105,19 @@
 	relist(t, tb, 5)
 	assert.Assert(t, !tb.Get("a:1").Eligible(time.Minute))
 }
+
+// TestTargetThatIsListedAsLeavingForLongStaysLeft guards against an older copy of the platform that brings back a target which
+// the list has had as leaving for longer than what is known of targets that are gone is kept.
+func TestTargetThatIsListedAsLeavingForLongStaysLeft(t *testing.T) {
+	tb := NewTable()
+	host := hostlist.Host{Address: "a:1", Instance: "x", Start: 5, State: hostlist.StateLeaving, Role: hostlist.RoleService}
+	apply := func(now core.Time, version uint64) {
+		assert.Assert(t, tb.ApplyWithGrace(now, &hostlist.List{Version: version, Hosts: []hostlist.Host{host}}, 0))
+	}
+	apply(0, hostlist.VersionOf(0, 60))
+	now := 2 * standingTTL
+	tb.ExpireStandings(now)
+	host.State = hostlist.StateLive
+	apply(now, hostlist.VersionOf(1, 50))
+	assert.Assert(t, !tb.Get("a:1").Eligible(now))
+}
--- a/internal/core/target/retirement.go
+++ b/internal/core/target/retirement.go
@@ -20,11 +20,13 @@
 	}
 }
 
-// expire drops the processes that left standingTTL ago.
-func (r retirements) expire(now core.Time) {
-	for p, at := range r {
-		if now-at >= standingTTL {
-			delete(r, p)
+// expireRetired drops the processes that left standingTTL ago. One that is listed as leaving has not left yet.
+func (tb *Table) expireRetired(now core.Time) {
+	for p, at := range tb.retired {
+		t := tb.byAddress[p.Address]
+		listed := t != nil && t.Process() == p
+		if !listed && now-at >= standingTTL {
+			delete(tb.retired, p)
 		}
 	}
 }
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -234,7 +234,7 @@
 // ExpireStandings drops the standings of targets that have not been listed for standingTTL, and what is known of processes
 // that left as long ago.
 func (tb *Table) ExpireStandings(now core.Time) {
-	tb.retired.expire(now)
+	tb.expireRetired(now)
 	for id, s := range tb.standings {
 		switch {
 		case tb.listedAs(s) != nil:
