Clean-up after reading the change: one identifier of a dispatch, one place that names the process of a change

The dispatch of an input is named by its ID in place of seven literals; change fills in the process that three callers filled in; an answer without faults costs no look-up for reporting them; in test/fleet, one entryOf, maps.Clone in place of a copy of it, a counter of lists in place of the bits of a version, a field in place of a map with one key.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -127,17 +127,17 @@
 const percent = 100
 
 func (n *Node) dispatchFirstToken(in DispatchFirstToken) {
-	n.noticeReceived(target.Dispatch{Key: in.Key, Number: in.Dispatch}, in.Notice)
+	n.noticeReceived(in.ID(), in.Notice)
 	rec := n.active[in.Key]
 	if rec == nil || rec.LastDispatch != in.Dispatch || rec.Timing.FirstToken != 0 {
 		return
 	}
 	rec.Timing.FirstToken = n.now
-	n.quarantine.FirstEvent(n.now, target.Dispatch{Key: in.Key, Number: in.Dispatch})
+	n.quarantine.FirstEvent(n.now, in.ID())
 	n.removeHelperLoad(rec)
 	n.groupPrefilled(in.Key)
 	if t := n.targets.Get(rec.Target); t != nil {
-		t.Prefilled(n.now, target.Dispatch{Key: in.Key, Number: in.Dispatch})
+		t.Prefilled(n.now, in.ID())
 		if rec.Request.Prefix != "" && !rec.Work.Group {
 			t.ApplyCacheEvent(target.CacheEvent{Prefix: rec.Request.Prefix, Tokens: rec.Request.PrefixTokens})
 		}
@@ -145,7 +145,7 @@
 }
 
 func (n *Node) dispatchEnded(in DispatchEnded) {
-	n.noticeReceived(target.Dispatch{Key: in.Key, Number: in.Dispatch}, in.Notice)
+	n.noticeReceived(in.ID(), in.Notice)
 	n.releaseTarget(in)
 	n.releaseDispatchGroup(in.Key, in.Dispatch)
 	if !n.awaits(in) {
@@ -176,7 +176,7 @@
 	t := n.targets.Get(in.Target)
 	blameless := in.Blame != "" || !n.awaits(in) || n.active[in.Key].DeadlineAborted || t != nil && n.outOfTime(n.active[in.Key], t)
 	n.quarantineEnded(in, blameless)
-	if t == nil || !t.Carries(target.Dispatch{Key: in.Key, Number: in.Dispatch}) {
+	if t == nil || !t.Carries(in.ID()) {
 		return
 	}
 	n.releaseLoad(t, in)
@@ -198,7 +198,7 @@
 
 // releaseLoad removes an ended dispatch from the load of its target, and records that the target answered.
 func (n *Node) releaseLoad(t *target.Target, in DispatchEnded) {
-	dispatch := target.Dispatch{Key: in.Key, Number: in.Dispatch}
+	dispatch := in.ID()
 	if in.Ending == EndedDone {
 		t.Answered(dispatch)
 	}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -62,6 +62,11 @@
 	Notice *target.Notice
 }
 
+// ID identifies the dispatch.
+func (in *DispatchFirstToken) ID() target.Dispatch {
+	return target.Dispatch{Key: in.Key, Number: in.Dispatch}
+}
+
 // DispatchEnded reports the end of a dispatch, including an aborted one.
 type DispatchEnded struct {
 	Key      core.Key
@@ -76,6 +81,11 @@
 	Notice *target.Notice
 }
 
+// ID identifies the dispatch.
+func (in *DispatchEnded) ID() target.Dispatch {
+	return target.Dispatch{Key: in.Key, Number: in.Dispatch}
+}
+
 // Cancel asks to end a request early. An answer "not run" closes the identifier.
 type Cancel struct {
 	Ticket  Ticket
--- a/internal/core/node/quarantine.go
+++ b/internal/core/node/quarantine.go
@@ -33,7 +33,7 @@
 // quarantineEnded records what the end of a dispatch shows of its prompt. blameless is set if no answer came for a reason
 // other than the target.
 func (n *Node) quarantineEnded(in DispatchEnded, blameless bool) {
-	d := target.Dispatch{Key: in.Key, Number: in.Dispatch}
+	d := in.ID()
 	rec := n.active[in.Key]
 	switch {
 	case in.Ending == EndedDone && rec != nil:
--- a/internal/core/target/departure.go
+++ b/internal/core/target/departure.go
@@ -82,6 +82,6 @@
 		d.disproved = began
 		next.NowServing = true
 	}
-	next.Process = s.process()
-	return next, tb.change(now, now, s, next) || next.NowServing
+	next, changed := tb.change(now, now, s, next)
+	return next, changed || next.NowServing
 }
--- a/internal/core/target/notice.go
+++ b/internal/core/target/notice.go
@@ -44,8 +44,7 @@
 	if notice.Leaving {
 		next.NowLeaving = s.departure.said(now, notice.From.Start)
 	}
-	next.Process = s.process()
-	return next, tb.change(now, now, s, next)
+	return tb.change(now, now, s, next)
 }
 
 // beganAfter reports whether a dispatch to a target that has not ended began after an instant.
@@ -56,8 +55,11 @@
 
 // ReportsFaults reports whether the invalid parts of a notice are to be reported now, and records that they are.
 func (tb *Table) ReportsFaults(now core.Time, notice *Notice) bool {
+	if len(notice.Faults) == 0 {
+		return false
+	}
 	s := tb.standingFor(notice.From.Identity())
-	if len(notice.Faults) == 0 || s == nil || s.faultsReported != never && now-s.faultsReported < faultReportInterval {
+	if s == nil || s.faultsReported != never && now-s.faultsReported < faultReportInterval {
 		return false
 	}
 	s.faultsReported = now
--- a/internal/core/target/published.go
+++ b/internal/core/target/published.go
@@ -77,6 +77,5 @@
 	if p.Leaving && !s.departure.leaving && heard > s.departure.disproved {
 		next.NowLeaving = s.departure.said(heard, p.Start)
 	}
-	next.Process = s.process()
-	return next, tb.change(now, heard, s, next)
+	return tb.change(now, heard, s, next)
 }
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -95,7 +95,7 @@
 
 // standingChange returns a change that changes nothing.
 func standingChange(s *Standing) StandingChange {
-	return StandingChange{Process: s.process(), Limit: s.Limit, WasLimit: s.Limit}
+	return StandingChange{Limit: s.Limit, WasLimit: s.Limit}
 }
 
 // Urgent reports whether other hosts are to be told at once, rather than with the next heartbeat: not if a limit has only
@@ -132,16 +132,18 @@
 // JoinFleet sets the fleet that shares the limits of targets.
 func (tb *Table) JoinFleet(fleet Fleet) { tb.fleet = fleet }
 
-// change applies a change that a host learned of at an instant, and reports whether there was one.
-func (tb *Table) change(now, heard core.Time, s *Standing, next StandingChange) bool {
+// change applies a change that a host learned of at an instant. It returns the change with the process that it is of, and
+// reports whether there was one.
+func (tb *Table) change(now, heard core.Time, s *Standing, next StandingChange) (StandingChange, bool) {
+	next.Process = s.process()
 	if next.Limit == s.Limit && !next.NowLeaving {
-		return false
+		return next, false
 	}
 	s.heard = heard
 	if next.Limit != s.Limit {
 		tb.setLimit(now, s, next.Limit)
 	}
-	return true
+	return next, true
 }
 
 func (tb *Table) setLimit(now core.Time, s *Standing, limit float64) {
--- a/test/fleet/departures_test.go
+++ b/test/fleet/departures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -25,10 +26,13 @@
 	entries map[string]hostlist.Host
 	past    []map[string]hostlist.Host
 	// shown replaces what the targets wrote while an older copy, or another writer's entries, are read.
-	shown    map[string]hostlist.Host
+	shown map[string]hostlist.Host
+	// restores counts how often the platform has come back from an older copy, revision the lists that it has published.
 	restores uint64
+	revision uint64
 	prompts  prompts
-	counts   map[string]int
+	// departed counts the targets that said that they leave.
+	departed int
 }
 
 // pastCopies is the number of earlier states that the platform may come back from.
@@ -37,8 +41,9 @@
 func newDepartures(t *testing.T, hosts int, seed uint64, length time.Duration) *departures {
 	t.Helper()
 	f := newFleet(t, fleetOptions{hosts: hosts, engines: 6, desks: 4, seed: seed})
-	d := &departures{fleet: f, until: f.world.Now() + length, entries: make(map[string]hostlist.Host), counts: make(map[string]int)}
+	d := &departures{fleet: f, until: f.world.Now() + length, entries: make(map[string]hostlist.Host)}
 	d.prompts.rng = f.rng
+	d.revision = f.list.Version
 	for _, entry := range f.all {
 		d.entries[entry.Address] = entry
 	}
@@ -61,8 +66,8 @@
 	if d.shown != nil {
 		shown = d.shown
 	}
-	version := hostlist.VersionOf(d.restores, d.list.Version&(1<<40-1)+1)
-	d.list = &hostlist.List{Version: version}
+	d.revision++
+	d.list = &hostlist.List{Version: hostlist.VersionOf(d.restores, d.revision)}
 	for _, entry := range d.all {
 		if e, ok := shown[entry.Address]; ok {
 			d.list.Hosts = append(d.list.Hosts, e)
@@ -82,32 +87,13 @@
 
 // write changes what a target has written, and publishes it.
 func (d *departures) write(t *target, change func(map[string]hostlist.Host, hostlist.Host)) {
-	d.past = append(d.past, cloneEntries(d.entries))
+	d.past = append(d.past, maps.Clone(d.entries))
 	d.past = d.past[max(len(d.past)-pastCopies, 0):]
 	entry := d.entryOf(t)
 	change(d.entries, entry)
 	d.publishAll()
 }
 
-func cloneEntries(entries map[string]hostlist.Host) map[string]hostlist.Host {
-	out := make(map[string]hostlist.Host, len(entries))
-	for address, entry := range entries {
-		out[address] = entry
-	}
-	return out
-}
-
-// entryOf returns the entry of the target's process.
-func (d *departures) entryOf(t *target) hostlist.Host {
-	for _, entry := range d.all {
-		if entry.Address == t.address {
-			entry.Instance, entry.Start = t.instance, t.startMs
-			return entry
-		}
-	}
-	panic("no entry of " + t.address)
-}
-
 func (d *departures) register(t *target) {
 	d.write(t, func(entries map[string]hostlist.Host, entry hostlist.Host) { entries[t.address] = entry })
 }
@@ -123,7 +109,7 @@
 	if t.down || t.notice.Leaving {
 		return
 	}
-	d.counts["leaves"]++
+	d.departed++
 	t.sayLeaving()
 	process := t.starts
 	if d.rng.IntN(3) == 0 { // many say it to the platform too, or only to the platform's readers by a missing entry
@@ -188,7 +174,7 @@
 	if d.shown != nil {
 		return
 	}
-	d.shown = cloneEntries(d.entries)
+	d.shown = maps.Clone(d.entries)
 	delete(d.shown, t.address)
 	d.publishAll()
 	d.world.After(d.upTo(2*time.Second), func() {
@@ -320,7 +306,7 @@
 			d := newDepartures(t, 4, seed, time.Minute)
 			late := d.run()
 			assert.Check(t, late == 0, "%d late requests", late)
-			assert.Check(t, d.counts["leaves"] > 10)
+			assert.Check(t, d.departed > 10)
 		})
 	}
 }
--- a/test/fleet/engine_test.go
+++ b/test/fleet/engine_test.go
@@ -109,12 +109,7 @@
 		}
 	}
 	if listed {
-		for _, entry := range f.all {
-			if entry.Address == t.address {
-				entry.Instance, entry.Start = t.instance, t.startMs
-				entries = append(entries, entry)
-			}
-		}
+		entries = append(entries, f.entryOf(t))
 	}
 	f.publish(entries)
 }
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -133,6 +133,17 @@
 	f.world.Targets[entry.Address] = t
 }
 
+// entryOf returns the entry of the target's process in the host list.
+func (f *fleet) entryOf(t *target) hostlist.Host {
+	for _, entry := range f.all {
+		if entry.Address == t.address {
+			entry.Instance, entry.Start = t.instance, t.startMs
+			return entry
+		}
+	}
+	panic("no entry of " + t.address)
+}
+
 func (f *fleet) addHost(i int) {
 	h := f.world.AddHost(node.Options{
 		Self: core.Home{Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1)}, Peer: peerAddress(i), Zone: zone(i),
