Evacuated zones get nothing new, and cold targets get few requests from all hosts together

Cause: nothing read op/evacuate/ZONE, cold_s, cold_per_s, cold_left_ms or Cold-Ms.

Change: the readers watch all keys of the operators with the call that watched the configuration. internal/core/evacuation keeps the set as of a revision of the store; heartbeats carry it and a change is announced at once. A target of an evacuated zone takes no new work on any path; with all zones evacuated a request is refused at once. A cold target has a limit of the throttle, at a rate at which all hosts together keep within the bound; it is cold by its entry, by its health, after a failure and after the end of its zone's evacuation. The prediction takes it for half as fast.

Tests: internal/core/evacuation, internal/core/node/evacuation_test.go, platform/operators_test.go.

--- a/api/api.go
+++ b/api/api.go
@@ -107,6 +107,7 @@
 	CodeTargetFailed     Code = "target_failed"   // the target answered with a failure
 	CodeTargetRefused    Code = "target_refused"  // the target did not execute the request
 	CodeTargetLimit      Code = "target_limit"    // the targets take no more requests from all hosts together now
+	CodeEvacuated        Code = "evacuated"       // all targets are in evacuated availability zones
 	CodeHarmfulPrompt    Code = "harmful_prompt"  // prompts that share parts with this one have ended the targets that ran them
 	CodeHarmfulRequest   Code = "harmful_request" // the same request has ended the targets that ran it
 	CodeSuspectRequest   Code = "suspect_request" // the same request may have ended targets; one host at a time tries it again
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -10,6 +10,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/evacuation"
 	"carobshunt/internal/core/limit"
 	"carobshunt/internal/core/quarantine"
 	"carobshunt/internal/core/target"
@@ -55,6 +56,8 @@
 	LoadsAddress string `json:"loads_address,omitempty"`
 	// Introduces are the peer addresses of the hosts that the sender sees alive, where no host list names entry hosts.
 	Introduces []string `json:"introduces,omitempty"`
+	// Evacuations are the evacuated availability zones. Brief heartbeats carry them too.
+	Evacuations evacuation.Published `json:"evacuations,omitzero"`
 	// Notices are what targets have said of themselves to any host, as far as it holds. Hosts of other cells don't get them.
 	Notices []target.PublishedNotice `json:"notices,omitempty"`
 	// Prompts is what the sender tells of harmful requests and prompts, WorkRates how its own requests have fared lately. Brief
@@ -62,7 +65,8 @@
 	Prompts   quarantine.Published `json:"prompts,omitzero"`
 	WorkRates quarantine.HostRates `json:"work_rates,omitzero"`
 	// State is incremented whenever any of the fields above changes, except Demands and Grants, which only full heartbeats
-	// carry, and ClockMs, Revision, Digest, PlatformAgesMs, AnsweredMs, Loads, Work and WorkRates, which brief heartbeats carry too.
+	// carry, and ClockMs, Revision, Digest, Evacuations, PlatformAgesMs, AnsweredMs, Loads, Work and WorkRates, which brief
+	// heartbeats carry too.
 	State uint64 `json:"state,omitempty"`
 	// Repeats marks a brief heartbeat, which omits the fields of the last full one with the same State.
 	Repeats bool `json:"repeats,omitempty"`
@@ -84,6 +88,7 @@
 func (h Heartbeat) Content() Heartbeat {
 	h.ClockMs, h.AnsweredMs, h.PlatformAgesMs, h.State, h.Ask = 0, 0, nil, 0, false
 	h.Revision, h.Digest = 0, 0
+	h.Evacuations = evacuation.Published{}
 	h.Demands, h.Grants = nil, nil
 	h.Loads, h.Work, h.WorkRates = nil, Work{}, quarantine.HostRates{}
 	return h
@@ -93,7 +98,7 @@
 func (h Heartbeat) Brief() Heartbeat {
 	return Heartbeat{
 		Peer: h.Peer, Incarnation: h.Incarnation, ClockMs: h.ClockMs, AnsweredMs: h.AnsweredMs, PlatformAgesMs: h.PlatformAgesMs,
-		Revision: h.Revision, Digest: h.Digest, Loads: h.Loads, Work: h.Work, WorkRates: h.WorkRates,
+		Revision: h.Revision, Digest: h.Digest, Evacuations: h.Evacuations, Loads: h.Loads, Work: h.Work, WorkRates: h.WorkRates,
 		State: h.State, Repeats: true,
 	}
 }
@@ -334,7 +339,7 @@
 	}
 	full := p.Last.Content()
 	full.ClockMs, full.AnsweredMs, full.PlatformAgesMs, full.State = hb.ClockMs, hb.AnsweredMs, hb.PlatformAgesMs, hb.State
-	full.Revision, full.Digest = hb.Revision, hb.Digest
+	full.Revision, full.Digest, full.Evacuations = hb.Revision, hb.Digest, hb.Evacuations
 	full.Loads, full.Work, full.WorkRates = hb.Loads, hb.Work, hb.WorkRates
 	return full, true
 }
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -212,6 +212,10 @@
 	EventTargetHeldOff Event = "target held off"
 	// EventNoticeInvalid: a target said something of itself that can't be decoded.
 	EventNoticeInvalid Event = "notice of a target not understood"
+	// EventZoneEvacuated: nothing new is sent to the targets of some availability zones.
+	EventZoneEvacuated Event = "zone evacuated"
+	// EventEvacuationEnded: their targets get requests again.
+	EventEvacuationEnded Event = "evacuation of a zone ended"
 	// EventWorkWithheld: requests of a work, or with some parts of their prompts, are refused, since they have ended targets.
 	EventWorkWithheld Event = "requests withheld"
 	// EventWorkProbed: such a request is let through, to see whether it still ends its target.
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -16,6 +16,7 @@
 		n.checkDeadline,
 		n.checkNames,
 		n.checkQuarantine,
+		n.checkEvacuated,
 		n.checkMemory,
 		n.checkCapacity,
 		n.checkFeasible,
--- a/internal/core/node/checks.go
+++ b/internal/core/node/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/target"
@@ -22,6 +23,8 @@
 	Process target.Process
 	SentAt  core.Time
 	Result  target.CheckResult
+	// ColdFor is how much longer the target is cold by its own word; 0 if it does not say so.
+	ColdFor time.Duration
 	// Detail says more of a check that failed, for the log.
 	Detail string
 }
@@ -59,6 +62,7 @@
 // targetChecked records what a check has shown. Other hosts check for themselves.
 func (n *Node) targetChecked(in TargetChecked) {
 	n.do(StateChange{Event: EventTargetChecked, Text: fmt.Sprintf("%v: %v %s", in.Process, in.Result, in.Detail)})
+	n.targets.ObserveCold(n.now, in.Process, in.ColdFor)
 	change, changed := n.targets.ApplyCheck(n.now, in.SentAt, in.Process, in.Result)
 	if !changed {
 		return
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -10,6 +10,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/evacuation"
 	"carobshunt/internal/core/fair"
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/ledger"
@@ -55,6 +56,8 @@
 	// PlatformCurrent is set if the platform answers with a version older than the one in force only after it has been
 	// restored from an older copy: see PlatformAnswered.
 	PlatformCurrent bool
+	// ColdStarts is how far the hosts may exceed what cold targets take.
+	ColdStarts ColdStarts
 	// EnginesExpire is set if engines drop state that no host holds any more on their own, and can't list their state.
 	EnginesExpire bool
 	// Policy selects how requests are queued and placed; the zero value is PolicyInForce.
@@ -79,11 +82,13 @@
 
 	peers   *member.Table
 	targets *target.Table
-	ledger  *ledger.Ledger
-	queue   queue.Queue
-	router  *route.Router
-	limits  *limit.Limiter
-	retries *retry.Budget
+	// evacuations are the evacuated availability zones.
+	evacuations evacuation.Set
+	ledger      *ledger.Ledger
+	queue       queue.Queue
+	router      *route.Router
+	limits      *limit.Limiter
+	retries     *retry.Budget
 	// shares tracks each team's share of the prefill work of admitted short requests.
 	shares *fair.Shares
 	rng    *rand.Rand
@@ -230,6 +235,8 @@
 		n.documentReceived(in)
 	case HostsReceived:
 		n.hostsReceived(in)
+	case EvacuationsRead:
+		n.evacuationsRead(in)
 	case PlatformAnswered:
 		n.platformAnswered(in)
 	case OrdersRead:
@@ -250,6 +257,8 @@
 	n.trackPeers()
 	n.reportSuspects()
 	n.updateSenders()
+	n.updateEvacuations("the time since the platform was restored")
+	n.targets.UpdateCold(n.now)
 	n.targets.ExpireStandings(n.now)
 	n.quarantineTick()
 	n.sweepTick()
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -94,6 +94,7 @@
 		Ready:          n.ready,
 		LoadsAddress:   n.opts.LoadsAddress,
 		Introduces:     n.peers.Introductions(n.now),
+		Evacuations:    n.evacuations.Published(),
 		IntervalMs:     member.IntervalFor(len(n.peers.Addresses())).Milliseconds(),
 		PlatformAgesMs: n.platformAgesMs(),
 		AnsweredMs:     n.answeredMs(),
@@ -116,6 +117,7 @@
 		return
 	}
 	received := n.peers.Receive(n.now, hb)
+	n.evacuationsPublished(&hb)
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
 	if received.Fresh {
 		n.noticesPublished(&hb)
@@ -139,6 +141,7 @@
 		n.table = routes.New(doc)
 		n.budgets.forget(n.table.Has)
 		n.setEngineSpeeds()
+		n.targets.UpdateCold(n.now)
 		n.setLimitRates()
 		n.rebuildDirectory()
 		n.do(StateChange{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
@@ -178,6 +181,7 @@
 	n.setEngineSpeeds()
 	n.hostsHistory = n.hostsHistory.Add(text)
 	n.hostsSince = n.now
+	n.targets.UpdateCold(n.now)
 	n.peers.Apply(n.now, in.List, cells)
 	n.rebuildDirectory()
 	n.do(StateChange{Event: EventHosts, Text: fmt.Sprintf("version %d from %s", in.List.Version, in.Source)})
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -225,12 +225,17 @@
 	n.dispatchQueued()
 }
 
-// enqueue queues a request for dispatch to a target, unless its prompt is withheld by now.
+// enqueue queues a request for dispatch to a target, unless its prompt is withheld or its targets are evacuated by now.
 func (n *Node) enqueue(rec *ledger.Record) {
 	if v := n.withholds(&rec.Request); v != nil {
 		n.finishWithheld(rec, v)
 		return
 	}
+	if result := n.checkEvacuated(&rec.Request); result.Code != "" {
+		result.Outcome = outcomeWithoutAnswer(rec)
+		n.finish(rec, result)
+		return
+	}
 	rec.WaitingSince = n.now
 	n.queue.Push(rec)
 }
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/routes"
 	"carobshunt/internal/core/target"
+	"carobshunt/internal/core/throttle"
 	"carobshunt/internal/document"
 )
 
@@ -105,6 +106,7 @@
 	gapTargets := make(map[string]time.Duration) // by service
 	for _, t := range n.targets.All() {
 		t.Engine = nil
+		n.setColdLimit(t)
 		for _, service := range t.Models {
 			e := n.publishedEngine(service)
 			if e == nil {
@@ -121,6 +123,34 @@
 	}
 }
 
+// setColdLimit sets what the target's service takes while it is cold.
+func (n *Node) setColdLimit(t *target.Target) {
+	t.SetColdLimit(0, 0)
+	doc := n.config.Document()
+	if doc == nil {
+		return
+	}
+	for _, name := range t.Models {
+		s, ok := doc.Service(name)
+		if !ok || s.ColdPerSecond <= 0 {
+			continue
+		}
+		rate := min(n.opts.ColdStarts.rate(s.ColdPerSecond), s.ColdPerSecond)
+		t.SetColdLimit(rate, time.Duration(s.ColdMs)*time.Millisecond)
+	}
+}
+
+// ColdStarts is how far all hosts together may exceed what a cold target takes, in any one second.
+type ColdStarts struct {
+	// Overshoot is a factor on the published requests a second; 0 counts as 1. Slack is a number of requests.
+	Overshoot, Slack float64
+}
+
+// rate returns the rate at which the hosts send to a cold target that takes that many requests a second.
+func (c ColdStarts) rate(perSecond float64) float64 {
+	return throttle.RateWithin(perSecond*max(c.Overshoot, 1) + c.Slack)
+}
+
 // tightestGapTarget returns the smallest gap target of the routes that lead to a service, or 0 if there is none.
 func (n *Node) tightestGapTarget(service string) time.Duration {
 	tightest := time.Duration(0)
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -100,8 +100,10 @@
 	return e
 }
 
-func (e *routedHost) publish(revision uint64) {
-	raw, err := json.Marshal(routedDocument(revision))
+func (e *routedHost) publish(revision uint64) { e.publishDocument(routedDocument(revision)) }
+
+func (e *routedHost) publishDocument(doc *document.Document) {
+	raw, err := json.Marshal(doc)
 	assert.NilError(e.t, err)
 	e.step(node.DocumentReceived{Raw: raw, Source: conf.SourcePlatform})
 }
--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -71,11 +71,23 @@
 	return engineState{
 		target:    t,
 		load:      load,
-		iteration: step * float64(e.StepsPerIteration),
-		prefill:   float64(load.Ahead(0)) / e.PrefillTokensPerMs * stepOverhead(t),
+		iteration: step * float64(e.StepsPerIteration) * slowdown(t),
+		prefill:   float64(load.Ahead(0)) / e.PrefillTokensPerMs * stepOverhead(t) * slowdown(t),
 	}
 }
 
+// coldSlowdown is how much longer a cold engine is expected to take. How slow it is isn't published; a factor of 2 suffices to
+// prefer engines that are warm and have a few requests.
+const coldSlowdown = 2
+
+// slowdown returns how much longer than at its published speed an engine takes.
+func slowdown(t *target.Target) float64 {
+	if t.Cold() {
+		return coldSlowdown
+	}
+	return 1
+}
+
 // stepOverhead returns the factor by which prefill takes longer than at the published rate, since each step prefills
 // one chunk of limited size and has a time of its own.
 func stepOverhead(t *target.Target) float64 {
@@ -132,5 +144,5 @@
 
 // prefillMs returns how long the engine takes for the uncached prefill of a request, in milliseconds.
 func prefillMs(rec *ledger.Record, t *target.Target) float64 {
-	return float64(UncachedWork(rec, t)) / t.Engine.PrefillTokensPerMs * stepOverhead(t)
+	return float64(UncachedWork(rec, t)) / t.Engine.PrefillTokensPerMs * stepOverhead(t) * slowdown(t)
 }
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -42,11 +42,13 @@
 	listedStart int64
 	// Limit is the number of requests a second that the target takes from all hosts together; 0 for no limit.
 	Limit float64
+	// coldLimit is such a number while the target is cold; 0 otherwise.
+	coldLimit float64
 	// departure is since the target has said that it is about to stop.
 	departure departure
 	// hold is since the target refused a request of this host and asked for none for a while.
 	hold hold
-	// bucket bounds the requests of all hosts to Limit; nil without a limit.
+	// bucket bounds the requests of all hosts to the lower of Limit and coldLimit; nil without either.
 	bucket *throttle.Bucket
 	// heard is when a host learned of what holds, on this host's clock. confirmed is when the target last told this host.
 	heard     core.Time
@@ -141,13 +143,23 @@
 	}
 	s.heard = heard
 	if next.Limit != s.Limit {
-		tb.setLimit(now, s, next.Limit)
+		s.Limit = next.Limit
+		tb.applyLimit(now, s)
 	}
 	return next, true
 }
 
-func (tb *Table) setLimit(now core.Time, s *Standing, limit float64) {
-	s.Limit = limit
+// limit returns the number of requests a second that all hosts together may send; 0 for no limit.
+func (s *Standing) limit() float64 {
+	if s.Limit == 0 || s.coldLimit == 0 {
+		return max(s.Limit, s.coldLimit)
+	}
+	return min(s.Limit, s.coldLimit)
+}
+
+// applyLimit makes the bucket of a target that of its limit.
+func (tb *Table) applyLimit(now core.Time, s *Standing) {
+	limit := s.limit()
 	switch {
 	case limit == 0:
 		s.bucket = nil
@@ -229,7 +241,7 @@
 // UpdateSenders updates the hosts that may send to the limited targets.
 func (tb *Table) UpdateSenders(now core.Time) {
 	for _, t := range tb.limited {
-		t.standing.bucket.SetSenders(now, tb.fleet.Senders(t.Address, t.standing.Limit))
+		t.standing.bucket.SetSenders(now, tb.fleet.Senders(t.Address, t.Limit()))
 	}
 }
 
@@ -251,13 +263,13 @@
 // Leaves reports whether the target is about to stop, by the host list or by what it has said.
 func (t *Target) Leaves() bool { return t.State != hostlist.StateLive || t.SaysLeaving() }
 
-// Limited reports whether the target names a limit.
+// Limited reports whether the target names a limit or is cold.
 func (t *Target) Limited() bool { return t.standing.bucket != nil }
 
-// AnyRestricts reports whether any target names a limit or wants no requests for a while.
+// AnyRestricts reports whether any target names a limit, is cold or wants no requests for a while.
 func (tb *Table) AnyRestricts(now core.Time) bool { return len(tb.limited) > 0 || now < tb.lastHold }
 
-// MaySend reports whether this host may send the target a request now, within the limit that the target names.
+// MaySend reports whether this host may send the target a request now, within the target's limit.
 func (t *Target) MaySend(now core.Time) bool {
 	if !t.Limited() {
 		return true
@@ -267,7 +279,7 @@
 }
 
 // Limit returns the number of requests a second that the target takes from all hosts together; 0 for no limit.
-func (t *Target) Limit() float64 { return t.standing.Limit }
+func (t *Target) Limit() float64 { return t.standing.limit() }
 
 // SaysLeaving reports whether the target has said that it is about to stop.
 func (t *Target) SaysLeaving() bool { return t.standing.departure.leaving }
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -63,6 +63,10 @@
 	goneAt core.Time
 	// Engine is the published speed of the target; nil if none is published.
 	Engine *document.Engine
+	// evacuated is set while the target's availability zone is evacuated.
+	evacuated bool
+	// cold is what is known of whether the target has just started.
+	cold coldState
 	// GapObjective is the smallest gap target of the routes that lead to the target's service; 0 if there is none.
 	GapObjective time.Duration
 	// loadChanges points to the table's counter.
@@ -239,12 +243,19 @@
 
 // Eligible reports whether new work may be sent to the target, as far as its limit allows: see MaySend.
 func (t *Target) Eligible(now core.Time) bool {
-	return !t.Leaves() && !t.held(now) &&
+	return t.TakesNewWork() && !t.held(now) &&
 		now >= max(t.evidence.eligibleAt(t), t.refusedUntil)
 }
 
-// Failed records a failure that is the target's fault: of a dispatch, or that the target is unresponsive.
-func (t *Target) Failed(now core.Time) { t.evidence.failed(now, t) }
+// TakesNewWork reports whether the target neither leaves nor is in an evacuated zone.
+func (t *Target) TakesNewWork() bool { return !t.Leaves() && !t.evacuated }
+
+// Failed records a failure that is the target's fault: of a dispatch, or that the target is unresponsive. It may have started
+// anew since, so that it may be cold.
+func (t *Target) Failed(now core.Time) {
+	t.evidence.failed(now, t)
+	t.cold.suspect(now)
+}
 
 // Answered records the complete answer to a dispatch that has not ended, which clears earlier failures and refusals.
 func (t *Target) Answered(d Dispatch) {
@@ -284,6 +295,8 @@
 	fleet   Fleet
 	// lastHold is the end of the last hold of any target.
 	lastHold core.Time
+	// evacuated are the evacuated availability zones, sorted.
+	evacuated []string
 	// replaced are the replacements of processes by Apply since the last TakeReplaced.
 	replaced []Replacement
 	// distrustUntil is until when a target that has left is not taken back because a host list has it as live: see
@@ -373,6 +386,7 @@
 func (tb *Table) put(now core.Time, host hostlist.Host) {
 	if t := tb.byAddress[host.Address]; t != nil && t.Instance == host.Instance && t.Start == host.Start {
 		t.Host = host
+		t.evacuated = tb.isEvacuated(t.Zone)
 		t.goneAt = 0
 		tb.trackRetirement(now, t)
 		return
@@ -388,6 +402,7 @@
 		loadChanges: &tb.loadChanges,
 	}
 	tb.attach(t)
+	t.evacuated = tb.isEvacuated(t.Zone)
 	tb.byAddress[host.Address] = t
 	tb.trackRetirement(now, t)
 }
--- a/internal/core/throttle/throttle.go
+++ b/internal/core/throttle/throttle.go
@@ -33,6 +33,16 @@
 	SettleTime = 3 * time.Second
 )
 
+// RateWithin returns the rate of a target at which all hosts together stay within a number of requests in any one second, also if
+// all senders send one more at the same moment.
+func RateWithin(perSecond float64) float64 {
+	// In a second, the bucket yields its rate and a full burst, and there is one more sender for each request of the rate.
+	return max((perSecond-minSenders-1)/(2+burstTime.Seconds()), minRate)
+}
+
+// minRate is the lowest rate that RateWithin returns, in requests a second.
+const minRate = 0.5
+
 // Senders returns those of the hosts that may send to a target that takes that many requests a second.
 func Senders(target string, rate float64, hosts []string) []string {
 	count := minSenders + int(rate)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,7 +61,7 @@
 		Seed:         seed,
 	}
 	if s.Platform.Kind == settings.PlatformStore {
-		setStoreOptions(&options)
+		setStoreOptions(&options, s)
 	}
 	d := &Daemon{settings: s, log: log, loop: control.NewLoop(node.New(options), clock), self: self}
 	d.preset.Store(s.Platform.Preset)
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -12,6 +12,7 @@
 	"carobshunt/internal/httplog"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/peer"
+	"carobshunt/internal/settings"
 	"carobshunt/platform"
 
 	"github.com/hashicorp/go-hclog"
@@ -34,7 +35,8 @@
 )
 
 // setStoreOptions sets the options that a platform with a store needs.
-func setStoreOptions(o *node.Options) {
+func setStoreOptions(o *node.Options, s *settings.Settings) {
+	o.ColdStarts = node.ColdStarts(s.ColdStarts)
 	o.Policy = node.PolicyPacked
 	o.LookupTTL = lookupTTL
 	o.EnginesExpire = true
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -80,6 +80,10 @@
 	// HealthPath is where targets answer a GET with status 200 while they take requests; empty if nowhere. The hosts check a
 	// target only to see whether a new process has taken the place of one that said that it leaves.
 	HealthPath string `json:"health,omitempty" jsonschema:"description=path where targets answer for their health"`
+	// ColdPerSecond is the number of requests a second that one target takes from all hosts together for ColdMs after it has
+	// started, while it is also slow; 0 for no limit.
+	ColdPerSecond float64 `json:"cold_per_s,omitempty" jsonschema:"minimum=0,description=requests a second that a target takes from all hosts while it is cold; 0: no limit"`
+	ColdMs        int64   `json:"cold_ms,omitempty" jsonschema:"minimum=0,description=time after its start for which a target is cold in milliseconds"`
 	// Engine describes the targets if they are model engines; nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -70,6 +70,8 @@
 	Start int64 `json:"start,omitempty" jsonschema:"minimum=0,description=start of the target; differs between two starts"`
 	// Slots is the number of requests that the target works on at a time.
 	Slots int64 `json:"slots,omitempty" jsonschema:"minimum=0,description=requests that the target works on at a time"`
+	// Cold is set while the target has just started, is slow and takes few requests: see document.Service.ColdPerSecond.
+	Cold bool `json:"cold,omitempty" jsonschema:"description=whether the target has just started and takes few requests"`
 	// ChecksFencing reports whether an engine refuses orders with an old fencing number.
 	ChecksFencing bool `json:"checks_fencing,omitempty" jsonschema:"description=whether an engine refuses an order with an old fencing number"`
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,8 @@
 	Peers []string `json:"peers,omitempty" jsonschema:"description=peer addresses tried before the host list is known"`
 	// Limits bounds memory, request sizes and connections.
 	Limits Limits `json:"limits,omitzero"`
+	// ColdStarts bounds what all hosts together send to targets that have just started.
+	ColdStarts ColdStarts `json:"cold_starts,omitzero"`
 	// Security configures TLS and authentication for callers, operators and peers.
 	Security Security `json:"security,omitzero"`
 	// Metrics configures the labels of metrics and the reference for slowdown.
@@ -92,6 +94,13 @@
 	PeerConnections     int `json:"peer_connections,omitempty" jsonschema:"minimum=1,default=4096,description=connections of other entry hosts open at one time"`
 }
 
+// ColdStarts is how far all hosts together may exceed the requests a second that a service takes at a target that has just
+// started (cold_per_s of the document), in any one second.
+type ColdStarts struct {
+	Overshoot float64 `json:"overshoot,omitempty" jsonschema:"minimum=1,description=factor on the requests a second that a cold target takes; default: 1"`
+	Slack     float64 `json:"slack,omitempty" jsonschema:"minimum=0,description=requests in any one second beside that"`
+}
+
 // Defaults of Limits and of LogLevel; the JSON schema states the same values.
 const (
 	DefaultBodyBytes           = 256 << 20
