--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/evacuation"
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/document"
@@ -29,6 +30,8 @@
 type fleetOptions struct {
 	hosts, engines, desks int
 	seed                  uint64
+	// coldPerSecond is what an engine takes from all hosts while it is cold; 0 for no limit.
+	coldPerSecond float64
 }
 
 // fleet is a number of hosts that find each other by seeds, and their targets. It implements virtual.Network.
@@ -64,6 +67,10 @@
 	withheld map[string]bool
 	// listEngine publishes a version of the host list with or without an engine.
 	listEngine func(t *target, listed bool)
+	// evacuations are the evacuated zones as the platform has them.
+	evacuations evacuation.Published
+	// coldPerSecond is what an engine takes while it is cold; 0 for no limit.
+	coldPerSecond float64
 	// begun holds the requests whose answer a target has begun to write.
 	begun map[string]bool
 }
@@ -99,7 +106,7 @@
 		begun:        make(map[string]bool),
 		repeats:      make(map[string]*repeated),
 		withheld:     make(map[string]bool),
-		excusedUntil: make(map[string]virtual.Time), outcomes: make(map[api.Outcome]int),
+		excusedUntil: make(map[string]virtual.Time), outcomes: make(map[api.Outcome]int), coldPerSecond: opts.coldPerSecond,
 	}
 	f.listEngine = f.relistEngine
 	f.world = virtual.New(f)
@@ -155,7 +162,7 @@
 		LoadsAddress: fmt.Sprintf("10.0.%d.%d:3", i/250, i%250+1),
 		Seeds:        []string{peerAddress(0), peerAddress(1), peerAddress(2)},
 		Records:      1 << 16, BodyBytes: 1 << 30, Seed: f.rng.Uint64(), Policy: node.PolicyPacked, LookupTTL: time.Second,
-		EnginesExpire: true, PlatformCurrent: true,
+		EnginesExpire: true, PlatformCurrent: true, ColdStarts: node.ColdStarts{Overshoot: coldOvershoot, Slack: coldSlack},
 		ReservationTiming: group.Timing{Expiry: 4 * time.Second, MaxWait: time.Second, RenewInterval: time.Second, RefuseWhenFull: true},
 	})
 	h.OnFinish = func(a node.Finish) {
@@ -171,9 +178,14 @@
 
 // inform posts what the platform publishes.
 func (f *fleet) inform(h *virtual.Host) {
-	raw, err := json.Marshal(fleetDocument())
+	doc := fleetDocument()
+	if f.coldPerSecond > 0 {
+		doc.Services[1].ColdPerSecond, doc.Services[1].ColdMs = f.coldPerSecond, coldTime.Milliseconds()
+	}
+	raw, err := json.Marshal(doc)
 	assert.NilError(f.t, err)
 	h.Post(node.PlatformAnswered{})
+	h.Post(node.EvacuationsRead{Published: f.evacuations})
 	h.Post(node.DocumentReceived{Raw: raw, Source: conf.SourcePlatform})
 	h.Post(node.HostsReceived{List: f.list, Source: conf.SourcePlatform})
 }
