--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -93,6 +93,7 @@
 		Draining:       n.drain.active,
 		Ready:          n.ready,
 		LoadsAddress:   n.opts.LoadsAddress,
+		Capacity:       n.opts.Capacity,
 		Introduces:     n.peers.Introductions(n.now),
 		Evacuations:    n.evacuations.Published(),
 		IntervalMs:     member.IntervalFor(len(n.peers.Addresses())).Milliseconds(),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,8 @@
 	Limits Limits `json:"limits,omitzero"`
 	// ColdStarts bounds what all hosts together send to targets that have just started.
 	ColdStarts ColdStarts `json:"cold_starts,omitzero"`
+	// Capacity states what this host can carry; callers and load digests are distributed over hosts by it.
+	Capacity Capacity `json:"capacity,omitzero"`
 	// Security configures TLS and authentication for callers, operators and peers.
 	Security Security `json:"security,omitzero"`
 	// Metrics configures the labels of metrics and the reference for slowdown.
