--- a/api/status.go
+++ b/api/status.go
@@ -26,6 +26,8 @@
 	Peers    []PeerStatus   `json:"peers"`
 	Targets  []TargetStatus `json:"targets"`
 	Requests RequestsStatus `json:"requests"`
+	// Evacuated are the availability zones whose targets get nothing new.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Withheld are the prompts that this host refuses because such prompts have ended targets.
 	Withheld []WithheldWork `json:"withheld,omitempty"`
 }
@@ -117,8 +119,13 @@
 	InFlight int    `json:"in_flight"`
 	// PendingTokens is the prefill work dispatched by this host and not yet answered, in weighted tokens.
 	PendingTokens int64 `json:"pending_tokens"`
-	// Limit is the number of requests a second that the target takes from all hosts together; 0 for no limit.
+	// Limit is the number of requests a second that the hosts together send the target, since it named a limit or is cold; 0 for
+	// no limit.
 	Limit float64 `json:"limit,omitempty"`
+	// Cold is set while the target has just started, or may have, and takes few requests.
+	Cold bool `json:"cold,omitempty"`
+	// Evacuated is set while the target's availability zone is evacuated.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// SaysLeaving is set when the target has said in an answer that it is about to stop.
 	SaysLeaving bool `json:"says_leaving,omitempty"`
 	// HeldOffMs is how much longer this host sends the target nothing because the target asked for that, in milliseconds.
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -115,6 +115,7 @@
 		Peers:          n.peerStatus(),
 		Targets:        n.cachedTargets(),
 		Requests:       n.requestsStatus(),
+		Evacuated:      n.evacuations.Zones(),
 		Withheld:       n.withheldStatus(),
 	}
 }
@@ -190,6 +191,8 @@
 			InFlight:      t.InFlight(),
 			PendingTokens: t.PendingTokens(),
 			Limit:         t.Limit(),
+			Cold:          t.Cold(),
+			Evacuated:     t.Evacuated(),
 			SaysLeaving:   t.SaysLeaving(),
 			HeldOffMs:     t.HeldFor(n.now).Milliseconds(),
 		})
--- a/internal/ctl/query_status.go
+++ b/internal/ctl/query_status.go
@@ -151,12 +151,18 @@
 	}
 }
 
-// targetSays returns what a target has said of itself, as far as it holds.
+// targetSays returns what a target has said of itself, as far as it holds, and what holds of it beside.
 func targetSays(t *api.TargetStatus) string {
 	var says []string
 	if t.Limit > 0 {
 		says = append(says, fmt.Sprintf("limit %g/s", t.Limit))
 	}
+	if t.Cold {
+		says = append(says, "cold")
+	}
+	if t.Evacuated {
+		says = append(says, "evacuated")
+	}
 	if t.SaysLeaving {
 		says = append(says, "leaving")
 	}
@@ -195,6 +201,9 @@
 	for _, warning := range s.Warnings {
 		w.line("%s warns: %s", operator, warning)
 	}
+	if len(s.Evacuated) > 0 {
+		w.line("%s sends nothing new to %s", operator, strings.Join(s.Evacuated, ", "))
+	}
 	for i := range s.Withheld {
 		w.line("%s withholds %s", operator, withheldText(&s.Withheld[i]))
 	}
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -70,7 +70,7 @@
 		adoptions: describe("adoptions_total", "Streams taken over from hosts that are gone, by step.", "step"),
 		peers:     describe("peers", "Other entry hosts, by whether they were heard lately.", "alive"),
 		targets:   describe("targets", "Targets by kind, and by whether new work may go there.", "kind", "eligible"),
-		notices:   describe("target_notices", "Targets by what they say of themselves: a limit, leaving, no requests for a while.", "says"),
+		notices:   describe("target_notices", "Targets by what limits new work there: a limit that they name, leaving, no requests for a while, cold, an evacuated zone.", "says"),
 	}
 }
 
@@ -202,17 +202,19 @@
 
 // collectNotices counts the targets by what they have said of themselves.
 func (c *stateCollector) collectNotices(out chan<- prometheus.Metric, targets []api.TargetStatus) {
-	limited, leaving, heldOff := 0.0, 0.0, 0.0
+	limited, leaving, heldOff, cold, evacuated := 0.0, 0.0, 0.0, 0.0, 0.0
 	for i := range targets {
 		t := &targets[i]
-		limited += boolValue(t.Limit > 0)
+		limited += boolValue(t.Limit > 0 && !t.Cold)
+		cold += boolValue(t.Cold)
+		evacuated += boolValue(t.Evacuated)
 		leaving += boolValue(t.SaysLeaving)
 		heldOff += boolValue(t.HeldOffMs > 0)
 	}
 	for _, one := range []struct {
 		says  string
 		count float64
-	}{{"limit", limited}, {"leaving", leaving}, {"held_off", heldOff}} {
+	}{{"limit", limited}, {"leaving", leaving}, {"held_off", heldOff}, {"cold", cold}, {"evacuated", evacuated}} {
 		out <- prometheus.MustNewConstMetric(c.notices, prometheus.GaugeValue, one.count, one.says)
 	}
 }
