Routes: a third of the engines is reserved from the largest prompts; the log has the longest gap of a stream

Cause: a prompt of a million tokens kept 17 of 21 engines busy for four seconds each; short prompts that arrived meanwhile were refused or late. Change: prompts whose parts would keep an engine busy for over a second leave a third of the engines out. The log line of a finished request has longest_gap_ms, which tells late streams from late first events.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -122,6 +122,8 @@
 	Dispatched Time
 	FirstToken Time
 	Finished   Time
+	// LongestGap is the longest time between two events of the answer, as far as a dispatch reported it.
+	LongestGap time.Duration
 }
 
 // Stream identifies one dispatch of one request at an engine. The name carries the home and the budget, so any host can
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -152,6 +152,7 @@
 		return
 	}
 	rec := n.active[in.Key]
+	rec.Timing.LongestGap = max(rec.Timing.LongestGap, in.LongestGap)
 	began := rec.Timing.FirstToken != 0
 	if !n.adoptionFailed(rec, in) {
 		n.handleEnding(rec, in)
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/loadshare"
@@ -78,6 +80,8 @@
 	Message  string
 	// Blame is the target at fault if it is not Target; empty otherwise.
 	Blame string
+	// LongestGap is the longest time between two events of a stream; 0 if it is not known.
+	LongestGap time.Duration
 	// Notice is what the target says of itself in the head of the answer; nil without one, and if a DispatchFirstToken
 	// carried it.
 	Notice *target.Notice
--- a/internal/core/route/long.go
+++ b/internal/core/route/long.go
@@ -121,7 +121,7 @@
 	states := slices.DeleteFunc(r.engineStates(now, rec, targets), func(s engineState) bool {
 		return slices.Contains(fixed, s.target)
 	})
-	return chooseHelpers(rec, fixedStates, withoutLimited(states))
+	return chooseHelpers(rec, fixedStates, withoutReserved(rec, withoutLimited(states)))
 }
 
 // chooseHelpers chooses the number of engines to add to the fixed ones by cost: a larger number must cost less than the
--- a/internal/core/route/place.go
+++ b/internal/core/route/place.go
@@ -37,7 +37,7 @@
 	if r.iterationModel && rec.Request.Routed != nil {
 		if states := r.engineStates(now, rec, targets); len(states) > 0 {
 			if IsLong(rec) {
-				return placeLong(rec, withoutLimited(states))
+				return placeLong(rec, withoutReserved(rec, withoutLimited(states)))
 			}
 			return placeShort(rec, slices.DeleteFunc(states, func(s engineState) bool {
 				return s.overloaded(now, rec) || r.exceedsShare(now, &s)
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -39,7 +39,7 @@
 	l.log.Info("finished", "id", a.Key.ID, "team", a.Key.Team, "outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
 		"why", a.Result.Message, "target", a.Target, "queued_ms", msSinceAdmission(*a, a.Timing.Dispatched),
 		"first_ms", msSinceAdmission(*a, a.Timing.FirstToken), "total_ms", msSinceAdmission(*a, a.Timing.Finished),
-		"prompt", a.Work.PrefillTokens)
+		"longest_gap_ms", a.Timing.LongestGap.Milliseconds(), "prompt", a.Work.PrefillTokens)
 }
 
 func (l *requestLog) refused(a *node.Refused) {
