Short prompts are spread by what hosts can't have heard yet; long ones begin with idle engines in random order

Cause: hosts of a zone that place prompts within the time that a load digest takes all chose the engine that looked best to each of them; idle engines of equal cost were taken in order of address. Change: the random part of a short prompt's cost grows with the number of short prompts that other hosts of the zone have probably placed unseen; engines are shuffled before a long prompt is split.

--- a/internal/core/loadshare/loadshare.go
+++ b/internal/core/loadshare/loadshare.go
@@ -250,6 +250,15 @@
 	return minInterval * time.Duration(max(hosts, minIntervalMembers)) / minIntervalMembers
 }
 
+// DeliveryTime returns how long a digest takes on average to reach the hosts of its zone, of which there are zoneHosts beside its
+// sender, if there are that many hosts in all beside it: until it is due, and until a relay passes it on.
+func (s *Sharer) DeliveryTime(zoneHosts, hosts int) time.Duration {
+	if hosts <= maxDirectMembers {
+		return intervalFor(hosts) / 2
+	}
+	return (minInterval + intervalFor(zoneHosts)) / 2
+}
+
 // sendOwn returns the messages with this host's own digest. Where this host is a relay itself, the digest is passed on with
 // the others.
 func (s *Sharer) sendOwn(now core.Time, members []Member, own func() ([]byte, Freshness)) []Message {
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -15,7 +15,7 @@
 		return
 	}
 	n.router.SetGroupsWaiting(n.groupsWait())
-	n.router.SetContention(route.Contention{Self: n.opts.Peer, Live: n.liveHosts()})
+	n.router.SetContention(route.Contention{Self: n.opts.Peer, Live: n.liveHosts(), UnseenShort: n.unseenShort()})
 	n.queue.Each(n.now, n.dispatch)
 	if n.targets.AnyRestricts(n.now) {
 		n.refuseRestricted()
@@ -68,6 +68,9 @@
 	t.TakePermit(n.now)
 	n.quarantineBegin(rec, t, d)
 	n.noteLongPlaced(rec)
+	if job.GapSensitive {
+		n.shortRate.add(n.now)
+	}
 	return StartDispatch{
 		Key:      rec.Request.Key,
 		Dispatch: number,
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -116,6 +116,8 @@
 	resume        resumeState
 	sent          sentState
 	cache         statusCache
+	// shortRate is the rate at which this host places short prompts.
+	shortRate shortRate
 	// demand is the work offered to this host. lanesSized is when the lanes were last resized to it.
 	demand     demand
 	lanesSized core.Time
--- a/internal/core/route/contention.go
+++ b/internal/core/route/contention.go
@@ -12,6 +12,9 @@
 	// Self is this host's peer address, Live those of all reachable hosts, including this one.
 	Self string
 	Live []string
+	// UnseenShort is the expected number of short prompts that other hosts have placed at the engines of this zone and that
+	// this host has not heard of.
+	UnseenShort float64
 }
 
 // Share returns how many slots of a contended engine this host may use: the same part as each other host, rounded up.
--- a/internal/core/route/long.go
+++ b/internal/core/route/long.go
@@ -121,7 +121,15 @@
 	states := slices.DeleteFunc(r.engineStates(now, rec, targets), func(s engineState) bool {
 		return slices.Contains(fixed, s.target)
 	})
-	return chooseHelpers(rec, fixedStates, withoutReserved(rec, withoutLimited(states)))
+	states = withoutReserved(rec, withoutLimited(states))
+	r.shuffle(states)
+	return chooseHelpers(rec, fixedStates, states)
+}
+
+// shuffle brings engines in a random order, which decides between those of equal cost: hosts that place long prompts at the same
+// moment would otherwise all begin with the same idle engines.
+func (r *Router) shuffle(states []engineState) {
+	r.rng.Shuffle(len(states), func(i, j int) { states[i], states[j] = states[j], states[i] })
 }
 
 // chooseHelpers chooses the number of engines to add to the fixed ones by cost: a larger number must cost less than the
--- a/internal/core/route/place.go
+++ b/internal/core/route/place.go
@@ -37,11 +37,13 @@
 	if r.iterationModel && rec.Request.Routed != nil {
 		if states := r.engineStates(now, rec, targets); len(states) > 0 {
 			if IsLong(rec) {
-				return placeLong(rec, withoutReserved(rec, withoutLimited(states)))
+				states = withoutReserved(rec, withoutLimited(states))
+				r.shuffle(states)
+				return placeLong(rec, states)
 			}
 			return placeShort(rec, slices.DeleteFunc(states, func(s engineState) bool {
 				return s.overloaded(now, rec) || r.exceedsShare(now, &s)
-			}), r.rng.Float64)
+			}), r.shortSpread(), r.rng.Float64)
 		}
 	}
 	return Placement{Target: r.Pick(now, rec, targets), Obstacle: core.ObstacleTargets}
--- a/internal/core/route/short.go
+++ b/internal/core/route/short.go
@@ -13,12 +13,16 @@
 	packBonus      = 0.004
 )
 
-// placeShort returns the engine with the lowest cost for a short prompt. A random cost below packBonus/2, from draw,
-// breaks near-ties.
-func placeShort(rec *ledger.Record, states []engineState, draw func() float64) Placement {
+// shortSpread returns the random cost by which short prompts are spread over engines of about the same cost: half the effect of a
+// stream, to break near-ties, and more than that of the streams that other hosts have probably placed unseen. The engine that
+// looks best to all hosts of a zone would otherwise get them all.
+func (r *Router) shortSpread() float64 { return packBonus * max(r.contention.UnseenShort, 0.5) }
+
+// placeShort returns the engine with the lowest cost for a short prompt, of which a random part below spread, from draw.
+func placeShort(rec *ledger.Record, states []engineState, spread float64, draw func() float64) Placement {
 	best, bestCost := -1, 0.0
 	for i := range states {
-		cost := shortCost(rec, &states[i]) + draw()*packBonus/2
+		cost := shortCost(rec, &states[i]) + draw()*spread
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
