Load digests: hosts with a wide link are relays before those with a narrow one

A relay of a zone sends each digest to every host of the zone, about 700 datagrams a second with 34 hosts there, which takes more than the 14 Mbit/s of a small host. The relays were chosen by rendezvous hash alone.

Hosts whose link has at least half the bandwidth of the widest of the zone are relays before the others. A host without a stated bandwidth counts as one of them, so nothing changes without the setting.

--- a/internal/core/loadshare/loadshare.go
+++ b/internal/core/loadshare/loadshare.go
@@ -6,6 +6,10 @@
 // which passes it on in its own zone. So a digest crosses into a zone once for each relay, and what a host sends does not
 // grow with the number of hosts.
 //
+// A relay sends each digest to every host of its zone, which takes more than the link of a small host. The hosts of a zone
+// whose link has at least half the bandwidth of the widest are relays before the others. A host whose bandwidth is unknown
+// counts as one of them.
+//
 // A host is a relay because others send to it, not because it believes to be one: hosts that disagree on the relays lose
 // no digest. Digests carry sequence numbers, so it does no harm that several relays pass on the same one.
 package loadshare
@@ -71,6 +75,8 @@
 	LoadsAddress string
 	// Leaving is set for a host that is about to stop. It is no relay.
 	Leaving bool
+	// LinkMbps is the bandwidth of its link in megabits a second; 0 if it is unknown.
+	LinkMbps float64
 }
 
 const (
--- a/internal/core/loadshare/loadshare_test.go
+++ b/internal/core/loadshare/loadshare_test.go
@@ -24,6 +24,8 @@
 	inFlight []datagram
 	// crossed counts the digests that went into another zone.
 	crossed int
+	// view, if set, returns what a host takes another one to be, in place of its member.
+	view func(of *fleetHost, m loadshare.Member) loadshare.Member
 }
 
 type fleetHost struct {
@@ -45,11 +47,16 @@
 }
 
 func newFleet(t *testing.T, zones, hostsPerZone int) *fleet {
+	return newFleetWithLinks(t, zones, hostsPerZone, func(int) float64 { return 0 })
+}
+
+// newFleetWithLinks returns a fleet in whose zones the host with each number has the bandwidth that link returns.
+func newFleetWithLinks(t *testing.T, zones, hostsPerZone int, link func(number int) float64) *fleet {
 	f := &fleet{t: t, now: time.Second, rng: rand.New(rand.NewPCG(1, 1))}
 	for z := range zones {
 		for h := range hostsPerZone {
 			address := fmt.Sprintf("10.%d.0.%d", z, h)
-			m := loadshare.Member{Peer: address + ":1", Zone: fmt.Sprint("zone-", z), LoadsAddress: address + ":2"}
+			m := loadshare.Member{Peer: address + ":1", Zone: fmt.Sprint("zone-", z), LoadsAddress: address + ":2", LinkMbps: link(h)}
 			f.hosts = append(f.hosts, &fleetHost{member: m, sharer: loadshare.New(m, "i"), known: make(map[string]byte)})
 		}
 	}
@@ -60,9 +67,14 @@
 func (f *fleet) others(of *fleetHost) []loadshare.Member {
 	var out []loadshare.Member
 	for _, h := range f.hosts {
-		if h != of {
-			out = append(out, h.member)
+		if h == of {
+			continue
+		}
+		m := h.member
+		if f.view != nil {
+			m = f.view(of, m)
 		}
+		out = append(out, m)
 	}
 	return out
 }
--- a/internal/core/loadshare/relays.go
+++ b/internal/core/loadshare/relays.go
@@ -50,9 +50,9 @@
 	return slices.Compact(zones)
 }
 
-// rank returns the hosts of a zone in order of preference as relays, this host among them if it is its own zone. It leaves
-// out hosts that are leaving, and those that have not sent anything for relayTimeout although they were sent digests,
-// unless no other is left.
+// rank returns the hosts of a zone in order of preference as relays, this host among them if it is its own zone: first those
+// with a wide link, then the others, each by rendezvous hash. It leaves out hosts that are leaving, and those that have not
+// sent anything for relayTimeout although they were sent digests, unless no other is left.
 func (s *Sharer) rank(now core.Time, zone string, members []Member) []Member {
 	byPeer := make(map[string]Member)
 	for _, m := range append(slices.Clone(members), s.self) {
@@ -71,13 +71,30 @@
 	if len(peers) == 0 {
 		peers = silent
 	}
-	var out []Member
+	var wide, narrow []Member
+	widest := widestLink(peers, byPeer)
 	for _, peer := range rendezvous.Rank(dutyRelay, peers) {
-		out = append(out, byPeer[peer])
+		if m := byPeer[peer]; m.hasWideLink(widest) {
+			wide = append(wide, m)
+		} else {
+			narrow = append(narrow, m)
+		}
 	}
-	return out
+	return append(wide, narrow...)
 }
 
+// widestLink returns the largest known bandwidth of the peers, in megabits a second; 0 if none is known.
+func widestLink(peers []string, byPeer map[string]Member) float64 {
+	widest := 0.0
+	for _, peer := range peers {
+		widest = max(widest, byPeer[peer].LinkMbps)
+	}
+	return widest
+}
+
+// hasWideLink reports whether the bandwidth is unknown or at least half of the widest of the zone, in megabits a second.
+func (m *Member) hasWideLink(widest float64) bool { return m.LinkMbps <= 0 || 2*m.LinkMbps >= widest }
+
 // expect notes that a relay is sent digests, so that it should send bundles itself.
 func (s *Sharer) expect(now core.Time, peer string) {
 	if _, ok := s.unheard[peer]; !ok && peer != s.self.Peer {
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -47,6 +47,8 @@
 	Seed uint64
 	// LoadsAddress is this host's address for datagrams with the load digests of peers; empty disables them.
 	LoadsAddress string
+	// Capacity is what this host can carry; fields of 0 are unknown.
+	Capacity core.Capacity
 	// LookupTTL is the longest time for which callers cache a lookup answer. A draining host accepts routed requests
 	// for that long.
 	LookupTTL time.Duration
@@ -160,7 +162,10 @@
 		pacing:        newPacing(),
 		quarantine:    quarantine.New(opts.Peer),
 		loads: loadshare.New(
-			loadshare.Member{Peer: opts.Peer, Zone: opts.Zone, LoadsAddress: opts.LoadsAddress}, opts.Self.Incarnation,
+			loadshare.Member{
+				Peer: opts.Peer, Zone: opts.Zone, LoadsAddress: opts.LoadsAddress, LinkMbps: opts.Capacity.LinkMbps,
+			},
+			opts.Self.Incarnation,
 		),
 	}
 	n.queue = newQueue(opts.Policy, n.teamWeight)
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -71,10 +71,14 @@
 	return list
 }
 
-func startRoutedHost(t *testing.T) *routedHost {
+func startRoutedHost(t *testing.T) *routedHost { return startRoutedHostOf(t, core.Capacity{}) }
+
+// startRoutedHostOf returns a routedHost that can carry the capacity.
+func startRoutedHostOf(t *testing.T, capacity core.Capacity) *routedHost {
 	t.Helper()
 	n := node.New(node.Options{
-		Self: loneSelf, Peer: "10.0.0.1:2", Zone: "a", Records: 100, BodyBytes: 1 << 20, Seed: 1, Policy: node.PolicyPacked,
+		Capacity: capacity,
+		Self:     loneSelf, Peer: "10.0.0.1:2", Zone: "a", Records: 100, BodyBytes: 1 << 20, Seed: 1, Policy: node.PolicyPacked,
 		LoadsAddress: "10.0.0.1:3", LookupTTL: 3 * time.Second, EnginesExpire: true, PlatformCurrent: true,
 		ReservationTiming: group.Timing{Expiry: 4 * time.Second, MaxWait: time.Second, RenewInterval: time.Second, RefuseWhenFull: true},
 	})
@@ -93,11 +97,16 @@
 func readyRoutedHost(t *testing.T) *routedHost {
 	t.Helper()
 	e := startRoutedHost(t)
+	e.makeReady()
+	return e
+}
+
+func (e *routedHost) makeReady() {
+	e.t.Helper()
 	e.publish(1)
 	e.step(node.PlatformAnswered{})
 	e.step(node.HostsReceived{List: targetList(1, "e1", "e2", "e3", "s1", "s2"), Source: conf.SourcePlatform})
-	assert.Assert(t, e.node.Snapshot().Ready, "the platform has answered and there are no peers to wait for")
-	return e
+	assert.Assert(e.t, e.node.Snapshot().Ready, "the platform has answered and there are no peers to wait for")
 }
 
 func (e *routedHost) publish(revision uint64) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,6 +58,7 @@
 		Records:      s.Limits.Records,
 		BodyBytes:    s.Limits.BodyBytes,
 		LoadsAddress: s.Listen.Loads,
+		Capacity:     core.Capacity(s.Capacity),
 		Seed:         seed,
 	}
 	if s.Platform.Kind == settings.PlatformStore {
--- a/internal/docscheck/deploy_test.go
+++ b/internal/docscheck/deploy_test.go
@@ -18,6 +18,7 @@
 	"zone|json": `"a"`, "listen.front|json": `"192.0.2.1:7400"`, "ip": "192.0.2.1", "port_range.0": "7340", "port_range.1": "7341",
 	"listen.control|json": `"192.0.2.1:7402"`, "listen.directory|json": `"192.0.2.1:7404"`, "listen.ready_addr|json": `"192.0.2.1:7405"`,
 	"platform.address|json": `"192.0.2.9:7500"`, "seeds|json": `["192.0.2.2:7402"]`,
+	"limits.cpu_share|json": "0.134", "limits.memory_mb|json": "136", "limits.max_fds|json": "2870", "limits.link_mbps|json": "14.5",
 }
 
 func TestSettingsTemplateIsAccepted(t *testing.T) {
@@ -33,4 +34,5 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Platform.Kind, settings.PlatformStore)
 	assert.Equal(t, s.Peers[0], "192.0.2.2:7402")
+	assert.Equal(t, s.Capacity, settings.Capacity{Cores: 0.134, MemoryMB: 136, Connections: 2870, LinkMbps: 14.5})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,8 @@
 	Peers []string `json:"peers,omitempty" jsonschema:"description=peer addresses tried before the host list is known"`
 	// Limits bounds memory, request sizes and connections.
 	Limits Limits `json:"limits,omitzero"`
+	// Capacity states what this host can carry; callers and load digests are distributed over hosts by it.
+	Capacity Capacity `json:"capacity,omitzero"`
 	// Security configures TLS and authentication for callers, operators and peers.
 	Security Security `json:"security,omitzero"`
 	// Metrics configures the labels of metrics and the reference for slowdown.
