Load digests: a compact form of datagrams for hosts that read it

A digest took 137 bytes besides loads of 60 bytes' share: the peer address and the incarnation as text, and two versions of up to 19 bytes that nearly all hosts have in common. A relay with 34 hosts in its zone sends each digest 33 times.

The compact form holds addresses and incarnations as bytes and lists each version once. Heartbeats tell who reads it (compact_loads), so that a host of an older version gets the plain form during a rolling update and logs nothing.

--- a/internal/core/loadshare/links_test.go
+++ b/internal/core/loadshare/links_test.go
@@ -148,3 +148,23 @@
 		}
 	}
 }
+
+// During a rolling update, hosts of an older version can't read the compact form. Each host must get the form that it reads,
+// and the same digests in both.
+func TestEachHostGetsTheFormThatItReads(t *testing.T) {
+	for _, hosts := range []int{4, 20} {
+		f := newFleet(t, 1, hosts)
+		for i, h := range f.hosts {
+			h.member.ReadsCompact = i%2 == 0
+		}
+		f.run(time.Second)
+		for i := range 4 {
+			f.change(f.hosts[i])
+		}
+		for _, h := range f.hosts {
+			compact, plain := f.compactTo[h.member.LoadsAddress], f.plainTo[h.member.LoadsAddress]
+			assert.Equal(t, compact > 0, h.member.ReadsCompact, h.member.Peer)
+			assert.Equal(t, plain > 0, !h.member.ReadsCompact, h.member.Peer)
+		}
+	}
+}
--- a/internal/core/loadshare/loadshare.go
+++ b/internal/core/loadshare/loadshare.go
@@ -61,10 +61,11 @@
 	Digests []Digest
 }
 
-// Message is a bundle to send to the load addresses of hosts.
+// Message is a bundle to send to the load addresses of hosts. Compact is set if all of them read the compact form.
 type Message struct {
-	To     []string
-	Bundle Bundle
+	To      []string
+	Bundle  Bundle
+	Compact bool
 }
 
 // Member is a host that exchanges digests.
@@ -77,6 +78,8 @@
 	Leaving bool
 	// LinkMbps is the bandwidth of its link in megabits a second; 0 if it is unknown.
 	LinkMbps float64
+	// ReadsCompact is set for a host that reads bundles in the compact form, which hosts of older versions don't.
+	ReadsCompact bool
 }
 
 const (
@@ -303,14 +306,15 @@
 	return inZone, acrossZones
 }
 
-// messageTo returns a message to the members, or none without any.
+// messageTo returns the message to the members in each form that some of them read, or none without any.
 func messageTo(members []Member, b Bundle) []Message {
-	if len(members) == 0 {
-		return nil
-	}
-	m := Message{Bundle: b}
+	compact, plain := Message{Bundle: b, Compact: true}, Message{Bundle: b}
 	for _, to := range members {
-		m.To = append(m.To, to.LoadsAddress)
+		if to.ReadsCompact {
+			compact.To = append(compact.To, to.LoadsAddress)
+		} else {
+			plain.To = append(plain.To, to.LoadsAddress)
+		}
 	}
-	return []Message{m}
+	return slices.DeleteFunc([]Message{compact, plain}, func(m Message) bool { return len(m.To) == 0 })
 }
--- a/internal/core/loadshare/loadshare_test.go
+++ b/internal/core/loadshare/loadshare_test.go
@@ -26,6 +26,8 @@
 	crossed int
 	// view, if set, returns what a host takes another one to be, in place of its member.
 	view func(of *fleetHost, m loadshare.Member) loadshare.Member
+	// compactTo counts the datagrams in the compact form, and plainTo the others, by load address.
+	compactTo, plainTo map[string]int
 }
 
 type fleetHost struct {
@@ -52,7 +54,9 @@
 
 // newFleetWithLinks returns a fleet in whose zones the host with each number has the bandwidth that link returns.
 func newFleetWithLinks(t *testing.T, zones, hostsPerZone int, link func(number int) float64) *fleet {
-	f := &fleet{t: t, now: time.Second, rng: rand.New(rand.NewPCG(1, 1))}
+	f := &fleet{
+		t: t, now: time.Second, rng: rand.New(rand.NewPCG(1, 1)), compactTo: make(map[string]int), plainTo: make(map[string]int),
+	}
 	for z := range zones {
 		for h := range hostsPerZone {
 			address := fmt.Sprintf("10.%d.0.%d", z, h)
@@ -123,6 +127,11 @@
 	for _, m := range messages {
 		for _, to := range m.To {
 			h.sent++
+			if m.Compact {
+				f.compactTo[to]++
+			} else {
+				f.plainTo[to]++
+			}
 			if f.rng.Float64() >= f.lossy {
 				f.inFlight = append(f.inFlight, datagram{from: h, to: to, content: m.Bundle})
 			}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -53,6 +53,8 @@
 	Work  Work   `json:"work,omitzero"`
 	// LoadsAddress is the address on which the sender receives load digests by datagram; empty if it receives none.
 	LoadsAddress string `json:"loads_address,omitempty"`
+	// CompactLoads is set if the sender reads datagrams in the compact form, see package peer.
+	CompactLoads bool `json:"compact_loads,omitempty"`
 	// Capacity is what the sender can carry, as its settings name it.
 	Capacity core.Capacity `json:"capacity,omitzero"`
 	// Introduces are the peer addresses of the hosts that the sender sees alive, where no host list names entry hosts.
--- a/internal/core/node/capacity_test.go
+++ b/internal/core/node/capacity_test.go
@@ -28,6 +28,7 @@
 			if slices.Contains(wide, hb.Heartbeat.LoadsAddress) {
 				hb.Heartbeat.Capacity = core.Capacity{Cores: 0.8, LinkMbps: 200}
 			}
+			hb.Heartbeat.CompactLoads = hb.Heartbeat.LoadsAddress == wide[0] // the other one is of an older version
 			if repeats {
 				hb.Heartbeat = hb.Heartbeat.Brief()
 			}
@@ -44,6 +45,7 @@
 				if s, ok := a.(node.SendLoads); ok {
 					for _, address := range s.To {
 						to[address] = true
+						assert.Equal(t, s.Compact, address == wide[0], address)
 					}
 				}
 			}
--- a/internal/core/node/loads.go
+++ b/internal/core/node/loads.go
@@ -33,7 +33,7 @@
 		}
 		out = append(out, loadshare.Member{
 			Peer: address, Zone: p.Last.Zone, LoadsAddress: p.Last.LoadsAddress, Leaving: p.Last.Draining,
-			LinkMbps: p.Last.Capacity.LinkMbps,
+			LinkMbps: p.Last.Capacity.LinkMbps, ReadsCompact: p.Last.CompactLoads,
 		})
 	}
 	return out
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -93,6 +93,7 @@
 		Draining:       n.drain.active,
 		Ready:          n.ready,
 		LoadsAddress:   n.opts.LoadsAddress,
+		CompactLoads:   n.opts.LoadsAddress != "",
 		Capacity:       n.opts.Capacity,
 		Introduces:     n.peers.Introductions(n.now),
 		IntervalMs:     member.IntervalFor(len(n.peers.Addresses())).Milliseconds(),
--- a/internal/peer/loads.go
+++ b/internal/peer/loads.go
@@ -15,8 +15,8 @@
 	"github.com/juju/errors"
 )
 
-// loadsMessage is the content of one datagram, in CBOR. Loads are absolute values, not changes, so a lost datagram needs no
-// repair.
+// loadsMessage is the content of one datagram in the plain form, in CBOR. Loads are absolute values, not changes, so a lost
+// datagram needs no repair.
 type loadsMessage struct {
 	_ struct{} `cbor:",toarray"`
 	// From is the sender's peer address.
@@ -43,34 +43,60 @@
 	Digest   uint64
 }
 
-// newLoadsMessage returns the content of a datagram from the host with the peer address from.
+func (v versionMessage) version() conf.Version {
+	return conf.Version{Revision: v.Revision, Digest: v.Digest}
+}
+
+// newLoadsMessage returns the content of a datagram in the plain form from the host with the peer address from.
 func newLoadsMessage(from string, b *loadshare.Bundle) loadsMessage {
 	out := loadsMessage{From: from, Hop: b.Hop}
 	for i := range b.Digests {
 		d := &b.Digests[i]
 		m := digestMessage{
-			Peer: d.Peer, Incarnation: d.Incarnation, Sequence: d.Sequence, Loads: d.Loads, AgeMs: -1,
+			Peer: d.Peer, Incarnation: d.Incarnation, Sequence: d.Sequence, Loads: d.Loads, AgeMs: ageMs(d.Freshness.Age),
 			Config: versionMessage{Revision: d.Freshness.Config.Revision, Digest: d.Freshness.Config.Digest},
 			Hosts:  versionMessage{Revision: d.Freshness.Hosts.Revision, Digest: d.Freshness.Hosts.Digest},
 		}
-		if d.Freshness.Age >= 0 {
-			m.AgeMs = d.Freshness.Age.Milliseconds()
-		}
 		out.Digests = append(out.Digests, m)
 	}
 	return out
 }
 
+// ageMs returns an age in milliseconds; -1 for never, which is any negative age.
+func ageMs(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 // errUnknownHop is the error for a datagram with a Hop that this version does not know.
 const errUnknownHop = errors.ConstError("unknown hop")
 
-// decodeLoads returns the input for the control loop that a datagram carries.
+func isKnownHop(hop loadshare.Hop) bool {
+	return hop >= loadshare.HopFinal && hop <= loadshare.HopToZone
+}
+
+// encodeLoads returns a datagram from the host with the peer address from.
+func encodeLoads(from string, b *loadshare.Bundle, compact bool) ([]byte, error) {
+	var content any = newLoadsMessage(from, b)
+	if compact {
+		content = newCompactMessage(from, b)
+	}
+	raw, err := cbor.Marshal(content)
+	return raw, errors.Trace(err)
+}
+
+// decodeLoads returns the input for the control loop that a datagram of either form carries.
 func decodeLoads(raw []byte) (node.LoadsReceived, error) {
+	if len(raw) > 0 && raw[0] == compactHead {
+		return decodeCompact(raw)
+	}
 	var m loadsMessage
 	if err := cbor.Unmarshal(raw, &m); err != nil {
 		return node.LoadsReceived{}, errors.Trace(err)
 	}
-	if m.Hop < loadshare.HopFinal || m.Hop > loadshare.HopToZone {
+	if !isKnownHop(m.Hop) {
 		return node.LoadsReceived{}, errors.Annotatef(errUnknownHop, "%d", m.Hop)
 	}
 	in := node.LoadsReceived{From: m.From, Bundle: loadshare.Bundle{Hop: m.Hop}}
@@ -80,8 +106,8 @@
 			Peer: d.Peer, Incarnation: d.Incarnation, Sequence: d.Sequence, Loads: d.Loads,
 			Freshness: loadshare.Freshness{
 				Age:    time.Duration(d.AgeMs) * time.Millisecond,
-				Config: conf.Version{Revision: d.Config.Revision, Digest: d.Config.Digest},
-				Hosts:  conf.Version{Revision: d.Hosts.Revision, Digest: d.Hosts.Digest},
+				Config: d.Config.version(),
+				Hosts:  d.Hosts.version(),
 			},
 		})
 	}
@@ -115,7 +141,7 @@
 
 // Send sends a bundle to each of the action's hosts. It logs errors and does not retry: datagrams may get lost anyway.
 func (l *LoadExchange) Send(a node.SendLoads) {
-	raw, err := cbor.Marshal(newLoadsMessage(l.peer, &a.Bundle))
+	raw, err := encodeLoads(l.peer, &a.Bundle, a.Compact)
 	if err != nil || len(raw) > maxDatagram {
 		l.log.Warn("load digests not sent", "bytes", len(raw), "error", err)
 		return
