--- a/internal/core/node/capacity_test.go
+++ b/internal/core/node/capacity_test.go
@@ -62,3 +62,19 @@
 	assert.Equal(t, hb.Capacity, capacity)
 	assert.Equal(t, hb.Content().Capacity, capacity, "a change of it makes a new State")
 }
+
+func TestSnapshotHoldsTheCapacitiesThatHostsState(t *testing.T) {
+	e := newRoutedHost(t)
+	assert.Assert(t, e.node.Snapshot().Capacities == nil, "no host states anything")
+	stated := core.Capacity{Cores: 0.8, LinkMbps: 200}
+	for i, c := range []core.Capacity{stated, {}} {
+		hb := node.HeartbeatReceived{}
+		hb.Heartbeat.Peer, hb.Heartbeat.Address = fmt.Sprintf("10.0.0.%d:2", i+2), fmt.Sprintf("10.0.0.%d:1", i+2)
+		hb.Heartbeat.Incarnation, hb.Heartbeat.ClockMs, hb.Heartbeat.IntervalMs, hb.Heartbeat.Ready = "j", 1, 450, true
+		hb.Heartbeat.Capacity = c
+		e.step(hb)
+	}
+	snap := e.node.Snapshot()
+	assert.Equal(t, len(snap.Hosts), 3)
+	assert.DeepEqual(t, snap.Capacities, map[string]core.Capacity{"10.0.0.2:1": stated})
+}
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -21,8 +21,11 @@
 	Ready    bool
 	Draining bool
 	// Hosts lists the entry hosts that take requests, this one first if it is among them.
-	Hosts    []api.Host
-	Document *document.Document
+	Hosts []api.Host
+	// Capacities holds what this host and its peers state that they can carry, by the addresses on which they serve callers; nil
+	// if none states anything.
+	Capacities map[string]core.Capacity
+	Document   *document.Document
 	// RawDocument is the text of the document in force. Documents and HostLists are served to peers. HostList is the
 	// latest of the HostLists.
 	RawDocument []byte
@@ -55,6 +58,7 @@
 		Ready:           n.notReady() == "",
 		Draining:        n.drain.active,
 		Hosts:           n.usableHosts(),
+		Capacities:      n.capacities(),
 		Document:        n.config.Document(),
 		RawDocument:     n.config.Raw(),
 		Documents:       n.config.History(),
@@ -92,6 +96,27 @@
 	return hosts
 }
 
+// capacities returns the stated capacities of this host and its peers, by the addresses on which they serve callers; nil
+// without any.
+func (n *Node) capacities() map[string]core.Capacity {
+	var out map[string]core.Capacity
+	add := func(address string, c core.Capacity) {
+		if c == (core.Capacity{}) {
+			return
+		}
+		if out == nil {
+			out = make(map[string]core.Capacity)
+		}
+		out[address] = c
+	}
+	for _, address := range n.peers.Addresses() {
+		last := &n.peers.Get(address).Last
+		add(last.Address, last.Capacity)
+	}
+	add(n.opts.Self.Address, n.opts.Capacity)
+	return out
+}
+
 func (n *Node) selfHost() api.Host {
 	return api.Host{
 		Address:     n.opts.Self.Address,
