carobctl check config: one report on a configuration before it is sent

Operators could check the form of a document and compare teams and presets, but nothing told them of a route that never matches or of callers who lose their key. Status 0 means notes at most, 7 warnings, 2 errors or a file that is no configuration; the latter gets one line, and no host is asked.

OPERATIONS.md lists the codes, and a test compares the list with the code.

--- a/internal/ctl/query_check.go
+++ b/internal/ctl/query_check.go
@@ -36,6 +36,7 @@
 			_, err := settings.Parse(data)
 			return err
 		}),
+		a.newCheckConfig(),
 	)
 	return cmd
 }
--- a/internal/ctl/query_diff.go
+++ b/internal/ctl/query_diff.go
@@ -67,6 +67,17 @@
 		doc, err := readDocument(args[0])
 		return doc, args[0], errors.Trace(err)
 	}
+	raw, address, err := a.documentInForce(ctx)
+	if err != nil {
+		return nil, "", errors.Trace(err)
+	}
+	doc, err := document.Parse(raw)
+	return doc, "in force at " + address, errors.Trace(err)
+}
+
+// documentInForce returns the document in force at the first operators' address from which it can be fetched, and the
+// address.
+func (a *app) documentInForce(ctx context.Context) ([]byte, string, error) {
 	o, err := a.deployment.operatorsClient()
 	if err != nil {
 		return nil, "", errors.Trace(err)
@@ -75,8 +86,7 @@
 	for _, address := range a.deployment.Operators {
 		raw, err := o.call(ctx, http.MethodGet, address, api.PathDocument, nil)
 		if err == nil {
-			doc, err := document.Parse(raw)
-			return doc, "in force at " + address, errors.Trace(err)
+			return raw, address, nil
 		}
 		lastErr = err
 	}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -27,6 +27,8 @@
 	ExitDiffers = 5
 	// ExitTimeout reports that the awaited condition did not occur in time.
 	ExitTimeout = 6
+	// ExitWarnings reports that a configuration has warnings but no errors.
+	ExitWarnings = 7
 )
 
 // exitStatuses is the part of the help text that lists the exit statuses.
@@ -37,7 +39,8 @@
   3  the request did not run
   4  it can't be told whether the request ran
   5  hosts disagree or one does not answer, or two documents differ
-  6  what was waited for did not happen in time`
+  6  what was waited for did not happen in time
+  7  a configuration has warnings, but no errors`
 
 // StatusError is an error that ends a command with a given exit status.
 type StatusError struct {
--- a/internal/docscheck/pages_test.go
+++ b/internal/docscheck/pages_test.go
@@ -12,6 +12,7 @@
 	"carobshunt/api"
 	"carobshunt/internal/ctl"
 	"carobshunt/internal/daemon"
+	"carobshunt/internal/document/lint"
 	"carobshunt/internal/fakecmd"
 	"carobshunt/internal/settings"
 
@@ -287,6 +288,10 @@
 		}
 		var out strings.Builder
 		assert.Equal(t, ctl.Main([]string{"check", kind, file}, &out, &out), ctl.ExitOK, out.String())
+		if kind == "document" {
+			assert.Equal(t, ctl.Main([]string{"check", "config", file}, &out, &out), ctl.ExitOK, out.String())
+			assert.Assert(t, strings.Contains(out.String(), "has no finding"), out.String())
+		}
 	}
 }
 
@@ -312,6 +317,25 @@
 	}
 }
 
+// findingRow matches a row of a table of OPERATIONS.md that begins with codes of findings and their severity.
+var findingRow = regexp.MustCompile("(?m)^\\| (`[a-z-]+`(?:, `[a-z-]+`)*) \\| (error|warning|note) \\|")
+
+func TestOperationsNamesEveryFinding(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs/OPERATIONS.md"))
+	assert.NilError(t, err)
+	got := make(map[lint.Code]lint.Severity)
+	for _, m := range findingRow.FindAllStringSubmatch(string(page), -1) {
+		for _, code := range codeSpan.FindAllStringSubmatch(m[1], -1) {
+			got[lint.Code(code[1])] = lint.Severity(m[2])
+		}
+	}
+	want := lint.Codes()
+	want[ctl.CodeNotCompared] = lint.SeverityWarning
+	want[ctl.CodeValueRefused] = lint.SeverityError
+	want[ctl.CodeValueAltered] = lint.SeverityNote
+	assert.DeepEqual(t, got, want)
+}
+
 func TestArchitectureNamesEveryPackage(t *testing.T) {
 	page, err := os.ReadFile(filepath.Join(root, "docs/ARCHITECTURE.md"))
 	assert.NilError(t, err)
--- a/internal/document/lint/changes.go
+++ b/internal/document/lint/changes.go
@@ -146,24 +146,28 @@
 }
 
 func (c *comparison) route(path string, old, r *document.Route) {
-	if old.Public && !r.Public && len(c.newKeys) > 0 {
-		c.add(CodeKeyRequired, path+"/public", "Requests on route %q need a key from now on.", r.Name)
-	}
-	if !old.Public && r.Public && len(c.oldKeys) > 0 {
-		c.add(CodeKeyNotRequired, path+"/public", "Requests on route %q need no key any more.", r.Name)
+	// reported holds the fields that need no finding of their own any more.
+	reported := map[string]bool{"services": true}
+	report := func(field string, code Code, format string, args ...any) {
+		reported[field] = true
+		c.add(code, path+"/"+field, format, args...)
+	}
+	switch {
+	case old.Public && !r.Public && len(c.newKeys) > 0:
+		report("public", CodeKeyRequired, "Requests on route %q need a key from now on.", r.Name)
+	case !old.Public && r.Public && len(c.oldKeys) > 0:
+		report("public", CodeKeyNotRequired, "Requests on route %q need no key any more.", r.Name)
 	}
 	if old.Kind != r.Kind {
-		c.add(CodeKindChanged, path+"/kind", "Requests on route %q are of kind %q instead of %q.", r.Name, r.Kind, old.Kind)
+		report("kind", CodeKindChanged, "Requests on route %q are of kind %q instead of %q.", r.Name, r.Kind, old.Kind)
 	}
 	if r.TimeoutMs < old.TimeoutMs {
-		c.add(CodeLimitLowered, path+"/timeout_ms", "Requests on route %q have %d ms instead of %d ms.", r.Name, r.TimeoutMs, old.TimeoutMs)
+		report("timeout_ms", CodeLimitLowered, "Requests on route %q have %d ms instead of %d ms.", r.Name, r.TimeoutMs, old.TimeoutMs)
 	}
 	if !slices.Equal(old.Services, r.Services) {
-		c.add(CodeValueChanged, path+"/services", "Requests on route %q go to %s instead of %s.", r.Name, shares(r), shares(old))
+		report("services", CodeValueChanged, "Requests on route %q go to %s instead of %s.", r.Name, shares(r), shares(old))
 	}
-	c.values(path, fmt.Sprintf("route %q", r.Name), old, r, func(field string) bool {
-		return field == "public" && (len(c.newKeys) > 0 || len(c.oldKeys) > 0) || field == "kind" || field == "services" || field == "timeout_ms" && r.TimeoutMs < old.TimeoutMs
-	})
+	c.values(path, fmt.Sprintf("route %q", r.Name), old, r, func(field string) bool { return reported[field] })
 }
 
 // shares names the services of a route with their weights.
--- a/internal/document/lint/changes_test.go
+++ b/internal/document/lint/changes_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// TestPublicRoutesWithoutKeysAreReported guards against a difference that is left out because it has no effect on callers
+// yet.
+func TestPublicRoutesWithoutKeysAreReported(t *testing.T) {
+	from, to := sample(), sample()
+	to.Revision = 2
+	for i := range to.Teams {
+		to.Teams[i].KeysSHA256 = nil
+	}
+	to.Routes[1].Public = false
+	assert.DeepEqual(t, summary(Changes(from, to)), []string{
+		"warning key-removed /teams/1/keys_sha256", "warning key-removed /teams/0/keys_sha256", "warning key-not-required /teams",
+		"note value-changed /routes/1/public",
+	})
+}
+
 // TestTheFirstKeysAreReported guards against a configuration that shuts out all callers without a word, as hosts ask for
 // keys as soon as a document has one.
 func TestTheFirstKeysAreReported(t *testing.T) {
--- a/internal/document/lint/index.go
+++ b/internal/document/lint/index.go
@@ -42,7 +42,8 @@
 	protected bool
 }
 
-func newIndex(doc *document.Document) *index {
+func newIndex(in Input) *index {
+	doc := in.Document
 	x := &index{
 		doc: doc, presets: slices.Sorted(maps.Keys(doc.Presets)),
 		routes: make(map[routeKey]int), routeNames: make(map[string]int), services: make(map[string]int),
--- a/internal/document/lint/lint.go
+++ b/internal/document/lint/lint.go
@@ -26,6 +26,18 @@
 // Code names a kind of finding. Scripts rely on it; it stays the same between versions.
 type Code string
 
+// Codes returns the severity of each code of Check and Changes.
+func Codes() map[Code]Severity {
+	out := map[Code]Severity{CodeForm: SeverityError}
+	for _, rule := range rules {
+		out[rule.code] = rule.severity
+	}
+	for _, e := range effects {
+		out[e.code] = e.severity
+	}
+	return out
+}
+
 // Finding is one line of the report.
 type Finding struct {
 	Severity Severity `json:"severity"`
@@ -37,15 +49,23 @@
 	Action   string `json:"action"`
 }
 
-// Check returns the findings of all rules on a document, and one for each fault that its parser reported; errors come
-// first. A fault at the path of another error is left out.
-func Check(doc *document.Document, faults []strictjson.Fault) []Finding {
-	out := newRunner(doc).run(rules)
+// Input is what is checked. Rules that need more than the document, such as the zones of targets, get it from here by way of
+// the index.
+type Input struct {
+	Document *document.Document
+	// Faults are those that the parser of the document reported.
+	Faults []strictjson.Fault
+}
+
+// Check returns the findings of all rules, and one for each fault of the parser; errors come first. A fault at the path of
+// another error is left out.
+func Check(in Input) []Finding {
+	out := newRunner(in).run(rules)
 	known := make(map[string]bool)
 	for _, f := range out {
 		known[f.Path] = known[f.Path] || f.Severity == SeverityError
 	}
-	for _, fault := range faults {
+	for _, fault := range in.Faults {
 		if f := formFinding(fault); !known[f.Path] {
 			out = append(out, f)
 		}
--- a/internal/document/lint/lint_test.go
+++ b/internal/document/lint/lint_test.go
@@ -64,9 +64,9 @@
 	_ = json.Unmarshal(raw, decoded)
 	var faults *strictjson.Faults
 	if _, err := document.Parse(raw); errors.As(err, &faults) {
-		return Check(decoded, faults.List)
+		return Check(Input{Document: decoded, Faults: faults.List})
 	}
-	return Check(decoded, nil)
+	return Check(Input{Document: decoded})
 }
 
 func summary(list []Finding) []string {
--- a/internal/document/lint/rules.go
+++ b/internal/document/lint/rules.go
@@ -191,7 +191,8 @@
 	if e.team.Unmetered || e.team.TokensPerSecond > 0 {
 		return "", ""
 	}
-	return "/tokens_per_second", fmt.Sprintf("Team %q may submit nothing: its limit is %d tokens a second.", e.team.Name, e.team.TokensPerSecond)
+	return "/tokens_per_second", fmt.Sprintf("Team %q may submit nothing: its limit is %d tokens a second.",
+		e.team.Name, e.team.TokensPerSecond)
 }
 
 // teamUnreachable looks at documents that serve only routes and list keys: a request is of a team there by its key alone.
--- a/internal/document/lint/runner.go
+++ b/internal/document/lint/runner.go
@@ -53,8 +53,8 @@
 	findings        []Finding
 }
 
-func newRunner(doc *document.Document) *runner {
-	return &runner{doc: doc, index: newIndex(doc), findings: []Finding{}}
+func newRunner(in Input) *runner {
+	return &runner{doc: in.Document, index: newIndex(in), findings: []Finding{}}
 }
 
 // run returns the findings of the rules, in the order of the document.
--- a/internal/document/lint/size_test.go
+++ b/internal/document/lint/size_test.go
@@ -58,7 +58,7 @@
 
 func workOf(t *testing.T, part int, faulty bool) work {
 	doc := sized(part, faulty)
-	r := newRunner(doc)
+	r := newRunner(Input{Document: doc})
 	r.run(rules)
 	raw, err := json.Marshal(doc)
 	assert.NilError(t, err)
