check config: bound the table, and look for ignored fields only in the checked file

At 2,400 routes that all shadow each other the table had 14,000 lines; it shows 100 of one code now, JSON all. The search for fields that hosts ignore ran on the version in force too, where nobody reads the result.

--- a/internal/ctl/config_test.go
+++ b/internal/ctl/config_test.go
@@ -176,6 +176,22 @@
 	}
 }
 
+// TestTableIsBounded guards against a table of thousands of lines that hides what matters.
+func TestTableIsBounded(t *testing.T) {
+	var engines []string
+	for range 200 {
+		engines = append(engines, `"127.20.2.1:7600"`)
+	}
+	path := edited(t, demoConfig, `"127.20.2.1:7600"`, strings.Join(engines, ","))
+	status, text := run("check", "config", path)
+	assert.Equal(t, status, ExitWarnings, text)
+	assert.Equal(t, strings.Count(text, "warning"), maxRowsOfCode+2, "%s", text)
+	assert.Assert(t, strings.Contains(text, "engine-twice: 99 more"), text)
+	_, r := configReport(t, path)
+	assert.Equal(t, r.Warnings, 199)
+	assert.Equal(t, len(r.Findings), 199)
+}
+
 func TestNamesDoNotChangeTheTable(t *testing.T) {
 	path := edited(t, demoConfig, `"peak": {`, `"pe\u001b[2J\nak": {"x": 1,`)
 	_, text := run("check", "config", path)
--- a/internal/ctl/configfile.go
+++ b/internal/ctl/configfile.go
@@ -125,7 +125,7 @@
 			Sentence: "The value is refused: " + fault.Reason + ".", Action: "Correct it; hosts refuse the whole configuration.",
 		})
 	}
-	for _, g := range grouped(c.Altered) {
+	for _, g := range grouped(c.Altered()) {
 		sentence := "The value " + g.Reason + "."
 		if g.count > 1 {
 			sentence = fmt.Sprintf("The value %s, in %d entries.", g.Reason, g.count)
--- a/internal/ctl/query_config.go
+++ b/internal/ctl/query_config.go
@@ -183,10 +183,22 @@
 	return fmt.Sprintf("%d %ss", n, what)
 }
 
+// maxRowsOfCode is the number of findings of one code up to which a table shows them. JSON has them all.
+const maxRowsOfCode = 100
+
 func findingRows(w *tableWriter, list []lint.Finding) {
 	w.row("SEVERITY", "CODE", "PATH", "WHAT", "TO DO")
+	count := make(map[lint.Code]int)
+	var cut []lint.Code
 	for _, f := range list {
-		w.row(f.Severity, f.Code, orDash(printable(f.Path)), printable(f.Sentence), f.Action)
+		if count[f.Code]++; count[f.Code] <= maxRowsOfCode {
+			w.row(f.Severity, f.Code, orDash(printable(f.Path)), printable(f.Sentence), f.Action)
+		} else if count[f.Code] == maxRowsOfCode+1 {
+			cut = append(cut, f.Code)
+		}
+	}
+	for _, code := range cut {
+		w.line("%s: %d more, which --output json shows", code, count[code]-maxRowsOfCode)
 	}
 }
 
