lint: a revision that is not raised may still come into force

Hosts decide between two texts of one revision by their digest, so the finding on an unchanged revision claimed too much.

--- a/internal/document/lint/changes.go
+++ b/internal/document/lint/changes.go
@@ -92,14 +92,24 @@
 	c.services()
 	c.presets()
 	c.callers()
-	if len(c.findings) > 0 && to.Revision <= from.Revision {
-		c.add(CodeRevisionNotRaised, "/revision", "The revision %d is not above the one in force, %d, so hosts would not take this.",
-			to.Revision, from.Revision)
-	}
+	c.revision()
 	sort.SliceStable(c.findings, func(i, j int) bool { return c.rank[c.findings[i].Code] < c.rank[c.findings[j].Code] })
 	return c.findings
 }
 
+// revision reports a revision that hosts with the version in force don't replace it by. Of two texts with one revision hosts
+// keep the one with the higher digest, which operators can't choose.
+func (c *comparison) revision() {
+	switch {
+	case len(c.findings) == 0 || c.to.Revision > c.from.Revision:
+	case c.to.Revision == c.from.Revision:
+		c.add(CodeRevisionNotRaised, "/revision", "The revision is that of the version in force, %d, so hosts may keep that one.", c.from.Revision)
+	default:
+		c.add(CodeRevisionNotRaised, "/revision", "The revision %d is below the one in force, %d, so hosts would not take this.",
+			c.to.Revision, c.from.Revision)
+	}
+}
+
 func (c *comparison) add(code Code, path, format string, args ...any) {
 	e := effects[c.rank[code]]
 	c.findings = append(c.findings, Finding{
--- a/internal/document/lint/changes_test.go
+++ b/internal/document/lint/changes_test.go
@@ -30,6 +30,10 @@
 			d.Revision = 1
 			d.Teams[0].Weight = 4
 		}, []string{"error revision-not-raised /revision", "note value-changed /teams/0/weight"}},
+		{"something under a lower revision", func(d *document.Document) {
+			d.Revision = 0
+			d.Teams[0].Weight = 4
+		}, []string{"error revision-not-raised /revision", "note value-changed /teams/0/weight"}},
 		{"a route gone, a number changed", func(d *document.Document) {
 			d.Routes = d.Routes[:1]
 			d.Routes[0].Rank = 1
