--- a/internal/document/lint/changes.go
+++ b/internal/document/lint/changes.go
@@ -103,7 +103,8 @@
 	switch {
 	case len(c.findings) == 0 || c.to.Revision > c.from.Revision:
 	case c.to.Revision == c.from.Revision:
-		c.add(CodeRevisionNotRaised, "/revision", "The revision is that of the version in force, %d, so hosts may keep that one.", c.from.Revision)
+		c.add(CodeRevisionNotRaised, "/revision", "The revision is that of the version in force, %d, so hosts may keep that one.",
+			c.from.Revision)
 	default:
 		c.add(CodeRevisionNotRaised, "/revision", "The revision %d is below the one in force, %d, so hosts would not take this.",
 			c.to.Revision, c.from.Revision)
