Spillover: share of short prompts that leave their zone, by the demand of the zones

The fixed cost of other zones makes all hosts of a zone send out at once and stop at once. With settings spillover.enabled, a policy computes a share from the demand of each zone; each request draws once against it. Off, the fixed cost holds as before.

--- a/api/status.go
+++ b/api/status.go
@@ -28,6 +28,28 @@
 	Requests RequestsStatus `json:"requests"`
 	// Withheld are the prompts that this host refuses because such prompts have ended targets.
 	Withheld []WithheldWork `json:"withheld,omitempty"`
+	// Spillover are the parts of the short prompts of this host's availability zone that are sent to others.
+	Spillover []SpilloverShare `json:"spillover,omitempty"`
+	// Crossings count the requests that this host has sent to engines of other availability zones.
+	Crossings CrossingCounts `json:"crossings,omitzero"`
+}
+
+// SpilloverShare is the part of the short prompts for a service that is sent to another availability zone.
+type SpilloverShare struct {
+	Service string  `json:"service"`
+	Zone    string  `json:"zone"`
+	Share   float64 `json:"share"`
+}
+
+// CrossingCounts count requests sent to engines of other availability zones since the start of the process, by reason.
+type CrossingCounts struct {
+	// Share counts short prompts that the share sent there, and Cost those for which an engine there was better in spite of
+	// the cost, or the only one that could take them. Long counts prompts of 20,000 tokens or more.
+	Share uint64 `json:"share"`
+	Cost  uint64 `json:"cost"`
+	Long  uint64 `json:"long"`
+	// Bytes are the request bodies.
+	Bytes uint64 `json:"bytes"`
 }
 
 // WithheldWork are requests that end the targets that run them: a request that comes again, or prompts with some parts.
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -78,6 +78,10 @@
 	// Executions counts the dispatches that may have been executed, Refusals those that UndoDispatch has undone.
 	Executions int
 	Refusals   int
+	// ZoneDraw decides whether the request may leave its availability zone: a random number above 0 and up to 1, drawn when
+	// this is first asked; 0 before. LeftFor is the zone to which the draw sent it when it was last placed; empty for none.
+	ZoneDraw float64
+	LeftFor  string
 	// Yields is set for a middle request whose team dominates the backlog: at engines it yields to those of other teams.
 	Yields bool
 	// Probe is set if the request was let through although its prompt is withheld, to see whether it still ends targets.
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -68,6 +68,7 @@
 	t.TakePermit(n.now)
 	n.quarantineBegin(rec, t, d)
 	n.noteLongPlaced(rec)
+	n.countCrossing(rec, t)
 	return StartDispatch{
 		Key:      rec.Request.Key,
 		Dispatch: number,
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -57,6 +57,8 @@
 	PlatformCurrent bool
 	// EnginesExpire is set if engines drop state that no host holds any more on their own, and can't list their state.
 	EnginesExpire bool
+	// Spillover configures the sending of short prompts to other availability zones, with PolicyPacked.
+	Spillover Spillover
 	// Policy selects how requests are queued and placed; the zero value is PolicyInForce.
 	Policy Policy
 }
@@ -127,6 +129,7 @@
 	coveredWaits bool
 	// withheldRequests counts the requests that were refused because their prompts are withheld.
 	withheldRequests uint64
+	spill            spilloverState
 }
 
 // New returns the Node of a process that has just started, with its clock at zero.
@@ -165,6 +168,10 @@
 	}
 	n.queue = newQueue(opts.Policy, n.teamWeight)
 	n.targets.JoinFleet(fleetView{n})
+	n.spill = newSpilloverState()
+	if opts.Spillover.Enabled && opts.Policy == PolicyPacked {
+		n.router.SetSpillover(&n.spill)
+	}
 	return n
 }
 
@@ -262,6 +269,7 @@
 	n.expireWaiting()
 	n.sizeLanes()
 	n.redispatchNonReporting()
+	n.updateSpillover()
 	n.dispatchQueued()
 	n.stopWhenDrained()
 }
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -116,6 +116,8 @@
 		Targets:        n.cachedTargets(),
 		Requests:       n.requestsStatus(),
 		Withheld:       n.withheldStatus(),
+		Spillover:      n.spilloverStatus(),
+		Crossings:      n.spill.crossed,
 	}
 }
 
--- a/internal/core/route/passes.go
+++ b/internal/core/route/passes.go
@@ -60,7 +60,7 @@
 	// milliseconds.
 	iteration float64
 	prefill   float64
-	// otherZone is set for an engine outside the host's own availability zone.
+	// otherZone is set for an engine outside the request's preferred availability zone, see Router.preferredZone.
 	otherZone bool
 }
 
--- a/internal/core/route/place.go
+++ b/internal/core/route/place.go
@@ -20,13 +20,14 @@
 // engineStates returns the state of the engines with a published speed that pass the filters. Other targets are left
 // out.
 func (r *Router) engineStates(now core.Time, rec *ledger.Record, targets []*target.Target) []engineState {
+	zone := r.preferredZone(rec)
 	var out []engineState
 	for _, t := range targets {
 		if t.Engine == nil || !r.keep(now, rec, t) {
 			continue
 		}
 		s := engineStateOf(t)
-		s.otherZone = r.zone != "" && t.Zone != r.zone
+		s.otherZone = zone != "" && t.Zone != zone
 		out = append(out, s)
 	}
 	return out
--- a/internal/core/route/predict.go
+++ b/internal/core/route/predict.go
@@ -57,3 +57,9 @@
 
 // IsLongContext reports whether a request's prefill reaches the positions at which it slows down other streams.
 func IsLongContext(rec *ledger.Record) bool { return rec.Request.PromptTokens > longContextPosition }
+
+// PendingPrefill returns how long an engine with a published speed takes for its pending prefill.
+func PendingPrefill(t *target.Target) time.Duration {
+	s := engineStateOf(t)
+	return time.Duration(s.prefill * float64(time.Millisecond))
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -42,6 +42,8 @@
 	iterationModel bool
 	// zone is the host's availability zone; empty if all zones are alike.
 	zone string
+	// spillover decides which short prompts leave the zone; nil if the fixed cost alone does.
+	spillover Spillover
 	// contention divides the last free slots of an engine among the hosts.
 	contention Contention
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,6 +59,7 @@
 		BodyBytes:    s.Limits.BodyBytes,
 		LoadsAddress: s.Listen.Loads,
 		Seed:         seed,
+		Spillover:    node.Spillover{Enabled: s.Spillover.Enabled, BytePrice: s.Spillover.BytePrice},
 	}
 	if s.Platform.Kind == settings.PlatformStore {
 		setStoreOptions(&options)
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -107,6 +107,27 @@
 	// AttentionPairsMs is the time that attention adds to prefill per million pairs of a token and an earlier one, in
 	// milliseconds.
 	AttentionPairsMs float64 `json:"pairs_ms" jsonschema:"minimum=0,description=time for a million pairs of tokens in milliseconds"`
+	// Delays are the times that messages take between availability zones; 0 between zones that are not listed.
+	Delays []ZoneDelay `json:"delays,omitempty" jsonschema:"description=times that messages take between availability zones"`
+}
+
+// ZoneDelay is the time that a message takes from one availability zone to another.
+type ZoneDelay struct {
+	From    string  `json:"from" jsonschema:"minLength=1,description=availability zone of the sender"`
+	To      string  `json:"to" jsonschema:"minLength=1,description=availability zone of the receiver"`
+	DelayMs float64 `json:"delay_ms" jsonschema:"minimum=0,description=time of a message in milliseconds"`
+}
+
+// Delay returns the time that a message takes between two zones: the longer one, if both directions are listed, and 0 if
+// neither is.
+func (e *Engine) Delay(a, b string) time.Duration {
+	longest := 0.0
+	for _, d := range e.Delays {
+		if d.From == a && d.To == b || d.From == b && d.To == a {
+			longest = max(longest, d.DelayMs)
+		}
+	}
+	return time.Duration(longest * float64(time.Millisecond))
 }
 
 // PrefillTime returns the time of one engine for the prefill of a prompt of that many tokens, without other work.
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -21,6 +21,8 @@
 	peers     *prometheus.Desc
 	targets   *prometheus.Desc
 	notices   *prometheus.Desc
+	spillover *prometheus.Desc
+	crossings *prometheus.Desc
 }
 
 // stateMetric is a metric without labels that is read from the status.
@@ -58,6 +60,8 @@
 				func(s *api.Status) float64 { return float64(len(s.Withheld)) }),
 			total("withheld_requests_total", "Requests refused since their prompts are withheld.",
 				func(s *api.Status) float64 { return float64(s.Requests.Withheld) }),
+			total("zone_crossing_bytes_total", "Request bodies sent to engines of other availability zones.",
+				func(s *api.Status) float64 { return float64(s.Crossings.Bytes) }),
 			gauge("records", "Request records kept.", func(s *api.Status) float64 { return float64(s.Requests.Records) }),
 			gauge("body_bytes", "Request bodies held.", func(s *api.Status) float64 { return float64(s.Requests.BodyBytes) }),
 		},
@@ -71,6 +75,9 @@
 		peers:     describe("peers", "Other entry hosts, by whether they were heard lately.", "alive"),
 		targets:   describe("targets", "Targets by kind, and by whether new work may go there.", "kind", "eligible"),
 		notices:   describe("target_notices", "Targets by what they say of themselves: a limit, leaving, no requests for a while.", "says"),
+		spillover: describe("spillover_share", "Part of the short prompts of the host's zone that is sent to another one.", "service", "zone"),
+		crossings: describe("zone_crossings_total",
+			"Requests sent to engines of other zones: by the share, in spite of the cost, or as long prompts.", "reason"),
 	}
 }
 
@@ -122,6 +129,8 @@
 	out <- c.peers
 	out <- c.targets
 	out <- c.notices
+	out <- c.spillover
+	out <- c.crossings
 }
 
 // Collect implements prometheus.Collector.
@@ -144,6 +153,12 @@
 	c.collectTargets(out, status.Targets)
 	c.collectNotices(out, status.Targets)
 	c.collectEngines(out, snap)
+	for _, s := range status.Spillover {
+		out <- prometheus.MustNewConstMetric(c.spillover, prometheus.GaugeValue, s.Share, s.Service, s.Zone)
+	}
+	collectSteps(out, c.crossings, []step{
+		{"share", status.Crossings.Share}, {"cost", status.Crossings.Cost}, {"long", status.Crossings.Long},
+	})
 }
 
 // step is the count of one step under a metric with a label for steps or reasons.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,10 +34,20 @@
 	Security Security `json:"security,omitzero"`
 	// Metrics configures the labels of metrics and the reference for slowdown.
 	Metrics Metrics `json:"metrics,omitzero"`
+	// Spillover configures how requests are sent to engines of other availability zones.
+	Spillover Spillover `json:"spillover,omitzero"`
 	// LogLevel is the least severe level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log_level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,default=info,description=least severe level that is logged"`
 }
 
+// Spillover configures how short prompts are sent to engines of other availability zones, with a platform of kind store.
+type Spillover struct {
+	// Enabled is set if the load of the zones decides how many leave; otherwise each has a fixed cost.
+	Enabled bool `json:"enabled" jsonschema:"description=whether the load of the availability zones decides how many short prompts leave their zone; otherwise each has a fixed cost"`
+	// BytePrice is the price of a byte between zones, in answers to short prompts.
+	BytePrice float64 `json:"byte_price,omitempty" jsonschema:"minimum=0,maximum=1,default=0,description=price of a byte between availability zones as a part of what an answer to a short prompt in time is worth"`
+}
+
 // Listen holds IP addresses with ports.
 type Listen struct {
 	Callers   string `json:"callers" jsonschema:"minLength=1,description=callers' interface"`
@@ -155,6 +165,9 @@
 			faults = append(faults, strictjson.Fault{Path: one.path, Reason: "has no effect without a platform of kind store"})
 		}
 	}
+	if !isStore && s.Spillover.Enabled {
+		faults = append(faults, strictjson.Fault{Path: "/spillover/enabled", Reason: "has no effect without a platform of kind store"})
+	}
 	if isStore && s.Platform.Preset != nil {
 		faults = append(faults, s.Platform.Preset.Faults("/platform/preset")...)
 	}
