--- a/internal/core/node/spillover.go
+++ b/internal/core/node/spillover.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -120,23 +119,97 @@
 	return smallest
 }
 
+// zonedHosts are the reachable hosts and the zones, as of one update.
+type zonedHosts struct {
+	// zones are the zones of hosts and targets, sorted; own and indexOf are positions there.
+	zones   []string
+	own     int
+	indexOf map[string]int
+	// zoneOf holds the zones of the hosts by peer address, -1 for unknown, reachable their number of each zone.
+	zoneOf    map[string]int
+	reachable []int
+	// age is the age of the load digests; negative if it is unknown.
+	age time.Duration
+}
+
+// zonedHosts returns the hosts and zones that are known now.
+func (n *Node) zonedHosts() *zonedHosts {
+	z := &zonedHosts{indexOf: map[string]int{n.opts.Zone: 0}, zoneOf: make(map[string]int, len(n.peers.Addresses())+1)}
+	for _, address := range n.peers.Addresses() {
+		z.indexOf[n.peers.Get(address).Last.Zone] = 0
+	}
+	for _, t := range n.targets.All() {
+		z.indexOf[t.Zone] = 0
+	}
+	delete(z.indexOf, "")
+	for zone := range z.indexOf {
+		z.zones = append(z.zones, zone)
+	}
+	slices.Sort(z.zones)
+	for i, zone := range z.zones {
+		z.indexOf[zone] = i
+	}
+	z.own = z.indexOf[n.opts.Zone]
+	z.reachable = make([]int, len(z.zones))
+	z.reachable[z.own]++
+	z.zoneOf[n.opts.Peer] = z.own
+	ages := make([]time.Duration, 0, len(n.peers.Addresses()))
+	for _, address := range n.peers.Addresses() {
+		p := n.peers.Get(address)
+		zone, ok := z.indexOf[p.Last.Zone]
+		if !ok {
+			zone = -1
+		}
+		z.zoneOf[address] = zone
+		if !p.Alive(n.now) {
+			continue
+		}
+		if ok {
+			z.reachable[zone]++
+		}
+		if n.sameCell(address) {
+			ages = append(ages, n.digestAge(address))
+		}
+	}
+	z.age = viewAge(ages)
+	return z
+}
+
+// digestAge returns the age of a peer's load digest: of one that came by datagram, since heartbeats are too rare.
+func (n *Node) digestAge(peer string) time.Duration {
+	if _, at, ok := n.loads.LastReceived(peer); ok {
+		return n.now - at
+	}
+	return spillover.MaxAge
+}
+
+// silentPart is the part of the reachable hosts whose digests may be older than the view counts as: one host of many that
+// is about to be found dead changes little in the sums, and would else end spillover everywhere for a moment.
+const silentPart = 8
+
+// viewAge returns the age of a view of which the digests have these ages; 0 without other hosts.
+func viewAge(ages []time.Duration) time.Duration {
+	if len(ages) == 0 {
+		return 0
+	}
+	slices.Sort(ages)
+	return ages[len(ages)-1-len(ages)/silentPart]
+}
+
 // zoneViews returns the view of each service.
 func (n *Node) zoneViews() map[string]*spillover.View {
-	hosts := n.hostsByZone()
+	hosts := n.zonedHosts()
+	n.spill.zones = hosts.zones
 	suspects := n.targets.Suspects(n.now)
-	age := n.viewAge()
-	zoneOf := n.zonesOfHosts()
-	zones := n.zoneNames(zoneOf)
-	n.spill.zones = zones
 	out := make(map[string]*spillover.View, len(n.spill.services))
 	for name, s := range n.spill.services {
 		v := &spillover.View{
-			Own: n.opts.Zone, Age: age, LinkSuspected: suspects.Link, Objective: s.objective,
+			Own: n.opts.Zone, Age: hosts.age, LinkSuspected: suspects.Link, Objective: s.objective,
 			RequestBytes: n.spill.requestBytes, BytePrice: n.opts.Spillover.BytePrice,
 		}
 		engine := n.publishedEngine(name)
-		for _, zone := range zones {
-			z := spillover.Zone{Name: zone, Hosts: hosts[zone], Suspected: slices.Contains(suspects.Zones, zone)}
+		for i, zone := range hosts.zones {
+			z := spillover.Zone{Name: zone, Hosts: hosts.reachable[i], Suspected: slices.Contains(suspects.Zones, zone)}
 			if engine != nil {
 				z.Delay = engine.Delay(n.opts.Zone, zone)
 			}
@@ -145,21 +218,22 @@
 		out[name] = v
 	}
 	for _, t := range n.targets.All() {
-		if t.Engine == nil || !t.Eligible(n.now) {
+		zone, ok := hosts.indexOf[t.Zone]
+		if !ok || t.Engine == nil || !t.Eligible(n.now) {
 			continue
 		}
 		for _, service := range t.Models {
 			if v := out[service]; v != nil {
-				n.addEngine(v, t, zoneOf)
+				n.addEngine(v, t, zone, hosts)
 			}
 		}
 	}
 	return out
 }
 
-// addEngine adds an engine to a view. It sums integers only: the hosts come in no particular order.
-func (n *Node) addEngine(v *spillover.View, t *target.Target, zoneOf map[string]string) {
-	z := zoneIn(v, t.Zone)
+// addEngine adds an engine of a zone to a view. It sums integers only: the hosts come in no particular order.
+func (n *Node) addEngine(v *spillover.View, t *target.Target, zone int, hosts *zonedHosts) {
+	z := &v.Zones[zone]
 	total := t.Total()
 	z.Engines++
 	z.Slots += t.Slots
@@ -168,88 +242,23 @@
 	}
 	z.Streams += total.Streams
 	pending := total.Ahead(0)
-	backlog := spillover.CountedBacklog(route.PendingPrefill(t), v.Objective)
+	backlogPerToken := 0.0
+	if pending > 0 {
+		backlogPerToken = float64(spillover.CountedBacklog(route.PendingPrefill(t), v.Objective)) / float64(pending)
+	}
 	t.EachPlaced(n.opts.Peer, func(peer string, load *target.Load) {
-		// Where a host without a zone has sent a request counts as where it comes from.
-		zone := cmp.Or(zoneOf[peer], t.Zone)
-		if zone == n.opts.Zone {
-			z.FromOwnZone += load.Streams
+		from, ok := hosts.zoneOf[peer]
+		if !ok || from < 0 {
+			from = zone // what a host without a known zone has sent counts as the demand of the zone where it is
 		}
-		from := zoneIn(v, zone)
-		from.DemandStreams += load.Streams
-		if pending > 0 {
-			from.DemandBacklog += time.Duration(float64(backlog) * float64(load.Ahead(0)) / float64(pending))
+		if from == hosts.own {
+			z.FromOwnZone += load.Streams
 		}
+		v.Zones[from].DemandStreams += load.Streams
+		v.Zones[from].DemandBacklog += time.Duration(float64(load.Ahead(0)) * backlogPerToken)
 	})
 }
 
-// zoneIn returns a zone of a view, which must have it.
-func zoneIn(v *spillover.View, name string) *spillover.Zone {
-	i, _ := slices.BinarySearchFunc(v.Zones, name, func(z spillover.Zone, name string) int { return cmp.Compare(z.Name, name) })
-	return &v.Zones[i]
-}
-
-// zoneNames returns the zones of hosts and targets, sorted.
-func (n *Node) zoneNames(zoneOf map[string]string) []string {
-	known := make(map[string]bool)
-	for _, zone := range zoneOf {
-		known[zone] = true
-	}
-	for _, t := range n.targets.All() {
-		known[t.Zone] = true
-	}
-	out := make([]string, 0, len(known))
-	for zone := range known {
-		out = append(out, zone)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// zonesOfHosts returns the zones of this host and of its peers, by peer address.
-func (n *Node) zonesOfHosts() map[string]string {
-	out := map[string]string{n.opts.Peer: n.opts.Zone}
-	for _, address := range n.peers.Addresses() {
-		out[address] = n.peers.Get(address).Last.Zone
-	}
-	return out
-}
-
-// hostsByZone returns the number of reachable hosts of each zone.
-func (n *Node) hostsByZone() map[string]int {
-	out := map[string]int{n.opts.Zone: 1}
-	for _, address := range n.peers.Addresses() {
-		if p := n.peers.Get(address); p.Alive(n.now) {
-			out[p.Last.Zone]++
-		}
-	}
-	return out
-}
-
-// silentPart is the part of the reachable hosts whose digests may be older than the view counts as: one host of many that
-// is about to be found dead changes little in the sums, and would else end spillover everywhere for a moment.
-const silentPart = 8
-
-// viewAge returns the age of the load digests; negative if it is unknown, and 0 without other hosts.
-func (n *Node) viewAge() time.Duration {
-	var ages []time.Duration
-	for _, m := range n.loadsMembers() {
-		age := core.Time(spillover.MaxAge)
-		if _, at, ok := n.loads.LastReceived(m.Peer); ok {
-			age = n.now - at
-		}
-		ages = append(ages, age)
-	}
-	if len(ages) == 0 {
-		if n.opts.LoadsAddress == "" && len(n.liveHosts()) > 1 {
-			return -1
-		}
-		return 0
-	}
-	slices.Sort(ages)
-	return ages[len(ages)-1-len(ages)/silentPart]
-}
-
 // reportHysteresis is how far the share must be below a tenth that it has passed for another report, so that one that
 // varies around a tenth is not reported again and again.
 const reportHysteresis = 0.02
--- a/internal/core/route/zone_test.go
+++ b/internal/core/route/zone_test.go
@@ -68,3 +68,74 @@
 	assert.Equal(t, zones["c"], 3, "all engines of its own zone")
 	assert.Assert(t, zones["a"]+zones["b"] > 0, "and some of the others: it would be late otherwise")
 }
+
+// drawnZone sends the requests with a draw below the share to a zone.
+type drawnZone struct {
+	zone  string
+	share float64
+	draws []float64
+}
+
+// Zone implements route.Spillover.
+func (d *drawnZone) Zone(_ string, draw float64) string {
+	d.draws = append(d.draws, draw)
+	if draw < d.share {
+		return d.zone
+	}
+	return ""
+}
+
+// TestShareSendsShortPromptsAway checks that the zone that is drawn takes the place of the own one, also where the own one has
+// better engines, and that the share leaves long prompts alone.
+func TestShareSendsShortPromptsAway(t *testing.T) {
+	engines := zonedEngines(2)
+	addStreams(engines[0], 5)
+	spill := &drawnZone{zone: "b", share: 0.5}
+	r := route.NewPacked("a", rand.New(rand.NewPCG(1, 1)))
+	r.SetSpillover(spill)
+	const requests = 400
+	left := 0
+	for range requests {
+		rec := routedPrompt(5_000)
+		p := r.Place(0, rec, engines)
+		assert.Equal(t, p.Target.Zone == "b", rec.ZoneDraw < spill.share)
+		assert.Equal(t, rec.LeftFor == "b", p.Target.Zone == "b")
+		if p.Target.Zone == "b" {
+			left++
+		}
+	}
+	assert.Assert(t, left > requests*4/10 && left < requests*6/10, "%d", left)
+	spill.share = 1.1
+	long := routedPrompt(60_000)
+	assert.Equal(t, r.Place(0, long, engines).Target.Zone, "a")
+	assert.Equal(t, long.ZoneDraw, 0.0)
+}
+
+// TestRequestDrawsOnce guards against a request that waits and draws until it may leave.
+func TestRequestDrawsOnce(t *testing.T) {
+	engines := zonedEngines(1)
+	for _, e := range engines {
+		addStreams(e, 16)
+	}
+	spill := &drawnZone{zone: "b", share: 0.1}
+	r := route.NewPacked("a", rand.New(rand.NewPCG(1, 1)))
+	r.SetSpillover(spill)
+	rec := routedPrompt(5_000)
+	for range 50 {
+		assert.Assert(t, r.Place(0, rec, engines).Target == nil)
+	}
+	for _, draw := range spill.draws {
+		assert.Equal(t, draw, spill.draws[0])
+	}
+	assert.Equal(t, len(spill.draws), 50)
+}
+
+// TestRequestWhoseZoneIsFullGoesElsewhere guards against a request that waits for the zone that it drew.
+func TestRequestWhoseZoneIsFullGoesElsewhere(t *testing.T) {
+	engines := zonedEngines(1)
+	addStreams(engines[1], 16)
+	r := route.NewPacked("a", rand.New(rand.NewPCG(1, 1)))
+	r.SetSpillover(&drawnZone{zone: "b", share: 1.1})
+	p := r.Place(0, routedPrompt(5_000), engines)
+	assert.Assert(t, p.Target != nil && p.Target.Zone != "b")
+}
--- a/internal/core/spillover/spillover.go
+++ b/internal/core/spillover/spillover.go
@@ -16,31 +16,34 @@
 )
 
 const (
-	// Interval is the least time between two updates of the share.
-	Interval = 100 * time.Millisecond
+	// Interval is the least time between two updates of the share. It is not shorter since an update at 500 targets takes a
+	// part of a millisecond on each host.
+	Interval = 200 * time.Millisecond
 	// MaxAge is the age of the load digests from which the view counts as unknown, and all requests stay in their zone. An
 	// unchanged digest is sent again each 500 ms: two in a row may be lost, and a host that is silent for longer counts as
 	// unreachable at about the same time.
 	MaxAge = 1500 * time.Millisecond
 	// maxStep bounds the change of the share in an update. At half a point a second, the share does not go up and down
 	// again within the time that one burst of requests takes.
-	maxStep = 0.05
+	maxStep = 0.1
 	// The share rises above 0 only if at least startShare is to leave, and falls to 0 below stopShare.
 	startShare = 0.05
 	stopShare  = 0.02
 	// deadBand is the change that the share does not follow: random arrivals alone change the demand by as much.
 	deadBand = 0.02
 	// smoothing is the weight of the last view in the demand of a zone. Together with Interval it averages over about 0.5 s.
-	smoothing = 0.2
+	smoothing = 0.36
 )
 
 const (
 	// sendLimit is the part of its own slots that a zone uses before requests leave: up to there engines are packed without
 	// a cost to their streams. It is the packedFraction of the router.
 	sendLimit = 0.75
-	// receiveLimit is the part of its slots up to which a zone gets requests of others. It is below sendLimit, so that a
-	// zone that gets requests does not send its own away for that.
-	receiveLimit = 0.70
+	// receiveLimit is the part of its slots up to which a zone gets requests of others. It is below sendLimit, so that zones
+	// with about that demand neither send nor get. If all zones together use more, they get as much as brings them to the mean,
+	// but not above maxReceiveLimit: the rest of the slots is for their own bursts.
+	receiveLimit    = 0.70
+	maxReceiveLimit = 0.90
 	// objectiveLoss is the part of its utility that a late answer loses, as in the router: a crossing that costs more is
 	// worth nothing.
 	objectiveLoss = 0.75
@@ -205,13 +208,28 @@
 	room, cost float64
 }
 
+// level returns the part of its slots up to which a zone gets requests of others.
+func (p *Policy) level(v *View) float64 {
+	demand, slots := 0.0, int64(0)
+	for i := range v.Zones {
+		if z := &v.Zones[i]; z.Name == v.Own || usable(z) {
+			demand += p.demand[z.Name]
+			slots += z.Slots
+		}
+	}
+	if slots == 0 {
+		return receiveLimit
+	}
+	return min(max(demand/float64(slots), receiveLimit), maxReceiveLimit)
+}
+
 // receivers returns the zones with room, cheapest first, then by name.
-func (p *Policy) receivers(v *View, own *Zone) []receiver {
+func (p *Policy) receivers(v *View, own *Zone, level float64) []receiver {
 	excess := make([]float64, len(v.Zones))
 	sum, ownExcess := 0.0, 0.0
 	for i := range v.Zones {
 		z := &v.Zones[i]
-		excess[i] = max(p.demand[z.Name]-sendLimit*float64(z.Slots), 0)
+		excess[i] = max(p.demand[z.Name]-max(sendLimit, level)*float64(z.Slots), 0)
 		sum += excess[i]
 		if z.Name == own.Name {
 			ownExcess = excess[i]
@@ -227,7 +245,7 @@
 		if z.Name == own.Name || !usable(z) {
 			continue
 		}
-		slots := receiveLimit * float64(z.UnlimitedSlots)
+		slots := level * float64(z.UnlimitedSlots)
 		room := min((slots-p.demand[z.Name])*part, slots-float64(z.Streams-z.FromOwnZone))
 		cost := crossingCost(v, z)
 		if room > 0 && cost < objectiveLoss {
@@ -263,7 +281,8 @@
 		return nil
 	}
 	own := &v.Zones[i]
-	receivers := p.receivers(v, own)
+	level := p.level(v)
+	receivers := p.receivers(v, own, level)
 	demand := p.demand[own.Name]
 	if own.Slots == 0 {
 		demand = 0
@@ -283,7 +302,7 @@
 		for _, r := range group {
 			room += r.room
 		}
-		take := min(room, demand-limitFor(group[0].cost)*float64(own.Slots)-taken)
+		take := min(room, demand-max(limitFor(group[0].cost), level)*float64(own.Slots)-taken)
 		if take <= 0 {
 			break
 		}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -29,11 +29,19 @@
 type fleetOptions struct {
 	hosts, engines, desks int
 	seed                  uint64
+	// engineZones are the zones of the engines; without them they are spread over all zones.
+	engineZones []string
+	// spillover configures the hosts. zoneDelay is the time that a message takes between two zones, by the document.
+	spillover node.Spillover
+	zoneDelay time.Duration
+	// silentLoads is set if the hosts send load digests in heartbeats only.
+	silentLoads bool
 }
 
 // fleet is a number of hosts that find each other by seeds, and their targets. It implements virtual.Network.
 type fleet struct {
 	t       *testing.T
+	opts    fleetOptions
 	world   *virtual.World
 	rng     *rand.Rand
 	hosts   []*virtual.Host
@@ -50,6 +58,8 @@
 	serial       int
 	outcomes     map[api.Outcome]int
 	refusals     []refusal
+	// staleness makes messages between hosts take that much longer, up to twice as much.
+	staleness time.Duration
 	// messages counts the messages between hosts.
 	messages int
 	// harms returns the cause for which a prompt ends each engine that begins to write its answer; nil for no such prompt.
@@ -80,7 +90,7 @@
 	if f.down[from] || f.down[to] || f.rng.IntN(100) == 0 {
 		return 0, false
 	}
-	return 500*time.Microsecond + time.Duration(f.rng.Int64N(int64(time.Millisecond))), true
+	return f.staleness + 500*time.Microsecond + time.Duration(f.rng.Int64N(int64(time.Millisecond+f.staleness))), true
 }
 
 // zoneCount is the number of availability zones.
@@ -93,7 +103,7 @@
 func newFleet(t *testing.T, opts fleetOptions) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, rng: rand.New(rand.NewPCG(opts.seed, 0x6e6f74)), list: &hostlist.List{Version: 1}, down: make(map[string]bool),
+		t: t, opts: opts, rng: rand.New(rand.NewPCG(opts.seed, 0x6e6f74)), list: &hostlist.List{Version: 1}, down: make(map[string]bool),
 		submitted:    make(map[string]virtual.Time),
 		harms:        func([]core.PartID) (core.PartID, bool) { return 0, false },
 		begun:        make(map[string]bool),
@@ -127,6 +137,9 @@
 	}
 	if engine {
 		entry.Role, entry.Models, entry.Slots = hostlist.RoleEngine, []string{serviceEngines}, 16
+		if i < len(f.opts.engineZones) {
+			entry.Zone = f.opts.engineZones[i]
+		}
 	}
 	f.list.Hosts = append(f.list.Hosts, entry)
 	f.all = append(f.all, entry)
@@ -150,9 +163,13 @@
 }
 
 func (f *fleet) addHost(i int) {
+	loads := fmt.Sprintf("10.0.%d.%d:3", i/250, i%250+1)
+	if f.opts.silentLoads {
+		loads = ""
+	}
 	h := f.world.AddHost(node.Options{
 		Self: core.Home{Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1)}, Peer: peerAddress(i), Zone: zone(i),
-		LoadsAddress: fmt.Sprintf("10.0.%d.%d:3", i/250, i%250+1),
+		LoadsAddress: loads, Spillover: f.opts.spillover,
 		Seeds:        []string{peerAddress(0), peerAddress(1), peerAddress(2)},
 		Records:      1 << 16, BodyBytes: 1 << 30, Seed: f.rng.Uint64(), Policy: node.PolicyPacked, LookupTTL: time.Second,
 		EnginesExpire: true, PlatformCurrent: true,
@@ -171,7 +188,14 @@
 
 // inform posts what the platform publishes.
 func (f *fleet) inform(h *virtual.Host) {
-	raw, err := json.Marshal(fleetDocument())
+	doc := fleetDocument()
+	if ms := f.opts.zoneDelay.Milliseconds(); ms > 0 {
+		for i := range zoneCount {
+			doc.Services[1].Engine.Delays = append(doc.Services[1].Engine.Delays,
+				document.ZoneDelay{From: zone(i), To: zone(i + 1), DelayMs: float64(ms)})
+		}
+	}
+	raw, err := json.Marshal(doc)
 	assert.NilError(f.t, err)
 	h.Post(node.PlatformAnswered{})
 	h.Post(node.DocumentReceived{Raw: raw, Source: conf.SourcePlatform})
