--- a/internal/core/node/spillover.go
+++ b/internal/core/node/spillover.go
@@ -261,7 +261,7 @@
 
 // reportHysteresis is how far the share must be below a tenth that it has passed for another report, so that one that
 // varies around a tenth is not reported again and again.
-const reportHysteresis = 0.02
+const reportHysteresis = 0.05
 
 const tenths = 10
 
@@ -283,9 +283,10 @@
 // bytesSmoothing is the weight of the last short prompt in their mean size.
 const bytesSmoothing = 0.01
 
-// countCrossing counts a dispatch to an engine of another zone.
+// countCrossing counts a dispatch to an engine of another zone, unless it adopts a stream that runs there already.
 func (n *Node) countCrossing(rec *ledger.Record, t *target.Target) {
-	if rec.Request.Routed == nil || t.Engine == nil || n.opts.Zone == "" {
+	adopted := rec.LastDispatch == 1 && rec.Request.Adopt.Target == t.Address
+	if rec.Request.Routed == nil || t.Engine == nil || n.opts.Zone == "" || adopted {
 		return
 	}
 	short := !route.IsLong(rec)
--- a/internal/core/spillover/spillover.go
+++ b/internal/core/spillover/spillover.go
@@ -77,9 +77,6 @@
 	Delay time.Duration
 }
 
-// FreeSlots returns the number of free slots at the zone's eligible engines.
-func (z *Zone) FreeSlots() int64 { return max(z.Slots-z.Streams, 0) }
-
 // View is the input of an update.
 type View struct {
 	// Own is the zone of this host.
--- a/internal/ctl/query_status.go
+++ b/internal/ctl/query_status.go
@@ -198,6 +198,11 @@
 	for i := range s.Withheld {
 		w.line("%s withholds %s", operator, withheldText(&s.Withheld[i]))
 	}
+	for _, one := range s.Spillover {
+		if one.Share > 0 {
+			w.line("%s sends %.2f of the short prompts for %s to zone %s", operator, one.Share, one.Service, one.Zone)
+		}
+	}
 	if s.Config.Rejected > 0 {
 		w.line("%s refused %d documents, the last: %s", operator, s.Config.Rejected, s.Config.LastRejection)
 	}
--- a/internal/docscheck/reference_test.go
+++ b/internal/docscheck/reference_test.go
@@ -227,10 +227,11 @@
 func metricRows(t *testing.T) []metricRow {
 	t.Helper()
 	s := &fakeSource{snapshot: node.Snapshot{Status: api.Status{
-		Warnings: []api.Warning{api.WarningBehind},
-		Config:   api.ConfigStatus{Preset: "ordinary"},
-		Targets:  []api.TargetStatus{{Kind: "engine"}},
-		Requests: api.RequestsStatus{Outcomes: []api.OutcomeCount{{Outcome: api.OutcomeDone, Count: 1}}},
+		Spillover: []api.SpilloverShare{{Service: "s", Zone: "z"}},
+		Warnings:  []api.Warning{api.WarningBehind},
+		Config:    api.ConfigStatus{Preset: "ordinary"},
+		Targets:   []api.TargetStatus{{Kind: "engine"}},
+		Requests:  api.RequestsStatus{Outcomes: []api.OutcomeCount{{Outcome: api.OutcomeDone, Count: 1}}},
 	}}}
 	m := metrics.New(settings.Example().Metrics, s)
 	m.WatchListener("callers", fakeListener{})
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -170,8 +170,8 @@
 	h := f.world.AddHost(node.Options{
 		Self: core.Home{Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1)}, Peer: peerAddress(i), Zone: zone(i),
 		LoadsAddress: loads, Spillover: f.opts.spillover,
-		Seeds:        []string{peerAddress(0), peerAddress(1), peerAddress(2)},
-		Records:      1 << 16, BodyBytes: 1 << 30, Seed: f.rng.Uint64(), Policy: node.PolicyPacked, LookupTTL: time.Second,
+		Seeds:   []string{peerAddress(0), peerAddress(1), peerAddress(2)},
+		Records: 1 << 16, BodyBytes: 1 << 30, Seed: f.rng.Uint64(), Policy: node.PolicyPacked, LookupTTL: time.Second,
 		EnginesExpire: true, PlatformCurrent: true,
 		ReservationTiming: group.Timing{Expiry: 4 * time.Second, MaxWait: time.Second, RenewInterval: time.Second, RefuseWhenFull: true},
 	})
