--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -71,6 +71,7 @@
 	if job.GapSensitive {
 		n.shortRate.add(n.now)
 	}
+	n.countCrossing(rec, t)
 	return StartDispatch{
 		Key:      rec.Request.Key,
 		Dispatch: number,
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -142,6 +142,8 @@
 		Requests:       n.requestsStatus(),
 		Evacuated:      n.evacuations.Zones(),
 		Withheld:       n.withheldStatus(),
+		Spillover:      n.spilloverStatus(),
+		Crossings:      n.spill.crossed,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,7 @@
 		LoadsAddress: s.Listen.Loads,
 		Capacity:     core.Capacity(s.Capacity),
 		Seed:         seed,
+		Spillover:    node.Spillover{Enabled: s.Spillover.Enabled, BytePrice: s.Spillover.BytePrice},
 	}
 	if s.Platform.Kind == settings.PlatformStore {
 		setStoreOptions(&options, s)
