Quarantine: runs of a request are weighed exactly, and accidents by their waves

Poisson's tail takes n runs of n that are lost for n^n/n! times as likely as they are: 4.5 times with 3, 26 times with 5. The exact tail over the lost runs and those beside them takes its place.

Two rules take this up. Each loss is weighed by what was lost at all other processes within 500 ms of it, if that is more often than lately. And evidence gets easier with more ends only once for each burst of a second in which they come: all ends of one burst may be one wave, and hosts take turns with the request after it.

Ruled out: a longer moment, joined by other ends in between.

--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -46,7 +46,8 @@
 func (tb *Table) setTrial(now core.Time, work core.WorkID) {
 	delete(tb.trials, work)
 	ended := endsInTurn(tb.works.losses(work))
-	if len(ended.all) < trialEnds || tb.workEvidence(now, ended.counted, processesOf(ended.all)) < minTrialEvidence {
+	caused := processesOf(ended.all)
+	if len(ended.all) < trialEnds || tb.workEvidence(now, work, ended.counted, caused, caused) < minTrialEvidence {
 		return
 	}
 	step := min(max(ended.moments-trialEnds, 0), maxTrialSteps)
--- a/internal/core/quarantine/works.go
+++ b/internal/core/quarantine/works.go
@@ -15,7 +15,8 @@
 	// minWorkEvidence is the least evidence for a verdict on a work with minWorkEnds ends: a chance of 1 in 1,000 that all of its
 	// losses are accidents. It is less than for parts, as a wrong verdict withholds one request and not all of a document.
 	minWorkEvidence = 6.9
-	// evidenceStep is how much less evidence is needed with each end more, down to leastWorkEvidence.
+	// evidenceStep is how much less evidence is needed with each end more, down to leastWorkEvidence, but at most once for each
+	// burst after the first.
 	evidenceStep      = 2.3
 	leastWorkEvidence = 3
 	// maxWorkRetries is how often a request may reach targets after minWorkEnds ends, at all hosts together and for good. What
@@ -48,6 +49,20 @@
 	return n
 }
 
+// bursts returns the number of times, burstTime apart, at which ends came. Those of one burst may have one cause that lasts for
+// its time, such as targets of a release that end one after the other.
+func bursts(counted []*loss) int {
+	n := 0
+	var began core.Time
+	for _, l := range counted {
+		if n == 0 || l.at-began >= burstTime {
+			n++
+			began = l.at
+		}
+	}
+	return n
+}
+
 // judgeClearestWork gives the verdict on the work with the most evidence; of works with as much, the most specific one. It
 // reports false if there is none to give.
 func (tb *Table) judgeClearestWork(now core.Time) bool {
@@ -102,9 +117,9 @@
 		return nil
 	}
 	c.specific = losses[0].works[0] == work
-	c.evidence = tb.workEvidence(now, c.ends.counted, explained.with(losses))
-	needed := max(minWorkEvidence-evidenceStep*float64(len(c.ends.counted)-minWorkEnds), leastWorkEvidence)
-	if c.evidence < needed {
+	c.evidence = tb.workEvidence(now, work, c.ends.counted, explained.with(losses), explained.with())
+	steps := min(len(c.ends.counted)-minWorkEnds, bursts(c.ends.counted)-1)
+	if c.evidence < max(minWorkEvidence-evidenceStep*float64(steps), leastWorkEvidence) {
 		return nil
 	}
 	return c
--- a/internal/core/quarantine/works_test.go
+++ b/internal/core/quarantine/works_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -123,6 +124,36 @@
 	assert.Equal(t, len(h.Verdicts()), 0)
 }
 
+// TestRequestLostInAWaveIsNotBlamed guards against a request that is always under way and that is blamed for a wave of ends after a
+// calm time, with which other requests are lost too.
+func TestRequestLostInAWaveIsNotBlamed(t *testing.T) {
+	const others core.WorkID = 0x1000
+	h := newHost("a")
+	var served []target.Dispatch
+	for i := range 20 {
+		served = append(served, h.beginWork("sound", others+core.WorkID(2*i)))
+	}
+	h.now += 1500 * time.Millisecond
+	for i, d := range served {
+		h.Done(h.now, d, nil, []core.WorkID{others + core.WorkID(2*i)})
+	}
+	var ended [][]target.Dispatch // by process
+	for i := range 10 {
+		ended = append(ended, []target.Dispatch{h.beginWork(fmt.Sprint("process-", i), others+core.WorkID(2*i))})
+		if i%2 == 0 {
+			ended[i] = append(ended[i], h.beginWork(fmt.Sprint("process-", i), polled))
+		}
+	}
+	for _, dispatches := range ended {
+		h.pass(100 * time.Millisecond)
+		for _, d := range dispatches {
+			h.Lost(h.now, d)
+		}
+	}
+	h.pass(10 * time.Second)
+	assert.Equal(t, len(h.Verdicts()), 0)
+}
+
 // TestMoreSpecificWorkIsBlamedFirst guards against a prompt that is withheld for another one with the same path and body.
 func TestMoreSpecificWorkIsBlamedFirst(t *testing.T) {
 	const path core.WorkID = 0x9a7 // a general one
@@ -243,3 +274,14 @@
 	}
 	assert.Equal(t, len(h.Verdicts()), 0)
 }
+
+// TestRunsAreWeighedExactly guards against evidence that is too weak where a work has few runs: three of three that are lost are
+// less likely than three events where as many are expected.
+func TestRunsAreWeighedExactly(t *testing.T) {
+	chances := []float64{0.1, 0.2, 0.5}
+	alone := lossesTail([]*loss{{}, {}, {}}, chances)
+	assert.Assert(t, math.Abs(alone-0.1*0.2*0.5) < 1e-12, "%g", alone)
+	// Of three runs with a chance of 0.5, two or three are lost in 4 of 8 cases.
+	beside := lossesTail([]*loss{{beside: 1}, {}}, []float64{0.5, 0.5})
+	assert.Assert(t, math.Abs(beside-0.5) < 1e-12, "%g", beside)
+}
