Bodies are bounded by the memory that a host states

Where capacity.memory_mb is set, the bound is at most half of what is left of half the memory (the Go heap may double before it is collected) without the 32 MB of control: 18 MB on a host of 136 MB, 118 MB of 536 MB. Refusals have the code body_memory and status 503 with Retry-After, as before.

net/http reads and drops the rest of an unread body of up to 256 KB before it answers, so refusals of those cost the link, not memory.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,7 +56,7 @@
 		Zone:         s.Zone,
 		Seeds:        s.Peers,
 		Records:      s.Limits.Records,
-		BodyBytes:    s.Limits.BodyBytes,
+		BodyBytes:    s.BodyMemory(),
 		LoadsAddress: s.Listen.Loads,
 		Capacity:     core.Capacity(s.Capacity),
 		Seed:         seed,
--- a/internal/settings/capacity.go
+++ b/internal/settings/capacity.go
@@ -8,3 +8,25 @@
 	Connections float64 `json:"connections,omitempty" jsonschema:"minimum=0,description=connections that may be open at one time"`
 	LinkMbps    float64 `json:"link_mbps,omitempty" jsonschema:"minimum=0,description=bandwidth of the link in each direction in megabits a second"`
 }
+
+const (
+	bytesPerMB = 1 << 20
+	// garbageFactor is how many times the memory in use the Go heap may take before it is collected.
+	garbageFactor = 2
+	// controlMB is the memory that control may take, in megabytes.
+	controlMB = 32
+	// bodyShare is the part of the other memory that request bodies may take. The rest is for answers and connections.
+	bodyShare = 0.5
+	// minBodyShare is the least part of the whole memory that request bodies may take, on a host of little memory.
+	minBodyShare = 1.0 / 16
+)
+
+// BodyMemory returns the bound for the request bodies held at one time, in bytes: limits.body_bytes, or less where that is
+// more than the stated memory has room for.
+func (s *Settings) BodyMemory() int64 {
+	if s.Capacity.MemoryMB <= 0 {
+		return s.Limits.BodyBytes
+	}
+	room := max((s.Capacity.MemoryMB/garbageFactor-controlMB)*bodyShare, s.Capacity.MemoryMB*minBodyShare)
+	return min(s.Limits.BodyBytes, int64(room*bytesPerMB))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,7 +82,7 @@
 // Limits bounds memory, request sizes and connections. Zero values take the defaults.
 type Limits struct {
 	// BodyBytes bounds the total size of the request bodies held at one time, in bytes.
-	BodyBytes int64 `json:"body_bytes,omitempty" jsonschema:"minimum=1,default=268435456,description=request bodies held at one time in bytes"`
+	BodyBytes int64 `json:"body_bytes,omitempty" jsonschema:"minimum=1,default=268435456,description=request bodies held at one time in bytes; less where capacity.memory_mb has no room for them"`
 	// RequestBytes bounds the size of one request body on the native interface, in bytes. With a platform with a store,
 	// the document's limit for callers applies.
 	RequestBytes int64 `json:"request_bytes,omitempty" jsonschema:"minimum=1,default=16777216,description=one request body in bytes"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,3 +67,14 @@
 		}
 	}
 }
+
+// The template allows 128 MB of bodies, and the smallest host has 136 MB of memory in all.
+func TestBodiesAreBoundedByTheStatedMemory(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB float64
+		wantMB   int64
+	}{{0, 128}, {136, 18}, {536, 118}, {4000, 128}, {64, 4}, {20, 1}} {
+		s := &Settings{Limits: Limits{BodyBytes: 128 << 20}, Capacity: Capacity{MemoryMB: c.memoryMB}}
+		assert.Equal(t, s.BodyMemory()>>20, c.wantMB, "%v MB", c.memoryMB)
+	}
+}
