Queue: requests of more urgent teams go first, and one dispatch in three ignores rank

A team's priority of the platform's configuration becomes the rank of its requests, before that of the route. Among requests that can still meet their objective the lower rank goes first. The order is unchanged while no team has a rank or all waiting requests have the same one.

Serving every old request first would serve by age under lasting overload. One dispatch in three of each service goes to a request that has used most of its useful wait.

--- a/api/status.go
+++ b/api/status.go
@@ -135,6 +135,8 @@
 	Outcomes []OutcomeCount `json:"outcomes"`
 	// Withheld counts the requests that were refused because their prompts are withheld.
 	Withheld uint64 `json:"withheld"`
+	// RankIgnored counts the dispatches that ignored the ranks of teams so that no team is starved.
+	RankIgnored uint64 `json:"rank_ignored,omitempty"`
 }
 
 // OutcomeCount is the number of requests and refused attempts that ended with one outcome.
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -71,8 +71,10 @@
 	mayHaveRunBefore bool
 	// highestAttempt is the highest attempt submitted under the key since the record was made, even a refused one.
 	highestAttempt uint32
-	// WaitingSince is when the request last began to wait for a target.
+	// WaitingSince is when the request last began to wait for a target. WaitLimit is how long a routed request may wait from
+	// then on.
 	WaitingSince core.Time
+	WaitLimit    time.Duration
 	// Obstacle is the reason why the request could not be dispatched when this was last tried.
 	Obstacle core.Obstacle
 	// Executions counts the dispatches that may have been executed, Refusals those that UndoDispatch has undone.
--- a/internal/core/node/restricted.go
+++ b/internal/core/node/restricted.go
@@ -23,7 +23,7 @@
 			return false
 		}
 		wait, restricted := n.restrictedWait(rec, ahead[rec.Request.Model])
-		if restricted && n.now+wait > rec.WaitingSince+n.waitLimit(rec) {
+		if restricted && n.now+wait > rec.WaitingSince+rec.WaitLimit {
 			refused = append(refused, refusal{rec, wait})
 			return false
 		}
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -46,7 +46,8 @@
 	routed.MaxExecutions = int(route.MaxExecutions)
 	routed.FirstTokenTarget = route.FirstTokenTarget()
 	routed.GapTarget = route.GapTarget()
-	routed.Rank = int(route.Rank)
+	routed.Rank = n.table.Rank(req.Team, route)
+	routed.ByRank = n.table.RanksTeams()
 	req.Routed = &routed
 	req.Model = routes.Choose(route, n.rng.Float64())
 	req.Idempotent = route.MayRepeat()
@@ -61,10 +62,11 @@
 }
 
 // setFirstTokenTarget sets the first-token target of a record: that of its route, or that of the preset if it is not
-// routed.
+// routed. For a routed request it sets the wait limit too.
 func (n *Node) setFirstTokenTarget(rec *ledger.Record, preset *document.Preset) {
 	if routed := rec.Request.Routed; routed != nil {
 		rec.FirstTokenTarget = routed.FirstTokenTarget
+		rec.WaitLimit = waitLimit(rec)
 		return
 	}
 	rec.FirstTokenTarget = time.Duration(preset.FirstTokenTargetMs) * time.Millisecond
@@ -165,7 +167,7 @@
 func (n *Node) expireWaiting() {
 	var waited []*ledger.Record
 	n.queue.Each(n.now, func(rec *ledger.Record) bool {
-		if rec.Request.Routed != nil && n.now-rec.WaitingSince > n.waitLimit(rec) {
+		if rec.Request.Routed != nil && n.now-rec.WaitingSince > rec.WaitLimit {
 			waited = append(waited, rec)
 		}
 		return false
@@ -196,7 +198,7 @@
 
 // waitLimit returns how long a routed request may wait for a target: its first-token target, but at most
 // maxWaitPercent of its budget.
-func (n *Node) waitLimit(rec *ledger.Record) time.Duration {
+func waitLimit(rec *ledger.Record) time.Duration {
 	limit := rec.FirstTokenTarget
 	if rec.Request.Routed.Resubmitted {
 		limit *= resubmittedWaitFactor // it is late already, and its caller will not resubmit it again
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -101,7 +101,11 @@
 }
 
 func (e *routedHost) publish(revision uint64) {
-	raw, err := json.Marshal(routedDocument(revision))
+	e.publishDocument(routedDocument(revision))
+}
+
+func (e *routedHost) publishDocument(doc *document.Document) {
+	raw, err := json.Marshal(doc)
 	assert.NilError(e.t, err)
 	e.step(node.DocumentReceived{Raw: raw, Source: conf.SourcePlatform})
 }
@@ -177,6 +181,20 @@
 	}
 }
 
+// TestRankOfTeamReachesTheQueue guards against a team's rank that is decoded and then not used for its requests.
+func TestRankOfTeamReachesTheQueue(t *testing.T) {
+	e := newRoutedHost(t)
+	routed := e.send("/ask/1").Request.Routed
+	assert.Assert(t, !routed.ByRank, "no team has a rank")
+	doc := routedDocument(2)
+	four := int64(4)
+	doc.Teams[0].Rank = &four
+	e.publishDocument(doc)
+	routed = e.send("/ask/2").Request.Routed
+	assert.Assert(t, routed.ByRank)
+	assert.Equal(t, routed.Rank, four)
+}
+
 func TestHostWithoutConfigurationIsNotReadyForRoutes(t *testing.T) {
 	e := startRoutedHost(t)
 	d := e.submit(e.request("/none/1"))
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -8,6 +8,7 @@
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/queue"
 	"carobshunt/internal/delta"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
@@ -206,6 +207,9 @@
 		Outcomes:  []api.OutcomeCount{},
 		Withheld:  n.withheldRequests,
 	}
+	if q, ok := n.queue.(*queue.Objectives); ok {
+		status.RankIgnored = q.RankIgnored()
+	}
 	for outcome, count := range n.outcomes {
 		status.Outcomes = append(status.Outcomes, api.OutcomeCount{Outcome: outcome, Count: count})
 	}
--- a/internal/core/queue/objectives.go
+++ b/internal/core/queue/objectives.go
@@ -11,16 +11,26 @@
 
 // Objectives orders waiting records by their time to first token objective. After resubmitted requests come those that
 // can still meet it, the one with the least time left first: under overload a late answer has less utility than one in
-// time. Those that can't meet it follow, the most recently admitted first. It is not safe for concurrent use.
+// time. Those that can't meet it follow, the most recently admitted first. If teams have ranks and those of the requests
+// differ, the rank precedes the time left among requests that can still meet their objective, and some dispatches ignore
+// it: see ranked. It is not safe for concurrent use.
 type Objectives struct {
 	waiting []*ledger.Record
+	ranked  ranked
+	// rankIgnored counts the dispatches that ignored rank.
+	rankIgnored uint64
 	// tokens is the waiting prefill work of each class, in weighted tokens.
 	tokens map[document.Class]int64
 	groups int
 }
 
 // NewObjectives returns an empty queue.
-func NewObjectives() *Objectives { return &Objectives{tokens: make(map[document.Class]int64)} }
+func NewObjectives() *Objectives {
+	return &Objectives{tokens: make(map[document.Class]int64), ranked: make(ranked)}
+}
+
+// RankIgnored returns how many dispatches ignored rank.
+func (q *Objectives) RankIgnored() uint64 { return q.rankIgnored }
 
 // Len implements Queue.
 func (q *Objectives) Len() int { return len(q.waiting) }
@@ -67,17 +77,21 @@
 	if len(q.waiting) == 0 {
 		return
 	}
+	if ranksDiffer(q.waiting) {
+		q.eachByRank(now, f)
+		return
+	}
 	slices.SortStableFunc(q.waiting, func(a, b *ledger.Record) int { return compareObjectives(now, a, b) })
-	kept := q.waiting[:0]
-	for _, rec := range q.waiting {
-		if f(rec) {
-			q.count(rec, -1)
-			continue
-		}
-		kept = append(kept, rec)
+	q.waiting = slices.DeleteFunc(q.waiting, func(rec *ledger.Record) bool { return q.offer(rec, f) })
+}
+
+// offer calls f for a record, subtracts it from the totals if f takes it, and reports whether f did.
+func (q *Objectives) offer(rec *ledger.Record, f func(*ledger.Record) (take bool)) bool {
+	if !f(rec) {
+		return false
 	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
+	q.count(rec, -1)
+	return true
 }
 
 // serviceDivisor sets the least time from dispatch to first token: 1/serviceDivisor of the objective.
--- /dev/null
+++ b/internal/core/queue/ranked.go
@@ -0,0 +1,123 @@
+package queue
+
+import (
+	"cmp"
+	"slices"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/ledger"
+)
+
+// ranked counts, for each service, the dispatches in order of rank since the last one that ignored rank. Services are
+// counted apart, since the dispatches of one that is not short of targets must not use up the turns of another.
+//
+// One dispatch in floorInterval goes to a request that has used most of its wait, whatever its rank, so that no team is
+// starved by more urgent ones. Not every such request goes first: under lasting overload all requests get that old, also
+// the most urgent ones, and all targets would then serve requests in order of age, late and without regard to rank.
+type ranked map[string]int
+
+const (
+	// floorInterval is the number of dispatches of which one ignores rank. All waiting requests of a service compete for
+	// that one by the same rule, so each team gets at least about a third of what it would get without ranks. The promise
+	// is a quarter; the rest is a margin for bursts and for views that differ between hosts.
+	floorInterval = 3
+	// agedPercent is the part of a request's useful wait, in percent, after which a dispatch that ignores rank may take it:
+	// most of the wait, so that rank alone decides in short bursts, and with a quarter of it left, so that a slot usually
+	// becomes free while the request can still meet its objective.
+	agedPercent = 75
+	percent     = 100
+)
+
+// ranksDiffer reports whether teams have ranks and the ranks of the requests differ.
+func ranksDiffer(waiting []*ledger.Record) bool {
+	byRank, differ := false, false
+	for _, rec := range waiting {
+		byRank = byRank || rec.Request.Routed != nil && rec.Request.Routed.ByRank
+		differ = differ || rankOf(rec) != rankOf(waiting[0])
+	}
+	return byRank && differ
+}
+
+// rankOf returns the urgency of a request; 0 is the most urgent.
+func rankOf(rec *ledger.Record) int64 {
+	if rec.Request.Routed == nil {
+		return 0
+	}
+	return rec.Request.Routed.Rank
+}
+
+// eachByRank is Each if ranksDiffer.
+func (q *Objectives) eachByRank(now core.Time, f func(*ledger.Record) (take bool)) {
+	slices.SortStableFunc(q.waiting, func(a, b *ledger.Record) int { return compareRanked(now, a, b) })
+	old := slices.DeleteFunc(slices.Clone(q.waiting), func(rec *ledger.Record) bool { return !isOld(now, rec) })
+	slices.SortStableFunc(old, func(a, b *ledger.Record) int { return compareOld(now, a, b) })
+	taken := make(map[*ledger.Record]bool) // of the records that were offered
+	offer := func(rec *ledger.Record) bool {
+		taken[rec] = q.offer(rec, f)
+		return taken[rec]
+	}
+	offerOld := func() {
+		for _, rec := range old {
+			if _, offered := taken[rec]; !offered && q.ranked.floorDue(rec) && offer(rec) {
+				q.ranked[rec.Request.Model] = 0
+				q.rankIgnored++
+			}
+		}
+	}
+	offerOld()
+	for _, rec := range q.waiting {
+		if _, offered := taken[rec]; !offered && offer(rec) {
+			q.ranked[rec.Request.Model]++
+			if q.ranked.floorDue(rec) {
+				offerOld()
+			}
+		}
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(rec *ledger.Record) bool { return taken[rec] })
+	if len(q.waiting) == 0 {
+		clear(q.ranked) // services come and go with the configuration
+	}
+}
+
+// floorDue reports whether the next dispatch to the record's service ignores rank.
+func (r ranked) floorDue(rec *ledger.Record) bool { return r[rec.Request.Model] >= floorInterval-1 }
+
+// compareRanked orders requests as compareObjectives does, but those that can still meet their objective by rank first.
+func compareRanked(now core.Time, a, b *ledger.Record) int {
+	if now <= min(latestStart(a), latestStart(b)) && resubmitted(a) == resubmitted(b) {
+		if order := cmp.Compare(rankOf(a), rankOf(b)); order != 0 {
+			return order
+		}
+	}
+	return compareObjectives(now, a, b)
+}
+
+// usefulEnd returns the last time at which a record's wait ends with a dispatch that is expected to meet its objective;
+// the end of its wait if there is none.
+func usefulEnd(rec *ledger.Record) core.Time {
+	end := rec.WaitingSince + rec.WaitLimit
+	if start := latestStart(rec); start > rec.WaitingSince {
+		return min(end, start)
+	}
+	return end
+}
+
+// isOld reports whether a record has used most of its useful wait.
+func isOld(now core.Time, rec *ledger.Record) bool {
+	return (now-rec.WaitingSince)*percent >= (usefulEnd(rec)-rec.WaitingSince)*agedPercent
+}
+
+// compareOld orders old requests: those that can still meet their objective by the time left, then the others, the most
+// recently admitted first.
+func compareOld(now core.Time, a, b *ledger.Record) int {
+	lateA, lateB := now > usefulEnd(a), now > usefulEnd(b)
+	switch {
+	case lateA && lateB:
+		return cmp.Or(-cmp.Compare(a.Timing.Admitted, b.Timing.Admitted), a.Request.Compare(b.Request.Key))
+	case lateA:
+		return 1
+	case lateB:
+		return -1
+	}
+	return cmp.Or(cmp.Compare(usefulEnd(a), usefulEnd(b)), a.Request.Compare(b.Request.Key))
+}
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -25,6 +25,8 @@
 	// Resubmitted is set for a request that its caller probably resubmitted after a refusal by this host or another: its
 	// time budget is shorter than the longest recent one of the route.
 	Resubmitted bool
-	// Rank is the urgency of the route; 0 is the most urgent.
-	Rank int
+	// Rank is the urgency of the team or, if it has none, of the route; 0 is the most urgent. ByRank is set if the document
+	// gives any team a rank: only then does Rank affect the order of service.
+	Rank   int64
+	ByRank bool
 }
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -17,11 +17,18 @@
 	// keyed is set when the document lists at least one key.
 	keyed bool
 	names map[string]bool
+	// ranks maps the teams that have a rank to it.
+	ranks map[string]int64
 }
 
 // New builds the table of a document.
 func New(doc *document.Document) *Table {
-	t := &Table{byAuthority: make(map[string][]*document.Route), teams: make(map[string]string), names: make(map[string]bool)}
+	t := &Table{
+		byAuthority: make(map[string][]*document.Route),
+		teams:       make(map[string]string),
+		names:       make(map[string]bool),
+		ranks:       make(map[string]int64),
+	}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
 		t.names[r.Name] = true
@@ -32,6 +39,9 @@
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
 	for _, team := range doc.Teams {
+		if team.Rank != nil {
+			t.ranks[team.Name] = *team.Rank
+		}
 		for _, digest := range team.KeysSHA256 {
 			t.teams[digest] = team.Name
 			t.keyed = true
@@ -62,6 +72,18 @@
 // Keyed reports whether callers must present a key on routes that are not public.
 func (t *Table) Keyed() bool { return t.keyed }
 
+// RanksTeams reports whether the document gives any team a rank.
+func (t *Table) RanksTeams() bool { return len(t.ranks) > 0 }
+
+// Rank returns the urgency of a team's requests on a route: that of the team or, if it has none, that of the route. 0 is
+// the most urgent.
+func (t *Table) Rank(team string, r *document.Route) int64 {
+	if rank, ok := t.ranks[team]; ok {
+		return rank
+	}
+	return r.Rank
+}
+
 // Choose returns the service of a route at a point in [0, 1) of its cumulative weights. With weights of zero it returns
 // the first service.
 func Choose(r *document.Route, point float64) string {
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -62,3 +62,15 @@
 	none := &document.Route{Services: []document.WeightedService{{Name: "a"}, {Name: "b"}}}
 	assert.Equal(t, routes.Choose(none, 0.5), "a", "weights of zero must choose a service")
 }
+
+// TestRankOfTeamPrecedesRankOfRoute guards against a team without a rank taken for one of rank 0, the most urgent.
+func TestRankOfTeamPrecedesRankOfRoute(t *testing.T) {
+	zero, five := int64(0), int64(5)
+	tb := routes.New(&document.Document{Teams: []document.Team{{Name: "urgent", Rank: &zero}, {Name: "batch", Rank: &five}, {Name: "plain"}}})
+	r := &document.Route{Rank: 3}
+	assert.Assert(t, tb.RanksTeams())
+	for team, want := range map[string]int64{"urgent": 0, "batch": 5, "plain": 3, "": 3} {
+		assert.Equal(t, tb.Rank(team, r), want, team)
+	}
+	assert.Assert(t, !routes.New(&document.Document{Teams: []document.Team{{Name: "plain"}}}).RanksTeams())
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -73,6 +73,9 @@
 	// Unmetered teams have no limit on routes; TokensPerSecond then only determines their share of the hosts. It has no
 	// effect on other requests.
 	Unmetered bool `json:"unmetered,omitempty" jsonschema:"description=whether the team has no limit"`
+	// Rank is the urgency of the team's requests on routes; it takes precedence over that of the route. Nil if the team has
+	// none.
+	Rank *int64 `json:"rank,omitempty" jsonschema:"minimum=0,description=urgency of the requests on routes in place of that of the route; 0 goes first"`
 }
 
 // Placement assigns a version of a model to engines.
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -56,6 +56,8 @@
 			gauge("requests_running", "Requests received or at a target.", func(s *api.Status) float64 { return float64(s.Requests.Running) }),
 			gauge("withheld_prompts", "Requests, and kinds of prompts, that are withheld, since they end the targets that run them.",
 				func(s *api.Status) float64 { return float64(len(s.Withheld)) }),
+			total("rank_ignored_total", "Dispatches that ignored the ranks of teams so that no team is starved.",
+				func(s *api.Status) float64 { return float64(s.Requests.RankIgnored) }),
 			total("withheld_requests_total", "Requests refused since their prompts are withheld.",
 				func(s *api.Status) float64 { return float64(s.Requests.Withheld) }),
 			gauge("records", "Request records kept.", func(s *api.Status) float64 { return float64(s.Requests.Records) }),
