Regions: requests run only at targets of the regions that their route and team allow

A route and a team may each list allowed regions. Without a list nothing changes.

A request without a listed target in its zones ends at once with no_allowed_target, not run and without a time to come back; status 403. A region without a zone is logged and shown as the warning unknown_region.

--- a/api/status.go
+++ b/api/status.go
@@ -165,4 +165,6 @@
 	// WarningZone means that most targets of an availability zone fail for this host, and that its own link is not
 	// suspected.
 	WarningZone Warning = "zone_suspected"
+	// WarningUnknownRegion means that the document in force lists a region that contains no zone, by this host's settings.
+	WarningUnknownRegion Warning = "unknown_region"
 )
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,6 +82,8 @@
 	Adopt Adoption
 	// Forwarded is set for a request that another host forwarded.
 	Forwarded bool
+	// Zones are the zones in which the request may run, by the document in force when it was submitted.
+	Zones ZoneSet
 	// Routed is set for a request that is to be matched to a route of the document by authority and path.
 	Routed *Routed
 }
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -193,6 +193,8 @@
 	EventPeerAlive  Event = "peer alive"
 	EventPeerSilent Event = "peer silent"
 	EventConflict   Event = "two configurations under one revision"
+	// EventUnknownRegions: the new document lists regions that contain no zone, as far as the settings say.
+	EventUnknownRegions Event = "regions without a zone"
 	// EventResumed: the process was suspended. It is reported when the process dispatches again: it has caught up, or has
 	// waited for that for catchUpTime.
 	EventResumed            Event = "the process slept"
--- a/internal/core/node/adopt.go
+++ b/internal/core/node/adopt.go
@@ -24,7 +24,7 @@
 		return false
 	}
 	t := n.targets.Get(adopt.Target)
-	return t != nil && t.Role == hostlist.RoleEngine && t.Serves(rec.Request.Model) && t.MaySend(n.now)
+	return t != nil && t.Role == hostlist.RoleEngine && t.Serves(rec.Request.Model) && t.MaySend(n.now) && maySendTo(&rec.Request, t)
 }
 
 // dispatchAdopted dispatches a request to the engine that runs its adopted stream, even if that engine is not eligible
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -99,11 +99,12 @@
 // memoryNeed returns the KV memory that a request occupies, in tokens.
 func memoryNeed(req *core.Request) int64 { return req.PromptTokens + req.AnswerTokens }
 
-// groupEngines returns the engines that serve a model; if eligible is set, only those that accept new work.
-func (n *Node) groupEngines(model string, eligible bool) []group.Engine {
+// groupEngines returns the engines that serve a request's model where it may run; if eligible is set, only those that accept
+// new work.
+func (n *Node) groupEngines(req *core.Request, eligible bool) []group.Engine {
 	var out []group.Engine
 	for _, t := range n.targets.All() {
-		if t.Role != hostlist.RoleEngine || !t.Serves(model) || eligible && !t.Eligible(n.now) {
+		if t.Role != hostlist.RoleEngine || !t.Serves(req.Model) || !maySendTo(req, t) || eligible && !t.Eligible(n.now) {
 			continue
 		}
 		out = append(out, group.Engine{
@@ -118,7 +119,7 @@
 // needsGroup reports whether a request needs more memory than any single engine of its model has. It is false while the
 // memory of one of them is unknown.
 func (n *Node) needsGroup(req *core.Request) bool {
-	return group.Needed(memoryNeed(req), n.groupEngines(req.Model, false))
+	return group.Needed(memoryNeed(req), n.groupEngines(req, false))
 }
 
 // checkMemory refuses a request that does not fit into the memory of all engines of its model together.
@@ -126,7 +127,7 @@
 	if !n.needsGroup(req) {
 		return core.Result{}
 	}
-	if _, ok := group.Choose(memoryNeed(req), n.groupEngines(req.Model, false)); ok {
+	if _, ok := group.Choose(memoryNeed(req), n.groupEngines(req, false)); ok {
 		return core.Result{}
 	}
 	return core.Result{Code: api.CodeTooLarge, Message: "larger than all engines of this model together"}
@@ -149,7 +150,7 @@
 		rec.Obstacle = core.ObstacleReservation
 		return false
 	}
-	members := n.groupMembers(claim.Plan)
+	members := n.groupMembers(&rec.Request, claim.Plan)
 	if members == nil {
 		n.releaseGroup(key)
 		return false
@@ -179,13 +180,13 @@
 	return true
 }
 
-// groupMembers returns the engines of a plan, or nil if one is gone or has begun to leave since. With PolicyPacked the engine
-// with the fewest streams comes first, of those whose limit allows a request now.
-func (n *Node) groupMembers(plan group.Plan) []*target.Target {
+// groupMembers returns the engines of a plan, or nil if one is gone, has begun to leave since, or is where the request may not
+// run any more. With PolicyPacked the engine with the fewest streams comes first, of those whose limit allows a request now.
+func (n *Node) groupMembers(req *core.Request, plan group.Plan) []*target.Target {
 	var out []*target.Target
 	for _, address := range plan.Engines {
 		t := n.targets.Get(address)
-		if t == nil || t.Leaves() {
+		if t == nil || t.Leaves() || !maySendTo(req, t) {
 			return nil
 		}
 		out = append(out, t)
@@ -241,7 +242,7 @@
 // shouldClaim reports whether the prefill could begin at once if the members of the plan held its memory. Memory
 // reserved for a prompt that keeps waiting would be idle.
 func (n *Node) shouldClaim(rec *ledger.Record, plan group.Plan) bool {
-	_, ready := n.router.HelpersFor(n.now, rec, n.groupMembers(plan), n.targets.All())
+	_, ready := n.router.HelpersFor(n.now, rec, n.groupMembers(&rec.Request, plan), n.targets.All())
 	return ready
 }
 
@@ -265,7 +266,7 @@
 // prefill; a fleet without blocks, and the other policies, use the engines with the most free memory.
 func (n *Node) chooseGroup(rec *ledger.Record) (group.Plan, bool) {
 	need := memoryNeed(&rec.Request)
-	engines := n.groupEngines(rec.Request.Model, true)
+	engines := n.groupEngines(&rec.Request, true)
 	if n.opts.Policy == PolicyPacked {
 		return group.Spread(need, engines)
 	}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -38,6 +38,8 @@
 	Self core.Home
 	Peer string
 	Zone string
+	// Regions holds the regions of the availability zones, for requests that may run only in some.
+	Regions routes.Regions
 	// Seeds are the peer addresses to contact before the host list is known.
 	Seeds []string
 	// Records and BodyBytes limit the request records and the bytes of request bodies that are held at a time.
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -136,12 +136,13 @@
 	switch n.config.Offer(n.now, in.Raw, in.Source) {
 	case conf.Applied:
 		doc := n.config.Document()
-		n.table = routes.New(doc)
+		n.table = routes.New(doc, n.opts.Regions)
 		n.budgets.forget(n.table.Has)
 		n.setEngineSpeeds()
 		n.setLimitRates()
 		n.rebuildDirectory()
 		n.do(StateChange{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
+		n.reportUnknownRegions()
 		n.announceVersions()
 		n.dispatchQueued()
 	case conf.Invalid:
@@ -182,6 +183,7 @@
 	n.rebuildDirectory()
 	n.do(StateChange{Event: EventHosts, Text: fmt.Sprintf("version %d from %s", in.List.Version, in.Source)})
 	n.announceVersions()
+	n.finishWaitingOutsideRegions()
 	n.dispatchQueued()
 }
 
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -22,6 +22,9 @@
 		n.do(Decide{Ticket: in.Ticket, Decision: decision})
 		return
 	}
+	if req.Routed == nil {
+		n.setZones(&req, nil)
+	}
 	n.setDeadline(&req)
 	verdict, result := n.ledger.Classify(n.now, &req)
 	rec := n.ledger.Get(req.Key)
@@ -225,12 +228,16 @@
 	n.dispatchQueued()
 }
 
-// enqueue queues a request for dispatch to a target, unless its prompt is withheld by now.
+// enqueue queues a request for dispatch to a target, unless its prompt is withheld by now or no target is left in the regions
+// where it may run.
 func (n *Node) enqueue(rec *ledger.Record) {
 	if v := n.withholds(&rec.Request); v != nil {
 		n.finishWithheld(rec, v)
 		return
 	}
+	if n.finishOutsideRegions(rec) {
+		return
+	}
 	rec.WaitingSince = n.now
 	n.queue.Push(rec)
 }
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -35,6 +35,7 @@
 		req.Team = team
 	}
 	n.fillRoute(req, route)
+	n.setZones(req, route)
 	return core.Result{}, false
 }
 
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -13,6 +13,7 @@
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/routes"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 
@@ -75,6 +76,7 @@
 	t.Helper()
 	n := node.New(node.Options{
 		Self: loneSelf, Peer: "10.0.0.1:2", Zone: "a", Records: 100, BodyBytes: 1 << 20, Seed: 1, Policy: node.PolicyPacked,
+		Regions:      routes.Regions{"a": "north", "b": "south", "c": "south"},
 		LoadsAddress: "10.0.0.1:3", LookupTTL: 3 * time.Second, EnginesExpire: true, PlatformCurrent: true,
 		ReservationTiming: group.Timing{Expiry: 4 * time.Second, MaxWait: time.Second, RenewInterval: time.Second, RefuseWhenFull: true},
 	})
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/queue"
+	"carobshunt/internal/core/routes"
 	"carobshunt/internal/delta"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
@@ -47,6 +48,7 @@
 	Adoptions AdoptionCounts
 
 	directory *directory
+	table     *routes.Table
 }
 
 // Snapshot returns a copy of the state.
@@ -71,6 +73,7 @@
 		Orders:          n.orders.counts,
 		Adoptions:       n.adoptions,
 		directory:       n.directory,
+		table:           n.table,
 	}
 }
 
--- a/internal/core/node/warnings.go
+++ b/internal/core/node/warnings.go
@@ -25,6 +25,7 @@
 		{api.WarningPeersSilent, n.allPeersSilent()},
 		{api.WarningOwnLink, suspects.Link},
 		{api.WarningZone, !suspects.Link && len(suspects.Zones) > 0},
+		{api.WarningUnknownRegion, n.table != nil && len(n.table.UnknownRegions()) > 0},
 	} {
 		if one.holds {
 			out = append(out, one.warning)
--- a/internal/core/route/feasible.go
+++ b/internal/core/route/feasible.go
@@ -19,7 +19,7 @@
 	blocks := &wholeBlockFilter{}
 	return &Router{
 		filters: []Filter{
-			eligibleFilter{}, &reportingFilter{nonReporting: make(map[*target.Target]bool)}, modelFilter{},
+			zoneFilter{}, eligibleFilter{}, &reportingFilter{nonReporting: make(map[*target.Target]bool)}, modelFilter{},
 			longLaneFilter{}, memoryFilter{}, boundedWorkFilter{},
 			spilloverFilter{}, blocks,
 		},
--- a/internal/core/route/packed.go
+++ b/internal/core/route/packed.go
@@ -14,7 +14,7 @@
 func NewPacked(zone string, rng *rand.Rand) *Router {
 	return &Router{
 		zone:           zone,
-		filters:        []Filter{eligibleFilter{}, modelFilter{}, untriedFilter{}},
+		filters:        []Filter{zoneFilter{}, eligibleFilter{}, modelFilter{}, untriedFilter{}},
 		scorers:        []Scorer{slotsScorer{}},
 		rng:            rng,
 		tie:            slotTie,
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -50,7 +50,7 @@
 // dispatches or the target's load report, whichever is more. The rng breaks ties and must be seeded by the caller.
 func NewPendingTokens(rng *rand.Rand) *Router {
 	return &Router{
-		filters: []Filter{eligibleFilter{}, modelFilter{}, inFlightFilter{limit: maxInFlight}},
+		filters: []Filter{zoneFilter{}, eligibleFilter{}, modelFilter{}, inFlightFilter{limit: maxInFlight}},
 		scorers: []Scorer{pendingTokensScorer{}},
 		rng:     rng,
 		tie:     nearTie,
@@ -137,6 +137,14 @@
 	return sum
 }
 
+// zoneFilter excludes targets in zones where the request may not run. All routers have it.
+type zoneFilter struct{}
+
+// Keep implements Filter.
+func (zoneFilter) Keep(_ core.Time, rec *ledger.Record, t *target.Target) bool {
+	return rec.Request.Zones.Has(t.Zone)
+}
+
 type eligibleFilter struct{}
 
 // Keep implements Filter.
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -18,11 +18,12 @@
 	keyed bool
 	names map[string]bool
 	// ranks maps the teams that have a rank to it.
-	ranks map[string]int64
+	ranks        map[string]int64
+	restrictions restrictions
 }
 
-// New builds the table of a document.
-func New(doc *document.Document) *Table {
+// New builds the table of a document, with the regions of the zones.
+func New(doc *document.Document, regions Regions) *Table {
 	t := &Table{
 		byAuthority: make(map[string][]*document.Route),
 		teams:       make(map[string]string),
@@ -47,6 +48,7 @@
 			t.keyed = true
 		}
 	}
+	t.restrictions = restrictionsOf(doc, regions, t.byAuthority)
 	return t
 }
 
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -17,7 +17,7 @@
 			{Name: "other", Authority: "b.example", Prefix: "/x/"},
 		},
 		Teams: []document.Team{{Name: "desk", KeysSHA256: []string{"d1", "d2"}}, {Name: "open"}},
-	})
+	}, nil)
 }
 
 func TestMatchReturnsLongestPrefixOfAuthority(t *testing.T) {
@@ -48,7 +48,7 @@
 	assert.Equal(t, name, "desk")
 	_, ok = tb.Team("")
 	assert.Assert(t, !ok)
-	assert.Assert(t, !routes.New(&document.Document{}).Keyed())
+	assert.Assert(t, !routes.New(&document.Document{}, nil).Keyed())
 }
 
 func TestChooseFollowsWeights(t *testing.T) {
@@ -66,11 +66,12 @@
 // TestRankOfTeamPrecedesRankOfRoute guards against a team without a rank taken for one of rank 0, the most urgent.
 func TestRankOfTeamPrecedesRankOfRoute(t *testing.T) {
 	zero, five := int64(0), int64(5)
-	tb := routes.New(&document.Document{Teams: []document.Team{{Name: "urgent", Rank: &zero}, {Name: "batch", Rank: &five}, {Name: "plain"}}})
+	teams := []document.Team{{Name: "urgent", Rank: &zero}, {Name: "batch", Rank: &five}, {Name: "plain"}}
+	tb := routes.New(&document.Document{Teams: teams}, nil)
 	r := &document.Route{Rank: 3}
 	assert.Assert(t, tb.RanksTeams())
 	for team, want := range map[string]int64{"urgent": 0, "batch": 5, "plain": 3, "": 3} {
 		assert.Equal(t, tb.Rank(team, r), want, team)
 	}
-	assert.Assert(t, !routes.New(&document.Document{Teams: []document.Team{{Name: "plain"}}}).RanksTeams())
+	assert.Assert(t, !routes.New(&document.Document{Teams: []document.Team{{Name: "plain"}}}, nil).RanksTeams())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 		Self:         self,
 		Peer:         s.Advertise.Peers,
 		Zone:         s.Zone,
+		Regions:      s.Regions(),
 		Seeds:        s.Peers,
 		Records:      s.Limits.Records,
 		BodyBytes:    s.Limits.BodyBytes,
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -76,6 +76,9 @@
 	// Rank is the urgency of the team's requests on routes; it takes precedence over that of the route. Nil if the team has
 	// none.
 	Rank *int64 `json:"rank,omitempty" jsonschema:"minimum=0,description=urgency of the requests on routes in place of that of the route; 0 goes first"`
+	// Regions are the regions where the team's requests may run, in addition to the restriction of the route; nil for all. An
+	// empty list allows none.
+	Regions []string `json:"regions,omitzero" jsonschema:"description=regions where requests may run; default: all"`
 }
 
 // Placement assigns a version of a model to engines.
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -40,6 +40,7 @@
 		}
 		seen[t.Name] = i
 	}
+	faults = append(faults, regionFaults(doc)...)
 	faults = append(faults, routeFaults(doc)...)
 	for i, p := range doc.Placements {
 		for j, engine := range p.Engines {
@@ -57,6 +58,26 @@
 	return []strictjson.Fault{{Path: path + "/middle_prompt_tokens", Reason: "must be above short_prompt_tokens"}}
 }
 
+// regionFaults returns a fault for each empty name in a list of regions.
+func regionFaults(doc *Document) []strictjson.Fault {
+	var faults []strictjson.Fault
+	check := func(kind string, index int, regions []string) {
+		for i, region := range regions {
+			if region == "" {
+				path := fmt.Sprintf("/%s/%d/regions/%d", kind, index, i)
+				faults = append(faults, strictjson.Fault{Path: path, Reason: "must name a region"})
+			}
+		}
+	}
+	for i := range doc.Teams {
+		check("teams", i, doc.Teams[i].Regions)
+	}
+	for i := range doc.Routes {
+		check("routes", i, doc.Routes[i].Regions)
+	}
+	return faults
+}
+
 // routeFaults returns a fault for each route that repeats an authority and prefix, and for each service of a
 // route that is not defined.
 func routeFaults(doc *Document) []strictjson.Fault {
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -42,6 +42,8 @@
 	GapTargetMs int64 `json:"pause_target_ms,omitempty" jsonschema:"minimum=0,description=aim for the longest pause between two events in milliseconds"`
 	// Rank orders routes by urgency; 0 is the most urgent.
 	Rank int64 `json:"rank,omitempty" jsonschema:"minimum=0,description=urgency; 0 goes first"`
+	// Regions are the regions where the route's requests may run; nil for all. An empty list allows none.
+	Regions []string `json:"regions,omitzero" jsonschema:"description=regions where requests may run; default: all"`
 }
 
 // WeightedService is one of the services of a route.
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -24,6 +24,8 @@
 		return http.StatusBadRequest
 	case api.CodeUnauthorized:
 		return http.StatusUnauthorized
+	case api.CodeNoAllowedTarget:
+		return http.StatusForbidden
 	case api.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case api.CodeConflict, api.CodeClosed, api.CodeRecordExpired, api.CodeHomeGone:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -20,6 +21,11 @@
 type Settings struct {
 	// Zone is the availability zone of this host.
 	Zone string `json:"zone" jsonschema:"minLength=1,description=availability zone of this host"`
+	// Region is the region that contains Zone, unless Zones names another; empty if it is not known.
+	Region string `json:"region,omitempty" jsonschema:"description=region of this host; default: that of its zone in zones"`
+	// Zones maps availability zones to the regions that contain them, for requests that may run only in some regions. A zone
+	// that is missing belongs to no region.
+	Zones map[string]string `json:"zones,omitempty" jsonschema:"description=region of each availability zone; a zone that is missing belongs to none"`
 	// Listen holds the addresses on which this process listens.
 	Listen Listen `json:"listen"`
 	// Advertise holds the addresses at which others reach this process, where they differ from Listen.
@@ -131,7 +137,31 @@
 
 // semanticFaults checks what the JSON schema can't express.
 func semanticFaults(s *Settings) []strictjson.Fault {
-	return slices.Concat(addressFaults(s), s.Security.faults(), s.storeFaults())
+	return slices.Concat(addressFaults(s), s.regionFaults(), s.Security.faults(), s.storeFaults())
+}
+
+// regionFaults reports zones without a region.
+func (s *Settings) regionFaults() []strictjson.Fault {
+	var faults []strictjson.Fault
+	for _, zone := range slices.Sorted(maps.Keys(s.Zones)) {
+		if s.Zones[zone] == "" {
+			faults = append(faults, strictjson.Fault{Path: "/zones/" + zone, Reason: "must name a region"})
+		}
+	}
+	return faults
+}
+
+// Regions returns the region of each zone that is known to be in one. Zones takes precedence over Region, as all hosts have
+// the same.
+func (s *Settings) Regions() map[string]string {
+	regions := maps.Clone(s.Zones)
+	if regions == nil {
+		regions = make(map[string]string)
+	}
+	if _, listed := regions[s.Zone]; !listed && s.Region != "" {
+		regions[s.Zone] = s.Region
+	}
+	return regions
 }
 
 // storeFaults reports settings that a platform with a store needs and that are missing, those that only such a platform
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,6 +48,26 @@
 	}
 }
 
+// TestRegionOfAZone: a zone belongs to the region that zones names, and this host's own otherwise to region. Any other zone
+// belongs to none.
+func TestRegionOfAZone(t *testing.T) {
+	for _, c := range []struct {
+		region string
+		zones  map[string]string
+		want   map[string]string
+	}{
+		{"", nil, map[string]string{}},
+		{"north", nil, map[string]string{"a": "north"}},
+		{"north", map[string]string{"b": "south"}, map[string]string{"a": "north", "b": "south"}},
+		{"", map[string]string{"a": "north", "b": "south"}, map[string]string{"a": "north", "b": "south"}},
+		{"west", map[string]string{"a": "north"}, map[string]string{"a": "north"}},
+	} {
+		s := &Settings{Zone: "a", Region: c.region, Zones: c.zones}
+		assert.DeepEqual(t, s.Regions(), c.want)
+		assert.Equal(t, s.Zones["a"] == "", c.zones["a"] == "", "the settings are left as they are")
+	}
+}
+
 func TestSchemaDefaultsMatchAppliedDefaults(t *testing.T) {
 	text, err := json.Marshal(Example())
 	assert.NilError(t, err)
