--- a/internal/core/node/regions_test.go
+++ b/internal/core/node/regions_test.go
@@ -13,6 +13,7 @@
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/core/routes"
+	"carobshunt/internal/core/target"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 
@@ -376,3 +377,22 @@
 	b.ReportMetric(float64(len(snap.Hosts)), "hosts")
 	b.ReportMetric(float64(named), "named")
 }
+
+// TestHeldTargetOfTheRegionRefusesAtOnce guards against a request that waits in vain since a target elsewhere is free: the only
+// one where it may run wants no requests for a while.
+func TestHeldTargetOfTheRegionRefusesAtOnce(t *testing.T) {
+	e := newRoutedHost(t)
+	e.placeIn(2, map[string][]string{"a": {"s1"}, "b": {"s2"}})
+	e.setRegions([]string{"south"}, nil)
+	d := e.send("/read/1")
+	e.step(node.DispatchEnded{
+		Key: d.Key, Dispatch: d.Dispatch, Target: d.Target, Ending: node.EndedRefused,
+		Notice: &target.Notice{From: d.Process(), RetryAfter: 10 * time.Second},
+	})
+	req := e.request("/read/1")
+	assert.Equal(t, e.submit(req).Kind, node.Admit)
+	e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+	result := e.mustFinish()
+	assert.Equal(t, result.Code, api.CodeTargetLimit)
+	assert.Assert(t, result.RetryAfter >= 9*time.Second)
+}
