--- a/api/status.go
+++ b/api/status.go
@@ -164,6 +164,8 @@
 	Outcomes []OutcomeCount `json:"outcomes"`
 	// Withheld counts the requests that were refused because their prompts are withheld.
 	Withheld uint64 `json:"withheld"`
+	// RankIgnored counts the dispatches that ignored the ranks of teams so that no team is starved.
+	RankIgnored uint64 `json:"rank_ignored,omitempty"`
 }
 
 // OutcomeCount is the number of requests and refused attempts that ended with one outcome.
@@ -192,4 +194,6 @@
 	// WarningZone means that most targets of an availability zone fail for this host, and that its own link is not
 	// suspected.
 	WarningZone Warning = "zone_suspected"
+	// WarningUnknownRegion means that the document in force lists a region that contains no zone, by this host's settings.
+	WarningUnknownRegion Warning = "unknown_region"
 )
--- a/internal/core/node/evacuation.go
+++ b/internal/core/node/evacuation.go
@@ -62,14 +62,14 @@
 // when an evacuation will end; callers that return sooner would only be refused again.
 const evacuationRetryAfter = 3 * time.Second
 
-// allEvacuated reports whether a service has targets, and all that don't leave are in evacuated zones.
-func (n *Node) allEvacuated(service string) bool {
+// allEvacuated reports whether there are targets that may serve a request, and all that don't leave are in evacuated zones.
+func (n *Node) allEvacuated(req *core.Request) bool {
 	if len(n.evacuations.Zones()) == 0 {
 		return false
 	}
 	found := false
 	for _, t := range n.targets.All() {
-		if !t.Serves(service) || t.Leaves() {
+		if !t.Serves(req.Model) || t.Leaves() || !maySendTo(req, t) {
 			continue
 		}
 		if !t.Evacuated() {
@@ -82,7 +82,7 @@
 
 // checkEvacuated refuses a request that no target may serve until an evacuation ends. The zero Result means no refusal.
 func (n *Node) checkEvacuated(req *core.Request) core.Result {
-	if !n.allEvacuated(req.Model) {
+	if !n.allEvacuated(req) {
 		return core.Result{}
 	}
 	return core.Result{
@@ -94,7 +94,7 @@
 func (n *Node) refuseEvacuated() {
 	var refused []*ledger.Record
 	n.queue.Each(n.now, func(rec *ledger.Record) bool {
-		if n.allEvacuated(rec.Request.Model) {
+		if n.allEvacuated(&rec.Request) {
 			refused = append(refused, rec)
 		}
 		return false
--- a/internal/core/node/restricted.go
+++ b/internal/core/node/restricted.go
@@ -23,7 +23,7 @@
 			return false
 		}
 		wait, restricted := n.restrictedWait(rec, ahead[rec.Request.Model])
-		if restricted && n.now+wait > rec.WaitingSince+n.waitLimit(rec) {
+		if restricted && n.now+wait > rec.WaitingSince+rec.WaitLimit {
 			refused = append(refused, refusal{rec, wait})
 			return false
 		}
@@ -51,7 +51,7 @@
 func (n *Node) restrictedWait(rec *ledger.Record, ahead int) (time.Duration, bool) {
 	soonest := time.Duration(-1)
 	for _, t := range n.targets.All() {
-		if !t.Serves(rec.Request.Model) || !t.TakesNewWork() {
+		if !t.Serves(rec.Request.Model) || !t.TakesNewWork() || !maySendTo(&rec.Request, t) {
 			continue
 		}
 		wait := t.HeldFor(n.now)
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -13,6 +13,7 @@
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/routes"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 
@@ -79,6 +80,7 @@
 	n := node.New(node.Options{
 		Capacity: capacity,
 		Self:     loneSelf, Peer: "10.0.0.1:2", Zone: "a", Records: 100, BodyBytes: 1 << 20, Seed: 1, Policy: node.PolicyPacked,
+		Regions:      routes.Regions{"a": "north", "b": "south", "c": "south"},
 		LoadsAddress: "10.0.0.1:3", LookupTTL: 3 * time.Second, EnginesExpire: true, PlatformCurrent: true,
 		ReservationTiming: group.Timing{Expiry: 4 * time.Second, MaxWait: time.Second, RenewInterval: time.Second, RefuseWhenFull: true},
 	})
@@ -188,6 +190,20 @@
 	}
 }
 
+// TestRankOfTeamReachesTheQueue guards against a team's rank that is decoded and then not used for its requests.
+func TestRankOfTeamReachesTheQueue(t *testing.T) {
+	e := newRoutedHost(t)
+	routed := e.send("/ask/1").Request.Routed
+	assert.Assert(t, !routed.ByRank, "no team has a rank")
+	doc := routedDocument(2)
+	four := int64(4)
+	doc.Teams[0].Rank = &four
+	e.publishDocument(doc)
+	routed = e.send("/ask/2").Request.Routed
+	assert.Assert(t, routed.ByRank)
+	assert.Equal(t, routed.Rank, four)
+}
+
 func TestHostWithoutConfigurationIsNotReadyForRoutes(t *testing.T) {
 	e := startRoutedHost(t)
 	d := e.submit(e.request("/none/1"))
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -8,6 +8,8 @@
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/queue"
+	"carobshunt/internal/core/routes"
 	"carobshunt/internal/delta"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
@@ -49,6 +51,7 @@
 	Adoptions AdoptionCounts
 
 	directory *directory
+	table     *routes.Table
 }
 
 // Snapshot returns a copy of the state.
@@ -74,6 +77,7 @@
 		Orders:          n.orders.counts,
 		Adoptions:       n.adoptions,
 		directory:       n.directory,
+		table:           n.table,
 	}
 }
 
@@ -236,6 +240,9 @@
 		Outcomes:  []api.OutcomeCount{},
 		Withheld:  n.withheldRequests,
 	}
+	if q, ok := n.queue.(*queue.Objectives); ok {
+		status.RankIgnored = q.RankIgnored()
+	}
 	for outcome, count := range n.outcomes {
 		status.Outcomes = append(status.Outcomes, api.OutcomeCount{Outcome: outcome, Count: count})
 	}
