--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -181,7 +181,8 @@
 }
 
 // groupMembers returns the engines of a plan, or nil if one is gone, has begun to leave or was evacuated since, or is where the
-// request may not run any more. With PolicyPacked the engine with the fewest streams comes first, of those whose limit allows a request now.
+// request may not run any more. With PolicyPacked the engine with the fewest streams comes first, of those whose limit allows a
+// request now.
 func (n *Node) groupMembers(req *core.Request, plan group.Plan) []*target.Target {
 	var out []*target.Target
 	for _, address := range plan.Engines {
