--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -357,6 +358,18 @@
 	return out
 }
 
+// LongestDue returns the contacts to which a periodic heartbeat is due, at most limit: those that have waited longest.
+func (t *Table) LongestDue(now core.Time, interval time.Duration, limit int) []*Peer {
+	var due []*Peer
+	for _, address := range t.contacts {
+		if p := t.peers[address]; p.Due(now, interval) {
+			due = append(due, p)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *Peer) int { return cmp.Compare(a.sent, b.sent) })
+	return due[:min(len(due), limit)]
+}
+
 // Due reports whether a periodic heartbeat is due to the peer. It is skipped when one was sent within the last half
 // interval, as after a change of state.
 func (p *Peer) Due(now core.Time, interval time.Duration) bool {
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -25,16 +25,12 @@
 		return
 	}
 	n.lastHeartbeat = n.now
-	round := n.heartbeatRound % rounds
-	n.heartbeatRound++
-	if round == 0 {
+	if n.heartbeatRound%rounds == 0 {
 		n.settleLimits()
 	}
-	position := 0
-	n.announce(func(p *member.Peer) bool {
-		position++
-		return position%rounds == round && p.Due(n.now, interval)
-	})
+	n.heartbeatRound++
+	due := n.peers.LongestDue(n.now, interval, (peers+rounds-1)/rounds)
+	n.announce(func(p *member.Peer) bool { return slices.Contains(due, p) })
 }
 
 // announce immediately sends this host's state to the peers that the function needs selects.
--- a/internal/document/lint/lint_test.go
+++ b/internal/document/lint/lint_test.go
@@ -153,6 +153,18 @@
 		{"more slots than memory", func(d *document.Document) {
 			d.Services[0].Engine.Slots = 98
 		}, []string{"warning slots-over-memory /services/0/engine/slots"}},
+		{"a limit of cold targets without a time", func(d *document.Document) {
+			d.Services[0].ColdPerSecond = 14
+		}, []string{"warning cold-limit /services/0/cold_ms"}},
+		{"a time of cold targets without a limit", func(d *document.Document) {
+			d.Services[0].ColdMs = 3000
+		}, []string{"warning cold-limit /services/0/cold_per_s"}},
+		{"a route without any region", func(d *document.Document) {
+			d.Routes[0].Regions = []string{}
+		}, []string{"error regions-empty /routes/0/regions"}},
+		{"a team without any region", func(d *document.Document) {
+			d.Teams[0].Regions = []string{}
+		}, []string{"error team-regions-empty /teams/0/regions"}},
 		{"a body smaller than a prompt", func(d *document.Document) {
 			d.Callers.BodyBytes = 199_999
 		}, []string{"warning body-below-prompt /callers/body_bytes"}},
--- a/internal/document/lint/rules.go
+++ b/internal/document/lint/rules.go
@@ -22,6 +22,9 @@
 	CodeServiceUnreachable    Code = "service-unreachable"
 	CodeServiceWithoutShare   Code = "service-without-share"
 	CodeSlotsOverMemory       Code = "slots-over-memory"
+	CodeColdLimit             Code = "cold-limit"
+	CodeRegionsEmpty          Code = "regions-empty"
+	CodeTeamRegionsEmpty      Code = "team-regions-empty"
 	CodeBodyBelowPrompt       Code = "body-below-prompt"
 	CodeTeamLimitZero         Code = "team-limit-zero"
 	CodeTeamUnreachable       Code = "team-unreachable"
@@ -44,12 +47,15 @@
 	{CodeTimeoutBelowObjective, SeverityError, scopeRoute, timeoutBelowObjective, "Raise the timeout or lower the objective."},
 	{CodeGapOverTimeout, SeverityWarning, scopeRoute, gapOverTimeout, "Lower the objective for gaps or raise the timeout."},
 	{CodeStreamOnly, SeverityNote, scopeRoute, streamOnly, "Remove the field, or make the route a stream."},
+	{CodeRegionsEmpty, SeverityError, scopeRoute, regionsEmpty, "Name a region, or remove the field."},
 	{CodeServiceTwice, SeverityError, scopeService, serviceTwice, "Remove one of the two, or rename it."},
 	{CodeServiceUnreachable, SeverityWarning, scopeService, serviceUnreachable, "Name it on a route, or remove it."},
 	{CodeServiceWithoutShare, SeverityNote, scopeService, serviceWithoutShare, "Raise its weight when it is to take requests."},
 	{CodeSlotsOverMemory, SeverityWarning, scopeService, slotsOverMemory, "Correct the slots or the memory to what one engine has."},
+	{CodeColdLimit, SeverityWarning, scopeService, coldLimit, "Set both the requests a second and the time, or neither."},
 	{CodeBodyBelowPrompt, SeverityWarning, scopeService, bodyBelowPrompt, "Raise the limit of a request's body."},
 	{CodeTeamLimitZero, SeverityError, scopeTeam, teamLimitZero, "Set a limit above 0, or remove the team."},
+	{CodeTeamRegionsEmpty, SeverityError, scopeTeam, teamRegionsEmpty, "Name a region, or remove the field."},
 	{CodeTeamUnreachable, SeverityWarning, scopeTeam, teamUnreachable, "Give the team a key, or remove it."},
 	{CodeKeysUnused, SeverityWarning, scopeTeam, keysUnused, "Make the routes that need a key not public, or remove the keys."},
 	{CodeBearerShared, SeverityWarning, scopeTeam, bearerShared, "Give each team a key of its own."},
@@ -174,6 +180,33 @@
 		engine.Slots, e.service.Name, engine.MemoryTokens, engine.ChunkTokens)
 }
 
+// coldLimit finds a limit for targets that have just started without the time for which it holds, and the other way round.
+func coldLimit(_ *index, e entry) (string, string) {
+	switch {
+	case e.service.ColdPerSecond > 0 && e.service.ColdMs == 0:
+		return "/cold_ms", fmt.Sprintf("Cold targets of service %q take %g requests a second, but no target is ever cold by its time of 0 ms.",
+			e.service.Name, e.service.ColdPerSecond)
+	case e.service.ColdPerSecond == 0 && e.service.ColdMs > 0:
+		return "/cold_per_s", fmt.Sprintf("Targets of service %q are cold for %d ms, but without a limit get as many requests as others.",
+			e.service.Name, e.service.ColdMs)
+	}
+	return "", ""
+}
+
+func regionsEmpty(_ *index, e entry) (string, string) {
+	if e.route.Regions == nil || len(e.route.Regions) > 0 {
+		return "", ""
+	}
+	return "/regions", fmt.Sprintf("Route %q allows no region, so its requests are refused.", e.route.Name)
+}
+
+func teamRegionsEmpty(_ *index, e entry) (string, string) {
+	if e.team.Regions == nil || len(e.team.Regions) > 0 {
+		return "", ""
+	}
+	return "/regions", fmt.Sprintf("Team %q allows no region, so its requests are refused.", e.team.Name)
+}
+
 // bytesPerToken is the least that a token takes in a body.
 const bytesPerToken = 1
 
