Look-ups name all hosts alike unless a setting says otherwise; engines in random order only with unseen placements

They are off until the slots of engines follow (lookups_by_capacity). Engines are reserved from prompts that keep one busy for half a second.

--- a/internal/core/route/long.go
+++ b/internal/core/route/long.go
@@ -126,9 +126,16 @@
 	return chooseHelpers(rec, fixedStates, states)
 }
 
-// shuffle brings engines in a random order, which decides between those of equal cost: hosts that place long prompts at the same
-// moment would otherwise all begin with the same idle engines.
+// minUnseen is the number of prompts that other hosts have probably placed unseen from which engines of equal cost are taken in
+// random order. With fewer, the same order at all hosts keeps long prompts together and the other engines free.
+const minUnseen = 0.5
+
+// shuffle brings engines in a random order, which decides between those of equal cost: hosts that place long prompts before they
+// hear of each other's would otherwise all begin with the same idle engines.
 func (r *Router) shuffle(states []engineState) {
+	if r.contention.UnseenShort < minUnseen {
+		return
+	}
 	r.rng.Shuffle(len(states), func(i, j int) { states[i], states[j] = states[j], states[i] })
 }
 
--- a/internal/core/route/reserve.go
+++ b/internal/core/route/reserve.go
@@ -14,7 +14,7 @@
 const (
 	// busyMs is the pending prefill, in milliseconds, from which an engine is of no use to a new short prompt: callers of short
 	// prompts expect their first token sooner.
-	busyMs = 1_000
+	busyMs = 500
 	// reservedDivisor sets the engines that are reserved, 1/reservedDivisor of those of a service.
 	reservedDivisor = 3
 )
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,8 @@
 	ColdStarts ColdStarts `json:"cold_starts,omitzero"`
 	// Capacity states what this host can carry; callers and load digests are distributed over hosts by it.
 	Capacity Capacity `json:"capacity,omitzero"`
+	// LookupsByCapacity makes look-ups name hosts by what they can carry; otherwise they name all alike.
+	LookupsByCapacity bool `json:"lookups_by_capacity,omitempty" jsonschema:"description=whether look-ups name hosts by their capacity"`
 	// Security configures TLS and authentication for callers, operators and peers.
 	Security Security `json:"security,omitzero"`
 	// Metrics configures the labels of metrics and the reference for slowdown.
