--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,6 +88,9 @@
 	Routed *Routed
 }
 
+// AllowsZone reports whether the request may run in an availability zone.
+func (r *Request) AllowsZone(zone string) bool { return r.Zones.Has(zone) }
+
 // Adoption names a stream at an engine that another host started for the same request.
 type Adoption struct {
 	Target string
--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -14,7 +14,7 @@
 )
 
 // rewriteTime is how long after the store came back from an older copy its set is not taken as complete: what operators wrote
-// since that copy is written again within it.
+// since that copy is written again within two seconds.
 const rewriteTime = 2200 * time.Millisecond
 
 // maxZones bounds the zones of a set that a peer sends. There are far fewer zones; more would only be a malformed message.
@@ -31,9 +31,9 @@
 // Set is one host's view of the evacuated zones. It is not safe for concurrent use.
 type Set struct {
 	latest Published
-	// rewriting holds the zones that were evacuated before the store came back from an older copy, and until when each
+	// keptUntil holds the zones that were evacuated before the store came back from an older copy, and until when each
 	// counts as evacuated although the store does not say so.
-	rewriting map[string]core.Time
+	keptUntil map[string]core.Time
 	// inForce are the zones that counted as evacuated at the last Update, sorted.
 	inForce []string
 }
@@ -64,22 +64,22 @@
 	return true
 }
 
-// awaitRewrite keeps the zones in force evacuated for rewriteTime.
+// awaitRewrite keeps the zones of the latest set evacuated for rewriteTime after the store was restored.
 func (s *Set) awaitRewrite(now core.Time) {
-	if s.rewriting == nil {
-		s.rewriting = make(map[string]core.Time)
+	if s.keptUntil == nil {
+		s.keptUntil = make(map[string]core.Time)
 	}
 	for _, zone := range s.latest.Zones {
-		s.rewriting[zone] = now + rewriteTime
+		s.keptUntil[zone] = now + rewriteTime
 	}
 }
 
 // Update brings the zones in force up to date and returns what has changed since the last call.
 func (s *Set) Update(now core.Time) Change {
 	next := slices.Clone(s.latest.Zones)
-	for zone, until := range s.rewriting {
+	for zone, until := range s.keptUntil {
 		if now >= until {
-			delete(s.rewriting, zone)
+			delete(s.keptUntil, zone)
 			continue
 		}
 		next = append(next, zone)
--- a/internal/core/loadshare/loadshare.go
+++ b/internal/core/loadshare/loadshare.go
@@ -253,8 +253,8 @@
 	return minInterval * time.Duration(max(hosts, minIntervalMembers)) / minIntervalMembers
 }
 
-// DeliveryTime returns how long a digest takes on average to reach the hosts of its zone, of which there are zoneHosts beside its
-// sender, if there are that many hosts in all beside it: until it is due, and until a relay passes it on.
+// DeliveryTime returns the mean time that a digest takes to reach the hosts of its zone: half an interval until it is sent, and half
+// an interval until a relay passes it on. The numbers are those of other hosts, in the zone and in all.
 func (s *Sharer) DeliveryTime(zoneHosts, hosts int) time.Duration {
 	if hosts <= maxDirectMembers {
 		return intervalFor(hosts) / 2
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -151,8 +151,10 @@
 func Rounds(peers int) int { return min(1+peers/peersPerRound, maxRounds) }
 
 const (
+	// peersPerRound heartbeats of a few hundred bytes hold up a link of 14 Mbit/s for some milliseconds.
 	peersPerRound = 12
-	maxRounds     = 16
+	// maxRounds keeps the time between two parts above the interval of ticks.
+	maxRounds = 16
 )
 
 // IntervalFor returns the time between heartbeats to each of that many peers.
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -226,7 +226,8 @@
 	EventWorkReleased Event = "requests no longer withheld"
 	// EventReadsPlatform: this host became, or ceased to be, one of those that read the platform.
 	EventReadsPlatform Event = "reading the platform"
-	// EventSpillover: the share of short prompts that leave this host's availability zone has passed 0 or a tenth.
+	// EventSpillover: the share of short prompts that leave this host's availability zone has become zero or nonzero, or has
+	// passed another multiple of 0.1.
 	EventSpillover Event = "share of requests leaving the zone"
 )
 
--- a/internal/core/node/adopt.go
+++ b/internal/core/node/adopt.go
@@ -25,7 +25,7 @@
 	}
 	t := n.targets.Get(adopt.Target)
 	usable := t != nil && t.Role == hostlist.RoleEngine && t.Serves(rec.Request.Model) && !t.Evacuated()
-	return usable && t.MaySend(n.now) && maySendTo(&rec.Request, t)
+	return usable && t.MaySend(n.now) && rec.Request.AllowsZone(t.Zone)
 }
 
 // dispatchAdopted dispatches a request to the engine that runs its adopted stream, even if that engine is not eligible
--- a/internal/core/node/evacuation.go
+++ b/internal/core/node/evacuation.go
@@ -48,10 +48,10 @@
 	}
 	n.targets.SetEvacuated(n.now, n.evacuations.Zones(), change.Ended)
 	if len(change.Evacuated) > 0 {
-		n.do(StateChange{Event: EventZoneEvacuated, Text: strings.Join(change.Evacuated, ", ") + ", by " + source})
+		n.do(StateChange{Event: EventZoneEvacuated, Text: strings.Join(change.Evacuated, ", ") + ", from " + source})
 	}
 	if len(change.Ended) > 0 {
-		n.do(StateChange{Event: EventEvacuationEnded, Text: strings.Join(change.Ended, ", ") + ", by " + source})
+		n.do(StateChange{Event: EventEvacuationEnded, Text: strings.Join(change.Ended, ", ") + ", from " + source})
 	}
 	n.refuseEvacuated()
 	n.dispatchQueued()
@@ -69,7 +69,7 @@
 	}
 	found := false
 	for _, t := range n.targets.All() {
-		if !t.Serves(req.Model) || t.Leaves() || !maySendTo(req, t) {
+		if !t.Serves(req.Model) || t.Leaves() || !req.AllowsZone(t.Zone) {
 			continue
 		}
 		if !t.Evacuated() {
--- a/internal/core/node/feasible.go
+++ b/internal/core/node/feasible.go
@@ -68,7 +68,8 @@
 func (n *Node) laneEngines(rec *ledger.Record) []*target.Target {
 	var out []*target.Target
 	for _, t := range n.targets.All() {
-		wanted := t.Role == hostlist.RoleEngine && t.Lane == laneOf(rec.Work.Class) && t.Serves(rec.Request.Model) && maySendTo(&rec.Request, t)
+		serves := t.Role == hostlist.RoleEngine && t.Serves(rec.Request.Model) && rec.Request.AllowsZone(t.Zone)
+		wanted := serves && t.Lane == laneOf(rec.Work.Class)
 		if wanted && t.Eligible(n.now) && !n.nonReporting[t.Address] {
 			out = append(out, t)
 		}
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -104,7 +104,7 @@
 func (n *Node) groupEngines(req *core.Request, eligible bool) []group.Engine {
 	var out []group.Engine
 	for _, t := range n.targets.All() {
-		if t.Role != hostlist.RoleEngine || !t.Serves(req.Model) || !maySendTo(req, t) || eligible && !t.Eligible(n.now) {
+		if t.Role != hostlist.RoleEngine || !t.Serves(req.Model) || !req.AllowsZone(t.Zone) || eligible && !t.Eligible(n.now) {
 			continue
 		}
 		out = append(out, group.Engine{
@@ -187,7 +187,7 @@
 	var out []*target.Target
 	for _, address := range plan.Engines {
 		t := n.targets.Get(address)
-		if t == nil || !t.TakesNewWork() || !maySendTo(req, t) {
+		if t == nil || !t.TakesNewWork() || !req.AllowsZone(t.Zone) {
 			return nil
 		}
 		out = append(out, t)
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -275,7 +275,7 @@
 	n.trackPeers()
 	n.reportSuspects()
 	n.updateSenders()
-	n.updateEvacuations("the time since the platform was restored")
+	n.updateEvacuations("expiry after a restore")
 	n.targets.UpdateCold(n.now)
 	n.targets.ExpireStandings(n.now)
 	n.quarantineTick()
--- a/internal/core/node/regions.go
+++ b/internal/core/node/regions.go
@@ -8,7 +8,6 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/ledger"
 	"carobshunt/internal/core/routes"
-	"carobshunt/internal/core/target"
 	"carobshunt/internal/document"
 )
 
@@ -20,9 +19,6 @@
 	}
 }
 
-// maySendTo reports whether a request may run in the target's zone.
-func maySendTo(req *core.Request, t *target.Target) bool { return req.Zones.Has(t.Zone) }
-
 // servedInZones reports whether any target serves a request's model in the zones in which the request may run, whether it
 // takes requests now or not.
 func (n *Node) servedInZones(req *core.Request) bool {
@@ -30,7 +26,7 @@
 		return true
 	}
 	for _, t := range n.targets.All() {
-		if t.Serves(req.Model) && maySendTo(req, t) {
+		if t.Serves(req.Model) && req.AllowsZone(t.Zone) {
 			return true
 		}
 	}
@@ -80,7 +76,7 @@
 	}
 }
 
-// HostsAllowed returns the entry hosts that an answer to a lookup may name: of all hosts, unless the
+// HostsAllowed returns the entry hosts that an answer to a lookup may name: all of them, unless the
 // routes of the authority have regions. Then it returns hosts in a region that all of these routes allow or in the caller's
 // own region; if the routes allow no common region, hosts of the caller's region.
 func (s *Snapshot) HostsAllowed(c routes.Caller) []api.Host {
--- a/internal/core/node/restricted.go
+++ b/internal/core/node/restricted.go
@@ -51,7 +51,7 @@
 func (n *Node) restrictedWait(rec *ledger.Record, ahead int) (time.Duration, bool) {
 	soonest := time.Duration(-1)
 	for _, t := range n.targets.All() {
-		if !t.Serves(rec.Request.Model) || !t.TakesNewWork() || !maySendTo(&rec.Request, t) {
+		if !t.Serves(rec.Request.Model) || !t.TakesNewWork() || !rec.Request.AllowsZone(t.Zone) {
 			continue
 		}
 		wait := t.HeldFor(n.now)
--- a/internal/core/node/spillover.go
+++ b/internal/core/node/spillover.go
@@ -65,7 +65,7 @@
 		return
 	}
 	n.spill.updated = n.now
-	n.spilloverServices()
+	n.updateSpilloverServices()
 	views := n.zoneViews()
 	for _, name := range sortedServices(n.spill.services) {
 		s := n.spill.services[name]
@@ -83,9 +83,9 @@
 	return out
 }
 
-// spilloverServices adds the services with engines of published speed in the document in force, and removes those that it no
+// updateSpilloverServices adds the services with engines of published speed in the document in force, and removes those that it no
 // longer has.
-func (n *Node) spilloverServices() {
+func (n *Node) updateSpilloverServices() {
 	doc := n.config.Document()
 	if doc == n.spill.speedsOf {
 		return
@@ -183,9 +183,9 @@
 	return spillover.MaxAge
 }
 
-// silentPart is the part of the reachable hosts whose digests may be older than the view counts as: one host of many that
+// silentDivisor is the part of the reachable hosts whose digests may be older than the view counts as: one host of many that
 // is about to be found dead changes little in the sums, and would else end spillover everywhere for a moment.
-const silentPart = 8
+const silentDivisor = 8
 
 // viewAge returns the age of a view of which the digests have these ages; 0 without other hosts.
 func viewAge(ages []time.Duration) time.Duration {
@@ -193,7 +193,7 @@
 		return 0
 	}
 	slices.Sort(ages)
-	return ages[len(ages)-1-len(ages)/silentPart]
+	return ages[len(ages)-1-len(ages)/silentDivisor]
 }
 
 // zoneViews returns the view of each service.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -28,7 +28,7 @@
 // any number of steps, so that hosts that only some answers name are named at even intervals.
 const goldenRatio = 0.6180339887498949
 
-// Turn returns the position in the rotation, from 0 to 1, of an answer of the host self, which has given count answers before.
+// Turn returns the position in the rotation, from 0 to 1, of the answer number count of the host self.
 // Hosts start at different positions, since callers may ask many hosts at once.
 func Turn(self string, count uint64) float64 {
 	start := float64(xxhash.Sum64String(self)>>11) / (1 << 53)
@@ -49,7 +49,7 @@
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Address, b.Address))
 	})
 	w := weights(byZone)
-	named := sample(byZone, inclusion(w, answerSize(w, limit, turn)), turn)
+	named := sample(byZone, inclusionProbabilities(w, answerSize(w, limit, turn)), turn)
 	return addresses(spreadOverZones(byZone, w, named, limit, turn))
 }
 
@@ -109,42 +109,42 @@
 	}
 	// The part of the turns with the lower number, from: part/below + (1-part)/(below+1) = 1/sum.
 	part := below * (below + 1 - sum) / sum
-	if fraction(turn*turnsOfSize) < part {
+	if fraction(turn*sizeCycles) < part {
 		return int(below)
 	}
 	return min(int(below)+1, len(weights))
 }
 
-// turnsOfSize is how often the size of answers alternates over the range of turns. It is a prime, so that it does not follow
-// the number of hosts, and which hosts are named does not depend on the size.
-const turnsOfSize = 1009
+// sizeCycles is how often the answer size alternates over the range of turns. It is a large prime, so that the size is not
+// correlated with which hosts are named.
+const sizeCycles = 1009
 
-// inclusion returns the probability with which each host is named in an answer of that size: 1 for the hosts with the largest
+// inclusionProbabilities returns the probability with which each host is named in an answer of that size: 1 for the hosts with the largest
 // weight, as far as the size allows, and in proportion to the weight for the others.
-func inclusion(weights []float64, size int) []float64 {
+func inclusionProbabilities(weights []float64, size int) []float64 {
 	out := make([]float64, len(weights))
-	sure := make([]bool, len(weights))
+	certain := make([]bool, len(weights))
 	for i, w := range weights {
-		sure[i] = w > 1-rounding
+		certain[i] = w > 1-rounding
 	}
-	if count(sure) > size {
-		clear(sure)
+	if countTrue(certain) > size {
+		clear(certain)
 	}
 	for {
-		left, sum := float64(size-count(sure)), 0.0
+		left, sum := float64(size-countTrue(certain)), 0.0
 		for i, w := range weights {
-			if !sure[i] {
+			if !certain[i] {
 				sum += w
 			}
 		}
 		again := false
 		for i, w := range weights {
 			out[i] = 1
-			if !sure[i] {
+			if !certain[i] {
 				out[i] = left * w / sum
 			}
 			if out[i] > 1 {
-				sure[i], again = true, true
+				certain[i], again = true, true
 			}
 		}
 		if !again {
@@ -153,7 +153,7 @@
 	}
 }
 
-func count(flags []bool) int {
+func countTrue(flags []bool) int {
 	n := 0
 	for _, f := range flags {
 		if f {
--- a/internal/core/queue/ranked.go
+++ b/internal/core/queue/ranked.go
@@ -93,7 +93,7 @@
 }
 
 // usefulEnd returns the last time at which a record's wait ends with a dispatch that is expected to meet its objective;
-// the end of its wait if there is none.
+// the end of its wait if there is none. Only routed records have a wait limit; others are not in this queue.
 func usefulEnd(rec *ledger.Record) core.Time {
 	end := rec.WaitingSince + rec.WaitLimit
 	if start := latestStart(rec); start > rec.WaitingSince {
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -144,7 +144,7 @@
 
 // Keep implements Filter.
 func (zoneFilter) Keep(_ core.Time, rec *ledger.Record, t *target.Target) bool {
-	return rec.Request.Zones.Has(t.Zone)
+	return rec.Request.AllowsZone(t.Zone)
 }
 
 type eligibleFilter struct{}
--- a/internal/core/route/short.go
+++ b/internal/core/route/short.go
@@ -13,10 +13,14 @@
 	packBonus      = 0.004
 )
 
-// shortSpread returns the random cost by which short prompts are spread over engines of about the same cost: half the effect of a
-// stream, to break near-ties, and more than that of the streams that other hosts have probably placed unseen. The engine that
-// looks best to all hosts of a zone would otherwise get them all.
-func (r *Router) shortSpread() float64 { return packBonus * max(r.contention.UnseenShort, 0.5) }
+// minSpreadStreams breaks near-ties, with less than the effect of one stream.
+const minSpreadStreams = 0.5
+
+// shortSpread returns the upper bound of the random cost that is added for each engine: the effect of as many streams as other hosts
+// have probably placed unseen, but at least that of minSpreadStreams. Without it, all hosts of a zone would choose the same engine.
+func (r *Router) shortSpread() float64 {
+	return packBonus * max(r.contention.UnseenShort, minSpreadStreams)
+}
 
 // placeShort returns the engine with the lowest cost for a short prompt, of which a random part below spread, from draw.
 func placeShort(rec *ledger.Record, states []engineState, spread float64, draw func() float64) Placement {
--- a/internal/core/target/cold.go
+++ b/internal/core/target/cold.go
@@ -11,27 +11,31 @@
 type coldState struct {
 	// limit is the number of requests a second that the target takes while it is cold; 0 if its service has no such limit.
 	limit float64
-	// time is how long the target is cold after its start; 0 if unknown.
-	time time.Duration
+	// duration is how long the target is cold after its start; 0 if unknown.
+	duration time.Duration
 	// until is the time before which the target counts as cold whatever its entry in the host list says; 0 for none.
 	until core.Time
-	// known is whether the target counted as cold at the last Table.UpdateCold.
-	known bool
+	// inForce is whether the target counted as cold at the last Table.UpdateCold.
+	inForce bool
 }
 
-// coldDoubtTime is how long a target that may have started anew counts as cold at least. By then its entry in the host list says
+// minPresumedCold is how long a target that may have started anew counts as cold at least. By then its entry in the host list says
 // whether it is: targets write their entries about once a second, and readers read them twice a second.
-const coldDoubtTime = 3 * time.Second
+const minPresumedCold = 3 * time.Second
 
-// suspect makes the target count as cold for as long as one that starts now.
-func (c *coldState) suspect(now core.Time) { c.until = max(c.until, now+max(c.time, coldDoubtTime)) }
+// presume makes the target count as cold for its duration from now, since it may have restarted.
+func (c *coldState) presume(now core.Time) {
+	c.until = max(c.until, now+max(c.duration, minPresumedCold))
+}
 
 // Cold reports whether the target counted as cold at the last tick.
-func (t *Target) Cold() bool { return t.cold.known }
+func (t *Target) Cold() bool { return t.cold.inForce }
 
 // SetColdLimit sets the number of requests a second that all hosts together may send to the target while it is cold, 0 for no
 // limit, and how long it is cold after its start. Table.UpdateCold must be called next.
-func (t *Target) SetColdLimit(limit float64, d time.Duration) { t.cold.limit, t.cold.time = limit, d }
+func (t *Target) SetColdLimit(limit float64, d time.Duration) {
+	t.cold.limit, t.cold.duration = limit, d
+}
 
 // ObserveCold records that a target has said how much longer it is cold, of a process that was asked.
 func (tb *Table) ObserveCold(now core.Time, p Process, left time.Duration) {
@@ -51,7 +55,7 @@
 		if cold {
 			limit = t.cold.limit
 		}
-		t.cold.known = cold
+		t.cold.inForce = cold
 		if t.standing.coldLimit != limit {
 			t.standing.coldLimit = limit
 			tb.applyLimit(now, t.standing)
--- a/internal/core/target/evacuated.go
+++ b/internal/core/target/evacuated.go
@@ -13,7 +13,7 @@
 	for _, t := range tb.ordered {
 		t.evacuated = tb.isEvacuated(t.Zone)
 		if slices.Contains(ended, t.Zone) {
-			t.cold.suspect(now)
+			t.cold.presume(now)
 		}
 	}
 	tb.UpdateCold(now)
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -42,7 +42,7 @@
 	listedStart int64
 	// Limit is the number of requests a second that the target takes from all hosts together; 0 for no limit.
 	Limit float64
-	// coldLimit is such a number while the target is cold; 0 otherwise.
+	// coldLimit is the limit, in requests a second, while the target is cold; 0 otherwise.
 	coldLimit float64
 	// departure is since the target has said that it is about to stop.
 	departure departure
@@ -149,17 +149,18 @@
 	return next, true
 }
 
-// limit returns the number of requests a second that all hosts together may send; 0 for no limit.
-func (s *Standing) limit() float64 {
+// effectiveLimit returns the number of requests a second that all hosts together may send, the lower of Limit and coldLimit; 0 for
+// no limit.
+func (s *Standing) effectiveLimit() float64 {
 	if s.Limit == 0 || s.coldLimit == 0 {
 		return max(s.Limit, s.coldLimit)
 	}
 	return min(s.Limit, s.coldLimit)
 }
 
-// applyLimit makes the bucket of a target that of its limit.
+// applyLimit sets the rate of the bucket to the effective limit, and removes the bucket if there is no limit.
 func (tb *Table) applyLimit(now core.Time, s *Standing) {
-	limit := s.limit()
+	limit := s.effectiveLimit()
 	switch {
 	case limit == 0:
 		s.bucket = nil
@@ -279,7 +280,7 @@
 }
 
 // Limit returns the number of requests a second that the target takes from all hosts together; 0 for no limit.
-func (t *Target) Limit() float64 { return t.standing.limit() }
+func (t *Target) Limit() float64 { return t.standing.effectiveLimit() }
 
 // SaysLeaving reports whether the target has said that it is about to stop.
 func (t *Target) SaysLeaving() bool { return t.standing.departure.leaving }
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -254,7 +254,7 @@
 // anew since, so that it may be cold.
 func (t *Target) Failed(now core.Time) {
 	t.evidence.failed(now, t)
-	t.cold.suspect(now)
+	t.cold.presume(now)
 }
 
 // Answered records the complete answer to a dispatch that has not ended, which clears earlier failures and refusals.
--- a/internal/document/lint/changes_entries.go
+++ b/internal/document/lint/changes_entries.go
@@ -85,7 +85,7 @@
 		switch {
 		case now[s.Name]:
 		case ok:
-			c.values(at("/services", i), fmt.Sprintf("service %q", s.Name), old, s, keepAll)
+			c.values(at("/services", i), fmt.Sprintf("service %q", s.Name), old, s, skipNone)
 		default:
 			c.add(CodeServiceAdded, at("/services", i), "Service %q is new.", s.Name)
 		}
@@ -178,7 +178,7 @@
 		switch {
 		case name == c.to.Active:
 		case ok:
-			c.values(path, fmt.Sprintf("preset %q", name), &old, &preset, keepAll)
+			c.values(path, fmt.Sprintf("preset %q", name), &old, &preset, skipNone)
 		default:
 			c.add(CodeValueChanged, path, "Preset %q is new.", name)
 		}
@@ -216,8 +216,8 @@
 	return fmt.Sprintf("it was %d", n)
 }
 
-// keepAll leaves out no field.
-func keepAll(string) bool { return false }
+// skipNone skips no field.
+func skipNone(string) bool { return false }
 
 // values adds a difference for each field of an entry that differs, except those that skip reports. Fields of a field that is
 // an object are compared one by one.
@@ -236,7 +236,7 @@
 		}
 		var before, after map[string]json.RawMessage
 		if json.Unmarshal(old[field], &before) == nil && json.Unmarshal(now[field], &after) == nil {
-			c.fields(path+"/"+field, what, before, after, keepAll)
+			c.fields(path+"/"+field, what, before, after, skipNone)
 			continue
 		}
 		c.add(CodeValueChanged, path+"/"+field, "This value of %s is %s instead of %s.", what, shown(now[field]), shown(old[field]))
