--- a/internal/core/route/reserve.go
+++ b/internal/core/route/reserve.go
@@ -14,7 +14,7 @@
 const (
 	// busyMs is the pending prefill, in milliseconds, from which an engine is of no use to a new short prompt: callers of short
 	// prompts expect their first token sooner.
-	busyMs = 500
+	busyMs = 1_000
 	// reservedDivisor sets the engines that are closed to them, 1/reservedDivisor of those of a service.
 	reservedDivisor = 3
 )
