--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -21,17 +21,11 @@
 const minExposure = 50 * time.Millisecond
 
 // evidence returns the logarithm of how unlikely it is that all counted losses are accidents. How often accidents come is
-// seen from the losses at processes that have another cause, and so is the chance of one within a loss's exposure. If the losses
-// are accidents, each of them shows that accidents are more frequent, so it counts for the next one.
+// seen from the losses at processes that have another cause, and so is the chance of one within a loss's exposure.
 func (tb *Table) evidence(now core.Time, counted []*loss, caused map[target.Process]bool) float64 {
-	seen := make(map[bool]*accidentRates) // of plain requests and of prompts
 	sum := 0.0
-	for _, l := range counted {
-		if seen[l.plain] == nil {
-			seen[l.plain] = tb.accidentRates(now, l.plain, caused)
-		}
-		sum -= math.Log(-math.Expm1(-seen[l.plain].rate() * ms(max(l.exposure, minExposure))))
-		seen[l.plain].add(now, l)
+	for _, expected := range tb.expectedAccidents(now, counted, caused) {
+		sum -= math.Log(-math.Expm1(-expected))
 	}
 	return sum
 }
@@ -126,35 +120,34 @@
 	return max(a.lately, float64(around)/(a.underWay*ms(2*aroundTime)+ms(priorExposure)))
 }
 
-// accidentRates are how often a prompt or a plain request is lost by accident, over the last seconds and over a longer time.
-type accidentRates struct{ lately, briefly accidents }
+// expectedAccidents returns for each loss how many accidents are expected within its exposure.
+func (tb *Table) expectedAccidents(now core.Time, counted []*loss, caused map[target.Process]bool) []float64 {
+	rates := make(map[bool]float64) // in 1/ms, of plain requests and of prompts
+	out := make([]float64, len(counted))
+	for i, l := range counted {
+		if _, known := rates[l.plain]; !known {
+			rates[l.plain] = tb.accidentRate(now, l.plain, caused)
+		}
+		out[i] = rates[l.plain] * ms(max(l.exposure, minExposure))
+	}
+	return out
+}
 
-// accidentRates returns how often requests are lost by accident. The ends of the caused processes are no accidents, nor is what was
-// lost with them.
-func (tb *Table) accidentRates(now core.Time, plain bool, caused map[target.Process]bool) *accidentRates {
+// accidentRate returns how often a prompt or a plain request is lost by accident, in 1/ms: the higher one of the last seconds
+// and of a longer time. The ends of the caused processes are no accidents, nor is what was lost with them.
+func (tb *Table) accidentRate(now core.Time, plain bool, caused map[target.Process]bool) float64 {
 	all := tb.ratesOf(plain).total(now)
-	r := &accidentRates{
-		lately:  accidents{exposure: all.ExposureMs, constant: rateTime},
-		briefly: accidents{exposure: all.BriefMs, constant: briefTime},
-	}
+	lately := accidents{exposure: all.ExposureMs, constant: rateTime}
+	briefly := accidents{exposure: all.BriefMs, constant: briefTime}
 	for _, l := range tb.recent {
 		if l.plain == plain {
-			r.lately.add(now, l, !caused[l.process])
-			r.briefly.add(now, l, !caused[l.process])
+			lately.add(now, l, !caused[l.process])
+			briefly.add(now, l, !caused[l.process])
 		}
 	}
-	return r
+	return max(lately.rate(), briefly.rate())
 }
 
-// add counts a loss as an accident.
-func (r *accidentRates) add(now core.Time, l *loss) {
-	r.lately.add(now, l, true)
-	r.briefly.add(now, l, true)
-}
-
-// rate returns the higher one of the rates, in 1/ms.
-func (r *accidentRates) rate() float64 { return max(r.lately.rate(), r.briefly.rate()) }
-
 // accidents counts losses by accident, with weights that fall with their age by a time constant.
 type accidents struct {
 	lost, exposure float64
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -86,21 +86,6 @@
 	assert.Assert(t, h.Withholds([]core.PartID{first, 77}, nil) == nil)
 }
 
-// TestRateOfAccidentsIsNotTakenForKnown guards against a verdict on a document that rests on a rate of accidents of which too little
-// was seen: if its losses are accidents, they show that accidents are frequent.
-func TestRateOfAccidentsIsNotTakenForKnown(t *testing.T) {
-	h := newHost("a")
-	h.serve(120, first)
-	for i := range 3 {
-		h.lose(fmt.Sprint("process-", i), document)
-		h.Tick(h.now)
-	}
-	assert.Equal(t, len(h.Verdicts()), 0)
-	h.lose("process-3", document)
-	h.Tick(h.now)
-	assert.Equal(t, len(h.Verdicts()), 1)
-}
-
 // TestProofClearsAPart guards against parts that are blamed for ends that others caused: prompts with them are cut, and
 // prompts with them do no harm.
 func TestProofClearsAPart(t *testing.T) {
