--- a/internal/core/node/endings.go
+++ b/internal/core/node/endings.go
@@ -72,6 +72,17 @@
 	n.finish(rec, result)
 }
 
+// finishIfRefused finishes a request that is not at a target with the result of an admission check, unless the check refuses
+// nothing. It reports whether it did.
+func (n *Node) finishIfRefused(rec *ledger.Record, result core.Result) bool {
+	if result.Code == "" {
+		return false
+	}
+	result.Outcome = outcomeWithoutAnswer(rec)
+	n.finish(rec, result)
+	return true
+}
+
 // outcomeWithoutAnswer returns the outcome of a record that ends now, without a complete answer: "not run" if no target
 // may have executed it, "failed" if it is idempotent or its answer has begun, and "unknown" otherwise.
 func outcomeWithoutAnswer(rec *ledger.Record) api.Outcome {
--- a/internal/core/node/evacuation.go
+++ b/internal/core/node/evacuation.go
@@ -100,8 +100,6 @@
 		return false
 	})
 	for _, rec := range refused {
-		result := n.checkEvacuated(&rec.Request)
-		result.Outcome = outcomeWithoutAnswer(rec)
-		n.finish(rec, result)
+		n.finishIfRefused(rec, n.checkEvacuated(&rec.Request))
 	}
 }
--- a/internal/core/node/regions.go
+++ b/internal/core/node/regions.go
@@ -45,13 +45,7 @@
 // finishOutsideRegions finishes a request that is not at a target, if no target is left in the regions where it may run. It
 // reports whether it did.
 func (n *Node) finishOutsideRegions(rec *ledger.Record) bool {
-	result := n.checkRegions(&rec.Request)
-	if result.Code == "" {
-		return false
-	}
-	result.Outcome = outcomeWithoutAnswer(rec)
-	n.finish(rec, result)
-	return true
+	return n.finishIfRefused(rec, n.checkRegions(&rec.Request))
 }
 
 // finishWaitingOutsideRegions does so for the requests that wait, after a change of the targets. The regions of a request are
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -238,9 +238,7 @@
 	if n.finishOutsideRegions(rec) {
 		return
 	}
-	if result := n.checkEvacuated(&rec.Request); result.Code != "" {
-		result.Outcome = outcomeWithoutAnswer(rec)
-		n.finish(rec, result)
+	if n.finishIfRefused(rec, n.checkEvacuated(&rec.Request)) {
 		return
 	}
 	rec.WaitingSince = n.now
--- a/internal/core/queue/objectives.go
+++ b/internal/core/queue/objectives.go
@@ -115,7 +115,13 @@
 		}
 		return 1
 	}
-	lateA, lateB := now > latestStart(a), now > latestStart(b)
+	return compareByLimit(now, a, b, latestStart)
+}
+
+// compareByLimit orders records by the time left until a limit; those past it follow, the most recently admitted first.
+func compareByLimit(now core.Time, a, b *ledger.Record, limit func(*ledger.Record) core.Time) int {
+	limitA, limitB := limit(a), limit(b)
+	lateA, lateB := now > limitA, now > limitB
 	switch {
 	case lateA && lateB:
 		return cmp.Or(-cmp.Compare(a.Timing.Admitted, b.Timing.Admitted), a.Request.Compare(b.Request.Key))
@@ -124,5 +130,5 @@
 	case lateB:
 		return -1
 	}
-	return cmp.Or(cmp.Compare(latestStart(a), latestStart(b)), a.Request.Compare(b.Request.Key))
+	return cmp.Or(cmp.Compare(limitA, limitB), a.Request.Compare(b.Request.Key))
 }
--- a/internal/core/queue/ranked.go
+++ b/internal/core/queue/ranked.go
@@ -109,15 +109,4 @@
 
 // compareOld orders old requests: those that can still meet their objective by the time left, then the others, the most
 // recently admitted first.
-func compareOld(now core.Time, a, b *ledger.Record) int {
-	lateA, lateB := now > usefulEnd(a), now > usefulEnd(b)
-	switch {
-	case lateA && lateB:
-		return cmp.Or(-cmp.Compare(a.Timing.Admitted, b.Timing.Admitted), a.Request.Compare(b.Request.Key))
-	case lateA:
-		return 1
-	case lateB:
-		return -1
-	}
-	return cmp.Or(cmp.Compare(usefulEnd(a), usefulEnd(b)), a.Request.Compare(b.Request.Key))
-}
+func compareOld(now core.Time, a, b *ledger.Record) int { return compareByLimit(now, a, b, usefulEnd) }
