--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -60,6 +60,8 @@
 	// PlatformCurrent is set if the platform answers with a version older than the one in force only after it has been
 	// restored from an older copy: see PlatformAnswered.
 	PlatformCurrent bool
+	// LookupsByCapacity is set if lookups name hosts by what they can carry.
+	LookupsByCapacity bool
 	// ColdStarts is how far the hosts may exceed what cold targets take.
 	ColdStarts ColdStarts
 	// EnginesExpire is set if engines drop state that no host holds any more on their own, and can't list their state.
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -78,8 +78,8 @@
 func startRoutedHostOf(t *testing.T, capacity core.Capacity) *routedHost {
 	t.Helper()
 	n := node.New(node.Options{
-		Capacity: capacity,
-		Self:     loneSelf, Peer: "10.0.0.1:2", Zone: "a", Records: 100, BodyBytes: 1 << 20, Seed: 1, Policy: node.PolicyPacked,
+		Capacity: capacity, LookupsByCapacity: true,
+		Self: loneSelf, Peer: "10.0.0.1:2", Zone: "a", Records: 100, BodyBytes: 1 << 20, Seed: 1, Policy: node.PolicyPacked,
 		Regions:      routes.Regions{"a": "north", "b": "south", "c": "south"},
 		LoadsAddress: "10.0.0.1:3", LookupTTL: 3 * time.Second, EnginesExpire: true, PlatformCurrent: true,
 		ReservationTiming: group.Timing{Expiry: 4 * time.Second, MaxWait: time.Second, RenewInterval: time.Second, RefuseWhenFull: true},
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -24,8 +24,8 @@
 	Draining bool
 	// Hosts lists the entry hosts that take requests, this one first if it is among them.
 	Hosts []api.Host
-	// Capacities holds what this host and its peers state that they can carry, by the addresses on which they serve callers; nil
-	// if none states anything.
+	// Capacities holds what this host and its peers state that they can carry, by the addresses on which they serve callers, where
+	// lookups name hosts by it; nil if none states anything.
 	Capacities map[string]core.Capacity
 	Document   *document.Document
 	// RawDocument is the text of the document in force. Documents and HostLists are served to peers. HostList is the
@@ -103,6 +103,9 @@
 // capacities returns the stated capacities of this host and its peers, by the addresses on which they serve callers; nil
 // without any.
 func (n *Node) capacities() map[string]core.Capacity {
+	if !n.opts.LookupsByCapacity {
+		return nil
+	}
 	var out map[string]core.Capacity
 	add := func(address string, c core.Capacity) {
 		if c == (core.Capacity{}) {
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -36,6 +36,7 @@
 
 // setStoreOptions sets the options that a platform with a store needs.
 func setStoreOptions(o *node.Options, s *settings.Settings) {
+	o.LookupsByCapacity = s.LookupsByCapacity
 	o.ColdStarts = node.ColdStarts(s.ColdStarts)
 	o.Policy = node.PolicyPacked
 	o.LookupTTL = lookupTTL
@@ -53,7 +54,7 @@
 	x.requests = ingress
 	x.engines = &storeEngines{orders: platform.NewOrders(d.loop, dialer), health: platform.NewHealth(d.loop, dialer), log: d.log}
 	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer, d.currentPreset, d.log)
-	lookup := platform.NewLookup(d.loop, d.settings.LookupsByCapacity, d.log)
+	lookup := platform.NewLookup(d.loop, d.log)
 	for _, one := range []struct {
 		address string
 		handler http.Handler
