review: a late copy of a refusal makes a stream that may run once run twice

Cause: a host tells late answers by their Attempt-Id alone and keeps the connection of a refused dispatch. A prompt that needs several engines may go to the same engine again, on the same connection, and a second copy of the refusal is then taken for the answer to the new dispatch. The request is sent once more while it has run.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -15,6 +17,8 @@
 	interval time.Duration
 	// cutAfter is the number of the event after which the channel is reset; 0 for never.
 	cutAfter int
+	// goOn is asked before each event whether the stream goes on; nil for always.
+	goOn func() bool
 }
 
 // stream runs a streaming request and answers with numbered events, from the one after Last-Event-Id on.
@@ -29,7 +33,14 @@
 		return false
 	}
 	for n := from + 1; n <= o.events; n++ {
-		time.Sleep(o.interval)
+		if n > from+1 {
+			time.Sleep(o.interval)
+		}
+		if o.goOn != nil && !o.goOn() {
+			t.rec.note("cut off   %s at %s after piece %d, without its memory", r.Header.Get("Attempt-Id"), t.id, n-1)
+			reset(conn)
+			return false
+		}
 		text := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, r.Header.Get("Attempt-Id"))
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text); err != nil {
 			t.rec.note("cut off   %s at %s after piece %d", r.Header.Get("Attempt-Id"), t.id, n-1)
@@ -65,3 +76,58 @@
 	}
 	return out
 }
+
+// memory is the memory that an engine has set aside.
+type memory struct {
+	mu      sync.Mutex
+	total   int
+	tickets map[string]ticket
+}
+
+type ticket struct {
+	tokens int
+	until  time.Time
+}
+
+// order carries out a reserve or a release order.
+func (m *memory) order(t *target, conn net.Conn, body []byte) bool {
+	var o struct {
+		Operation string `json:"operation"`
+		ID        string `json:"id"`
+		Tokens    int    `json:"tokens"`
+		HoldMs    int    `json:"hold_ms"`
+	}
+	if json.Unmarshal(body, &o) != nil {
+		return t.write(conn, "400 Bad Request", nil, "")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := 0
+	for id, one := range m.tickets {
+		if time.Now().After(one.until) {
+			delete(m.tickets, id)
+		} else if id != o.ID {
+			held += one.tokens
+		}
+	}
+	switch {
+	case o.Operation == "release":
+		delete(m.tickets, o.ID)
+	case o.Operation != "reserve" || o.Tokens > m.total:
+		return t.write(conn, "400 Bad Request", nil, "")
+	case held+o.Tokens > m.total:
+		return t.write(conn, "409 Conflict", map[string]string{"Content-Type": "application/json"}, "{}")
+	default:
+		m.tickets[o.ID] = ticket{tokens: o.Tokens, until: time.Now().Add(time.Duration(o.HoldMs) * time.Millisecond)}
+	}
+	t.rec.note("order     %s %s %d tokens at %s", o.Operation, o.ID, o.Tokens, t.id)
+	return t.write(conn, "200 OK", map[string]string{"Content-Type": "application/json"}, fmt.Sprintf(`{"free":%d}`, m.total-held))
+}
+
+// has reports whether a ticket is held.
+func (m *memory) has(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	one, ok := m.tickets[id]
+	return ok && time.Now().Before(one.until)
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,8 +33,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*scene) (bool, error){
-	"last-key":  lastKey,
-	"long-name": longName,
+	"last-key":       lastKey,
+	"long-name":      longName,
+	"second-refusal": secondRefusal,
 }
 
 // limit ends a case that hangs.
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -124,6 +124,8 @@
 	switch {
 	case r.URL.Path == "/healthz":
 		return t.write(conn, "200 OK", map[string]string{"Instance-Id": t.id, "Server-Load": "0,0," + strconv.Itoa(t.slots)}, "")
+	case r.URL.Path == "/-/order":
+		return t.serve(conn, r, body)
 	case r.Header.Get("Attempt-Id") == "":
 		return t.write(conn, "400 Bad Request", map[string]string{"Not-Executed": "1"}, "")
 	case r.Header.Get("Expect-Instance") != "" && r.Header.Get("Expect-Instance") != t.id:
