review: a prompt for several engines is run by another service at a reused address

Cause: when a claim on several engines is dispatched, its members are looked up by address alone. If one of them has crashed and its address belongs to a server of another service by then, that server is sent the request, under its own instance, and runs it. The caller gets its answer.

The cases before it are renumbered.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/review-standin" ] && [ -x "$root/target/carobshuntd" ] || exit 2
-TROUBLE=${TROUBLE:-1} exec "$root/target/review-standin" long-name "$root" "$here/record.txt"
+TROUBLE=${TROUBLE:-1} exec "$root/target/review-standin" last-key "$root" "$here/record.txt"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,8 @@
 	rec       *record
 	store     *store
 	fleet     *fleet
+	// other is the server that took the address of another one.
+	other *target
 }
 
 // cases are the cases by name. Each returns whether the rule was broken.
@@ -36,6 +38,7 @@
 	"last-key":       lastKey,
 	"long-name":      longName,
 	"second-refusal": secondRefusal,
+	"reused-address": reusedAddress,
 }
 
 // limit ends a case that hangs.
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -42,6 +42,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return newTargetAt(listener, st, rec, service, zone, engine, slots), nil
+}
+
+// newTargetAt starts a server on a listener.
+func newTargetAt(listener net.Listener, st *store, rec *record, service, zone string, engine bool, slots int) *target {
 	t := &target{
 		id: fmt.Sprintf("i-%06x", 0xa1000+lastID.Add(1)), service: service, zone: zone, engine: engine, slots: slots,
 		born: time.Now().UnixMilli(), listener: listener, store: st, rec: rec, state: "ready", conns: make(map[net.Conn]bool),
@@ -51,7 +56,7 @@
 	}
 	go t.accept()
 	go t.beat()
-	return t, nil
+	return t
 }
 
 func (t *target) address() string { return t.listener.Addr().String() }
@@ -124,6 +129,8 @@
 	switch {
 	case r.URL.Path == "/healthz":
 		return t.write(conn, "200 OK", map[string]string{"Instance-Id": t.id, "Server-Load": "0,0," + strconv.Itoa(t.slots)}, "")
+	case r.URL.Path == "/-/order" && !t.engine:
+		return t.write(conn, "400 Bad Request", nil, "")
 	case r.URL.Path == "/-/order":
 		return t.serve(conn, r, body)
 	case r.Header.Get("Attempt-Id") == "":
