review: a configuration that is refused as a whole keeps all hosts down after a restart

Cause: as in the case of the long name. A host that starts has no older version to go on with, so after the loss of all processes none gets ready while the store holds a configuration that they refuse.

--- a/review/standin/longname.go
+++ b/review/standin/longname.go
@@ -65,7 +65,44 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	return broken, nil
+	recovers, err := s.recovers(keys[0])
+	return broken || !recovers, err
+}
+
+// recoverTime is recover_s.
+const recoverTime = 12 * time.Second
+
+// recovers kills all processes at once, starts them again, and reports whether a quarter of the requests with a key that
+// every version has is served recover_s later.
+func (s *scene) recovers(key string) (bool, error) {
+	for _, h := range s.fleet.hosts {
+		_ = h.cmd.Process.Kill()
+	}
+	for _, h := range s.fleet.hosts {
+		_ = h.cmd.Wait()
+	}
+	s.rec.note("killed all processes")
+	time.Sleep(time.Second)
+	for _, h := range s.fleet.hosts {
+		if err := s.fleet.start(h); err != nil {
+			return false, err
+		}
+	}
+	s.rec.note("started all processes again")
+	time.Sleep(recoverTime + time.Second)
+	served, sent := 0, 0
+	for round := range 10 {
+		for _, q := range s.oneOfEach("back", round, key) {
+			for _, status := range s.statusesOfAll(q) {
+				sent++
+				if status == http.StatusOK {
+					served++
+				}
+			}
+		}
+	}
+	s.rec.note("after the final fault %d of %d requests are served", served, sent)
+	return 4*served >= sent, nil
 }
 
 // statusesOfAll sends a request to each host, each time as an attempt of its own, and returns the statuses.
