--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -152,6 +152,7 @@
 	n.noticeReceived(in.ID(), in.Notice)
 	n.releaseTarget(in)
 	n.releaseDispatchGroup(in.Key, in.Dispatch)
+	n.reportStreamRun(in)
 	if !n.awaits(in) {
 		return
 	}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -85,6 +85,8 @@
 	// Notice is what the target says of itself in the head of the answer; nil without one, and if a DispatchFirstToken
 	// carried it.
 	Notice *target.Notice
+	// Run tells what the dispatch brought of a stream; nil if the request is none, or without an answer.
+	Run *StreamRun
 }
 
 // ID identifies the dispatch.
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -52,6 +52,8 @@
 	case node.StateChange:
 		x.metrics.StateChanged(a.Event)
 		x.log.Info(string(a.Event), "detail", a.Text)
+	case node.StreamRunEnded:
+		x.metrics.StreamRunEnded(a)
 	case node.Refused, node.Unanswered: // only logged
 	case node.Stop:
 		x.stop()
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -7,8 +7,8 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// requestLog logs each dispatch, final result, refusal and ending without a whole answer in one line. The line of a dispatch
-// has the inputs of the decision and their age. Refusals for want of the right home are not logged.
+// requestLog logs each dispatch, run of a stream, final result, refusal and ending without a whole answer in one line. The line
+// of a dispatch has the inputs of the decision and their age. Refusals for want of the right home are not logged.
 type requestLog struct{ log hclog.Logger }
 
 // record logs the action if it is one of these.
@@ -25,6 +25,8 @@
 		l.refused(&a)
 	case node.Unanswered:
 		l.unanswered(&a)
+	case node.StreamRunEnded:
+		l.streamRun(&a)
 	}
 }
 
@@ -53,6 +55,12 @@
 		"began", a.Began, "work", core.WorksText(a.Works), "parts", partsText(a.Parts))
 }
 
+func (l *requestLog) streamRun(a *node.StreamRunEnded) {
+	l.log.Info("run of a stream", "id", a.Key.ID, "dispatch", a.Dispatch, "target", a.Target, "ending", a.Ending.String(),
+		"why", a.Message, "status", a.Run.Status, "framing", string(a.Run.Framing), "resumed", a.Run.Resumed, "after", a.Run.After,
+		"events", a.Run.Events, "first", a.Run.First, "last", a.Run.Last)
+}
+
 // maxLoggedParts is the number of parts of a prompt that a log line names at most.
 const maxLoggedParts = 16
 
--- a/internal/docscheck/reference_test.go
+++ b/internal/docscheck/reference_test.go
@@ -242,6 +242,7 @@
 	m.GapObserver(node.StartDispatch{Key: key, Work: work}).Observe(1)
 	m.Finished(node.Finish{Key: key, Work: work, Timing: core.Timing{Admitted: 1, Dispatched: 2, FirstToken: 3}})
 	m.Refused(api.CodeMalformed)
+	m.StreamRunEnded(node.StreamRunEnded{Key: key})
 	m.StateChanged(node.EventReady)
 	m.Reloaded("peers", nil)
 	response := httptest.NewRecorder()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -7,6 +7,7 @@
 import (
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"carobshunt/api"
@@ -37,6 +38,7 @@
 	finished   *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
 	dispatches *prometheus.CounterVec
+	streamRuns *prometheus.CounterVec
 	events     *prometheus.CounterVec
 	reloads    *prometheus.CounterVec
 }
@@ -49,6 +51,9 @@
 	labelCode    = "code"
 	labelAttempt = "attempt"
 	labelEvent   = "event"
+	labelFraming = "framing"
+	labelResumed = "resumed"
+	labelEnding  = "ending"
 	labelFile    = "file"
 	labelResult  = "result"
 )
@@ -79,12 +84,14 @@
 		finished:   counter("requests_finished_total", "Admitted requests by outcome.", labelTeam, labelClass, labelOutcome),
 		refusals:   counter("refusals_total", "Requests refused by reason.", labelCode),
 		dispatches: counter("dispatches_total", "Requests sent to targets: first tries and retries.", labelAttempt),
-		events:     counter("state_changes_total", "Changes of state, each of which is a log line too.", labelEvent),
-		reloads:    counter("file_reloads_total", "Key and certificate files read again.", labelFile, labelResult),
+		streamRuns: counter("stream_runs_total", "Dispatches that got an answer to a stream, by the framing of the answer, "+
+			"whether they had to continue the stream, and how they ended.", labelFraming, labelResumed, labelEnding),
+		events:  counter("state_changes_total", "Changes of state, each of which is a log line too.", labelEvent),
+		reloads: counter("file_reloads_total", "Key and certificate files read again.", labelFile, labelResult),
 	}
 	m.teams = newTeamLabels(s, source, m.dropTeam)
 	m.registry.MustRegister(m.firstToken, m.interToken, m.slowdown, m.queueing,
-		m.finished, m.refusals, m.dispatches, m.events, m.reloads,
+		m.finished, m.refusals, m.dispatches, m.streamRuns, m.events, m.reloads,
 		newStateCollector(source), buildInfo(),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -130,6 +137,11 @@
 // Refused counts a request that was refused with the code.
 func (m *Metrics) Refused(code api.Code) { m.refusals.WithLabelValues(string(code)).Inc() }
 
+// StreamRunEnded counts a dispatch that got an answer to a stream.
+func (m *Metrics) StreamRunEnded(a node.StreamRunEnded) {
+	m.streamRuns.WithLabelValues(string(a.Run.Framing), strconv.FormatBool(a.Run.Resumed), a.Ending.String()).Inc()
+}
+
 // StateChanged counts a change of state.
 func (m *Metrics) StateChanged(event node.Event) { m.events.WithLabelValues(string(event)).Inc() }
 
