Streams: only an answer that continues a stream may add to it or end it

Cause: the end of a dispatch decided whether the caller's answer was complete, without regard to what the caller had received. A number was compared with the last one only to leave an event out.

After an event without a number nothing can continue (DispatchEnded.Unresumable), and the request ends.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -180,7 +180,7 @@
 		n.removeHelperLoad(rec)
 	}
 	t := n.targets.Get(in.Target)
-	blameless := in.Blame != "" || !n.awaits(in) || n.active[in.Key].DeadlineAborted || t != nil && n.outOfTime(n.active[in.Key], t)
+	blameless := n.blameless(in, t)
 	n.quarantineEnded(in, blameless)
 	if t == nil || !t.Carries(in.ID()) {
 		return
@@ -202,6 +202,16 @@
 	}
 }
 
+// blameless reports whether a dispatch ended without an answer for another reason than its target t, which may be nil. One that
+// nothing could continue was never sent there.
+func (n *Node) blameless(in DispatchEnded, t *target.Target) bool {
+	if in.Blame != "" || !n.awaits(in) || in.Unresumable && in.Ending == EndedNotWritten {
+		return true
+	}
+	rec := n.active[in.Key]
+	return rec.DeadlineAborted || t != nil && n.outOfTime(rec, t)
+}
+
 // releaseLoad removes an ended dispatch from the load of its target, and records that the target answered.
 func (n *Node) releaseLoad(t *target.Target, in DispatchEnded) {
 	dispatch := in.ID()
@@ -239,6 +249,10 @@
 
 // handleEnding finishes a request or retries it, depending on how its dispatch ended.
 func (n *Node) handleEnding(rec *ledger.Record, in DispatchEnded) {
+	if in.Unresumable && in.Ending != EndedDone {
+		n.finish(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
+		return
+	}
 	switch in.Ending {
 	case EndedDone:
 		n.finish(rec, core.Result{Outcome: api.OutcomeDone})
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -85,6 +85,9 @@
 	// Notice is what the target says of itself in the head of the answer; nil without one, and if a DispatchFirstToken
 	// carried it.
 	Notice *target.Notice
+	// Unresumable is set if the caller has received a part of the answer that no other dispatch can continue. If the answer is
+	// not complete, the request ends without one.
+	Unresumable bool
 	// Run tells what the dispatch brought of a stream; nil if the request is none, or without an answer.
 	Run *StreamRun
 }
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -618,3 +618,17 @@
 	start := e.grant(pending)
 	assert.Assert(t, !slices.Contains(start.Group, leaving), "%s leaves: %v", leaving, start.Group)
 }
+
+// TestAnswerThatNobodyCanContinueEndsItsRequest guards against a second run whose answer is joined to what the caller has received.
+func TestAnswerThatNobodyCanContinueEndsItsRequest(t *testing.T) {
+	for _, ending := range []node.Ending{node.EndedLost, node.EndedFailed, node.EndedRefused, node.EndedNotWritten} {
+		t.Run(ending.String(), func(t *testing.T) {
+			e := newRoutedHost(t)
+			d := e.send("/ask/1")
+			assert.Assert(t, d.Request.Idempotent, "it would be dispatched again")
+			e.step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch})
+			e.step(node.DispatchEnded{Key: d.Key, Dispatch: d.Dispatch, Target: d.Target, Ending: ending, Unresumable: true})
+			assert.Equal(t, e.mustFinish().Outcome, api.OutcomeFailed)
+		})
+	}
+}
--- a/internal/httpwire/events.go
+++ b/internal/httpwire/events.go
@@ -18,6 +18,8 @@
 	// ID is the event's numeric id; HasID is false if it has none.
 	ID    int64
 	HasID bool
+	// HasData is false for comments and for fields without data.
+	HasData bool
 }
 
 // ErrTruncatedEvent is returned if the stream ends within an event.
@@ -46,8 +48,8 @@
 		switch {
 		case errors.Is(err, lines.ErrTooLong):
 			return Event{}, ErrEventTooLarge
-		case errors.Is(err, io.EOF) && len(out.Raw)+len(line) > 0:
-			return Event{}, ErrTruncatedEvent
+		case err != nil && len(out.Raw)+len(line) > 0:
+			return Event{}, errors.Annotate(ErrTruncatedEvent, err.Error())
 		case err != nil:
 			return Event{}, err
 		}
@@ -56,12 +58,15 @@
 		if len(text) == 0 {
 			return out, nil
 		}
-		out.readID(text)
+		out.readField(text)
 	}
 }
 
-// readID sets the event's ID if line is an id field with a number.
-func (e *Event) readID(line []byte) {
+// readField sets the event's ID if line is an id field with a number, and HasData if it is a data field.
+func (e *Event) readField(line []byte) {
+	if bytes.Equal(line, []byte("data")) || bytes.HasPrefix(line, []byte("data:")) {
+		e.HasData = true
+	}
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
 		return
