Answers that end with their connection count as whole only if their process is alive

What callers saw (ORDER, MIXED): a stream with neither a length nor chunks looked complete after any of its events when its engine was killed, and half of a plain answer was delivered as a whole one.

Cause: such an answer ends with its connection, and the kernel closes the connections of a killed process in order, as the process itself does at the end of an answer. Only real processes show it: stand-ins and the bench reset their connections when they end.

Change: before such an answer counts as whole, the host asks the process on a new connection (an engine for its report, which needs no room, a service for its health). A process that breaks an answer off itself and lives on can't be told apart.

Weighed: resuming every such stream at another engine would prefill its prompt again; trusting the end of the connection is the fault; waiting for evidence of the target's end in other connections takes longer, and there may be none.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -82,6 +82,8 @@
 	Instance string
 	// Start is the start of that process in the host list, which may be out of date.
 	Start int64
+	// HealthPath is where a target that is no engine answers for its health; empty if that is not known.
+	HealthPath string
 	// Basis is the state that the choice of the target was based on.
 	Basis Basis
 	// Helpers are prefill helpers: engines that each prefill a part of the prompt for the target.
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -73,18 +73,19 @@
 	}
 	n.countCrossing(rec, t)
 	return StartDispatch{
-		Key:      rec.Request.Key,
-		Dispatch: number,
-		Target:   t.Address,
-		Role:     t.Role,
-		Stream:   n.streamOf(rec, number),
-		Priority: job.Priority,
-		Deadline: rec.Request.Deadline,
-		Request:  rec.Request,
-		Work:     rec.Work,
-		Instance: t.Instance,
-		Start:    t.Start,
-		Basis:    basis,
+		Key:        rec.Request.Key,
+		Dispatch:   number,
+		Target:     t.Address,
+		Role:       t.Role,
+		Stream:     n.streamOf(rec, number),
+		Priority:   job.Priority,
+		Deadline:   rec.Request.Deadline,
+		Request:    rec.Request,
+		Work:       rec.Work,
+		Instance:   t.Instance,
+		Start:      t.Start,
+		HealthPath: n.healthPath(t),
+		Basis:      basis,
 	}
 }
 
