gateway: an answer without its last frame ends with its connection

What callers saw: an answer that was cut ended in order, with the last chunk of HTTP, and only the missing last frame told it from a complete one.

Cause: the handler returned when the request's context ended or a write failed, and net/http then ended the body. The context also ends when a caller closes only its sending side, or when a read deadline passes.

Change: without its last frame, the answer aborts the connection, as forwarded answers already do.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,7 +223,9 @@
 }
 
 // streamAnswer writes frames until the answer is final or the caller disconnects. A disconnect does not end the
-// request: the caller may resume the answer later. The exchange is nil if the answer has expired.
+// request: the caller may resume the answer later. Without its last frame, the answer ends with its connection: if the
+// handler returned, net/http would end the body in order, also to a caller that has closed only its sending side. The
+// exchange is nil if the answer has expired.
 func (g *Gateway) streamAnswer(c echo.Context, req core.Request, ex *stream.Exchange, at stream.Position) error {
 	if ex == nil {
 		return writeError(c, notHeldError(req))
@@ -232,9 +234,12 @@
 	for {
 		chunk, err := ex.Answer.Next(c.Request().Context(), at)
 		if err != nil {
-			return nil
+			panic(http.ErrAbortHandler)
+		}
+		if err := w.write(chunk); err != nil {
+			panic(http.ErrAbortHandler)
 		}
-		if err := w.write(chunk); err != nil || chunk.Last != nil {
+		if chunk.Last != nil {
 			return nil
 		}
 		at = stream.Position{Dispatch: chunk.At.Dispatch, Offset: chunk.At.Offset + int64(len(chunk.Text))}
