dispatch: a second answer to a request is not that of the next one

What callers saw: the whole answer to another request, under a valid length and checksum, when a target had answered a request twice.

Cause: connections to targets were used again for idempotent requests, and a target's frames do not name their request. Bytes that arrive after the end of an answer were read as the answer to the next request: net/http notices only those that arrive while the connection is idle.

Change: every dispatch has a connection of its own, as those of requests that are not idempotent had before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,12 +66,8 @@
 const (
 	dialTimeout   = 2 * time.Second
 	cancelTimeout = 2 * time.Second
-	idleTimeout   = 30 * time.Second
 )
 
-// maxIdleConnsPerTarget is how many idle connections to one target are kept.
-const maxIdleConnsPerTarget = 64
-
 // maxFrameBytes bounds one line of a target's answer, in bytes.
 const maxFrameBytes = 1 << 20
 
@@ -92,19 +88,19 @@
 	reporter Reporter
 	dialer   netdial.Dialer
 	observer Observer
-	pooled   *http.Client
+	client   *http.Client
 }
 
-// New returns a dispatcher.
+// New returns a dispatcher. It uses no connection again: frames do not name their request, so after a target that answers
+// a request twice, the second answer would pass for that to the next request.
 func New(reporter Reporter, dialer netdial.Dialer, observer Observer) *Dispatcher {
 	transport := &http.Transport{
-		DialContext:         dialer.WithTimeout(dialTimeout),
-		MaxIdleConnsPerHost: maxIdleConnsPerTarget,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:        dialer.WithTimeout(dialTimeout),
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: returnRedirect}
-	return &Dispatcher{reporter: reporter, dialer: dialer, observer: observer, pooled: client}
+	return &Dispatcher{reporter: reporter, dialer: dialer, observer: observer, client: client}
 }
 
 // Run executes one dispatch and reports its events. It returns after the dispatch has ended. If it ended as node.EndedLost at
@@ -138,7 +134,7 @@
 	if err != nil {
 		return
 	}
-	resp, err := d.pooled.Do(req)
+	resp, err := d.client.Do(req)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
@@ -194,11 +190,10 @@
 }
 
 // client returns the HTTP client for the dispatch. A request that is not idempotent gets its own client with one
-// connection, which goes through the gate and is never reused, so the transport cannot resend the request. An
-// idempotent request uses a pooled connection, which saves a round trip.
+// connection, which goes through the gate.
 func (r *run) client(gate *writeGate) *http.Client {
 	if r.action.Request.Idempotent {
-		return r.dispatcher.pooled
+		return r.dispatcher.client
 	}
 	return &http.Client{
 		Transport: &http.Transport{
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -36,7 +36,7 @@
 	return nil
 }
 
-// trace records the first write on a pooled connection, which does not go through the gate. It fires when the headers
+// trace records the first write on a connection that does not go through the gate. It fires when the headers
 // enter the connection's buffer, which is precise enough for an idempotent request. A gated connection must not use
 // it, since it would open the gate before the deadline is checked.
 func (g *writeGate) trace() *httptrace.ClientTrace {
