client: a request whose answer has begun may have run

What callers saw: "not run" for a request whose answer they had begun to receive, when the answer broke off and a later attempt was refused. One that is not idempotent could also be bound to a new home and run there too.

Cause: the library inferred from the bytes of its own body alone whether the request may have run. A host that has the body of an earlier submit answers without asking for this one.

Change: an attempt that was interrupted after a dispatch's frame counts as one that may have run.

--- a/client/retry_test.go
+++ b/client/retry_test.go
@@ -102,3 +102,30 @@
 	got := outcomeAt(t, host, nil, true)
 	assert.Equal(t, got.Outcome, api.OutcomeFailed)
 }
+
+// answerPart writes the begun answer to a request that the host has from an earlier submit, without reading the body, and
+// closes the connection.
+func answerPart(conn net.Conn, _ *bufio.Reader, _ *http.Request) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nCarob-Host: 10.0.0.1:1/i1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n")
+	var part strings.Builder
+	_, _ = io.Copy(&part, frames(api.Frame{Dispatch: 1, Text: "we"}))
+	_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", part.Len(), part.String())
+}
+
+// TestAnswerThatBeganMayHaveRunWithoutThisBody guards against "not run" for a request whose answer had begun: the host asked
+// for no body, since it had that of an earlier submit. One that is not idempotent was even bound to a new home.
+func TestAnswerThatBeganMayHaveRunWithoutThisBody(t *testing.T) {
+	for _, c := range []struct {
+		idempotent bool
+		refusal    connStep
+		want       api.Outcome
+	}{
+		{true, refuseWith(api.CodeOverloaded, api.OutcomeNotRun), api.OutcomeFailed},
+		{false, refuseWith(api.CodeHomeGone, api.OutcomeUnknown), api.OutcomeUnknown},
+	} {
+		host := scriptedHost(t, answerPart, c.refusal)
+		got := outcomeAt(t, host, make([]byte, 1000), c.idempotent)
+		assert.Equal(t, got.Outcome, c.want, "%+v", got)
+		assert.Equal(t, got.Text, "")
+	}
+}
--- a/client/submit.go
+++ b/client/submit.go
@@ -277,13 +277,14 @@
 		return s.handleRefusal(readError(resp))
 	}
 	v := s.readAnswer(resp)
-	if sent && v == interrupted {
+	if v == interrupted && (sent || s.answer.dispatch > 0) {
+		s.sent = true // a host that answers without this body has that of an earlier submit
 		s.attemptLost()
 	}
 	return v
 }
 
-// attemptLost records that an attempt which may have sent the request got no answer or an interrupted one. What an
+// attemptLost records that an attempt of a request that may have been sent got no answer or an interrupted one. What an
 // earlier refusal said is void, since the request may have run after it.
 func (s *submission) attemptLost() {
 	s.lost = true
