client: the last frame of an earlier dispatch does not end the answer

What callers saw: an answer that ended as complete before its last piece. It took a late last frame of an earlier dispatch, whose whole answer was what the next dispatch had sent so far, or empty.

Cause: the text of a frame of an earlier dispatch was ignored, its end not.

Change: only a last frame of the current dispatch ends an answer.

--- a/client/assembly.go
+++ b/client/assembly.go
@@ -58,7 +58,7 @@
 			a.target, a.stream = frame.Target, frame.Stream
 		}
 		a.add(frame)
-		if frame.Last != nil {
+		if frame.Last != nil && frame.Dispatch == a.dispatch {
 			return frame.Last, a.verify(frame.Last)
 		}
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -174,6 +174,15 @@
 		"a late frame of an earlier target": {[]api.Frame{
 			{Dispatch: 2, Text: "ab"}, {Dispatch: 1, Offset: 2, Text: "zz"}, {Dispatch: 2, Offset: 2, Text: "cd", Last: last("abcd")},
 		}, "abcd", nil},
+		"the last frame of an earlier target": {[]api.Frame{
+			{Dispatch: 1, Text: "ab"}, {Dispatch: 2}, {Dispatch: 1, Offset: 2, Last: last("")},
+		}, "", ErrTruncated},
+		"the last frame of an earlier target, then the end": {[]api.Frame{
+			{Dispatch: 2, Text: "ab"}, {Dispatch: 1, Offset: 2, Last: last("ab")}, {Dispatch: 2, Offset: 2, Text: "cd", Last: last("abcd")},
+		}, "abcd", nil},
+		"a doubled last frame": {[]api.Frame{
+			{Dispatch: 1, Text: "ab", Last: last("ab")}, {Dispatch: 1, Text: "ab", Last: last("ab")},
+		}, "ab", nil},
 		"a frame is missing": {[]api.Frame{
 			{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 3, Text: "d"}, {Dispatch: 1, Offset: 4, Last: last("abcd")},
 		}, "", ErrTruncated},
