client: a frame with a negative offset does not end the process

What callers saw: a panic in the caller's process.

Cause: the length of the text that the caller already has was computed without a lower bound of the frame's offset, and overflowed.

Change: text before the start is ignored, as is text after a gap.

Evidence: the case "an offset below the start" of TestAssemblyAcceptsOnlyCompleteAnswers panics before and passes after.

--- a/client/assembly.go
+++ b/client/assembly.go
@@ -65,13 +65,13 @@
 }
 
 // add appends the text of a frame. A frame of a later dispatch starts the answer over. Text of an earlier dispatch,
-// text received before and text after a gap is ignored.
+// text received before, text after a gap and text before the start is ignored.
 func (a *assembly) add(frame api.Frame) {
 	if frame.Dispatch > a.dispatch {
 		a.dispatch = frame.Dispatch
 		a.text = nil
 	}
-	if frame.Dispatch < a.dispatch || frame.Offset > int64(len(a.text)) {
+	if frame.Dispatch < a.dispatch || frame.Offset < 0 || frame.Offset > int64(len(a.text)) {
 		return
 	}
 	skip := int64(len(a.text)) - frame.Offset
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -183,6 +184,9 @@
 		"a doubled last frame": {[]api.Frame{
 			{Dispatch: 1, Text: "ab", Last: last("ab")}, {Dispatch: 1, Text: "ab", Last: last("ab")},
 		}, "ab", nil},
+		"an offset below the start": {[]api.Frame{
+			{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: math.MinInt64, Text: "zz"}, {Dispatch: 1, Offset: 2, Text: "cd", Last: last("abcd")},
+		}, "abcd", nil},
 		"a frame is missing": {[]api.Frame{
 			{Dispatch: 1, Text: "ab"}, {Dispatch: 1, Offset: 3, Text: "d"}, {Dispatch: 1, Offset: 4, Last: last("abcd")},
 		}, "", ErrTruncated},
