client: the error page of a proxy does not leave an earlier "not run" in force

What callers saw: "not run" for a request that a host may have run, after a proxy had passed the body on and answered with an error of its own: from a refusal before that attempt, or, for an idempotent request, after it.

Cause: an answer that is no refusal was retried at another host, but did not count as an attempt without an answer.

Change: it counts as one if a byte of the request may have been sent.

--- a/client/retry_test.go
+++ b/client/retry_test.go
@@ -129,3 +129,26 @@
 		assert.Equal(t, got.Text, "")
 	}
 }
+
+// failLikeAProxy reads the whole body and answers with an error page, as a proxy does whose server broke off.
+func failLikeAProxy(conn net.Conn, _ *bufio.Reader, req *http.Request) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, _ = io.WriteString(conn, "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/html\r\nContent-Length: 4\r\nConnection: close\r\n\r\noops")
+}
+
+// TestErrorOfAProxyAfterTheBodyDecidesNothing guards against "not run" for a request that a host behind a proxy may have
+// run: the refusal of another attempt says nothing of that one.
+func TestErrorOfAProxyAfterTheBodyDecidesNothing(t *testing.T) {
+	for _, c := range []struct {
+		idempotent bool
+		steps      []connStep
+		want       api.Outcome
+	}{
+		{true, []connStep{failLikeAProxy, refuseWith(api.CodeOverloaded, api.OutcomeNotRun)}, api.OutcomeFailed},
+		{false, []connStep{refuseWith(api.CodeDraining, api.OutcomeNotRun), failLikeAProxy}, api.OutcomeUnknown},
+	} {
+		got := outcomeAt(t, scriptedHost(t, c.steps...), make([]byte, 1000), c.idempotent)
+		assert.Check(t, got.Outcome == c.want, "%+v", got)
+	}
+}
--- a/client/submit.go
+++ b/client/submit.go
@@ -274,7 +274,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		s.result.Host = resp.Header.Get(api.HeaderHost)
-		return s.handleRefusal(readError(resp))
+		return s.handleRefusal(readError(resp), sent)
 	}
 	v := s.readAnswer(resp)
 	if v == interrupted && (sent || s.answer.dispatch > 0) {
@@ -284,8 +284,8 @@
 	return v
 }
 
-// attemptLost records that an attempt of a request that may have been sent got no answer or an interrupted one. What an
-// earlier refusal said is void, since the request may have run after it.
+// attemptLost records that an attempt of a request that may have been sent got no answer of a host or an interrupted one.
+// What an earlier refusal said is void, since the request may have run after it.
 func (s *submission) attemptLost() {
 	s.lost = true
 	s.result.Outcome, s.result.Code, s.result.Message, s.result.RetryAfter = "", "", "", 0
@@ -322,9 +322,14 @@
 // bodyRead reports whether the host asked for the body of the current attempt.
 func (s *submission) bodyRead() bool { return s.body != nil && s.body.seal() }
 
-func (s *submission) handleRefusal(err error) attemptResult {
+// handleRefusal takes over a refusal. An answer that is no refusal, such as the error page of a proxy, tells nothing of an
+// attempt that may have sent the request.
+func (s *submission) handleRefusal(err error, sent bool) attemptResult {
 	var refused *api.Error
 	if !errors.As(err, &refused) {
+		if sent {
+			s.attemptLost()
+		}
 		return retryOtherHost
 	}
 	s.result.Outcome = refused.Outcome
