client: a refusal of another request is not taken for that of this one

What callers saw: the outcome of another request, such as "not run", from a refusal that did not belong to theirs.

Cause: frames are compared with the request's identifier, refusals were not.

Change: a refusal that names another request counts as no answer of a host.

--- a/client/retry_test.go
+++ b/client/retry_test.go
@@ -152,3 +152,18 @@
 		assert.Check(t, got.Outcome == c.want, "%+v", got)
 	}
 }
+
+// TestRefusalOfAnotherRequestDecidesNothing guards against a refusal that arrives on a connection after it was used for
+// another request.
+func TestRefusalOfAnotherRequestDecidesNothing(t *testing.T) {
+	for request, want := range map[string]api.Outcome{"request-1": api.OutcomeNotRun, "request-2": api.OutcomeUnknown} {
+		body := fmt.Sprintf(`{"request":%q,"outcome":"not_run","code":"overloaded","message":"full"}`, request)
+		refuse := func(conn net.Conn, _ *bufio.Reader, req *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 429 Too Many Requests\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(body), body)
+		}
+		got := outcomeAt(t, scriptedHost(t, refuse), make([]byte, 1000), false)
+		assert.Check(t, got.Outcome == want, "%s: %+v", request, got)
+	}
+}
--- a/client/submit.go
+++ b/client/submit.go
@@ -322,11 +322,11 @@
 // bodyRead reports whether the host asked for the body of the current attempt.
 func (s *submission) bodyRead() bool { return s.body != nil && s.body.seal() }
 
-// handleRefusal takes over a refusal. An answer that is no refusal, such as the error page of a proxy, tells nothing of an
-// attempt that may have sent the request.
+// handleRefusal takes over a refusal. An answer that is no refusal of this request, such as the error page of a proxy, tells
+// nothing of an attempt that may have sent the request.
 func (s *submission) handleRefusal(err error, sent bool) attemptResult {
 	var refused *api.Error
-	if !errors.As(err, &refused) {
+	if !errors.As(err, &refused) || refused.Request != "" && refused.Request != s.req.ID {
 		if sent {
 			s.attemptLost()
 		}
