httpwire: a connection carries an attempt at most once

A stream that may run once ran twice, and callers were told "not run, try again" of a request that a target had run: a target wrote its refusal once more on a kept connection, and the copy was taken for the answer to the second sending of the same attempt.

Cause: answers are told apart by the attempt alone. A prompt for several engines that was refused goes to the same engine again, mostly on the same connection; so does the second request of a caller that uses an attempt identifier twice, who then also gets the first one's success or failure.

Change: each connection keeps an exact record of the attempts that it has carried. The pool hands out a connection that has not carried the attempt, or opens one. A connection is closed after 512 requests, which bounds the record at 4 KiB.

Tests of platform and internal/httpwire pass.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -24,6 +24,8 @@
 	// idleSince is when the last answer ended; the connection is not reused after idleTimeout from then.
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// carried holds the attempts that were sent on the connection.
+	carried attemptRecord
 	// reused is set once an earlier request was answered on the connection.
 	reused bool
 	// sending is set while a request is being written, and stays set if that fails.
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,9 +37,18 @@
 	return httpwire.NewPool((&net.Dialer{}).DialContext), listener.Addr().String(), accepted
 }
 
+// attempts numbers the requests for which get returns connections.
+var attempts atomic.Int64
+
+// get returns a connection for a request of an attempt of its own.
 func get(t *testing.T, p *httpwire.Pool, address string) *httpwire.Conn {
 	t.Helper()
-	c, err := p.Get(context.Background(), address)
+	return getFor(t, p, address, strconv.FormatInt(attempts.Add(1), 10))
+}
+
+func getFor(t *testing.T, p *httpwire.Pool, address, attempt string) *httpwire.Conn {
+	t.Helper()
+	c, err := p.Get(context.Background(), address, attempt)
 	assert.NilError(t, err)
 	return c
 }
@@ -64,6 +75,34 @@
 	assert.Assert(t, get(t, p, address) != c, "a connection carries one request at a time")
 }
 
+// TestConnectionCarriesAnAttemptOnce guards against a late copy of an attempt's answer on the connection on which the same
+// attempt is sent again.
+func TestConnectionCarriesAnAttemptOnce(t *testing.T) {
+	p, address, _ := newPoolAndTarget(t)
+	older, newer := getFor(t, p, address, "a"), getFor(t, p, address, "b")
+	p.Put(older, 0)
+	p.Put(newer, 0)
+	assert.Assert(t, getFor(t, p, address, "b") == older, "the idle connection that has not carried it")
+	third := getFor(t, p, address, "b")
+	assert.Assert(t, third != older && third != newer)
+	p.Put(older, 0)
+	assert.Assert(t, getFor(t, p, address, "a") == newer)
+}
+
+// TestConnectionIsClosedBeforeItsRecordOverflows guards against a record of carried attempts that grows for as long as a
+// busy connection lives, or that forgets the oldest.
+func TestConnectionIsClosedBeforeItsRecordOverflows(t *testing.T) {
+	p, address, _ := newPoolAndTarget(t)
+	first, requests := get(t, p, address), 1
+	for c := first; ; requests++ {
+		p.Put(c, 0)
+		if c = get(t, p, address); c != first {
+			break
+		}
+	}
+	assert.Equal(t, requests, 512)
+}
+
 func TestConnectionThatTheTargetClosedOrWroteOnIsNotUsedAgain(t *testing.T) {
 	for name, act := range map[string]func(net.Conn){
 		"closed": func(c net.Conn) { _ = c.Close() },
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -34,47 +35,51 @@
 	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
 }
 
-// Get returns an idle connection to the target, or a new one.
-func (p *Pool) Get(ctx context.Context, target string) (*Conn, error) {
+// Get returns a connection to the target for one request of an attempt: an idle one that has not carried the attempt, or a
+// new one.
+func (p *Pool) Get(ctx context.Context, target, attempt string) (*Conn, error) {
 	for {
-		c := p.take(target)
+		c := p.take(target, attempt)
 		if c == nil {
-			return p.Dial(ctx, target)
+			return p.dialNew(ctx, target, attempt)
 		}
 		if c.usable() {
+			c.carried.add(attempt)
 			return c, nil
 		}
 		_ = c.Close()
 	}
 }
 
-// Dial returns a new connection to the target, even if there is an idle one.
-func (p *Pool) Dial(ctx context.Context, target string) (*Conn, error) {
+func (p *Pool) dialNew(ctx context.Context, target, attempt string) (*Conn, error) {
 	inner, err := p.dial(ctx, "tcp", target)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return newConn(inner, target), nil
+	c := newConn(inner, target)
+	c.carried.add(attempt)
+	return c, nil
 }
 
-// take removes and returns the most recently used idle connection, or nil.
-func (p *Pool) take(target string) *Conn {
+// take removes and returns the most recently used idle connection that has not carried the attempt, or nil.
+func (p *Pool) take(target, attempt string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[target]
-	if len(idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(idle) {
+		if !c.carried.has(attempt) {
+			p.idle[target] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[target] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
-// Put returns a connection to the pool after its last answer has ended. It closes the connection if unread bytes are left
-// or its request was not written completely. keepAlive is how long the target keeps an idle connection open, or 0 if the
-// target does not say.
+// Put returns a connection to the pool after its last answer has ended. It closes the connection if unread bytes are left,
+// its request was not written completely or it has carried maxCarried requests. keepAlive is how long the target keeps an
+// idle connection open, or 0 if the target does not say.
 func (p *Pool) Put(c *Conn, keepAlive time.Duration) {
-	if c.hasUnread() || c.Sending() {
+	if c.hasUnread() || c.Sending() || c.carried.full() {
 		_ = c.Close()
 		return
 	}
