httpwire: a request without an attempt identifier goes on a new connection

What callers saw: "not run" for a request without an attempt identifier that its target had run, after the target had written an earlier refusal, without the attempt, once more on a kept connection. Any other answer without an attempt was taken as theirs as well.

Cause: an answer without an attempt was passed over on a connection in use again, unless the request had none either: then the two looked equal.

Change: such a request gets a new connection, on which the first answer is its own.

Evidence: TestRequestWithoutAnAttemptGetsItsOwnAnswer fails before (ends as refused) and passes after. Tests of platform and internal/httpwire pass.

--- a/internal/httpwire/carried.go
+++ b/internal/httpwire/carried.go
@@ -15,9 +15,9 @@
 // sending is taken for the answer to the second. Two attempts with the same hash only cost another connection.
 type attemptRecord struct{ hashes []uint64 }
 
-// has reports whether the attempt may have been carried.
+// has reports whether the attempt may have been carried. One without an identifier can't be told from any other.
 func (r *attemptRecord) has(attempt string) bool {
-	return slices.Contains(r.hashes, xxhash.Sum64String(attempt))
+	return attempt == "" && len(r.hashes) > 0 || slices.Contains(r.hashes, xxhash.Sum64String(attempt))
 }
 
 func (r *attemptRecord) add(attempt string) {
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -36,7 +36,7 @@
 }
 
 // Get returns a connection to the target for one request of an attempt: an idle one that has not carried the attempt, or a
-// new one.
+// new one. If the attempt has no identifier, and is empty, the connection is new.
 func (p *Pool) Get(ctx context.Context, target, attempt string) (*Conn, error) {
 	for {
 		c := p.take(target, attempt)
