Streams: a caller that takes no answer is no failure of its target

What callers saw: a stream whose caller did not read it for 5 s ran once more at another engine, for nobody, and its sound target got no requests for a while.

Cause: a failed write to the caller ended the dispatch as lost, like an answer that broke off.

Change: EndedUndelivered ends the request; it is no evidence against the target or the prompt.

Evidence: TestUndeliveredAnswerIsNoFailureOfItsTarget failed with the ending handled as lost (dispatched again at e1) and passes.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -223,7 +223,8 @@
 		t.ReturnPermit(n.now)
 	}
 	t.End(dispatch)
-	if in.Ending == EndedDone || in.Ending == EndedRefused || in.Ending == EndedFailed {
+	switch in.Ending {
+	case EndedDone, EndedRefused, EndedFailed, EndedUndelivered:
 		t.MarkSeen(n.now)
 	}
 }
@@ -264,6 +265,8 @@
 		n.handleFailed(rec, in)
 	case EndedLost:
 		n.handleLost(rec, in)
+	case EndedUndelivered:
+		n.finish(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeCanceled, Message: in.Message})
 	}
 }
 
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -48,14 +48,15 @@
 	EndedRefused
 	// EndedFailed: the target reported that the request failed.
 	EndedFailed
-	// EndedLost: bytes may have been written, but no complete and valid answer arrived, or it could not be passed on to the
-	// caller.
+	// EndedLost: bytes may have been written, but no complete and valid answer arrived.
 	EndedLost
+	// EndedUndelivered: the caller did not take the answer, or does not read it.
+	EndedUndelivered
 )
 
 // String returns the name of the ending for logs.
 func (e Ending) String() string {
-	return [...]string{"done", "not written", "refused", "failed", "lost"}[e]
+	return [...]string{"done", "not written", "refused", "failed", "lost", "undelivered"}[e]
 }
 
 // DispatchFirstToken reports the first frame or event of a streamed answer. A dispatch whose answer is no stream has none.
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -632,3 +632,16 @@
 		})
 	}
 }
+
+// TestUndeliveredAnswerIsNoFailureOfItsTarget guards against a caller that does not read its stream, for which its target gets no
+// requests for a while and another one runs the request again.
+func TestUndeliveredAnswerIsNoFailureOfItsTarget(t *testing.T) {
+	e := newRoutedHost(t)
+	d := e.send("/ask/1")
+	e.step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch})
+	e.end(d, node.EndedUndelivered)
+	assert.Equal(t, e.mustFinish().Code, api.CodeCanceled)
+	for _, target := range e.node.Snapshot().Status.Targets {
+		assert.Assert(t, target.Eligible, "%+v", target)
+	}
+}
