Ingress: the reset of an HTTP/1.0 caller's connection reaches the kernel's connection

On the daemon's listeners a stream that broke off still looked complete to a caller that speaks HTTP/1.0: their connections wrap those of the kernel, so the linger time was not set, and over TLS the good-bye was sent. netdial.Reset unwraps the connection.

--- a/internal/httplog/httplog.go
+++ b/internal/httplog/httplog.go
@@ -75,5 +75,8 @@
 	return c.Conn.Write(p) // not wrapped, since net/http inspects the error
 }
 
+// NetConn returns the connection that this one observes.
+func (c *observedConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side. net/http calls it so that a client receives a rejection before the connection closes.
 func (c *observedConn) CloseWrite() error { return netdial.CloseWrite(c.Conn) }
--- a/internal/secure/listener.go
+++ b/internal/secure/listener.go
@@ -87,13 +87,8 @@
 	return n, err
 }
 
-// SetLinger sets what Close does with data that was not sent; 0 seconds discard it and reset the connection.
-func (c *limitedConn) SetLinger(sec int) error {
-	if lingerer, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		return lingerer.SetLinger(sec)
-	}
-	return nil
-}
+// NetConn returns the connection that this one limits.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
 
 // CloseWrite closes the write side only; net/http looks for this method before it closes a connection.
 func (c *limitedConn) CloseWrite() error { return netdial.CloseWrite(c.Conn) }
