--- a/internal/core/node/streamrun.go
+++ b/internal/core/node/streamrun.go
@@ -7,7 +7,7 @@
 
 // The framings.
 const (
-	// FramingLength: the head states the length of the body.
+	// FramingLength: the head states the length of the body, or that there is none.
 	FramingLength Framing = "length"
 	// FramingChunked: the body is in chunked transfer encoding.
 	FramingChunked Framing = "chunked"
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -117,3 +118,8 @@
 	n, err := io.Copy(io.Discard, io.LimitReader(body, limit))
 	return err == nil && n < limit
 }
+
+// IsReset reports whether an error shows that the other side reset the connection.
+func IsReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
