Streams: sound resumptions are not refused

A comment of a run that broke off put that run's head before the events of another.

The last event is compared by its data.

--- a/internal/httpwire/events.go
+++ b/internal/httpwire/events.go
@@ -18,11 +18,15 @@
 	// ID is the event's numeric id; HasID is false if it has none.
 	ID    int64
 	HasID bool
-	// HasData is false for comments and for fields without data.
-	HasData bool
+	// Data is the event's data, without the names of its fields; nil for comments and for fields without data.
+	Data []byte
 }
 
-// ErrTruncatedEvent is returned if the stream ends within an event.
+// IsEvent reports whether it is an event, and no comment or field that belongs to none.
+func (e *Event) IsEvent() bool { return e.HasID || e.Data != nil }
+
+// ErrTruncatedEvent is returned if the stream ends within an event. Within a comment, or a field that belongs to no event, it
+// ends with io.ErrUnexpectedEOF or the error of the connection.
 const ErrTruncatedEvent = errors.ConstError("the stream ended within an event")
 
 // ErrHeadTooLarge is returned for a head of an answer that is larger than maxHeadBytes.
@@ -49,7 +53,7 @@
 		case errors.Is(err, lines.ErrTooLong):
 			return Event{}, ErrEventTooLarge
 		case err != nil && len(out.Raw)+len(line) > 0:
-			return Event{}, errors.Annotate(ErrTruncatedEvent, err.Error())
+			return Event{}, truncated(append(out.Raw, line...), err)
 		case err != nil:
 			return Event{}, err
 		}
@@ -62,10 +66,23 @@
 	}
 }
 
-// readField sets the event's ID if line is an id field with a number, and HasData if it is a data field.
+// truncated returns the error of a stream that ended with an error after a part of an event.
+func truncated(part []byte, err error) error {
+	for line := range bytes.Lines(part) {
+		if !bytes.HasPrefix(line, []byte(":")) && !bytes.HasPrefix(line, []byte("retry")) {
+			return errors.Annotate(ErrTruncatedEvent, err.Error())
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readField sets the event's ID if line is an id field with a number, and adds to its Data if it is a data field.
 func (e *Event) readField(line []byte) {
-	if bytes.Equal(line, []byte("data")) || bytes.HasPrefix(line, []byte("data:")) {
-		e.HasData = true
+	if data, ok := bytes.CutPrefix(line, []byte("data")); ok && (len(data) == 0 || data[0] == ':') {
+		e.Data = append(append(e.Data, bytes.TrimPrefix(data, []byte(":"))...), '\n')
 	}
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
