gateway: a forwarded request gets no bytes of a server that is no host

What callers saw: the page or the error page of another server in the place of an answer, under the name of the host that had forwarded the request. A redirect was followed, with the caller's headers.

Cause: what came from the home's address was passed on whatever it was. Another server may have that address by now.

Change: an answer that does not name its host counts as a home that does not answer. Redirects are not followed; the check that returns them has moved from dispatch to netdial, since both use it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -99,7 +99,7 @@
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
-	client := &http.Client{Transport: transport, CheckRedirect: returnRedirect}
+	client := &http.Client{Transport: transport, CheckRedirect: netdial.ReturnRedirect}
 	return &Dispatcher{reporter: reporter, dialer: dialer, observer: observer, client: client}
 }
 
@@ -207,13 +207,10 @@
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		},
-		CheckRedirect: returnRedirect,
+		CheckRedirect: netdial.ReturnRedirect,
 	}
 }
 
-// returnRedirect makes the client return a redirect instead of following it. Targets send none, so one is a failure.
-func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // adoptionRequest returns a request that reads a stream started by another host, from its beginning.
 func (r *run) adoptionRequest(ctx context.Context) (*http.Request, error) {
 	address := "http://" + r.action.Target + PathStreams + "/" + url.PathEscape(r.action.Adopt) + "/resume?offset=0"
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/stream"
@@ -54,3 +55,55 @@
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v after %q", err, rest)
 	assert.Equal(t, string(rest), "")
 }
+
+// elsewhere is the path to which a home redirects.
+const elsewhere = "/elsewhere"
+
+// forwardTo makes the control forward every request to a home that answers each connection with the given bytes, and closes
+// it in order.
+func (f *fixture) forwardTo(t *testing.T, reply string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			switch {
+			case err != nil:
+			case req.URL.Path == elsewhere:
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+api.HeaderHost+": 10.0.0.3:1/i3\r\nContent-Length: 4\r\n\r\noops")
+			default:
+				_, _ = io.WriteString(conn, reply)
+			}
+			_ = conn.Close()
+		}
+	}()
+	home := core.Home{Address: l.Addr().String(), Incarnation: "i2"}
+	f.control.decide = func(node.Input) (node.Decision, error) { return node.Decision{Kind: node.Forward, Home: home}, nil }
+}
+
+// TestForwardedAnswerThatIsNotOfAHostIsNotPassedOn guards against the bytes of another server, which has the home's address
+// by now, in the place of an answer.
+func TestForwardedAnswerThatIsNotOfAHostIsNotPassedOn(t *testing.T) {
+	for name, reply := range map[string]string{
+		"a page":         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\noops",
+		"an error page":  "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops",
+		"a redirect":     "HTTP/1.1 302 Found\r\nLocation: " + elsewhere + "\r\nContent-Length: 0\r\n\r\n",
+		"no HTTP at all": "oops\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.forwardTo(t, reply)
+			for _, req := range []*http.Request{f.submitRequest(t, testBody), f.resumeRequest(t, "dispatch=1&offset=2")} {
+				_, e := doRefused(t, req)
+				assert.Equal(t, e.Code, api.CodeHomeUnreachable)
+				assert.Equal(t, e.Outcome, api.OutcomeUnknown)
+			}
+		})
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -20,16 +20,19 @@
 )
 
 func newForwarder(dialer netdial.Dialer) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:           dialer.WithTimeout(forwardDialTimeout),
-		ExpectContinueTimeout: forwardContinueTimeout,
-		DisableKeepAlives:     true,
-		DisableCompression:    true,
-	}}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:           dialer.WithTimeout(forwardDialTimeout),
+			ExpectContinueTimeout: forwardContinueTimeout,
+			DisableKeepAlives:     true,
+			DisableCompression:    true,
+		},
+		CheckRedirect: netdial.ReturnRedirect,
+	}
 }
 
-// forward proxies a request to its home. If that fails, the home may have run the request on this or an earlier attempt,
-// so the outcome is unknown.
+// forward proxies a request to its home. If that fails, or another server has the home's address, the home may have run
+// the request on this or an earlier attempt, so the outcome is unknown.
 func (g *Gateway) forward(c echo.Context, home core.Home) error {
 	in := c.Request()
 	out, err := http.NewRequestWithContext(in.Context(), in.Method, "http://"+home.Address+in.URL.RequestURI(), in.Body)
@@ -48,6 +51,9 @@
 		return writeError(c, homeUnreachable(in))
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(api.HeaderHost) == "" {
+		return writeError(c, homeUnreachable(in)) // every answer of a host names it
+	}
 	for name, values := range resp.Header {
 		c.Response().Header()[name] = values
 	}
