--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -107,3 +108,27 @@
 		})
 	}
 }
+
+// TestForwardedAnswerThatBreaksOffDoesNotEndInOrder guards against an answer that looks complete by HTTP although the home
+// ended in its middle: the connections of a process that was killed close in order.
+func TestForwardedAnswerThatBreaksOffDoesNotEndInOrder(t *testing.T) {
+	const frame = `{"request":"request-1","attempt":1,"dispatch":1,"offset":0,"text":"we"}` + "\n"
+	head := "HTTP/1.1 200 OK\r\n" + api.HeaderHost + ": 10.0.0.2:1/i2\r\n"
+	for name, reply := range map[string]string{
+		"between two chunks": head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(frame), frame),
+		"before its length":  head + "Content-Length: 1000\r\n\r\n" + frame,
+		"a head in its middle": head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(frame), frame) +
+			"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.forwardTo(t, reply)
+			resp, err := http.DefaultClient.Do(f.resumeRequest(t, "dispatch=1&offset=0"))
+			assert.NilError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			raw, err := io.ReadAll(resp.Body)
+			assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+			assert.Equal(t, string(raw), frame)
+		})
+	}
+}
