--- a/api/api.go
+++ b/api/api.go
@@ -192,14 +192,15 @@
 	Last *Last `json:"last,omitempty"`
 }
 
-// Last ends a streamed answer and describes all of it.
+// Last ends a streamed answer and describes all text of its dispatch that was sent: the whole answer if Outcome is
+// OutcomeDone, otherwise a part.
 type Last struct {
 	Outcome Outcome `json:"outcome"`
 	Code    Code    `json:"code,omitempty"`
 	Message string  `json:"message,omitempty"`
-	// Length is the length of the whole answer in bytes.
+	// Length is the length of that text in bytes.
 	Length int64 `json:"length"`
-	// Checksum is the 64-bit xxHash of the whole answer, in hexadecimal.
+	// Checksum is the 64-bit xxHash of that text, in hexadecimal.
 	Checksum     string `json:"checksum"`
 	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
 	// Target is the address of the last target that the request was sent to.
