httpwire: a target whose answers name no attempt gets connections used once

What callers saw: a request that its target refused without naming the attempt, on a kept connection, waited until its deadline and got 504, though it could have been repeated elsewhere.

Cause: on a connection in use again, an answer without an attempt may be a late copy, so it is passed over, and nothing else comes if it was the answer.

Change: it still proves nothing and never means "not run". For ten seconds after any answer without an attempt, connections to the target are used once, so that its next refusals are proven.

Evidence: TestRefusalThatNamesNoAttemptIsProvenOrLost (every refusal lost at the deadline before; only the first lost after) and TestRequestThatMayBeRepeatedLeavesATargetThatNamesNoAttempt (504 before, 200 after). Not measured: connections more at a target that answers so.

--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -19,6 +19,8 @@
 	dial Dial
 	mu   sync.Mutex
 	idle map[string][]*Conn
+	// unnamed holds the targets to which no connection is kept, and until when.
+	unnamed map[string]time.Time
 }
 
 const (
@@ -32,7 +34,7 @@
 
 // NewPool returns an empty pool that connects by dial.
 func NewPool(dial Dial) *Pool {
-	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
+	return &Pool{dial: dial, idle: make(map[string][]*Conn), unnamed: make(map[string]time.Time)}
 }
 
 // Get returns a connection to the target for one request of an attempt: an idle one that has not carried the attempt, or a
@@ -76,8 +78,8 @@
 }
 
 // Put returns a connection to the pool after its last answer has ended. It closes the connection if unread bytes are left,
-// its request was not written completely or it has carried maxCarried requests. keepAlive is how long the target keeps an
-// idle connection open, or 0 if the target does not say.
+// its request was not written completely, it has carried maxCarried requests or the target does not always name the attempt
+// that it answers. keepAlive is how long the target keeps an idle connection open, or 0 if the target does not say.
 func (p *Pool) Put(c *Conn, keepAlive time.Duration) {
 	if c.hasUnread() || c.Sending() || c.carried.full() {
 		_ = c.Close()
@@ -89,17 +91,25 @@
 	if keepAlive > 0 {
 		c.idleTimeout = keepAlive - closingMargin
 	}
+	if surplus := p.keep(c); surplus != nil {
+		_ = surplus.Close()
+	}
+}
+
+// keep adds a connection to the idle ones. It returns the one that is not kept, or nil.
+func (p *Pool) keep(c *Conn) *Conn {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Now().Before(p.unnamed[c.target]) {
+		return c
+	}
 	idle := p.idle[c.target]
-	var old *Conn
+	var surplus *Conn
 	if len(idle) >= maxIdlePerTarget {
-		old, idle = idle[0], idle[1:]
+		surplus, idle = idle[0], idle[1:]
 	}
 	p.idle[c.target] = append(idle, c)
-	p.mu.Unlock()
-	if old != nil {
-		_ = old.Close()
-	}
+	return surplus
 }
 
 // CloseIdle closes the connections that have been idle for too long.
@@ -113,6 +123,7 @@
 func (p *Pool) takeStale() []*Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forgetPauses()
 	var stale []*Conn
 	for target, idle := range p.idle {
 		kept := idle[:0]
