strictjson: refuse numbers with a large exponent

Seen: a document or host list with a number such as 1e1000001, from the published interface, another host or a file that is checked, ended the process with a nil pointer in the schema validator; 1e1000000 took 0.2 s of the goroutine that checks it, for each such number.

Cause: the validator computes with the exact value of a number, and the standard library has none for an exponent above a million.

Change: a number whose exponent has more than 3 digits is a fault with its path, found before the validation.

Evidence: TestNumbersWithLargeExponentsAreFaults panicked before and passes now.

--- a/internal/strictjson/duplicates.go
+++ b/internal/strictjson/duplicates.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"strconv"
+	"strings"
 )
 
-// duplicates returns a fault for each field that an object repeats. The standard decoder silently takes the last value,
-// so a document could have two values for a field without anyone noticing which one applies. A text that is not valid
-// JSON is searched up to its first error.
+// duplicates returns a fault for each field that an object repeats, and for each number that can't be checked against a
+// schema, see maxExponentDigits. The standard decoder silently takes the last value of a repeated field, so a document could
+// have two values for a field without anyone noticing which one applies. A text that is not valid JSON is searched up to its
+// first error.
 func duplicates(data []byte) []Fault {
 	d := &duplicateFinder{decoder: json.NewDecoder(bytes.NewReader(data))}
 	d.decoder.UseNumber()
@@ -30,14 +32,35 @@
 		d.malformed = true
 		return
 	}
-	switch token {
-	case json.Delim('{'):
+	switch token := token.(type) {
+	case json.Delim:
+		d.container(token, path)
+	case json.Number:
+		if hasLargeExponent(token.String()) {
+			d.found = append(d.found, Fault{Path: path, Reason: "must have an exponent of at most 3 digits"})
+		}
+	}
+}
+
+func (d *duplicateFinder) container(opening json.Delim, path string) {
+	switch opening {
+	case '{':
 		d.object(path)
-	case json.Delim('['):
+	case '[':
 		d.array(path)
 	}
 }
 
+// hasLargeExponent reports whether the exponent of a JSON number has more than maxExponentDigits digits.
+func hasLargeExponent(number string) bool {
+	i := strings.IndexAny(number, "eE")
+	return i >= 0 && len(strings.TrimLeft(number[i+1:], "+-0")) > maxExponentDigits
+}
+
+// maxExponentDigits leaves room for all numbers that a float64 can hold. The validator computes with the exact value of a
+// number, which takes 0.2 s for an exponent of a million and panics above that.
+const maxExponentDigits = 3
+
 func (d *duplicateFinder) object(path string) {
 	seen := make(map[string]bool)
 	for !d.malformed && d.decoder.More() {
--- a/internal/strictjson/duplicates_test.go
+++ b/internal/strictjson/duplicates_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -25,3 +26,24 @@
 		assert.DeepEqual(t, got, want)
 	}
 }
+
+// TestNumbersWithLargeExponentsAreFaults guards against a number in a published text that ends the process or keeps it busy.
+func TestNumbersWithLargeExponentsAreFaults(t *testing.T) {
+	type fields struct {
+		Count int64   `json:"count" jsonschema:"minimum=1"`
+		Rate  float64 `json:"rate" jsonschema:"minimum=0"`
+	}
+	schema := MustReflect(&fields{})
+	for number, want := range map[string]int{
+		"1e1000001": 2, "1E+99999999999999999999": 2, "1e-99999999": 2, "1e1000000": 2, "-0.5e-1000": 2,
+		"1e0": 0, "1E+000000002": 0, "12": 0,
+	} {
+		var faults *Faults
+		err := schema.Check([]byte(`{"count":` + number + `,"rate":` + number + `}`))
+		if errors.As(err, &faults) {
+			assert.Equal(t, len(faults.List), want, "%s: %v", number, err)
+			continue
+		}
+		assert.Assert(t, err == nil && want == 0, "%s: %v", number, err)
+	}
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -1,6 +1,6 @@
 // Package strictjson checks JSON texts against the schema of a Go type. It reports all unknown fields, wrong types and
-// values out of range at once, each with its path (a JSON pointer). Only repeated fields hide these: they are reported
-// alone.
+// values out of range at once, each with its path (a JSON pointer). Only repeated fields and numbers with a large exponent
+// hide these: they are reported alone.
 package strictjson
 
 import (
@@ -96,8 +96,9 @@
 // Text returns the schema as JSON.
 func (s *Schema) Text() []byte { return s.text }
 
-// Check returns a *Faults error if the text does not match the schema or an object repeats a field. While a field is
-// repeated, the error has no other faults: the text is not checked against the schema.
+// Check returns a *Faults error if the text does not match the schema, an object repeats a field or a number has a large
+// exponent. While there are faults of the latter two kinds, the error has no others: the text is not checked against the
+// schema.
 func (s *Schema) Check(data []byte) error {
 	value, err := validator.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
