--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -50,6 +50,10 @@
 // was not read from a store.
 func RestoresOf(version uint64) uint64 { return version >> revisionBits }
 
+// MaxSlots is the maximum number of slots of a target. A target takes one request at a time on a connection, and a host has no
+// more ports than that. The slots of all targets are summed.
+const MaxSlots = 1 << 16
+
 // Host is one entry of the list.
 type Host struct {
 	// Address is the IP address and port to which callers connect, or for a target the entry hosts.
