--- a/internal/core/node/streamrun.go
+++ b/internal/core/node/streamrun.go
@@ -23,10 +23,10 @@
 	// Resumed is set if the dispatch had to continue a stream after the event with the number After.
 	Resumed bool
 	After   int64
-	// Events is the number of events that were passed on. First and Last are the lowest and the highest number among them,
-	// 0 if none has a number.
-	Events      int
-	First, Last int64
+	// Events is the number of events that were passed on, Numbered that of those with a number. First and Last are the first
+	// and the last number; not valid without one.
+	Events, Numbered int
+	First, Last      int64
 }
 
 // StreamRunEnded reports, for the log and the metrics, the end of a dispatch that got an answer to a stream.
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -58,7 +58,7 @@
 func (l *requestLog) streamRun(a *node.StreamRunEnded) {
 	l.log.Info("run of a stream", "id", a.Key.ID, "dispatch", a.Dispatch, "target", a.Target, "ending", a.Ending.String(),
 		"why", a.Message, "status", a.Run.Status, "framing", string(a.Run.Framing), "resumed", a.Run.Resumed, "after", a.Run.After,
-		"events", a.Run.Events, "first", a.Run.First, "last", a.Run.Last)
+		"events", a.Run.Events, "numbered", a.Run.Numbered, "first", a.Run.First, "last", a.Run.Last)
 }
 
 // maxLoggedParts is the number of parts of a prompt that a log line names at most.
