gateway: a forwarded answer to a caller that stopped reading ends

What was seen: a caller that stops reading a forwarded answer, and keeps its connection open, held a goroutine and two connections of the forwarding host for ever.

Cause: only the host that writes the frames bounded its writes. The home gave up after 30 s, but the forwarding host waited in its own write.

Change: the same write timeout for forwarded answers; a write that fails aborts the caller's connection, as for answers of the host itself.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -74,17 +74,21 @@
 // copyBufferBytes is the size of the buffer for reads from the home.
 const copyBufferBytes = 32 << 10
 
-// copyFlushing copies a stream and flushes after every read. If the stream breaks off, it aborts the caller's connection,
-// so that the caller does not take the answer for complete.
+// copyFlushing copies a stream and flushes after every read. If the stream breaks off or a write fails, it aborts the caller's
+// connection, so that the caller does not take the answer for complete.
 func copyFlushing(w *echo.Response, body io.Reader) error {
+	control := http.NewResponseController(w.Writer)
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, werr := w.Write(buf[:n]); werr != nil {
-				return nil
+				panic(http.ErrAbortHandler)
+			}
+			if werr := control.Flush(); werr != nil {
+				panic(http.ErrAbortHandler)
 			}
-			w.Flush()
 		}
 		if err == io.EOF {
 			return nil
--- a/internal/gateway/write_test.go
+++ b/internal/gateway/write_test.go
@@ -63,3 +63,38 @@
 		_ = server.Close()
 	})
 }
+
+// endless is a body of a home that never ends.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestForwardingToACallerThatStoppedReadingTimesOut guards against a forwarded answer that holds its connections for ever.
+func TestForwardingToACallerThatStoppedReadingTimesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		l := &singleConnListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+		l.conns <- far
+		ended := make(chan any, 1)
+		e := echo.New()
+		e.GET("/", func(c echo.Context) error {
+			defer func() { ended <- recover() }()
+			return copyFlushing(c.Response(), endless{})
+		})
+		server := &http.Server{Handler: e}
+		go func() { _ = server.Serve(l) }()
+		_, err := fmt.Fprint(near, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		start := time.Now()
+		select {
+		case got := <-ended:
+			assert.Equal(t, got, http.ErrAbortHandler)
+			assert.Equal(t, time.Since(start), writeTimeout)
+		case <-time.After(time.Hour):
+			t.Error("still writing after an hour")
+		}
+		_ = near.Close()
+		_ = server.Close()
+	})
+}
