client: redirects are not followed

What callers saw: the outcome of another request, a GET without a body, for a submit whose body had been sent and that was answered with a redirect.

Cause: net/http follows a redirect of a POST with a GET. Its refusal, such as "not run" for a malformed request, was taken for that of the submit.

Change: a redirect counts as an answer of no host, for submits, resumptions and lookups. Hosts send none.

Evidence: TestRedirectIsNotFollowed fails before (3 of 3 runs: not_run for unknown) and passes after (10 of 10).

--- a/client/client.go
+++ b/client/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/internal/netdial"
 
 	"github.com/juju/errors"
 )
@@ -76,13 +77,14 @@
 	if opts.MaxAttempts == 0 {
 		opts.MaxAttempts = DefaultMaxAttempts
 	}
-	return &Client{opts: opts, http: &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig:       opts.TLS,
 		TLSHandshakeTimeout:   dialTimeout,
 		ExpectContinueTimeout: continueTimeout,
 		DisableCompression:    true,
-	}}}
+	}
+	return &Client{opts: opts, http: &http.Client{Transport: transport, CheckRedirect: netdial.ReturnRedirect}}
 }
 
 // url returns the URL of a path on a host.
--- a/client/retry_test.go
+++ b/client/retry_test.go
@@ -167,3 +167,19 @@
 		assert.Check(t, got.Outcome == want, "%s: %+v", request, got)
 	}
 }
+
+// TestRedirectIsNotFollowed guards against the outcome of another request, the GET that a redirect turns a submit into.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	redirect := func(conn net.Conn, _ *bufio.Reader, req *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	}
+	refuseElsewhere := func(conn net.Conn, _ *bufio.Reader, req *http.Request) {
+		if req.URL.Path == "/elsewhere" {
+			_, _ = io.WriteString(conn, refusalReply(api.CodeMalformed, api.OutcomeNotRun))
+		}
+	}
+	got := outcomeAt(t, scriptedHost(t, redirect, refuseElsewhere), make([]byte, 1000), false)
+	assert.Equal(t, got.Outcome, api.OutcomeUnknown, "%+v", got)
+}
