document: figures of a configuration stay in range

Seen: a time-out of 2^63-1 ms counted as -1 ms, so that every request was over before it began. Slots, memory, weights and the limit of bodies near 2^63 overflowed where they are summed, and figures of engines such as 1e300 ms became infinite or undefined integers in predictions.

Cause: the schema had lower bounds only, and times were multiplied in integers.

Change: a time of more than a week counts as a week, which keeps what an operator means by a long time-out. Other figures have maxima in the schema; a document beyond one is refused with the path, and the one in force holds.

--- a/internal/core/node/fairness.go
+++ b/internal/core/node/fairness.go
@@ -26,7 +26,7 @@
 		return core.Result{}
 	}
 	wait := n.meanWait(&ledger.Record{Request: *req, Work: work})
-	objective := time.Duration(n.config.Document().Preset().FirstTokenTargetMs) * time.Millisecond
+	objective := n.config.Document().Preset().FirstTokenTarget()
 	if wait <= time.Duration(float64(objective)*fairShareWaitFraction) || !n.shares.Over(n.now, req.Team, n.teamWeight) {
 		return core.Result{}
 	}
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -71,7 +71,7 @@
 		rec.WaitLimit = waitLimit(rec)
 		return
 	}
-	rec.FirstTokenTarget = time.Duration(preset.FirstTokenTargetMs) * time.Millisecond
+	rec.FirstTokenTarget = preset.FirstTokenTarget()
 }
 
 // unmetered reports whether no limit applies to the work of a routed request's team.
@@ -139,7 +139,7 @@
 			continue
 		}
 		rate := min(n.opts.ColdStarts.rate(s.ColdPerSecond), s.ColdPerSecond)
-		t.SetColdLimit(rate, time.Duration(s.ColdMs)*time.Millisecond)
+		t.SetColdLimit(rate, s.ColdTime())
 	}
 }
 
--- a/internal/core/route/predict.go
+++ b/internal/core/route/predict.go
@@ -61,5 +61,5 @@
 // PendingPrefill returns how long an engine with a published speed takes for its pending prefill.
 func PendingPrefill(t *target.Target) time.Duration {
 	s := engineStateOf(t)
-	return time.Duration(s.prefill * float64(time.Millisecond))
+	return document.Milliseconds(s.prefill)
 }
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -166,7 +166,7 @@
 // The target must have one.
 func (t *Target) prefillDue(p *activeDispatch) core.Time {
 	ms := t.publishedPrefillMs(p) * prefillMargin
-	return p.began + time.Duration(ms*float64(time.Millisecond)) + prefillSlack
+	return p.began + document.Milliseconds(ms) + prefillSlack
 }
 
 // ExpectedPrefill returns how long the prefill of a dispatch probably takes from its begin, with all work ahead of it.
@@ -176,7 +176,7 @@
 		return 0
 	}
 	if t.Engine != nil {
-		return time.Duration(t.publishedPrefillMs(p) * float64(time.Millisecond))
+		return document.Milliseconds(t.publishedPrefillMs(p))
 	}
 	return time.Duration(float64(p.queuedWork) / t.PrefillRate() * float64(time.Second))
 }
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -27,7 +27,7 @@
 // The hosts apply only BodyBytes.
 type CallerLimits struct {
 	HeaderBytes     int64 `json:"header_bytes" jsonschema:"minimum=1,description=headers of one request in bytes"`
-	BodyBytes       int64 `json:"body_bytes" jsonschema:"minimum=1,description=body of one request in bytes"`
+	BodyBytes       int64 `json:"body_bytes" jsonschema:"minimum=1,maximum=1099511627776,description=body of one request in bytes"`
 	HeaderTimeoutMs int64 `json:"header_timeout_ms" jsonschema:"minimum=1,description=time for the headers of a request in milliseconds"`
 	IdleTimeoutMs   int64 `json:"idle_timeout_ms" jsonschema:"minimum=1,description=time that a connection may be idle in milliseconds"`
 }
@@ -124,6 +124,9 @@
 	return ClassLong
 }
 
+// FirstTokenTarget returns the objective for the time to first token of short prompts.
+func (p Preset) FirstTokenTarget() time.Duration { return Milliseconds(float64(p.FirstTokenTargetMs)) }
+
 // Budget returns the default time budget of a class.
 func (p Preset) Budget(c Class) time.Duration {
 	ms := p.Budgets.ShortMs
@@ -133,5 +136,5 @@
 	case ClassLong:
 		ms = p.Budgets.LongMs
 	}
-	return time.Duration(ms) * time.Millisecond
+	return Milliseconds(float64(ms))
 }
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -49,19 +49,17 @@
 // WeightedService is one of the services of a route.
 type WeightedService struct {
 	Name   string `json:"name" jsonschema:"minLength=1,description=name of the service"`
-	Weight int64  `json:"weight" jsonschema:"minimum=0,description=part of the requests"`
+	Weight int64  `json:"weight" jsonschema:"minimum=0,maximum=1000000000,description=part of the requests"`
 }
 
 // Timeout returns the maximum time from a request's headers to the end of its answer.
-func (r *Route) Timeout() time.Duration { return time.Duration(r.TimeoutMs) * time.Millisecond }
+func (r *Route) Timeout() time.Duration { return Milliseconds(float64(r.TimeoutMs)) }
 
 // FirstTokenTarget returns the latency objective for the answer, or for the first event of a stream.
-func (r *Route) FirstTokenTarget() time.Duration {
-	return time.Duration(r.FirstTokenTargetMs) * time.Millisecond
-}
+func (r *Route) FirstTokenTarget() time.Duration { return Milliseconds(float64(r.FirstTokenTargetMs)) }
 
 // GapTarget returns the objective for the longest gap between two events.
-func (r *Route) GapTarget() time.Duration { return time.Duration(r.GapTargetMs) * time.Millisecond }
+func (r *Route) GapTarget() time.Duration { return Milliseconds(float64(r.GapTargetMs)) }
 
 // MayRepeat reports whether a request that may have been executed may be executed again.
 func (r *Route) MayRepeat() bool {
@@ -84,35 +82,39 @@
 	HealthPath string `json:"health,omitempty" jsonschema:"description=path where targets answer for their health"`
 	// ColdPerSecond is the number of requests a second that one target takes from all hosts together for ColdMs after it has
 	// started, while it is also slow; 0 for no limit.
-	ColdPerSecond float64 `json:"cold_per_s,omitempty" jsonschema:"minimum=0,description=requests a second that a target takes from all hosts while it is cold; 0: no limit"`
+	ColdPerSecond float64 `json:"cold_per_s,omitempty" jsonschema:"minimum=0,maximum=1000000000,description=requests a second that a target takes from all hosts while it is cold; 0: no limit"`
 	ColdMs        int64   `json:"cold_ms,omitempty" jsonschema:"minimum=0,description=time after its start for which a target is cold in milliseconds"`
 	// Engine describes the targets if they are model engines; nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 }
 
+// ColdTime returns how long a target is cold after its start.
+func (s *Service) ColdTime() time.Duration { return Milliseconds(float64(s.ColdMs)) }
+
 // Engine describes the capacity and speed of a model engine. While it generates answers, an engine works in iterations
-// of StepsPerIteration decode steps; in each step it may also prefill up to ChunkTokens of waiting prompts.
+// of StepsPerIteration decode steps; in each step it may also prefill up to ChunkTokens of waiting prompts. The
+// maxima keep the products and sums of these figures in range.
 type Engine struct {
 	// Slots is the number of requests that one engine works on at a time.
-	Slots int64 `json:"slots" jsonschema:"minimum=1,description=requests that one engine works on at a time"`
+	Slots int64 `json:"slots" jsonschema:"minimum=1,maximum=65536,description=requests that one engine works on at a time"`
 	// MemoryTokens is the KV cache memory in tokens.
-	MemoryTokens int64 `json:"memory_tokens" jsonschema:"minimum=1,description=KV memory in tokens"`
+	MemoryTokens int64 `json:"memory_tokens" jsonschema:"minimum=1,maximum=1099511627776,description=KV memory in tokens"`
 	// StepsPerIteration is the number of decode steps in one iteration.
-	StepsPerIteration int64 `json:"steps_per_pass" jsonschema:"minimum=1,description=token steps in one pass"`
+	StepsPerIteration int64 `json:"steps_per_pass" jsonschema:"minimum=1,maximum=1000000,description=token steps in one pass"`
 	// ChunkTokens is the maximum number of prompt tokens that one step may prefill.
-	ChunkTokens int64 `json:"chunk_tokens" jsonschema:"minimum=1,description=prompt tokens that one step may read"`
+	ChunkTokens int64 `json:"chunk_tokens" jsonschema:"minimum=1,maximum=1099511627776,description=prompt tokens that one step may read"`
 	// StepMs is the base time of a decode step, in milliseconds.
-	StepMs float64 `json:"step_ms" jsonschema:"minimum=0,description=time of a step in milliseconds"`
+	StepMs float64 `json:"step_ms" jsonschema:"minimum=0,maximum=1000000000,description=time of a step in milliseconds"`
 	// StepPerStreamMs is what each generating stream adds to a decode step, in milliseconds.
-	StepPerStreamMs float64 `json:"step_per_stream_ms" jsonschema:"minimum=0,description=what each writing stream adds in milliseconds"`
+	StepPerStreamMs float64 `json:"step_per_stream_ms" jsonschema:"minimum=0,maximum=1000000000,description=what each writing stream adds in milliseconds"`
 	// StepPerContextMs is what each thousand tokens of a generating stream's context add to a decode step, in
 	// milliseconds.
-	StepPerContextMs float64 `json:"step_per_context_ms" jsonschema:"minimum=0,description=what each thousand tokens of context add in milliseconds"`
+	StepPerContextMs float64 `json:"step_per_context_ms" jsonschema:"minimum=0,maximum=1000000000,description=what each thousand tokens of context add in milliseconds"`
 	// PrefillTokensPerMs is the prefill rate without the cost of attention, in tokens per millisecond.
-	PrefillTokensPerMs float64 `json:"read_tokens_per_ms" jsonschema:"exclusiveMinimum=0,description=prompt tokens read in a millisecond"`
+	PrefillTokensPerMs float64 `json:"read_tokens_per_ms" jsonschema:"minimum=0.000001,maximum=1000000,description=prompt tokens read in a millisecond"`
 	// AttentionPairsMs is the time that attention adds to prefill per million pairs of a token and an earlier one, in
 	// milliseconds.
-	AttentionPairsMs float64 `json:"pairs_ms" jsonschema:"minimum=0,description=time for a million pairs of tokens in milliseconds"`
+	AttentionPairsMs float64 `json:"pairs_ms" jsonschema:"minimum=0,maximum=1000000000,description=time for a million pairs of tokens in milliseconds"`
 	// Delays are the times that messages take between availability zones; 0 between zones that are not listed.
 	Delays []ZoneDelay `json:"delays,omitempty" jsonschema:"description=times that messages take between availability zones"`
 }
@@ -121,7 +123,7 @@
 type ZoneDelay struct {
 	From    string  `json:"from" jsonschema:"minLength=1,description=availability zone of the sender"`
 	To      string  `json:"to" jsonschema:"minLength=1,description=availability zone of the receiver"`
-	DelayMs float64 `json:"delay_ms" jsonschema:"minimum=0,description=time of a message in milliseconds"`
+	DelayMs float64 `json:"delay_ms" jsonschema:"minimum=0,maximum=1000000000,description=time of a message in milliseconds"`
 }
 
 // Delay returns the time that a message takes between two zones: the longer one, if both directions are listed, and 0 if
@@ -133,14 +135,14 @@
 			longest = max(longest, d.DelayMs)
 		}
 	}
-	return time.Duration(longest * float64(time.Millisecond))
+	return Milliseconds(longest)
 }
 
 // PrefillTime returns the time of one engine for the prefill of a prompt of that many tokens, without other work.
 func (e *Engine) PrefillTime(tokens int64) time.Duration {
 	n := float64(tokens)
 	ms := n/e.PrefillTokensPerMs + n*n/2/1e6*e.AttentionPairsMs
-	return time.Duration(ms * float64(time.Millisecond))
+	return Milliseconds(ms)
 }
 
 // Service returns the service with that name.
