--- a/client/retry_test.go
+++ b/client/retry_test.go
@@ -102,3 +102,68 @@
 	got := outcomeAt(t, host, nil, true)
 	assert.Equal(t, got.Outcome, api.OutcomeFailed)
 }
+
+// answerPart writes the begun answer to a request that the host has from an earlier submit, without reading the body, and
+// closes the connection.
+func answerPart(conn net.Conn, _ *bufio.Reader, _ *http.Request) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nCarob-Host: 10.0.0.1:1/i1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n")
+	var part strings.Builder
+	_, _ = io.Copy(&part, frames(api.Frame{Dispatch: 1, Text: "we"}))
+	_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", part.Len(), part.String())
+}
+
+// TestAnswerThatBeganMayHaveRunWithoutThisBody guards against "not run" for a request whose answer had begun: the host asked
+// for no body, since it had that of an earlier submit. One that is not idempotent was even bound to a new home.
+func TestAnswerThatBeganMayHaveRunWithoutThisBody(t *testing.T) {
+	for _, c := range []struct {
+		idempotent bool
+		refusal    connStep
+		want       api.Outcome
+	}{
+		{true, refuseWith(api.CodeOverloaded, api.OutcomeNotRun), api.OutcomeFailed},
+		{false, refuseWith(api.CodeHomeGone, api.OutcomeUnknown), api.OutcomeUnknown},
+	} {
+		host := scriptedHost(t, answerPart, c.refusal)
+		got := outcomeAt(t, host, make([]byte, 1000), c.idempotent)
+		assert.Equal(t, got.Outcome, c.want, "%+v", got)
+		assert.Equal(t, got.Text, "")
+	}
+}
+
+// failLikeAProxy reads the whole body and answers with an error page, as a proxy does whose server broke off.
+func failLikeAProxy(conn net.Conn, _ *bufio.Reader, req *http.Request) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, _ = io.WriteString(conn, "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/html\r\nContent-Length: 4\r\nConnection: close\r\n\r\noops")
+}
+
+// TestErrorOfAProxyAfterTheBodyDecidesNothing guards against "not run" for a request that a host behind a proxy may have
+// run: the refusal of another attempt says nothing of that one.
+func TestErrorOfAProxyAfterTheBodyDecidesNothing(t *testing.T) {
+	for _, c := range []struct {
+		idempotent bool
+		steps      []connStep
+		want       api.Outcome
+	}{
+		{true, []connStep{failLikeAProxy, refuseWith(api.CodeOverloaded, api.OutcomeNotRun)}, api.OutcomeFailed},
+		{false, []connStep{refuseWith(api.CodeDraining, api.OutcomeNotRun), failLikeAProxy}, api.OutcomeUnknown},
+	} {
+		got := outcomeAt(t, scriptedHost(t, c.steps...), make([]byte, 1000), c.idempotent)
+		assert.Check(t, got.Outcome == c.want, "%+v", got)
+	}
+}
+
+// TestRefusalOfAnotherRequestDecidesNothing guards against a refusal that arrives on a connection after it was used for
+// another request.
+func TestRefusalOfAnotherRequestDecidesNothing(t *testing.T) {
+	for request, want := range map[string]api.Outcome{"request-1": api.OutcomeNotRun, "request-2": api.OutcomeUnknown} {
+		body := fmt.Sprintf(`{"request":%q,"outcome":"not_run","code":"overloaded","message":"full"}`, request)
+		refuse := func(conn net.Conn, _ *bufio.Reader, req *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 429 Too Many Requests\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(body), body)
+		}
+		got := outcomeAt(t, scriptedHost(t, refuse), make([]byte, 1000), false)
+		assert.Check(t, got.Outcome == want, "%s: %+v", request, got)
+	}
+}
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -73,18 +73,19 @@
 	}
 	n.countCrossing(rec, t)
 	return StartDispatch{
-		Key:      rec.Request.Key,
-		Dispatch: number,
-		Target:   t.Address,
-		Role:     t.Role,
-		Stream:   n.streamOf(rec, number),
-		Priority: job.Priority,
-		Deadline: rec.Request.Deadline,
-		Request:  rec.Request,
-		Work:     rec.Work,
-		Instance: t.Instance,
-		Start:    t.Start,
-		Basis:    basis,
+		Key:        rec.Request.Key,
+		Dispatch:   number,
+		Target:     t.Address,
+		Role:       t.Role,
+		Stream:     n.streamOf(rec, number),
+		Priority:   job.Priority,
+		Deadline:   rec.Request.Deadline,
+		Request:    rec.Request,
+		Work:       rec.Work,
+		Instance:   t.Instance,
+		Start:      t.Start,
+		HealthPath: n.healthPath(t),
+		Basis:      basis,
 	}
 }
 
@@ -152,6 +153,7 @@
 	n.noticeReceived(in.ID(), in.Notice)
 	n.releaseTarget(in)
 	n.releaseDispatchGroup(in.Key, in.Dispatch)
+	n.reportStreamRun(in)
 	if !n.awaits(in) {
 		return
 	}
@@ -179,7 +181,7 @@
 		n.removeHelperLoad(rec)
 	}
 	t := n.targets.Get(in.Target)
-	blameless := in.Blame != "" || !n.awaits(in) || n.active[in.Key].DeadlineAborted || t != nil && n.outOfTime(n.active[in.Key], t)
+	blameless := n.blameless(in, t)
 	n.quarantineEnded(in, blameless)
 	if t == nil || !t.Carries(in.ID()) {
 		return
@@ -201,6 +203,16 @@
 	}
 }
 
+// blameless reports whether a dispatch ended without an answer for another reason than its target t, which may be nil. One that
+// nothing could continue was never sent there.
+func (n *Node) blameless(in DispatchEnded, t *target.Target) bool {
+	if in.Blame != "" || !n.awaits(in) || in.Unresumable && in.Ending == EndedNotWritten {
+		return true
+	}
+	rec := n.active[in.Key]
+	return rec.DeadlineAborted || t != nil && n.outOfTime(rec, t)
+}
+
 // releaseLoad removes an ended dispatch from the load of its target, and records that the target answered.
 func (n *Node) releaseLoad(t *target.Target, in DispatchEnded) {
 	dispatch := in.ID()
@@ -211,7 +223,8 @@
 		t.ReturnPermit(n.now)
 	}
 	t.End(dispatch)
-	if in.Ending == EndedDone || in.Ending == EndedRefused || in.Ending == EndedFailed {
+	switch in.Ending {
+	case EndedDone, EndedRefused, EndedFailed, EndedUndelivered:
 		t.MarkSeen(n.now)
 	}
 }
@@ -238,6 +251,10 @@
 
 // handleEnding finishes a request or retries it, depending on how its dispatch ended.
 func (n *Node) handleEnding(rec *ledger.Record, in DispatchEnded) {
+	if in.Unresumable && in.Ending != EndedDone {
+		n.finish(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
+		return
+	}
 	switch in.Ending {
 	case EndedDone:
 		n.finish(rec, core.Result{Outcome: api.OutcomeDone})
@@ -248,6 +265,8 @@
 		n.handleFailed(rec, in)
 	case EndedLost:
 		n.handleLost(rec, in)
+	case EndedUndelivered:
+		n.finish(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeCanceled, Message: in.Message})
 	}
 }
 
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -48,14 +48,15 @@
 	EndedRefused
 	// EndedFailed: the target reported that the request failed.
 	EndedFailed
-	// EndedLost: bytes may have been written, but no complete and valid answer arrived, or it could not be passed on to the
-	// caller.
+	// EndedLost: bytes may have been written, but no complete and valid answer arrived.
 	EndedLost
+	// EndedUndelivered: the caller did not take the answer, or does not read it.
+	EndedUndelivered
 )
 
 // String returns the name of the ending for logs.
 func (e Ending) String() string {
-	return [...]string{"done", "not written", "refused", "failed", "lost"}[e]
+	return [...]string{"done", "not written", "refused", "failed", "lost", "undelivered"}[e]
 }
 
 // DispatchFirstToken reports the first frame or event of a streamed answer. A dispatch whose answer is no stream has none.
@@ -85,6 +86,11 @@
 	// Notice is what the target says of itself in the head of the answer; nil without one, and if a DispatchFirstToken
 	// carried it.
 	Notice *target.Notice
+	// Unresumable is set if the caller has received a part of the answer that no other dispatch can continue. If the answer is
+	// not complete, the request ends without one.
+	Unresumable bool
+	// Run tells what the dispatch brought of a stream; nil if the request is none, or without an answer.
+	Run *StreamRun
 }
 
 // ID identifies the dispatch.
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -618,3 +618,30 @@
 	start := e.grant(pending)
 	assert.Assert(t, !slices.Contains(start.Group, leaving), "%s leaves: %v", leaving, start.Group)
 }
+
+// TestAnswerThatNobodyCanContinueEndsItsRequest guards against a second run whose answer is joined to what the caller has received.
+func TestAnswerThatNobodyCanContinueEndsItsRequest(t *testing.T) {
+	for _, ending := range []node.Ending{node.EndedLost, node.EndedFailed, node.EndedRefused, node.EndedNotWritten} {
+		t.Run(ending.String(), func(t *testing.T) {
+			e := newRoutedHost(t)
+			d := e.send("/ask/1")
+			assert.Assert(t, d.Request.Idempotent, "it would be dispatched again")
+			e.step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch})
+			e.step(node.DispatchEnded{Key: d.Key, Dispatch: d.Dispatch, Target: d.Target, Ending: ending, Unresumable: true})
+			assert.Equal(t, e.mustFinish().Outcome, api.OutcomeFailed)
+		})
+	}
+}
+
+// TestUndeliveredAnswerIsNoFailureOfItsTarget guards against a caller that does not read its stream, for which its target gets no
+// requests for a while and another one runs the request again.
+func TestUndeliveredAnswerIsNoFailureOfItsTarget(t *testing.T) {
+	e := newRoutedHost(t)
+	d := e.send("/ask/1")
+	e.step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch})
+	e.end(d, node.EndedUndelivered)
+	assert.Equal(t, e.mustFinish().Code, api.CodeCanceled)
+	for _, target := range e.node.Snapshot().Status.Targets {
+		assert.Assert(t, target.Eligible, "%+v", target)
+	}
+}
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,8 @@
 	// idleSince is when the last answer ended; the connection is not reused after idleTimeout from then.
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// carried holds the attempts that were sent on the connection.
+	carried attemptRecord
 	// reused is set once an earlier request was answered on the connection.
 	reused bool
 	// sending is set while a request is being written, and stays set if that fails.
@@ -115,3 +118,8 @@
 	n, err := io.Copy(io.Discard, io.LimitReader(body, limit))
 	return err == nil && n < limit
 }
+
+// IsReset reports whether an error shows that the other side reset the connection.
+func IsReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/internal/httpwire/events.go
+++ b/internal/httpwire/events.go
@@ -18,9 +18,15 @@
 	// ID is the event's numeric id; HasID is false if it has none.
 	ID    int64
 	HasID bool
+	// Data is the event's data, without the names of its fields; nil for comments and for fields without data.
+	Data []byte
 }
 
-// ErrTruncatedEvent is returned if the stream ends within an event.
+// IsEvent reports whether it is an event, and no comment or field that belongs to none.
+func (e *Event) IsEvent() bool { return e.HasID || e.Data != nil }
+
+// ErrTruncatedEvent is returned if the stream ends within an event. Within a comment, or a field that belongs to no event, it
+// ends with io.ErrUnexpectedEOF or the error of the connection.
 const ErrTruncatedEvent = errors.ConstError("the stream ended within an event")
 
 // ErrHeadTooLarge is returned for a head of an answer that is larger than maxHeadBytes.
@@ -46,8 +52,8 @@
 		switch {
 		case errors.Is(err, lines.ErrTooLong):
 			return Event{}, ErrEventTooLarge
-		case errors.Is(err, io.EOF) && len(out.Raw)+len(line) > 0:
-			return Event{}, ErrTruncatedEvent
+		case err != nil && len(out.Raw)+len(line) > 0:
+			return Event{}, truncated(append(out.Raw, line...), err)
 		case err != nil:
 			return Event{}, err
 		}
@@ -56,12 +62,28 @@
 		if len(text) == 0 {
 			return out, nil
 		}
-		out.readID(text)
+		out.readField(text)
 	}
 }
 
-// readID sets the event's ID if line is an id field with a number.
-func (e *Event) readID(line []byte) {
+// truncated returns the error of a stream that ended with an error after a part of an event.
+func truncated(part []byte, err error) error {
+	for line := range bytes.Lines(part) {
+		if !bytes.HasPrefix(line, []byte(":")) && !bytes.HasPrefix(line, []byte("retry")) {
+			return errors.Annotate(ErrTruncatedEvent, err.Error())
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readField sets the event's ID if line is an id field with a number, and adds to its Data if it is a data field.
+func (e *Event) readField(line []byte) {
+	if data, ok := bytes.CutPrefix(line, []byte("data")); ok && (len(data) == 0 || data[0] == ':') {
+		e.Data = append(append(e.Data, bytes.TrimPrefix(data, []byte(":"))...), '\n')
+	}
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
 		return
--- a/internal/secure/listener.go
+++ b/internal/secure/listener.go
@@ -87,6 +87,9 @@
 	return n, err
 }
 
+// NetConn returns the connection that this one limits.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the write side only; net/http looks for this method before it closes a connection.
 func (c *limitedConn) CloseWrite() error { return netdial.CloseWrite(c.Conn) }
 
