--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -109,6 +109,12 @@
 	return context.AfterFunc(ctx, func() { _ = c.Close() })
 }
 
+// HasMore reports whether bytes have arrived that belong to no answer read so far, without waiting for any.
+func (c *Conn) HasMore() bool {
+	n, _ := c.peek()
+	return c.hasUnread() || n > 0
+}
+
 // hasUnread reports whether bytes are buffered that belong to no answer.
 func (c *Conn) hasUnread() bool { return c.reader.Buffered() > 0 }
 
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -151,19 +151,28 @@
 // quiet reports whether nothing can be read from the socket. It does not block. Stray bytes and the end of the stream
 // both make the connection unusable.
 func (c *Conn) quiet() bool {
+	_, err := c.peek()
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peek returns the number of bytes that can be read from the socket, at most one, and the error of trying, which is EAGAIN
+// if the connection is open and nothing has arrived. It does not block.
+func (c *Conn) peek() (n int, err error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
+	var peeked error
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
+		n, _, peeked = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	if err != nil {
+		return 0, err
+	}
+	return n, peeked
 }
