strictjson: bound the text of an error

Seen: a refused document or list went into the log, the status and the tool's answers with each of its faults: a line of 2 MB for 1,000 faults.

Change: the text has the first 20 faults, each of at most 300 bytes, and the number of the others. The list of the faults is as long as before.

Evidence: TestTextOfManyFaultsIsBounded failed before (2,015,998 bytes) and passes now.

--- a/internal/strictjson/duplicates_test.go
+++ b/internal/strictjson/duplicates_test.go
@@ -1,6 +1,7 @@
 package strictjson
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/juju/errors"
@@ -47,3 +48,14 @@
 		assert.Assert(t, err == nil && want == 0, "%s: %v", number, err)
 	}
 }
+
+// TestTextOfManyFaultsIsBounded guards against a log line of megabytes for one text.
+func TestTextOfManyFaultsIsBounded(t *testing.T) {
+	faults := &Faults{}
+	for range 1000 {
+		faults.List = append(faults.List, Fault{Path: "/" + strings.Repeat("é", 1000), Reason: "is not read"})
+	}
+	text := faults.Error()
+	assert.Assert(t, len(text) < 7000 && strings.HasSuffix(text, "; and 980 more"), "%d bytes", len(text))
+	assert.Equal(t, NewFaults(Fault{Reason: "a"}, Fault{Path: "/b", Reason: "c"}).Error(), "/: a; /b: c")
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -37,11 +37,25 @@
 	return &Faults{List: list}
 }
 
-// Error implements error; it names every fault, with the path "/" for the whole text.
+// Limits of the text of an error, which goes into logs and answers: a text may have any number of faults, of any length.
+const (
+	maxShownFaults = 20
+	// maxShownFaultBytes is the length of a fault in bytes, beside a mark that it is longer.
+	maxShownFaultBytes = 300
+)
+
+// Error implements error; it names the first maxShownFaults faults, with the path "/" for the whole text.
 func (f *Faults) Error() string {
-	lines := make([]string, len(f.List))
-	for i, fault := range f.List {
-		lines[i] = fmt.Sprintf("%s: %s", pathOrRoot(fault.Path), fault.Reason)
+	var lines []string
+	for _, fault := range f.List[:min(len(f.List), maxShownFaults)] {
+		line := fmt.Sprintf("%s: %s", pathOrRoot(fault.Path), fault.Reason)
+		if len(line) > maxShownFaultBytes {
+			line = strings.ToValidUTF8(line[:maxShownFaultBytes], "") + "..."
+		}
+		lines = append(lines, line)
+	}
+	if more := len(f.List) - maxShownFaults; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(lines, "; ")
 }
