hostlist: slots and memory of a target have a maximum

Seen: slots near 2^63 in a published host list or one from another host were taken over, and overflow where the slots of a zone are summed.

Change: the schema has hostlist.MaxSlots and 2^40 tokens as maxima.

--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -66,14 +66,14 @@
 	// Models are the models that an engine serves, or the name of a plain service.
 	Models []string `json:"models,omitempty" jsonschema:"description=models or a service's name that the target answers for"`
 	// MemoryTokens is an engine's KV cache memory in tokens.
-	MemoryTokens int64 `json:"memory_tokens,omitempty" jsonschema:"minimum=0,description=an engine's KV memory in tokens"`
+	MemoryTokens int64 `json:"memory_tokens,omitempty" jsonschema:"minimum=0,maximum=1099511627776,description=an engine's KV memory in tokens"`
 	// Instance names the target that has the address now. On a platform with a store, requests carry it, and a target
 	// refuses those for another instance.
 	Instance string `json:"instance,omitempty" jsonschema:"description=name of the target that has the address now"`
 	// Start identifies the current run of the target's process; each start has another value.
 	Start int64 `json:"start,omitempty" jsonschema:"minimum=0,description=start of the target; differs between two starts"`
-	// Slots is the number of requests that the target works on at a time.
-	Slots int64 `json:"slots,omitempty" jsonschema:"minimum=0,description=requests that the target works on at a time"`
+	// Slots is the number of requests that the target works on at a time, at most MaxSlots.
+	Slots int64 `json:"slots,omitempty" jsonschema:"minimum=0,maximum=65536,description=requests that the target works on at a time"`
 	// Cold is set while the target has just started, is slow and takes few requests: see document.Service.ColdPerSecond.
 	Cold bool `json:"cold,omitempty" jsonschema:"description=whether the target has just started and takes few requests"`
 	// ChecksFencing reports whether an engine refuses orders with an old fencing number.
