node: report a host list that is refused, and pause its fetch

Seen: an invalid host list from another host was dropped without a line in the log, its connection was closed, and it was fetched again every 0.5 s, up to 2 MB each time. One from the published interface was dropped without a line, too.

Cause: the errors of both were ignored.

Change: the control loop gets HostsRefused. It reports a refusal once in a row for a sender and reason, and does not fetch that version for 10 s, as with documents. The connection stays open.

Evidence: TestInvalidHostListIsReported timed out and TestRefusedHostListIsNotFetchedAgainAtOnce failed without the change; both pass now. The published interface has no test of its own for this.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -192,7 +192,9 @@
 	EventRestored   Event = "platform restored from an older copy"
 	EventPeerAlive  Event = "peer alive"
 	EventPeerSilent Event = "peer silent"
-	EventConflict   Event = "two configurations under one revision"
+	// EventHostsRefused: a host list is invalid. It is reported once in a row for a sender and reason.
+	EventHostsRefused Event = "host list refused"
+	EventConflict     Event = "two configurations under one revision"
 	// EventUnknownRegions: the new document lists regions that contain no zone, as far as the settings say.
 	EventUnknownRegions Event = "regions without a zone"
 	// EventResumed: the process was suspended. It is reported when the process dispatches again: it has caught up, or has
--- a/internal/core/node/fetches.go
+++ b/internal/core/node/fetches.go
@@ -17,7 +17,7 @@
 const (
 	// fetchTimeout is how long a fetch may take before the same version is requested again.
 	fetchTimeout = 500 * time.Millisecond
-	// refusedFetchPause is how long a version of the document that was refused is not fetched again.
+	// refusedFetchPause is how long a version of the document or the host list that was refused is not fetched again.
 	refusedFetchPause = 10 * time.Second
 	// farFetchDelay is how long a host waits for one of its zone to have a version before it fetches it from another zone.
 	farFetchDelay = 300 * time.Millisecond
--- a/internal/core/node/fetches_test.go
+++ b/internal/core/node/fetches_test.go
@@ -90,3 +90,34 @@
 	}
 	assert.Assert(t, digests > 0, "the others learn of it by a load digest")
 }
+
+// TestRefusedHostListIsNotFetchedAgainAtOnce guards against a host list that is fetched twice a second although it is invalid, and
+// against a line in the log each time.
+func TestRefusedHostListIsNotFetchedAgainAtOnce(t *testing.T) {
+	f := newFetchFleet(t, false)
+	offers := func(revision uint64) bool {
+		f.sequence++
+		digest := loadshare.Digest{Peer: f.near, Incarnation: "j", Sequence: f.sequence}
+		digest.Freshness = loadshare.Freshness{Age: -1, Hosts: conf.Version{Revision: revision}}
+		f.step(node.LoadsReceived{From: f.near, Bundle: loadshare.Bundle{Digests: []loadshare.Digest{digest}}})
+		return slices.ContainsFunc(f.actions, func(a node.Action) bool { _, ok := a.(node.FetchHosts); return ok })
+	}
+	refused := func(why string) bool {
+		f.step(node.HostsRefused{Source: f.near, Why: why})
+		return slices.ContainsFunc(f.actions, func(a node.Action) bool {
+			change, ok := a.(node.StateChange)
+			return ok && change.Event == node.EventHostsRefused
+		})
+	}
+	assert.Assert(t, offers(1000))
+	assert.Assert(t, refused("a"))
+	assert.Assert(t, !refused("a"), "it is reported once")
+	assert.Assert(t, refused("b"))
+	f.run(time.Second)
+	assert.Assert(t, !offers(1000))
+	assert.Assert(t, offers(1001), "a newer one is fetched")
+	refused("b")
+	f.run(11 * time.Second)
+	f.heartbeat(f.near, "a")
+	assert.Assert(t, offers(1001))
+}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -140,6 +140,13 @@
 	Source string
 }
 
+// HostsRefused is that a host list from the platform or a peer is invalid.
+type HostsRefused struct {
+	// Source is the peer address of the sender, or conf.SourcePlatform.
+	Source string
+	Why    string
+}
+
 // PlatformAnswered reports that the platform answered with status 200, or with 304 for no change; errors are not reported.
 type PlatformAnswered struct {
 	// Restores is how often the platform has come back from an older copy, as far as it says; 0 for never or unknown.
@@ -183,6 +190,7 @@
 func (HeartbeatReceived) input()  {}
 func (DocumentReceived) input()   {}
 func (HostsReceived) input()      {}
+func (HostsRefused) input()       {}
 func (PlatformAnswered) input()   {}
 func (LoadReceived) input()       {}
 func (CacheEventReceived) input() {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -255,6 +255,8 @@
 		n.documentReceived(in)
 	case HostsReceived:
 		n.hostsReceived(in)
+	case HostsRefused:
+		n.hostsRefused(in)
 	case EvacuationsRead:
 		n.evacuationsRead(in)
 	case PlatformAnswered:
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -199,6 +199,14 @@
 	n.dispatchQueued()
 }
 
+func (n *Node) hostsRefused(in HostsRefused) {
+	n.observed.hostsFetch.until = n.now + refusedFetchPause
+	if in != n.observed.hostsRefused {
+		n.observed.hostsRefused = in
+		n.do(StateChange{Event: EventHostsRefused, Text: fmt.Sprintf("from %s: %s", in.Source, in.Why)})
+	}
+}
+
 func (n *Node) loadReceived(in LoadReceived) {
 	if t := n.targets.Get(in.Target); t != nil {
 		t.Report = in.Report
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -29,7 +29,9 @@
 	// documentFetch and hostsFetch are the last fetches from a peer.
 	documentFetch fetch
 	hostsFetch    fetch
-	suspects      target.Suspects
+	// hostsRefused is the last host list that was refused.
+	hostsRefused HostsRefused
+	suspects     target.Suspects
 	// reads is the last value of readsPlatform that was reported, false at first.
 	reads bool
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -236,7 +236,8 @@
 	}
 	list, err := l.pool.lists.Read(text.Raw)
 	if err != nil {
-		return errors.Trace(err)
+		l.pool.control.Post(node.HostsRefused{Source: l.address, Why: err.Error()})
+		return nil
 	}
 	l.pool.control.Post(node.HostsReceived{List: list, Source: l.address})
 	return nil
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,16 +20,17 @@
 type recorder struct {
 	inputs    chan node.Input
 	documents *delta.History
+	hosts     *delta.History
 }
 
 func (r *recorder) Post(in node.Input) { r.inputs <- in }
 
 func (r *recorder) Snapshot() *node.Snapshot {
-	return &node.Snapshot{Documents: r.documents, HostLists: &delta.History{}}
+	return &node.Snapshot{Documents: r.documents, HostLists: r.hosts}
 }
 
 func newRecorder(texts ...string) *recorder {
-	r := &recorder{inputs: make(chan node.Input, 16), documents: &delta.History{}}
+	r := &recorder{inputs: make(chan node.Input, 16), documents: &delta.History{}, hosts: &delta.History{}}
 	for _, text := range texts {
 		r.documents = r.documents.Add(delta.NewText([]byte(text)))
 	}
@@ -93,3 +95,16 @@
 	merged = outgoing{heartbeat: &brief}.merge(outgoing{heartbeat: &full})
 	assert.DeepEqual(t, *merged.heartbeat, full)
 }
+
+// TestInvalidHostListIsReported guards against a host list of a peer that is dropped without a trace, and fetched again and again.
+func TestInvalidHostListIsReported(t *testing.T) {
+	sender := newRecorder()
+	sender.hosts = sender.hosts.Add(delta.NewText([]byte(`{"version":1,"hosts":[{"slots":9223372036854775807}]}`)))
+	address := serve(t, sender)
+	receiver := newRecorder()
+	NewPool(receiver, netdial.From("127.0.0.1:1")).FetchHosts(t.Context(), address)
+	refused, ok := (<-receiver.inputs).(node.HostsRefused)
+	assert.Assert(t, ok)
+	assert.Equal(t, refused.Source, address)
+	assert.Assert(t, strings.Contains(refused.Why, "/hosts/0/slots"), refused.Why)
+}
--- a/internal/published/platform.go
+++ b/internal/published/platform.go
@@ -86,15 +86,18 @@
 		func(raw []byte) { r.poster.Post(node.DocumentReceived{Raw: raw, Source: conf.SourcePlatform}) })
 }
 
-// WatchHosts posts the platform's host lists until the context ends. It drops invalid ones.
+// WatchHosts posts the platform's host lists until the context ends. It reports invalid ones.
 func (r *Reader) WatchHosts(ctx context.Context) {
 	lists := hostlist.NewReader()
 	r.watch(ctx, PathHosts,
 		func() uint64 { return r.poster.Snapshot().Heartbeat.HostsVersion },
 		func(raw []byte) {
-			if list, err := lists.Read(raw); err == nil {
-				r.poster.Post(node.HostsReceived{List: list, Source: conf.SourcePlatform})
+			list, err := lists.Read(raw)
+			if err != nil {
+				r.poster.Post(node.HostsRefused{Source: conf.SourcePlatform, Why: err.Error()})
+				return
 			}
+			r.poster.Post(node.HostsReceived{List: list, Source: conf.SourcePlatform})
 		})
 }
 
