--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -17,8 +17,8 @@
 // since that copy is written again within two seconds.
 const rewriteTime = 2200 * time.Millisecond
 
-// maxZones bounds the zones of a set that a peer sends. There are far fewer zones; more would only be a malformed message.
-const maxZones = 1024
+// MaxZones is the maximum number of zones of a set. There are far fewer zones; more would only be a malformed message.
+const MaxZones = 1024
 
 // Published is the set of evacuated zones as of a revision of the store, as hosts tell it each other.
 type Published struct {
@@ -52,7 +52,7 @@
 
 // Offer takes a set unless a later one is known, and reports whether it did. The caller calls Update next.
 func (s *Set) Offer(now core.Time, p Published) bool {
-	if p.Version <= s.latest.Version || len(p.Zones) > maxZones {
+	if p.Version <= s.latest.Version || len(p.Zones) > MaxZones {
 		return false
 	}
 	if s.latest.Version > 0 && hostlist.RestoresOf(p.Version) > hostlist.RestoresOf(s.latest.Version) {
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -63,6 +63,6 @@
 // TestSetOfAbsurdSizeIsIgnored guards against a malformed message that fills the memory.
 func TestSetOfAbsurdSizeIsIgnored(t *testing.T) {
 	s := &Set{}
-	assert.Assert(t, !s.Offer(0, Published{Version: 9, Zones: make([]string, maxZones+1)}))
+	assert.Assert(t, !s.Offer(0, Published{Version: 9, Zones: make([]string, MaxZones+1)}))
 	assert.Equal(t, s.Published().Version, uint64(0))
 }
