Control: inputs that wait are processed before one placement pass

Requests of callers that had left were sent on, as the departure waited behind the placement of everything else, and ticks that end requests came late.

Cause: each body, end, datagram and tick placed all waiting requests anew before the next input was read.

Change: the loop takes up to 256 queued inputs, and a tick if one is due, as one step. The node processes all of them and then places once. A step with one input does the same as before.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -96,41 +96,76 @@
 	ticker := time.NewTicker(node.TickInterval)
 	defer ticker.Stop()
 	for {
+		var next batch
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			l.step(envelope{input: node.Tick{}})
-			l.publish()
+			next.add(node.Tick{})
 		case e := <-l.inputs:
-			l.step(e)
-			if changesSnapshot(e.input) {
-				l.publish()
-			}
+			next.add(l.withTicket(e))
 		}
+		l.fill(&next, ticker.C)
+		l.step(&next)
+	}
+}
+
+// batch is the inputs of one step of the Node. publishes is set if readers should see their effect before the next tick.
+type batch struct {
+	inputs    []node.Input
+	publishes bool
+}
+
+func (b *batch) add(in node.Input) {
+	b.inputs = append(b.inputs, in)
+	b.publishes = b.publishes || changesSnapshot(in)
+}
+
+// maxBatch is the number of inputs that the Node processes before it places requests: enough for the inputs that arrive
+// during a placement pass, and few enough for the pass not to come late.
+const maxBatch = 256
+
+// fill adds the inputs that are queued already, and a tick if one is due, without waiting for any.
+func (l *Loop) fill(b *batch, ticks <-chan time.Time) {
+	for len(b.inputs) < maxBatch {
+		select {
+		case e := <-l.inputs:
+			b.add(l.withTicket(e))
+			continue
+		default:
+		}
+		break
+	}
+	select {
+	case <-ticks:
+		b.add(node.Tick{})
+	default:
 	}
 }
 
 func (l *Loop) publish() { l.snapshot.Store(l.node.Snapshot()) }
 
-// changesSnapshot reports whether readers should see the effect of an input before the next tick.
+// changesSnapshot reports whether readers should see the effect of an input before the next tick, or the input is a tick.
 func changesSnapshot(in node.Input) bool {
 	switch in.(type) {
-	case node.DocumentReceived, node.HostsReceived, node.Drain, node.HeartbeatReceived:
+	case node.Tick, node.DocumentReceived, node.HostsReceived, node.Drain, node.HeartbeatReceived:
 		return true
 	}
 	return false
 }
 
-// step passes an input to the Node and executes the actions that result.
-func (l *Loop) step(e envelope) {
-	for _, action := range l.node.Step(l.Now(), l.withTicket(e)) {
+// step passes inputs to the Node and executes the actions that result.
+func (l *Loop) step(b *batch) {
+	for _, action := range l.node.StepAll(l.Now(), b.inputs...) {
 		if decide, ok := action.(node.Decide); ok {
 			l.deliver(decide)
 			continue
 		}
 		l.executor.Execute(action)
 	}
+	if b.publishes {
+		l.publish()
+	}
 }
 
 // withTicket returns the input of an envelope. If the sender waits for a decision, the input gets a ticket, by which
--- a/internal/core/node/checks.go
+++ b/internal/core/node/checks.go
@@ -68,5 +68,5 @@
 		return
 	}
 	n.reportStanding(change, "a check of its health")
-	n.dispatchQueued()
+	n.requestPlacement()
 }
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -170,7 +170,7 @@
 			Began: began, Parts: rec.Request.Parts, Works: rec.Request.Works,
 		})
 	}
-	n.dispatchQueued()
+	n.requestPlacement()
 }
 
 // releaseTarget removes an ended dispatch from the load of its target and records what the ending shows of the target or
--- a/internal/core/node/evacuation.go
+++ b/internal/core/node/evacuation.go
@@ -54,7 +54,7 @@
 		n.do(StateChange{Event: EventEvacuationEnded, Text: strings.Join(change.Ended, ", ") + ", from " + source})
 	}
 	n.refuseEvacuated()
-	n.dispatchQueued()
+	n.requestPlacement()
 	return true
 }
 
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -331,7 +331,7 @@
 	n.advance(in.Key, claim)
 	if !complete && claim.Complete() {
 		n.groups.counts.Completed++
-		n.dispatchQueued()
+		n.requestPlacement()
 	}
 }
 
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -145,6 +145,8 @@
 	// withheldRequests counts the requests that were refused because their prompts are withheld.
 	withheldRequests uint64
 	spill            spilloverState
+	// placementDue is set if the current step has to end with a placement pass, ticked if it has processed a Tick.
+	placementDue, ticked bool
 }
 
 // New returns the Node of a process that has just started, with its clock at zero.
@@ -197,17 +199,42 @@
 const never = core.Time(-1)
 
 // Step processes one input and returns the actions to carry out, in order. Times must not decrease between calls.
-func (n *Node) Step(now core.Time, in Input) []Action {
+func (n *Node) Step(now core.Time, in Input) []Action { return n.StepAll(now, in) }
+
+// StepAll processes inputs in order, and then places waiting requests in a single pass. Callers that have left, timeouts
+// and targets that leave are thus never behind placements, and the work for a placement pass is shared by all inputs that
+// wait. It returns the actions to carry out, in order. Times must not decrease between calls.
+func (n *Node) StepAll(now core.Time, inputs ...Input) []Action {
 	n.detectSuspension(now)
 	n.now = max(n.now, now)
 	n.actions = nil
-	n.apply(in)
-	n.endCatchUp()
-	n.updateReadiness()
+	for i, in := range inputs {
+		n.apply(in)
+		if i == len(inputs)-1 {
+			n.endInputs()
+		}
+		n.endCatchUp()
+		n.updateReadiness()
+	}
 	n.shareLoads()
 	return n.actions
 }
 
+// endInputs does what is due once after all inputs of a step.
+func (n *Node) endInputs() {
+	if n.placementDue {
+		n.placementDue = false
+		n.dispatchQueued()
+	}
+	if n.ticked {
+		n.ticked = false
+		n.stopWhenDrained()
+	}
+}
+
+// requestPlacement makes the current step end with a placement pass.
+func (n *Node) requestPlacement() { n.placementDue = true }
+
 func (n *Node) apply(in Input) {
 	switch in := in.(type) {
 	case Submit:
@@ -292,6 +319,6 @@
 	n.sizeLanes()
 	n.redispatchNonReporting()
 	n.updateSpillover()
-	n.dispatchQueued()
-	n.stopWhenDrained()
+	n.requestPlacement()
+	n.ticked = true
 }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -155,7 +155,7 @@
 		n.do(StateChange{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
 		n.reportUnknownRegions()
 		n.announceVersions()
-		n.dispatchQueued()
+		n.requestPlacement()
 	case conf.Invalid:
 		_, why := n.config.Rejected()
 		n.do(StateChange{Event: EventRejected, Text: why})
@@ -196,7 +196,7 @@
 	n.do(StateChange{Event: EventHosts, Text: fmt.Sprintf("version %d from %s", in.List.Version, in.Source)})
 	n.announceVersions()
 	n.finishWaitingOutsideRegions()
-	n.dispatchQueued()
+	n.requestPlacement()
 }
 
 func (n *Node) loadReceived(in LoadReceived) {
--- a/internal/core/node/spillover_bench_test.go
+++ b/internal/core/node/spillover_bench_test.go
@@ -30,13 +30,14 @@
 	return list
 }
 
-// placedDigest returns the load digest of a host that has streams at a sixth of the engines, with pending prefill.
-func placedDigest(list *hostlist.List, host int) []byte {
+// placedDigest returns the load digest of a host that has streams, with that much memory each, at a sixth of the engines, with
+// pending prefill.
+func placedDigest(list *hostlist.List, host int, memory int64) []byte {
 	tb := target.NewTable()
 	tb.Apply(list)
 	for i, t := range tb.All() {
 		if i%6 == host%6 {
-			t.Begin(0, target.Dispatch{Key: core.Key{ID: fmt.Sprint(host)}}, target.Job{Work: 3_000, Memory: 4_000, GapSensitive: true})
+			t.Begin(0, target.Dispatch{Key: core.Key{ID: fmt.Sprint(host)}}, target.Job{Work: 3_000, Memory: memory, GapSensitive: true})
 		}
 	}
 	return tb.Digest()
@@ -66,6 +67,13 @@
 
 // spilloverNode returns a Node that knows the loads of 101 others.
 func spilloverNode(b *testing.B, engines int) *Node {
+	b.Helper()
+	return loadedNode(b, engines, 10, 4_000)
+}
+
+// loadedNode returns a Node, with room for a number of records, that knows the loads of 101 others. Each of their streams holds
+// that much memory.
+func loadedNode(b testing.TB, engines, records int, memory int64) *Node {
 	b.Helper()
 	const peers = 101
 	address := func(i int) string { return fmt.Sprintf("10.0.0.%d:2", i+1) }
@@ -74,8 +82,8 @@
 		seeds = append(seeds, address(i+1))
 	}
 	n := New(Options{
-		Self: core.Home{Address: "10.0.0.1:1", Incarnation: "i"}, Peer: address(0), Zone: "z0", Seeds: seeds, Records: 10, BodyBytes: 1 << 20,
-		Seed: 1, LoadsAddress: "10.0.0.1:3", PlatformCurrent: true, Policy: PolicyPacked, Spillover: Spillover{Enabled: true},
+		Self: core.Home{Address: "10.0.0.1:1", Incarnation: "i"}, Peer: address(0), Zone: "z0", Seeds: seeds, Records: records,
+		BodyBytes: 1 << 20, Seed: 1, LoadsAddress: "10.0.0.1:3", PlatformCurrent: true, Policy: PolicyPacked, Spillover: Spillover{Enabled: true},
 	})
 	list := spilloverList(engines)
 	now := time.Second
@@ -89,7 +97,7 @@
 			ClockMs: 1000, IntervalMs: 1000,
 		}})
 		n.Step(now, LoadsReceived{From: peer, Bundle: loadshare.Bundle{Digests: []loadshare.Digest{{
-			Peer: peer, Incarnation: "i", Sequence: 1, Loads: placedDigest(list, i), Freshness: loadshare.Freshness{Age: -1},
+			Peer: peer, Incarnation: "i", Sequence: 1, Loads: placedDigest(list, i, memory), Freshness: loadshare.Freshness{Age: -1},
 		}}}})
 	}
 	if got := len(n.liveHosts()); got != peers+1 {
--- a/internal/core/route/place.go
+++ b/internal/core/route/place.go
@@ -26,6 +26,7 @@
 		if t.Engine == nil || !r.keep(now, rec, t) {
 			continue
 		}
+		r.ratings++
 		s := engineStateOf(t)
 		s.otherZone = zone != "" && t.Zone != zone
 		out = append(out, s)
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -46,8 +46,13 @@
 	spillover Spillover
 	// contention divides the last free slots of an engine among the hosts.
 	contention Contention
+	// ratings is the number of times that a request was rated at an engine.
+	ratings uint64
 }
 
+// Ratings returns the number of times that a request was rated at an engine, for tests of the cost of placements.
+func (r *Router) Ratings() uint64 { return r.ratings }
+
 // NewPendingTokens returns a baseline that picks the target with the least pending prefill work, by this host's own
 // dispatches or the target's load report, whichever is more. The rng breaks ties and must be seeded by the caller.
 func NewPendingTokens(rng *rand.Rand) *Router {
