Queue: waiting requests are kept in order, and a pass makes a bounded number of offers in vain

Cause: each pass sorted all waiting requests and tried to place every one, also the hundreds that wait for what the first one waits for.

Change: Objectives keeps its requests in order, in lanes by service, kind of work (short, long, group), rank and whether they were resubmitted. A pass offers the first requests of each lane, then, in turn over the passes, some of those behind them, and each request that no pass has offered yet. With up to 16 short, 4 long or 3 group requests waiting in a lane all are offered, as before. Requests that have waited for their limit are found from a heap. The old requests that may ignore rank are still looked for among all of a service while their turn is due.

The simulation in ranked_test.go now asks the queue for the requests that have waited too long, as the node does; it used Each, which no longer offers all. Its bounds are unchanged.

--- a/internal/core/node/evacuation.go
+++ b/internal/core/node/evacuation.go
@@ -93,11 +93,10 @@
 // refuseEvacuated ends the waiting requests that no target may serve until an evacuation ends.
 func (n *Node) refuseEvacuated() {
 	var refused []*ledger.Record
-	n.queue.Each(n.now, func(rec *ledger.Record) bool {
+	n.queue.All(n.now, func(rec *ledger.Record) {
 		if n.allEvacuated(&rec.Request) {
 			refused = append(refused, rec)
 		}
-		return false
 	})
 	for _, rec := range refused {
 		n.finishIfRefused(rec, n.checkEvacuated(&rec.Request))
--- a/internal/core/node/restricted.go
+++ b/internal/core/node/restricted.go
@@ -18,17 +18,16 @@
 	}
 	var refused []refusal
 	ahead := make(map[string]int) // waiting requests by service
-	n.queue.Each(n.now, func(rec *ledger.Record) bool {
+	n.queue.All(n.now, func(rec *ledger.Record) {
 		if rec.Request.Routed == nil {
-			return false
+			return
 		}
 		wait, restricted := n.restrictedWait(rec, ahead[rec.Request.Model])
 		if restricted && n.now+wait > rec.WaitingSince+rec.WaitLimit {
 			refused = append(refused, refusal{rec, wait})
-			return false
+			return
 		}
 		ahead[rec.Request.Model]++
-		return false
 	})
 	for _, r := range refused {
 		n.finish(r.rec, n.restrictedResult(r.rec, r.after))
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -196,14 +196,7 @@
 // expireWaiting ends the routed requests that have waited for a target longer than their limit: their callers do better
 // to resubmit than to keep waiting. With PolicyInForce it checks only those that would be dispatched next.
 func (n *Node) expireWaiting() {
-	var waited []*ledger.Record
-	n.queue.Each(n.now, func(rec *ledger.Record) bool {
-		if rec.Request.Routed != nil && n.now-rec.WaitingSince > rec.WaitLimit {
-			waited = append(waited, rec)
-		}
-		return false
-	})
-	for _, rec := range waited {
+	for _, rec := range n.queue.Overdue(n.now) {
 		if wait, restricted := n.restrictedWait(rec, 0); restricted {
 			n.finish(rec, n.restrictedResult(rec, wait))
 			continue
--- a/internal/core/queue/edf.go
+++ b/internal/core/queue/edf.go
@@ -77,3 +77,12 @@
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
 }
+
+// EachFresh implements Queue. It offers every record: EDF is a baseline for replays.
+func (q *EDF) EachFresh(now core.Time, f func(*ledger.Record) (take bool)) { q.Each(now, f) }
+
+// All implements Queue.
+func (q *EDF) All(now core.Time, f func(*ledger.Record)) { allOf(q, now, f) }
+
+// Overdue implements Queue.
+func (q *EDF) Overdue(now core.Time) []*ledger.Record { return overdueOf(q, now) }
--- a/internal/core/queue/fair.go
+++ b/internal/core/queue/fair.go
@@ -178,6 +178,15 @@
 	}
 }
 
+// EachFresh implements Queue. A head without a target blocks those behind it, so Each is cheap already.
+func (q *Fair) EachFresh(now core.Time, f func(*ledger.Record) (take bool)) { q.Each(now, f) }
+
+// All implements Queue.
+func (q *Fair) All(now core.Time, f func(*ledger.Record)) { allOf(q, now, f) }
+
+// Overdue implements Queue.
+func (q *Fair) Overdue(now core.Time) []*ledger.Record { return overdueOf(q, now) }
+
 // classQueueFor returns the queue with the class, model and group of wanted, and adds it if there is none.
 func (q *Fair) classQueueFor(wanted classQueue) *classQueue {
 	at, found := slices.BinarySearchFunc(q.queues, &wanted, compareQueues)
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -28,4 +28,36 @@
 	// records behind one for which f returns false. f must not call Push or Remove; only Fair lets it remove its record
 	// and return true.
 	Each(now core.Time, f func(*ledger.Record) (take bool))
+	// EachFresh is Each after nothing has changed that the records wait for which Each has offered: it may offer only those that
+	// were added since.
+	EachFresh(now core.Time, f func(*ledger.Record) (take bool))
+	// All calls f for the waiting records in order of service. It may skip those that have to wait for one before them. f must
+	// not call Push or Remove.
+	All(now core.Time, f func(*ledger.Record))
+	// Overdue returns the routed records among those of All that have waited for longer than their limit.
+	Overdue(now core.Time) []*ledger.Record
+}
+
+// isOverdue reports whether a record has waited for longer than its limit; only routed requests have one.
+func isOverdue(now core.Time, rec *ledger.Record) bool {
+	return rec.Request.Routed != nil && now-rec.WaitingSince > rec.WaitLimit
+}
+
+// overdueOf returns the overdue records among those of a queue's All.
+func overdueOf(q Queue, now core.Time) []*ledger.Record {
+	var out []*ledger.Record
+	q.All(now, func(rec *ledger.Record) {
+		if isOverdue(now, rec) {
+			out = append(out, rec)
+		}
+	})
+	return out
+}
+
+// allOf calls f for the records that a queue's Each offers if none is taken.
+func allOf(q Queue, now core.Time, f func(*ledger.Record)) {
+	q.Each(now, func(rec *ledger.Record) bool {
+		f(rec)
+		return false
+	})
 }
--- a/internal/core/queue/ranked.go
+++ b/internal/core/queue/ranked.go
@@ -29,14 +29,7 @@
 )
 
 // ranksDiffer reports whether teams have ranks and the ranks of the requests differ.
-func ranksDiffer(waiting []*ledger.Record) bool {
-	byRank, differ := false, false
-	for _, rec := range waiting {
-		byRank = byRank || rec.Request.Routed != nil && rec.Request.Routed.ByRank
-		differ = differ || rankOf(rec) != rankOf(waiting[0])
-	}
-	return byRank && differ
-}
+func (q *Objectives) ranksDiffer() bool { return q.byRank > 0 && len(q.ranks) > 1 }
 
 // rankOf returns the urgency of a request; 0 is the most urgent.
 func rankOf(rec *ledger.Record) int64 {
@@ -46,41 +39,44 @@
 	return rec.Request.Routed.Rank
 }
 
-// eachByRank is Each if ranksDiffer.
+// eachByRank offers the records of a pass if ranksDiffer.
 func (q *Objectives) eachByRank(now core.Time, f func(*ledger.Record) (take bool)) {
-	slices.SortStableFunc(q.waiting, func(a, b *ledger.Record) int { return compareRanked(now, a, b) })
-	old := slices.DeleteFunc(slices.Clone(q.waiting), func(rec *ledger.Record) bool { return !isOld(now, rec) })
-	slices.SortStableFunc(old, func(a, b *ledger.Record) int { return compareOld(now, a, b) })
-	taken := make(map[*ledger.Record]bool) // of the records that were offered
-	offer := func(rec *ledger.Record) bool {
-		taken[rec] = q.offer(rec, f)
-		return taken[rec]
-	}
-	offerOld := func() {
-		for _, rec := range old {
-			if _, offered := taken[rec]; !offered && q.ranked.floorDue(rec) && offer(rec) {
-				q.ranked[rec.Request.Model] = 0
-				q.rankIgnored++
-			}
+	q.offerOld(now, f)
+	for w := q.head(now, compareRanked); w != nil; w = q.head(now, compareRanked) {
+		if !q.offer(w, f) {
+			continue
+		}
+		q.ranked.count(w.rec)
+		if q.ranked.floorDue(w.rec) {
+			q.offerOld(now, f)
 		}
 	}
-	offerOld()
-	for _, rec := range q.waiting {
-		if _, offered := taken[rec]; !offered && offer(rec) {
-			q.ranked[rec.Request.Model]++
-			if q.ranked.floorDue(rec) {
-				offerOld()
+}
+
+// offerOld offers the old requests of services whose next dispatch ignores rank, until one of each was taken.
+func (q *Objectives) offerOld(now core.Time, f func(*ledger.Record) (take bool)) {
+	var old []*waiter
+	for _, l := range q.lanes {
+		if q.ranked[l.key.service] < floorInterval-1 {
+			continue
+		}
+		for i := range l.len() {
+			if w := l.at(i); w.pass != q.pass && isOld(now, w.rec) {
+				old = append(old, w)
 			}
 		}
 	}
-	q.waiting = slices.DeleteFunc(q.waiting, func(rec *ledger.Record) bool { return taken[rec] })
-	if len(q.waiting) == 0 {
-		clear(q.ranked) // services come and go with the configuration
+	slices.SortFunc(old, func(a, b *waiter) int { return compareOld(now, a.rec, b.rec) })
+	for _, w := range old {
+		if w.lane.failed < maxHeadOffers[w.lane.key.kind] && q.ranked.floorDue(w.rec) && q.offer(w, f) {
+			q.ranked[w.rec.Request.Model] = 0
+			q.rankIgnored++
+		}
 	}
 }
 
-// floorDue reports whether the next dispatch to the record's service ignores rank.
-func (r ranked) floorDue(rec *ledger.Record) bool { return r[rec.Request.Model] >= floorInterval-1 }
+// count counts a dispatch in order of rank.
+func (r ranked) count(rec *ledger.Record) { r[rec.Request.Model]++ }
 
 // compareRanked orders requests as compareObjectives does, but those that can still meet their objective by rank first.
 func compareRanked(now core.Time, a, b *ledger.Record) int {
@@ -110,3 +106,6 @@
 // compareOld orders old requests: those that can still meet their objective by the time left, then the others, the most
 // recently admitted first.
 func compareOld(now core.Time, a, b *ledger.Record) int { return compareByLimit(now, a, b, usefulEnd) }
+
+// floorDue reports whether the next dispatch to the record's service ignores rank.
+func (r ranked) floorDue(rec *ledger.Record) bool { return r[rec.Request.Model] >= floorInterval-1 }
--- a/internal/core/queue/ranked_test.go
+++ b/internal/core/queue/ranked_test.go
@@ -170,15 +170,8 @@
 		if now%expiryInterval != 0 {
 			continue
 		}
-		var expired []core.Key
-		q.Each(now, func(rec *ledger.Record) bool {
-			if now-rec.WaitingSince > rec.WaitLimit {
-				expired = append(expired, rec.Request.Key)
-			}
-			return false
-		})
-		for _, key := range expired {
-			q.Remove(key)
+		for _, rec := range q.Overdue(now) {
+			q.Remove(rec.Request.Key)
 		}
 	}
 	for _, c := range byTeam {
