Keys: a configuration whose teams have no key left lets nobody in

Cause: whether keys are needed followed from the document having at least one key. An empty list was lost in the document's JSON (omitempty), and a configuration with an empty list of tenants was taken for one without tenants. A document's empty digest would have matched requests without a key.

Change: keys are needed once a team has a list of keys, even an empty one; the list stays in the JSON. Absent and null mean no tenants, as before.

The tests of internal/core, document, ctl, docscheck and platform (-skip TestSoak) passed.

--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -14,7 +14,7 @@
 	byAuthority map[string][]*document.Route
 	// teams maps the SHA-256 of a key, in hexadecimal, to the name of its team.
 	teams map[string]string
-	// keyed is set when the document lists at least one key.
+	// keyed is set when the document needs keys.
 	keyed bool
 	names map[string]bool
 	// ranks maps the teams that have a rank to it.
@@ -29,6 +29,7 @@
 		teams:       make(map[string]string),
 		names:       make(map[string]bool),
 		ranks:       make(map[string]int64),
+		keyed:       doc.NeedsKeys(),
 	}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
@@ -44,8 +45,9 @@
 			t.ranks[team.Name] = *team.Rank
 		}
 		for _, digest := range team.KeysSHA256 {
-			t.teams[digest] = team.Name
-			t.keyed = true
+			if digest != "" { // that of a request without a key
+				t.teams[digest] = team.Name
+			}
 		}
 	}
 	t.restrictions = restrictionsOf(doc, regions, t.byAuthority)
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -51,6 +51,24 @@
 	assert.Assert(t, !routes.New(&document.Document{}, nil).Keyed())
 }
 
+// TestKeysAreNeededWhereTheirListIsEmpty guards against routes that are open to everybody after the last key was taken away, and
+// against a digest that requests without a key have.
+func TestKeysAreNeededWhereTheirListIsEmpty(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		keys  []string
+		keyed bool
+	}{{"absent", nil, false}, {"empty", []string{}, true}, {"an empty digest", []string{""}, true}} {
+		doc := &document.Document{Teams: []document.Team{{Name: "open"}, {Name: "desk", KeysSHA256: c.keys}}}
+		tb := routes.New(doc, nil)
+		assert.Equal(t, tb.Keyed(), c.keyed, c.name)
+		for _, digest := range []string{"", "d1"} {
+			_, ok := tb.Team(digest)
+			assert.Assert(t, !ok, "%s: %q", c.name, digest)
+		}
+	}
+}
+
 func TestChooseFollowsWeights(t *testing.T) {
 	r := &document.Route{Services: []document.WeightedService{{Name: "a", Weight: 90}, {Name: "b", Weight: 10}, {Name: "c"}}}
 	for _, c := range []struct {
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -2,7 +2,10 @@
 // exactly one is in force, the teams, and the models and routes to serve. An invalid document is refused as a whole.
 package document
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Document is the configuration that operators publish.
 type Document struct {
@@ -68,8 +71,9 @@
 	// KeySHA256 is the hexadecimal SHA-256 of the team's bearer key; empty if callers are authenticated by certificate,
 	// or not at all.
 	KeySHA256 string `json:"key_sha256,omitempty" jsonschema:"pattern=^[0-9a-f]{64}$,description=SHA-256 of the team's bearer key in hexadecimal; without it no key is asked for"`
-	// KeysSHA256 are the SHA-256 digests of the team's keys on routes, in hexadecimal.
-	KeysSHA256 []string `json:"keys_sha256,omitempty" jsonschema:"description=SHA-256 of the keys of the team on routes in hexadecimal"`
+	// KeysSHA256 are the SHA-256 digests of the team's keys on routes, in hexadecimal; nil if the team is without keys. Once any
+	// team has the list, even an empty one, routes that are not public need a key.
+	KeysSHA256 []string `json:"keys_sha256,omitzero" jsonschema:"description=SHA-256 of the keys of the team on routes in hexadecimal; once any team has the list, even an empty one, routes that are not public need a key"`
 	// Unmetered teams have no limit on routes; TokensPerSecond then only determines their share of the hosts. It has no
 	// effect on other requests.
 	Unmetered bool `json:"unmetered,omitempty" jsonschema:"description=whether the team has no limit"`
@@ -103,6 +107,12 @@
 // Preset returns the preset in force.
 func (d *Document) Preset() Preset { return d.Presets[d.Active] }
 
+// NeedsKeys reports whether requests on routes that are not public need a key. It follows from the presence of a list of keys,
+// not from its length: taking the last key away shuts callers out.
+func (d *Document) NeedsKeys() bool {
+	return slices.ContainsFunc(d.Teams, func(t Team) bool { return t.KeysSHA256 != nil })
+}
+
 // Team returns the team with that name.
 func (d *Document) Team(name string) (Team, bool) {
 	for _, t := range d.Teams {
--- a/internal/document/lint/changes.go
+++ b/internal/document/lint/changes.go
@@ -164,9 +164,9 @@
 		c.add(code, path+"/"+field, format, args...)
 	}
 	switch {
-	case old.Public && !r.Public && len(c.newKeys) > 0:
+	case old.Public && !r.Public && c.to.NeedsKeys():
 		report("public", CodeKeyRequired, "Requests on route %q need a key from now on.", r.Name)
-	case !old.Public && r.Public && len(c.oldKeys) > 0:
+	case !old.Public && r.Public && c.from.NeedsKeys():
 		report("public", CodeKeyNotRequired, "Requests on route %q need no key any more.", r.Name)
 	}
 	if old.Kind != r.Kind {
@@ -230,10 +230,10 @@
 			c.add(g.code, c.keysPath(g.to), "Team %q gets %d more keys.", g.to, counts[g])
 		}
 	}
-	if len(c.oldKeys) == 0 && len(c.newKeys) > 0 {
+	if !c.from.NeedsKeys() && c.to.NeedsKeys() {
 		c.add(CodeKeyRequired, "/teams", "Requests on all routes that are not public need a key from now on.")
 	}
-	if len(c.oldKeys) > 0 && len(c.newKeys) == 0 {
+	if c.from.NeedsKeys() && !c.to.NeedsKeys() {
 		c.add(CodeKeyNotRequired, "/teams", "No request on a route needs a key any more.")
 	}
 }
--- a/internal/document/lint/changes_test.go
+++ b/internal/document/lint/changes_test.go
@@ -71,6 +71,11 @@
 		}, []string{
 			"warning key-removed /teams/1/keys_sha256", "warning key-removed /teams/0/keys_sha256", "warning key-not-required /teams",
 		}},
+		{"lists of keys that are empty", func(d *document.Document) {
+			d.Teams[0].KeysSHA256, d.Teams[1].KeysSHA256 = []string{}, []string{}
+		}, []string{
+			"warning key-removed /teams/1/keys_sha256", "warning key-removed /teams/0/keys_sha256",
+		}},
 		{"a route public, another not any more", func(d *document.Document) {
 			d.Routes[0].Public, d.Routes[1].Public = true, false
 		}, []string{"warning key-required /routes/1/public", "warning key-not-required /routes/0/public"}},
--- a/internal/document/lint/rules.go
+++ b/internal/document/lint/rules.go
@@ -228,9 +228,9 @@
 		e.team.Name, e.team.TokensPerSecond)
 }
 
-// teamUnreachable looks at documents that serve only routes and list keys: a request is of a team there by its key alone.
+// teamUnreachable looks at documents that serve only routes and need keys: a request is of a team there by its key alone.
 func teamUnreachable(x *index, e entry) (string, string) {
-	if len(x.doc.Routes) == 0 || len(x.doc.Placements) > 0 || len(x.keys) == 0 ||
+	if len(x.doc.Routes) == 0 || len(x.doc.Placements) > 0 || !x.doc.NeedsKeys() ||
 		len(e.team.KeysSHA256) > 0 || e.team.KeySHA256 != "" {
 		return "", ""
 	}
