Teams: a name of any length comes into force

Cause: the schema of the document limited names of teams to 64 characters. The platform sets no limit.

Change: names of teams have no maximum. They are bounded where they are shown: in lines on requests and as labels of metrics, a name of more than 64 bytes is its begin and a digest. The error of a refused document and details of state changes in the log are cut too, as they quote names. Hosts of an older version still refuse such a name.

--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -16,11 +16,16 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/delta"
 	"carobshunt/internal/document"
+	"carobshunt/internal/shorttext"
 )
 
 // SourcePlatform names the configuration service as the source of a document or host list.
 const SourcePlatform = "platform"
 
+// maxRejectionText is the maximum length of the error of a rejected document, in bytes. It is logged and shown in the status, and
+// quotes names of any length.
+const maxRejectionText = 2000
+
 // Version orders the published texts of one kind: documents or host lists.
 type Version struct {
 	// Revision is the number under which operators or the platform published the text.
@@ -103,7 +108,7 @@
 	doc, text, err := c.read(raw)
 	if err != nil {
 		c.rejected++
-		c.rejection = err.Error()
+		c.rejection = shorttext.Cut(err.Error(), maxRejectionText)
 		return Invalid
 	}
 	version := Version{Revision: doc.Revision, Digest: text.Digest}
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -6,6 +6,7 @@
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/peer"
+	"carobshunt/internal/shorttext"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -51,7 +52,7 @@
 		x.peers.FetchHosts(x.ctx, a.Peer)
 	case node.StateChange:
 		x.metrics.StateChanged(a.Event)
-		x.log.Info(string(a.Event), "detail", a.Text)
+		x.log.Info(string(a.Event), "detail", shorttext.Cut(a.Text, maxDetail))
 	case node.StreamRunEnded:
 		x.metrics.StreamRunEnded(a)
 	case node.Refused, node.Unanswered: // only logged
@@ -61,3 +62,6 @@
 		x.engines.Execute(x.ctx, action)
 	}
 }
+
+// maxDetail is the maximum length of the detail of a change of state in a log line, in bytes.
+const maxDetail = 4000
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -3,6 +3,7 @@
 import (
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/document"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -31,26 +32,28 @@
 }
 
 func (l *requestLog) dispatched(a *node.StartDispatch) {
-	l.log.Info("dispatched", "id", a.Key.ID, "team", a.Key.Team, "dispatch", a.Dispatch, "target", a.Target,
+	l.log.Info("dispatched", "id", a.Key.ID, "team", document.ShownName(a.Key.Team), "dispatch", a.Dispatch, "target", a.Target,
 		"instance", a.Instance, "start", a.Start, "work", core.WorksText(a.Request.Works), "helpers", len(a.Helpers)+len(a.Group),
 		"streams", a.Basis.Streams, "pending", a.Basis.Pending, "limit", a.Basis.Limit,
 		"peers_age_ms", a.Basis.PeersAge.Milliseconds(), "revision", a.Basis.Revision, "hosts_version", a.Basis.HostsVersion)
 }
 
 func (l *requestLog) finished(a *node.Finish) {
-	l.log.Info("finished", "id", a.Key.ID, "team", a.Key.Team, "outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
+	l.log.Info("finished", "id", a.Key.ID, "team", document.ShownName(a.Key.Team),
+		"outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
 		"why", a.Result.Message, "target", a.Target, "queued_ms", msSinceAdmission(*a, a.Timing.Dispatched),
 		"first_ms", msSinceAdmission(*a, a.Timing.FirstToken), "total_ms", msSinceAdmission(*a, a.Timing.Finished),
 		"longest_gap_ms", a.Timing.LongestGap.Milliseconds(), "prompt", a.Work.PrefillTokens)
 }
 
 func (l *requestLog) refused(a *node.Refused) {
-	l.log.Info("refused", "id", a.Key.ID, "team", a.Key.Team, "outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
+	l.log.Info("refused", "id", a.Key.ID, "team", document.ShownName(a.Key.Team),
+		"outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
 		"why", a.Result.Message, "retry_after_ms", a.Result.RetryAfter.Milliseconds(), "prompt", a.PromptTokens)
 }
 
 func (l *requestLog) unanswered(a *node.Unanswered) {
-	l.log.Info("no whole answer", "id", a.Key.ID, "team", a.Key.Team, "dispatch", a.Dispatch, "target", a.Target,
+	l.log.Info("no whole answer", "id", a.Key.ID, "team", document.ShownName(a.Key.Team), "dispatch", a.Dispatch, "target", a.Target,
 		"ending", a.Ending.String(), "why", a.Message, "again", a.Requeued, "retry_budget", a.RetryBudget,
 		"began", a.Began, "work", core.WorksText(a.Works), "parts", partsText(a.Parts))
 }
--- /dev/null
+++ b/internal/daemon/requestlog_test.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"strings"
+	"testing"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/node"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// TestLongNamesOfTeamsAreShortInTheLog guards against a name of any length in each line on a request.
+func TestLongNamesOfTeamsAreShortInTheLog(t *testing.T) {
+	var out strings.Builder
+	l := &requestLog{log: hclog.New(&hclog.LoggerOptions{Output: &out, Level: hclog.Info})}
+	key := core.Key{Team: strings.Repeat("水", 10_000), ID: "request-1"}
+	for _, action := range []node.Action{
+		node.StartDispatch{Key: key}, node.Finish{Key: key}, node.Refused{Key: key}, node.Unanswered{Key: key},
+	} {
+		l.record(action)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 4)
+	for _, line := range lines {
+		assert.Assert(t, len(line) < 1000 && strings.Contains(line, "~"), "%d bytes", len(line))
+	}
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -63,7 +63,7 @@
 
 // Team is a customer and its limits.
 type Team struct {
-	Name string `json:"name" jsonschema:"minLength=1,maxLength=64,description=name of the team"`
+	Name string `json:"name" jsonschema:"minLength=1,description=name of the team"`
 	// Weight is the team's share among waiting requests.
 	Weight int64 `json:"weight" jsonschema:"minimum=1,description=share of the team among waiting requests"`
 	// TokensPerSecond limits the work that the team may submit across all hosts, in prompt and answer tokens per second.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -186,9 +186,9 @@
 	}
 }
 
-// dropTeam deletes the series of a team that no longer has a label of its own.
-func (m *Metrics) dropTeam(team string) {
-	labels := prometheus.Labels{labelTeam: team}
+// dropTeam deletes the series of a label that no team has any more.
+func (m *Metrics) dropTeam(label string) {
+	labels := prometheus.Labels{labelTeam: label}
 	for _, vec := range []*prometheus.HistogramVec{m.firstToken, m.interToken, m.slowdown, m.queueing} {
 		vec.DeletePartialMatch(labels)
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -86,6 +86,25 @@
 	assert.Assert(t, lines[2200] < 21*len(classes)*60, "%d lines", lines[2200])
 }
 
+// TestLongNamesOfTeamsAreShortLabels guards against labels of any length, and against series of a long name that stay when the
+// team is gone.
+func TestLongNamesOfTeamsAreShortLabels(t *testing.T) {
+	doc := documentWithTeams(1, 2)
+	doc.Teams[0].Name, doc.Teams[1].Name = strings.Repeat("水", 10_000)+"1", strings.Repeat("水", 10_000)+"2"
+	m, source := newMetrics(settings.Metrics{Teams: 2}, doc)
+	finishRequests(m, doc)
+	labels := teamLabelValues(t, m)
+	assert.Equal(t, len(labels), 2, "%v", labels)
+	for label := range labels {
+		assert.Assert(t, len(label) <= 64, label)
+	}
+	next := documentWithTeams(2, 2)
+	source.snapshot.Document = next
+	finishRequests(m, next)
+	labels = teamLabelValues(t, m)
+	assert.Assert(t, len(labels) == 2 && labels["team-0000"] && labels["team-0001"], "%v", labels)
+}
+
 func TestSumOverTeamsCountsEveryRequest(t *testing.T) {
 	doc := documentWithTeams(1, 50)
 	m, _ := newMetrics(settings.Metrics{Teams: 3}, doc)
@@ -225,3 +244,21 @@
 		observer.Observe(0.02)
 	}
 }
+
+// teamLabelValues returns the values of the label of teams in all series.
+func teamLabelValues(t *testing.T, m *Metrics) map[string]bool {
+	t.Helper()
+	families, err := m.registry.Gather()
+	assert.NilError(t, err)
+	out := make(map[string]bool)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			for _, pair := range metric.GetLabel() {
+				if pair.GetName() == labelTeam {
+					out[pair.GetValue()] = true
+				}
+			}
+		}
+	}
+	return out
+}
--- a/internal/metrics/teams.go
+++ b/internal/metrics/teams.go
@@ -21,8 +21,8 @@
 	limit  int
 	shown  []string
 	source Source
-	// deleteSeries deletes the series of a team that lost its label.
-	deleteSeries func(team string)
+	// deleteSeries deletes the series of a label that no team has any more.
+	deleteSeries func(label string)
 
 	current atomic.Pointer[labelSet]
 	// mu serializes replace.
@@ -32,13 +32,14 @@
 // labelSet holds the teams that have labels of their own under one document.
 type labelSet struct {
 	document *document.Document
-	labeled  map[string]bool
-	// retired teams lost their labels with this document. Their series are deleted now and again with the next document,
+	// labeled holds their labels by name.
+	labeled map[string]string
+	// retired holds the labels that teams lost with this document. Their series are deleted now and again with the next document,
 	// since a request counted during the change may have recreated them.
 	retired map[string]bool
 }
 
-func newTeamLabels(s settings.Metrics, source Source, deleteSeries func(string)) *teamLabels {
+func newTeamLabels(s settings.Metrics, source Source, deleteSeries func(label string)) *teamLabels {
 	l := &teamLabels{limit: s.Teams, shown: s.ShownTeams, source: source, deleteSeries: deleteSeries}
 	l.current.Store(&labelSet{})
 	return l
@@ -50,8 +51,8 @@
 	if doc := l.source.Snapshot().Document; doc != set.document {
 		set = l.replace(doc)
 	}
-	if set.labeled[team] {
-		return team
+	if label, ok := set.labeled[team]; ok {
+		return label
 	}
 	return otherTeams
 }
@@ -65,9 +66,9 @@
 		return previous
 	}
 	set := &labelSet{document: doc, labeled: l.selectTeams(doc), retired: make(map[string]bool)}
-	for team := range previous.labeled {
-		if !set.labeled[team] {
-			set.retired[team] = true
+	for team, label := range previous.labeled {
+		if set.labeled[team] == "" {
+			set.retired[label] = true
 		}
 	}
 	l.current.Store(set)
@@ -76,18 +77,29 @@
 	return set
 }
 
-// drop deletes the series of those teams that have no label in the set.
-func (l *teamLabels) drop(set *labelSet, teams map[string]bool) {
-	for team := range teams {
-		if !set.labeled[team] {
-			l.deleteSeries(team)
+// drop deletes the series of those labels that no team of the set has.
+func (l *teamLabels) drop(set *labelSet, labels map[string]bool) {
+	for label := range labels {
+		if !set.has(label) {
+			l.deleteSeries(label)
 		}
 	}
 }
 
-// selectTeams returns the teams with the highest limits, ties broken by weight and then by name, and the shown teams.
-func (l *teamLabels) selectTeams(doc *document.Document) map[string]bool {
-	own := make(map[string]bool)
+// has reports whether a team of the set has the label.
+func (s *labelSet) has(label string) bool {
+	for _, one := range s.labeled {
+		if one == label {
+			return true
+		}
+	}
+	return false
+}
+
+// selectTeams returns the labels of the teams with the highest limits, ties broken by weight and then by name, and of the shown
+// teams.
+func (l *teamLabels) selectTeams(doc *document.Document) map[string]string {
+	own := make(map[string]string)
 	if doc == nil {
 		return own
 	}
@@ -101,7 +113,7 @@
 	})
 	for i, t := range teams {
 		if (i < l.limit || slices.Contains(l.shown, t.Name)) && t.Name != otherTeams {
-			own[t.Name] = true
+			own[t.Name] = document.ShownName(t.Name)
 		}
 	}
 	return own
