node: a member of a claim is the process that was asked for memory

Seen by callers: while a prompt for several engines waited with its memory reserved, one of the engines ended and its address went to a server of another service.

Cause: a plan named its members by address, and groupMembers looked them up by address alone at the dispatch. The instance that the dispatch expects was then that of the new process, which had no reason to refuse.

Change: the members of a plan are processes: address, instance and start. Table.Current returns a target only if it is that process. A claim with a member that has been replaced, or no longer serves the model, is released and the request claims anew. The load of a claim is looked up in the same way.

--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/target"
 )
 
 // Default timings of reservations.
@@ -30,7 +31,7 @@
 
 // Engine is an engine that may become a member of a group.
 type Engine struct {
-	Address string
+	Process target.Process
 	// MemoryTokens is its KV memory in tokens, 0 if unknown; FreeTokens is the part that is not known to be in use.
 	MemoryTokens int64
 	FreeTokens   int64
@@ -49,8 +50,9 @@
 
 // Plan lists the members of a group and the memory that each of them reserves.
 type Plan struct {
-	// Engines are the members' addresses, sorted: the order in which they are reserved.
-	Engines []string
+	// Engines are the members in order of their addresses, the order in which they are reserved. A member is a process: what it
+	// reserved says nothing of another one that has its address later.
+	Engines []target.Process
 	// Tokens is the memory that each member reserves, in tokens.
 	Tokens int64
 }
@@ -64,7 +66,7 @@
 		if a.FreeTokens != b.FreeTokens {
 			return int(min(max(b.FreeTokens-a.FreeTokens, -1), 1))
 		}
-		return strings.Compare(a.Address, b.Address)
+		return strings.Compare(a.Process.Address, b.Process.Address)
 	})
 	smallest := int64(0)
 	for i, e := range sorted {
@@ -96,7 +98,7 @@
 func Spread(tokens int64, engines []Engine) (Plan, bool) {
 	sorted := slices.Clone(engines)
 	slices.SortFunc(sorted, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(b.FreeTokens, a.FreeTokens), strings.Compare(a.Address, b.Address))
+		return cmp.Or(cmp.Compare(b.FreeTokens, a.FreeTokens), strings.Compare(a.Process.Address, b.Process.Address))
 	})
 	best, found := Plan{}, false
 	for members := 1; members <= min(len(sorted), maxMembers); members++ {
@@ -121,12 +123,17 @@
 func newPlan(engines []Engine, perMember int64) Plan {
 	plan := Plan{Tokens: perMember}
 	for _, e := range engines {
-		plan.Engines = append(plan.Engines, e.Address)
+		plan.Engines = append(plan.Engines, e.Process)
 	}
-	slices.Sort(plan.Engines)
+	plan.Sort()
 	return plan
 }
 
+// Sort sorts the members by address.
+func (p *Plan) Sort() {
+	slices.SortFunc(p.Engines, func(a, b target.Process) int { return strings.Compare(a.Address, b.Address) })
+}
+
 // Answer is the outcome of a reservation request to an engine.
 type Answer int
 
@@ -202,7 +209,7 @@
 
 // ReserveRequest is a request to reserve memory on an engine, or to renew a reservation.
 type ReserveRequest struct {
-	Engine string
+	Engine target.Process
 	// Renewal is set for a renewal, which must not create a reservation that the engine does not know.
 	Renewal bool
 	// SentAt is when the request is sent; it is passed to HandleAnswer with the answer.
@@ -242,9 +249,10 @@
 	}
 }
 
-// HandleAnswer handles an engine's answer to a request that was sent at sentAt; the expiry counts from then.
-func (c *Claim) HandleAnswer(now, sentAt core.Time, engine string, answer Answer) {
-	i := slices.Index(c.Plan.Engines, engine)
+// HandleAnswer handles the answer of the member at an address to a request that was sent at sentAt; the expiry counts
+// from then.
+func (c *Claim) HandleAnswer(now, sentAt core.Time, address string, answer Answer) {
+	i := slices.IndexFunc(c.Plan.Engines, func(p target.Process) bool { return p.Address == address })
 	if i < 0 || c.lost || i > c.next {
 		return
 	}
--- a/internal/core/group/group_test.go
+++ b/internal/core/group/group_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"carobshunt/internal/core/group"
+	"carobshunt/internal/core/target"
 
 	"gotest.tools/v3/assert"
 )
@@ -12,7 +13,7 @@
 func engines(free ...int64) []group.Engine {
 	var out []group.Engine
 	for i, f := range free {
-		out = append(out, group.Engine{Address: fmt.Sprintf("e%02d", i), MemoryTokens: 232_000, FreeTokens: f})
+		out = append(out, group.Engine{Process: target.Process{Address: fmt.Sprintf("e%02d", i)}, MemoryTokens: 232_000, FreeTokens: f})
 	}
 	return out
 }
@@ -30,7 +31,7 @@
 func TestSpreadTakesWhatIsFree(t *testing.T) {
 	plan, ok := group.Spread(300_000, engines(10_000, 170_000, 0, 170_000))
 	assert.Assert(t, ok)
-	assert.DeepEqual(t, plan.Engines, []string{"e01", "e03"})
+	assert.DeepEqual(t, plan.Engines, []target.Process{{Address: "e01"}, {Address: "e03"}})
 	_, ok = group.Spread(300_000, engines(100_000, 100_000, 10_000))
 	assert.Assert(t, !ok, "the memory is not there")
 	_, ok = group.Spread(10, nil)
--- a/internal/core/node/grouploads.go
+++ b/internal/core/node/grouploads.go
@@ -31,8 +31,8 @@
 // counts a stream.
 func (n *Node) addGroupLoad(rec *ledger.Record, claim *group.Claim, work int64) {
 	job := target.Job{Work: work, Memory: claim.Plan.Tokens, LongContext: true, PrefillOnly: rec.Request.Routed != nil}
-	for _, address := range claim.Plan.Engines {
-		if t := n.targets.Get(address); t != nil {
+	for _, p := range claim.Plan.Engines {
+		if t := n.targets.Current(p); t != nil {
 			t.Begin(n.now, claimDispatch(rec.Request.Key, claim), job)
 		}
 	}
@@ -52,8 +52,8 @@
 	if claim == nil {
 		return
 	}
-	for _, address := range claim.Plan.Engines {
-		if t := n.targets.Get(address); t != nil {
+	for _, p := range claim.Plan.Engines {
+		if t := n.targets.Current(p); t != nil {
 			t.Prefilled(n.now, claimDispatch(key, claim))
 		}
 	}
@@ -61,8 +61,8 @@
 
 // removeGroupLoad removes the load of a group from its members.
 func (n *Node) removeGroupLoad(key core.Key, claim *group.Claim) {
-	for _, address := range claim.Plan.Engines {
-		if t := n.targets.Get(address); t != nil {
+	for _, p := range claim.Plan.Engines {
+		if t := n.targets.Current(p); t != nil {
 			t.End(claimDispatch(key, claim))
 		}
 	}
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		out = append(out, group.Engine{
-			Address:      t.Address,
+			Process:      t.Process(),
 			MemoryTokens: t.MemoryTokens,
 			FreeTokens:   min(t.MemoryTokens-t.Report.UsedTokens, t.FreeTokens()),
 		})
@@ -180,14 +180,14 @@
 	return true
 }
 
-// groupMembers returns the engines of a plan, or nil if one is gone, has begun to leave or was evacuated since, or is where the
-// request may not run any more. With PolicyPacked the engine with the fewest streams comes first, of those whose limit allows a
-// request now.
+// groupMembers returns the engines of a plan, or nil if one is gone, has begun to leave or was evacuated since, no longer
+// serves the request's model, or is where the request may not run any more. One is gone as well if another process has its
+// address. With PolicyPacked the engine with the fewest streams comes first, of those whose limit allows a request now.
 func (n *Node) groupMembers(req *core.Request, plan group.Plan) []*target.Target {
 	var out []*target.Target
-	for _, address := range plan.Engines {
-		t := n.targets.Get(address)
-		if t == nil || !t.TakesNewWork() || !req.AllowsZone(t.Zone) {
+	for _, p := range plan.Engines {
+		t := n.targets.Current(p)
+		if t == nil || !t.TakesNewWork() || !t.Serves(req.Model) || !req.AllowsZone(t.Zone) {
 			return nil
 		}
 		out = append(out, t)
@@ -277,8 +277,8 @@
 	}
 	var candidates []*target.Target
 	for _, e := range engines {
-		if !n.nonReporting[e.Address] {
-			candidates = append(candidates, n.targets.Get(e.Address))
+		if !n.nonReporting[e.Process.Address] {
+			candidates = append(candidates, n.targets.Current(e.Process))
 		}
 	}
 	members, blocks := route.PickMembers(candidates, len(plan.Engines), plan.Tokens, n.hostIndex())
@@ -287,9 +287,9 @@
 	}
 	plan.Engines = nil
 	for _, t := range members {
-		plan.Engines = append(plan.Engines, t.Address)
+		plan.Engines = append(plan.Engines, t.Process())
 	}
-	slices.Sort(plan.Engines)
+	plan.Sort()
 	return plan, len(members) > 0
 }
 
@@ -305,7 +305,7 @@
 	for _, ask := range claim.Due(n.now) {
 		n.do(Reserve{
 			Key:         key,
-			Target:      ask.Engine,
+			Target:      ask.Engine.Address,
 			Reservation: claim.Reservation,
 			Tokens:      claim.Plan.Tokens,
 			Expiry:      n.opts.ReservationTiming.Expiry,
@@ -396,7 +396,7 @@
 	delete(n.groups.claims, key)
 	n.removeGroupLoad(key, claim)
 	for _, engine := range claim.Plan.Engines {
-		n.do(Release{Key: key, Target: engine, Reservation: claim.Reservation})
+		n.do(Release{Key: key, Target: engine.Address, Reservation: claim.Reservation})
 	}
 }
 
--- /dev/null
+++ b/internal/core/node/reused_test.go
@@ -0,0 +1,68 @@
+package node_test
+
+import (
+	"slices"
+	"testing"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/hostlist"
+
+	"gotest.tools/v3/assert"
+)
+
+// replacements are the processes that may have the address of an engine after it has ended.
+var replacements = map[string]func(*hostlist.Host){
+	"other service": func(h *hostlist.Host) {
+		h.Instance, h.Start, h.Role, h.Models = "new", 7, hostlist.RoleService, []string{"desk"}
+	},
+	"other engine": func(h *hostlist.Host) { h.Instance, h.Start = "new", 7 },
+	"other start":  func(h *hostlist.Host) { h.Start = 7 },
+	"other model":  func(h *hostlist.Host) { h.Models = []string{"other"} },
+}
+
+// replace applies a host list in which the host at an address is changed, and returns the actions.
+func (e *routedHost) replace(list *hostlist.List, address string, change func(*hostlist.Host)) []node.Action {
+	e.t.Helper()
+	i := slices.IndexFunc(list.Hosts, func(h hostlist.Host) bool { return h.Address == address })
+	assert.Assert(e.t, i >= 0)
+	change(&list.Hosts[i])
+	return e.step(node.HostsReceived{List: list, Source: conf.SourcePlatform})
+}
+
+// firstReserve returns the first reservation order among some actions.
+func firstReserve(t *testing.T, actions []node.Action) node.Reserve {
+	t.Helper()
+	for _, a := range actions {
+		if r, ok := a.(node.Reserve); ok {
+			return r
+		}
+	}
+	t.Fatalf("no reservation in %v", actions)
+	return node.Reserve{}
+}
+
+// TestGroupWhoseMemberIsReplacedIsClaimedAnew guards against a prompt for several engines that is sent to a process that was
+// never asked for memory, or that serves another model, since it has the address of one that was.
+func TestGroupWhoseMemberIsReplacedIsClaimedAnew(t *testing.T) {
+	for name, change := range replacements {
+		t.Run(name, func(t *testing.T) {
+			e := newRoutedHost(t)
+			engines := []string{"s1", "e1", "e2", "e3", "e4", "e5", "e6"}
+			e.step(node.HostsReceived{List: targetList(2, engines...), Source: conf.SourcePlatform})
+			req := e.request("/ask/1")
+			req.PromptTokens = 300_000
+			assert.Equal(t, e.submit(req).Kind, node.Admit)
+			e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+			pending := slices.Clone(e.actions)
+			first := firstReserve(t, pending)
+			pending = append(pending, e.replace(targetList(3, engines...), first.Target, change)...)
+			start := e.grant(pending)
+			assert.Assert(t, start.Reservation != first.Reservation, "the memory was promised by the process of before")
+			if name == "other service" || name == "other model" {
+				assert.Assert(t, !slices.Contains(start.Group, first.Target), "%v", start.Group)
+			}
+		})
+	}
+}
--- a/internal/core/target/cold.go
+++ b/internal/core/target/cold.go
@@ -39,7 +39,7 @@
 
 // ObserveCold records that a target has said how much longer it is cold, of a process that was asked.
 func (tb *Table) ObserveCold(now core.Time, p Process, left time.Duration) {
-	if t := tb.byAddress[p.Address]; t != nil && t.Process() == p {
+	if t := tb.Current(p); t != nil {
 		t.cold.until = max(t.cold.until, now+min(left, maxColdTime))
 	}
 }
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -436,6 +436,14 @@
 // Get returns the target at an address, or nil.
 func (tb *Table) Get(address string) *Target { return tb.byAddress[address] }
 
+// Current returns the target that a process is, or nil if it is not listed or another one has its address.
+func (tb *Table) Current(p Process) *Target {
+	if t := tb.byAddress[p.Address]; t != nil && t.Process() == p {
+		return t
+	}
+	return nil
+}
+
 // All returns the targets in order of address. The caller must not change the slice.
 func (tb *Table) All() []*Target { return tb.ordered }
 
