Placement: the states of engines are computed once a pass, and parts are chosen without sorting or allocating

Cause: each request computed the state of each engine anew, and a long prompt rated and sorted all of them for up to 17 numbers of parts, each time into new slices. Near-full engines hashed all live hosts for each request, and a group copied and sorted all engines.

Change: a pass keeps the states of a service's engines until the load changes. That none has a free slot is known without rating any. Parts are kept in a bounded list of the best, in buffers of the Router; the time of the whole prefill is computed once for each engine. What follows from the live hosts alone is kept until they change. A group's members come from a bounded list too, and a pass tries no group that needs more than one that has just found no memory.

--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -94,12 +94,9 @@
 // most free memory first. Where that is not possible, it picks the largest number, up to maxMembers, that can hold them
 // with more on each. It reports false when too few engines have enough free memory.
 func Spread(tokens int64, engines []Engine) (Plan, bool) {
-	sorted := slices.Clone(engines)
-	slices.SortFunc(sorted, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(b.FreeTokens, a.FreeTokens), strings.Compare(a.Address, b.Address))
-	})
+	sorted := mostFree(engines, maxMembers)
 	best, found := Plan{}, false
-	for members := 1; members <= min(len(sorted), maxMembers); members++ {
+	for members := 1; members <= len(sorted); members++ {
 		perMember := tokens*100/(int64(members)*spreadUsablePercent) + 1
 		if sorted[members-1].FreeTokens < perMember {
 			continue
@@ -112,6 +109,20 @@
 	return best, found
 }
 
+// mostFree returns the n engines with the most free memory, in this order, those with the same in order of address.
+func mostFree(engines []Engine, n int) []Engine {
+	out := make([]Engine, 0, n+1)
+	for i := range engines {
+		at, _ := slices.BinarySearchFunc(out, &engines[i], func(a Engine, b *Engine) int {
+			return cmp.Or(cmp.Compare(b.FreeTokens, a.FreeTokens), strings.Compare(a.Address, b.Address))
+		})
+		if at < n {
+			out = slices.Insert(out, at, engines[i])[:min(len(out)+1, n)]
+		}
+	}
+	return out
+}
+
 // tokensPerMember returns the tokens that each member of a chosen group reserves, rounded up.
 func tokensPerMember(tokens, members int64) int64 {
 	divisor := members * usablePercent
--- a/internal/core/group/group_test.go
+++ b/internal/core/group/group_test.go
@@ -1,7 +1,11 @@
 package group_test
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 
 	"carobshunt/internal/core/group"
@@ -36,3 +40,32 @@
 	_, ok = group.Spread(10, nil)
 	assert.Assert(t, !ok)
 }
+
+// Members must be those with the most free memory, in order of address where they have the same, as sorting all engines has them.
+func TestMostFreeIsThatOfSorting(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	for range 500 {
+		var engines []group.Engine
+		for i := range rng.IntN(40) {
+			engines = append(engines, group.Engine{Address: fmt.Sprint("e", i), MemoryTokens: 100_000, FreeTokens: rng.Int64N(8) * 10_000})
+		}
+		sorted := slices.Clone(engines)
+		slices.SortFunc(sorted, func(a, b group.Engine) int {
+			return cmp.Or(cmp.Compare(b.FreeTokens, a.FreeTokens), strings.Compare(a.Address, b.Address))
+		})
+		need := int64(1 + rng.IntN(400_000))
+		plan, ok := group.Spread(need, engines)
+		same, sameOK := group.Spread(need, sorted)
+		assert.Equal(t, ok, sameOK)
+		assert.DeepEqual(t, plan, same)
+		if !ok {
+			continue
+		}
+		var best []string
+		for _, e := range sorted[:len(plan.Engines)] {
+			best = append(best, e.Address)
+		}
+		slices.Sort(best)
+		assert.DeepEqual(t, plan.Engines, best)
+	}
+}
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -15,8 +15,12 @@
 		return
 	}
 	n.router.SetGroupsWaiting(n.groupsWait())
-	n.router.SetContention(route.Contention{Self: n.opts.Peer, Live: n.liveHosts(), UnseenShort: n.unseenShort()})
+	n.live = n.appendLiveHosts(n.live[:0])
+	n.router.SetContention(route.Contention{Self: n.opts.Peer, Live: n.live, UnseenShort: n.unseenShort()})
+	n.groups.noRoom = noRoom{}
+	n.router.BeginPass()
 	n.queue.Each(n.now, n.dispatch)
+	n.router.EndPass()
 	if n.targets.AnyRestricts(n.now) {
 		n.refuseRestricted()
 	}
@@ -42,6 +46,7 @@
 		return n.dispatchAdopted(rec)
 	}
 	rec.Yields = n.yields(rec)
+	n.router.Refresh(n.targets.LoadChanges())
 	place := n.router.Place(n.now, rec, n.targets.All())
 	t := place.Target
 	if t == nil {
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -74,6 +74,17 @@
 	// that request ends.
 	next   *ledger.Record
 	counts GroupCounts
+	// engines is the buffer of groupEngines.
+	engines []group.Engine
+	noRoom  noRoom
+}
+
+// noRoom is what the current placement pass has found out about groups of a service: that many tokens of memory, and more, find no
+// room. It holds for one version of the targets' loads.
+type noRoom struct {
+	service string
+	tokens  int64
+	loads   uint64
 }
 
 func newGroupState() groupState {
@@ -100,9 +111,9 @@
 func memoryNeed(req *core.Request) int64 { return req.PromptTokens + req.AnswerTokens }
 
 // groupEngines returns the engines that serve a request's model where it may run; if eligible is set, only those that accept
-// new work.
+// new work. The result is valid until the next call.
 func (n *Node) groupEngines(req *core.Request, eligible bool) []group.Engine {
-	var out []group.Engine
+	out := n.groups.engines[:0]
 	for _, t := range n.targets.All() {
 		if t.Role != hostlist.RoleEngine || !t.Serves(req.Model) || !req.AllowsZone(t.Zone) || eligible && !t.Eligible(n.now) {
 			continue
@@ -113,6 +124,7 @@
 			FreeTokens:   min(t.MemoryTokens-t.Report.UsedTokens, t.FreeTokens()),
 		})
 	}
+	n.groups.engines = out
 	return out
 }
 
@@ -160,6 +172,7 @@
 		return false
 	}
 	n.removeGroupLoad(key, claim) // the request must not wait for its own prefill work
+	n.router.Refresh(n.targets.LoadChanges())
 	helpers, ready := n.router.HelpersFor(n.now, rec, members, n.targets.All())
 	if !ready {
 		n.addGroupLoad(rec, claim, n.claimWork(rec, claim))
@@ -221,6 +234,10 @@
 	if n.now < n.groups.failed[key].retryAt {
 		return
 	}
+	if n.findsNoRoom(rec) {
+		rec.Obstacle = core.ObstacleMemory
+		return
+	}
 	plan, ok := n.chooseGroup(rec)
 	if !ok {
 		rec.Obstacle = core.ObstacleMemory
@@ -240,9 +257,17 @@
 	n.sendReserves(key, claim)
 }
 
+// findsNoRoom reports whether the current placement pass has found no room for a group of the same service that needs no more.
+func (n *Node) findsNoRoom(rec *ledger.Record) bool {
+	found := &n.groups.noRoom
+	return found.tokens > 0 && found.service == rec.Request.Model && found.loads == n.targets.LoadChanges() &&
+		memoryNeed(&rec.Request) >= found.tokens
+}
+
 // shouldClaim reports whether the prefill could begin at once if the members of the plan held its memory. Memory
 // reserved for a prompt that keeps waiting would be idle.
 func (n *Node) shouldClaim(rec *ledger.Record, plan group.Plan) bool {
+	n.router.Refresh(n.targets.LoadChanges())
 	_, ready := n.router.HelpersFor(n.now, rec, n.groupMembers(&rec.Request, plan), n.targets.All())
 	return ready
 }
@@ -269,7 +294,11 @@
 	need := memoryNeed(&rec.Request)
 	engines := n.groupEngines(&rec.Request, true)
 	if n.opts.Policy == PolicyPacked {
-		return group.Spread(need, engines)
+		plan, ok := group.Spread(need, engines)
+		if !ok && !rec.Request.Zones.Restricted() {
+			n.groups.noRoom = noRoom{service: rec.Request.Model, tokens: need, loads: n.targets.LoadChanges()}
+		}
+		return plan, ok
 	}
 	plan, ok := group.Choose(need, engines)
 	if !n.usesPolicyInForce() || !ok {
--- a/internal/core/node/memory.go
+++ b/internal/core/node/memory.go
@@ -62,8 +62,11 @@
 }
 
 // liveHosts returns the peer addresses of this host and of its reachable peers.
-func (n *Node) liveHosts() []string {
-	out := []string{n.opts.Peer}
+func (n *Node) liveHosts() []string { return n.appendLiveHosts(nil) }
+
+// appendLiveHosts appends liveHosts to a slice.
+func (n *Node) appendLiveHosts(out []string) []string {
+	out = append(out, n.opts.Peer)
 	for _, address := range n.peers.Addresses() {
 		if n.peers.Get(address).Alive(n.now) {
 			out = append(out, address)
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -147,6 +147,8 @@
 	spill            spilloverState
 	// placementDue is set if the current step has to end with a placement pass, ticked if it has processed a Tick.
 	placementDue, ticked bool
+	// live is the buffer for the live hosts of a placement pass.
+	live []string
 }
 
 // New returns the Node of a process that has just started, with its clock at zero.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -46,8 +46,11 @@
 	spillover Spillover
 	// contention divides the last free slots of an engine among the hosts.
 	contention Contention
+	shares     contentionShares
 	// ratings is the number of times that a request was rated at an engine.
 	ratings uint64
+	pass    pass
+	buffers buffers
 }
 
 // Ratings returns the number of times that a request was rated at an engine, for tests of the cost of placements.
--- a/internal/core/route/short.go
+++ b/internal/core/route/short.go
@@ -46,10 +46,10 @@
 func (r *Router) exceedsShare(now core.Time, s *engineState) bool {
 	slots := s.target.Slots
 	margin := min(int64(len(r.contention.Live)), slots/contentionDivisor)
-	if s.load.Streams+margin <= slots || r.contention.hasTurn(now) {
+	if s.load.Streams+margin <= slots || r.hasTurn(now) {
 		return false
 	}
-	return int64(s.target.InFlight()) >= r.contention.Share(s.target.Address, slots)
+	return int64(s.target.InFlight()) >= r.share(s.target.Address, slots)
 }
 
 // overloaded reports whether a short request had better wait for another engine: the first token would be too late, or
