Placement: what has found no place is tried again only when something has changed

Cause: a body that arrived and a datagram that changed nothing placed all waiting requests anew. Each pass looked at all waiting requests again as soon as any target named a limit or was cold.

Change: an arrival tries only the requests that no pass has tried yet, and a datagram nothing, unless known load has fallen since the last full pass or that was 5 ms ago (turns and limits depend on time). Ends, ticks, checks, lists, configurations and evacuations make a full pass. The position at which a lane's turn continues also moves on if a pass makes a single offer there; it stood still for long prompts and groups.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -9,23 +9,6 @@
 	"carobshunt/internal/document"
 )
 
-// dispatchQueued dispatches waiting requests, in queue order, as far as targets have room.
-func (n *Node) dispatchQueued() {
-	if n.catchingUp() || n.queue.Len() == 0 {
-		return
-	}
-	n.router.SetGroupsWaiting(n.groupsWait())
-	n.live = n.appendLiveHosts(n.live[:0])
-	n.router.SetContention(route.Contention{Self: n.opts.Peer, Live: n.live, UnseenShort: n.unseenShort()})
-	n.groups.noRoom = noRoom{}
-	n.router.BeginPass()
-	n.queue.Each(n.now, n.dispatch)
-	n.router.EndPass()
-	if n.targets.AnyRestricts(n.now) {
-		n.refuseRestricted()
-	}
-}
-
 // dispatch tries to place a waiting request; it reports whether the request leaves the queue.
 func (n *Node) dispatch(rec *ledger.Record) bool {
 	if !n.ledger.MayDispatch(n.now, rec) {
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -360,6 +360,7 @@
 	n.advance(in.Key, claim)
 	if !complete && claim.Complete() {
 		n.groups.counts.Completed++
+		n.queue.Renew(in.Key) // its memory is held idle until it is dispatched
 		n.requestPlacement()
 	}
 }
--- a/internal/core/node/loads.go
+++ b/internal/core/node/loads.go
@@ -52,7 +52,7 @@
 		}
 		n.freshnessReceived(d.Peer, d.Freshness)
 	}
-	n.requestPlacement()
+	n.requestLoadPlacement()
 }
 
 // applyHeartbeatLoads applies the digest of a heartbeat, unless one came by datagram within datagramPrecedence.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -145,10 +145,10 @@
 	// withheldRequests counts the requests that were refused because their prompts are withheld.
 	withheldRequests uint64
 	spill            spilloverState
-	// placementDue is set if the current step has to end with a placement pass, ticked if it has processed a Tick.
-	placementDue, ticked bool
-	// live is the buffer for the live hosts of a placement pass.
-	live []string
+	// placement is the placement pass with which the current step has to end. ticked is set if it has processed a Tick.
+	placement placementNeed
+	ticked    bool
+	passes    passState
 }
 
 // New returns the Node of a process that has just started, with its clock at zero.
@@ -224,19 +224,15 @@
 
 // endInputs does what is due once after all inputs of a step.
 func (n *Node) endInputs() {
-	if n.placementDue {
-		n.placementDue = false
-		n.dispatchQueued()
-	}
+	need := n.placement
+	n.placement = placementNone
+	n.place(need)
 	if n.ticked {
 		n.ticked = false
 		n.stopWhenDrained()
 	}
 }
 
-// requestPlacement makes the current step end with a placement pass.
-func (n *Node) requestPlacement() { n.placementDue = true }
-
 func (n *Node) apply(in Input) {
 	switch in := in.(type) {
 	case Submit:
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -225,7 +225,7 @@
 	rec.Request.Works = core.WorksOf(&rec.Request, in.Content)
 	n.ledger.MarkQueued(rec)
 	n.enqueue(rec)
-	n.requestPlacement()
+	n.requestFreshPlacement()
 }
 
 // enqueue queues a request for dispatch to a target, unless its prompt is withheld by now, no target is left in the regions where
--- a/internal/core/node/restricted.go
+++ b/internal/core/node/restricted.go
@@ -17,12 +17,17 @@
 		after time.Duration
 	}
 	var refused []refusal
-	ahead := make(map[string]int) // waiting requests by service
+	ahead := make(map[string]int)         // waiting requests by service
+	unrestricted := make(map[string]bool) // services at which requests that may run in any zone wait for another reason
 	n.queue.All(n.now, func(rec *ledger.Record) {
 		if rec.Request.Routed == nil {
 			return
 		}
+		if anywhere := !rec.Request.Zones.Restricted(); anywhere && unrestricted[rec.Request.Model] {
+			return
+		}
 		wait, restricted := n.restrictedWait(rec, ahead[rec.Request.Model])
+		unrestricted[rec.Request.Model] = !restricted && !rec.Request.Zones.Restricted()
 		if restricted && n.now+wait > rec.WaitingSince+rec.WaitLimit {
 			refused = append(refused, refusal{rec, wait})
 			return
--- a/internal/core/queue/bounded_test.go
+++ b/internal/core/queue/bounded_test.go
@@ -16,13 +16,14 @@
 // offeredBound is more than the offers in vain of one pass to the requests of one service, kind and rank.
 const offeredBound = 20
 
-// afterFirstPass returns a queue with n requests for each service, all of which a pass has offered once.
-func afterFirstPass(n int, services ...string) *queue.Objectives {
+// afterFirstPass returns a queue with n requests of a length for each service, all of which a pass has offered once.
+func afterFirstPass(n int, prompt int64, services ...string) *queue.Objectives {
 	q := queue.NewObjectives()
 	for i := range n {
 		for _, service := range services {
 			rec := recordWithObjective(fmt.Sprint(service, i), time.Duration(i)*ms, time.Minute, false)
 			rec.Request.Model = service
+			rec.Request.PromptTokens = prompt
 			q.Push(rec)
 		}
 	}
@@ -32,15 +33,21 @@
 
 // The offers of a pass must not grow with the waiting requests: under a burst each input would cost more than the one before.
 func TestOffersOfAPassDoNotGrowWithTheWaitingRequests(t *testing.T) {
-	q := afterFirstPass(1_000, "a")
+	q := afterFirstPass(1_000, 1_000, "a")
 	assert.Assert(t, len(orderOf(q, 0, none)) <= offeredBound)
 }
 
 // The bound on the offers must not starve a request: each gets its turn over the passes, and a service without room uses up no
 // offers of another.
 func TestEachRequestGetsItsTurn(t *testing.T) {
+	for _, prompt := range []int64{1_000, 50_000} {
+		t.Run(fmt.Sprint(prompt), func(t *testing.T) { testTurns(t, prompt) })
+	}
+}
+
+func testTurns(t *testing.T, prompt int64) {
 	const n = 200
-	q := afterFirstPass(n, "a", "b")
+	q := afterFirstPass(n, prompt, "a", "b")
 	offered := make(map[string]int)
 	for range n {
 		for _, id := range orderOf(q, 0, none) {
@@ -60,7 +67,7 @@
 		"fresh": func(q *queue.Objectives, f func(*ledger.Record) bool) { q.EachFresh(0, f) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			q := afterFirstPass(1_000, "a")
+			q := afterFirstPass(1_000, 1_000, "a")
 			last := recordWithObjective("last", time.Hour, time.Minute, false)
 			last.Request.Model = "a"
 			q.Push(last)
--- a/internal/core/queue/edf.go
+++ b/internal/core/queue/edf.go
@@ -81,6 +81,9 @@
 // EachFresh implements Queue. It offers every record: EDF is a baseline for replays.
 func (q *EDF) EachFresh(now core.Time, f func(*ledger.Record) (take bool)) { q.Each(now, f) }
 
+// Renew implements Queue. Any pass may offer the record anyway.
+func (q *EDF) Renew(core.Key) {}
+
 // All implements Queue.
 func (q *EDF) All(now core.Time, f func(*ledger.Record)) { allOf(q, now, f) }
 
--- a/internal/core/queue/fair.go
+++ b/internal/core/queue/fair.go
@@ -181,6 +181,9 @@
 // EachFresh implements Queue. A head without a target blocks those behind it, so Each is cheap already.
 func (q *Fair) EachFresh(now core.Time, f func(*ledger.Record) (take bool)) { q.Each(now, f) }
 
+// Renew implements Queue. Any pass may offer the record anyway.
+func (q *Fair) Renew(core.Key) {}
+
 // All implements Queue.
 func (q *Fair) All(now core.Time, f func(*ledger.Record)) { allOf(q, now, f) }
 
--- a/internal/core/queue/lane.go
+++ b/internal/core/queue/lane.go
@@ -157,8 +157,11 @@
 func (l *lane) passBy() { l.failed++ }
 
 // end records where the next pass continues.
-func (l *lane) end() {
+func (l *lane) end(pass uint64) {
 	l.turn = 0
+	for l.next < l.len() && l.at(l.next).pass == pass {
+		l.next++
+	}
 	if l.turned > 0 && l.next < l.len() {
 		l.turn = l.next
 	}
--- a/internal/core/queue/objectives.go
+++ b/internal/core/queue/objectives.go
@@ -138,6 +138,14 @@
 	q.dropLanes()
 }
 
+// Renew implements Queue.
+func (q *Objectives) Renew(key core.Key) {
+	if w := q.waiters[key]; w != nil && !w.fresh {
+		w.fresh = true
+		q.fresh = append(q.fresh, w)
+	}
+}
+
 // beginPass puts the records in order and starts a pass.
 func (q *Objectives) beginPass(now core.Time) {
 	q.pass++
@@ -149,7 +157,7 @@
 
 func (q *Objectives) endPass() {
 	for _, l := range q.lanes {
-		l.end()
+		l.end(q.pass)
 	}
 	q.dropLanes()
 }
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -31,6 +31,8 @@
 	// EachFresh is Each after nothing has changed that the records wait for which Each has offered: it may offer only those that
 	// were added since.
 	EachFresh(now core.Time, f func(*ledger.Record) (take bool))
+	// Renew makes the next Each or EachFresh offer a waiting record as if it had just been added.
+	Renew(key core.Key)
 	// All calls f for the waiting records in order of service. It may skip those that have to wait for one before them. f must
 	// not call Push or Remove.
 	All(now core.Time, f func(*ledger.Record))
--- a/internal/core/target/load.go
+++ b/internal/core/target/load.go
@@ -52,6 +52,17 @@
 	l.GapSensitive -= o.GapSensitive
 }
 
+// belowAny reports whether any part of the load is below that of another one.
+func (l *Load) belowAny(o *Load) bool {
+	fields, others := l.fields(), o.fields()
+	for i := range fields {
+		if fields[i] < others[i] {
+			return true
+		}
+	}
+	return false
+}
+
 // Ahead returns the pending work of a priority and of higher ones, which is served before new work, in weighted tokens.
 func (l *Load) Ahead(priority int) int64 {
 	sum := int64(0)
@@ -131,6 +142,8 @@
 // ApplyDigest replaces a peer's load with that of its digest, and its counts of requests to limited targets. Targets that
 // this host does not route to are skipped; a truncated digest is applied as far as it can be decoded.
 func (tb *Table) ApplyDigest(now core.Time, peer string, digest []byte) {
+	tb.rememberLoad(peer)
+	defer tb.countFalls(peer)
 	tb.forgetLoad(peer)
 	counts := make(map[*Target]uint64, len(tb.limited))
 	for len(digest) > 0 {
@@ -195,6 +208,7 @@
 // connections.
 func (tb *Table) ForgetPeer(peer string) {
 	tb.forgetLoad(peer)
+	tb.loadFalls++
 	for _, t := range tb.limited {
 		t.standing.bucket.Forget(peer)
 	}
@@ -211,6 +225,35 @@
 	delete(tb.withPeer, peer)
 }
 
+// peerLoad is the load of a peer at a target.
+type peerLoad struct {
+	target *Target
+	load   Load
+}
+
+// rememberLoad keeps the load that a peer reports, for countFalls.
+func (tb *Table) rememberLoad(peer string) {
+	tb.remembered = tb.remembered[:0]
+	for _, t := range tb.withPeer[peer] {
+		tb.remembered = append(tb.remembered, peerLoad{t, t.peers[peer]})
+	}
+}
+
+// countFalls counts a fall if any load of the peer is lower now than when it was remembered.
+func (tb *Table) countFalls(peer string) {
+	for i := range tb.remembered {
+		now := tb.remembered[i].target.peers[peer]
+		if now.belowAny(&tb.remembered[i].load) {
+			tb.loadFalls++
+			return
+		}
+	}
+}
+
+// LoadFalls returns the number of times that known load has fallen, of this host or of others: until it changes, no target has more
+// room than before.
+func (tb *Table) LoadFalls() uint64 { return tb.loadFalls }
+
 // setPeer sets the load that a peer reports at a target.
 func (tb *Table) setPeer(t *Target, peer string, load Load) {
 	if old, ok := t.peers[peer]; ok {
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -69,9 +69,9 @@
 	cold coldState
 	// GapObjective is the smallest gap target of the routes that lead to the target's service; 0 if there is none.
 	GapObjective time.Duration
-	// loadChanges points to the table's counter.
-	loadChanges *uint64
-	standing    *Standing
+	// loadChanges and loadFalls point to the table's counters.
+	loadChanges, loadFalls *uint64
+	standing               *Standing
 }
 
 // Dispatch identifies one dispatch of a request, a prefill helper's part or the claim of a group.
@@ -222,6 +222,7 @@
 
 func (t *Target) clearPending(p *activeDispatch) {
 	p.pendingCleared = true
+	*t.loadFalls++
 	done := Load{Pending: p.load.Pending, LongContext: p.load.LongContext}
 	t.own.subtract(done)
 	p.load.subtract(done)
@@ -234,6 +235,7 @@
 		return
 	}
 	*t.loadChanges++
+	*t.loadFalls++
 	t.own.subtract(p.load)
 	delete(t.inFlight, d)
 }
@@ -287,6 +289,9 @@
 	withPeer    map[string][]*Target
 	evidence    *evidence
 	loadChanges uint64
+	loadFalls   uint64
+	// remembered is the buffer of rememberLoad.
+	remembered []peerLoad
 	// standings hold what targets have said of themselves.
 	standings map[Identity]*Standing
 	retired   retirements
@@ -400,6 +405,7 @@
 		peers:       make(map[string]Load),
 		evidence:    tb.evidence,
 		loadChanges: &tb.loadChanges,
+		loadFalls:   &tb.loadFalls,
 	}
 	tb.attach(t)
 	t.evacuated = tb.isEvacuated(t.Zone)
