--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -9,19 +9,6 @@
 	"carobshunt/internal/document"
 )
 
-// dispatchQueued dispatches waiting requests, in queue order, as far as targets have room.
-func (n *Node) dispatchQueued() {
-	if n.catchingUp() || n.queue.Len() == 0 {
-		return
-	}
-	n.router.SetGroupsWaiting(n.groupsWait())
-	n.router.SetContention(route.Contention{Self: n.opts.Peer, Live: n.liveHosts(), UnseenShort: n.unseenShort()})
-	n.queue.Each(n.now, n.dispatch)
-	if n.targets.AnyRestricts(n.now) {
-		n.refuseRestricted()
-	}
-}
-
 // dispatch tries to place a waiting request; it reports whether the request leaves the queue.
 func (n *Node) dispatch(rec *ledger.Record) bool {
 	if !n.ledger.MayDispatch(n.now, rec) {
@@ -42,6 +29,7 @@
 		return n.dispatchAdopted(rec)
 	}
 	rec.Yields = n.yields(rec)
+	n.router.Refresh(n.targets.LoadChanges())
 	place := n.router.Place(n.now, rec, n.targets.All())
 	t := place.Target
 	if t == nil {
