--- a/internal/core/group/group_test.go
+++ b/internal/core/group/group_test.go
@@ -48,11 +48,12 @@
 	for range 500 {
 		var engines []group.Engine
 		for i := range rng.IntN(40) {
-			engines = append(engines, group.Engine{Address: fmt.Sprint("e", i), MemoryTokens: 100_000, FreeTokens: rng.Int64N(8) * 10_000})
+			process := target.Process{Address: fmt.Sprint("e", i)}
+			engines = append(engines, group.Engine{Process: process, MemoryTokens: 100_000, FreeTokens: rng.Int64N(8) * 10_000})
 		}
 		sorted := slices.Clone(engines)
 		slices.SortFunc(sorted, func(a, b group.Engine) int {
-			return cmp.Or(cmp.Compare(b.FreeTokens, a.FreeTokens), strings.Compare(a.Address, b.Address))
+			return cmp.Or(cmp.Compare(b.FreeTokens, a.FreeTokens), strings.Compare(a.Process.Address, b.Process.Address))
 		})
 		need := int64(1 + rng.IntN(400_000))
 		plan, ok := group.Spread(need, engines)
@@ -62,11 +63,11 @@
 		if !ok {
 			continue
 		}
-		var best []string
+		var best []target.Process
 		for _, e := range sorted[:len(plan.Engines)] {
-			best = append(best, e.Address)
+			best = append(best, e.Process)
 		}
-		slices.Sort(best)
+		slices.SortFunc(best, func(a, b target.Process) int { return strings.Compare(a.Address, b.Address) })
 		assert.DeepEqual(t, plan.Engines, best)
 	}
 }
