Overload: the lag of the control goroutine is measured, and closes admission

Cause: nothing measured how long inputs wait for the control goroutine, and nothing acted on it.

Change: inputs carry the time at which they were sent. The age of the oldest input of each step is a histogram (control_lag_seconds) and a gauge (control_oldest_input_seconds). A single stall closes nothing: the inputs that have waited are processed within milliseconds. Requests that were admitted before are served.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -9,11 +9,15 @@
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/overload"
 )
 
-// Executor executes all actions except node.Decide. It is called on the control goroutine and must not block.
+// Executor executes all actions except node.Decide, and is told the lag of each step. It is called on the control goroutine and must
+// not block.
 type Executor interface {
 	Execute(node.Action)
+	// Lagged is called with the age of the oldest input that a step has processed.
+	Lagged(time.Duration)
 }
 
 // Loop owns a Node. Its exported methods, except Run, are safe for concurrent use.
@@ -26,12 +30,15 @@
 	pending    map[node.Ticket]chan<- node.Decision
 	lastTicket node.Ticket
 	done       chan struct{}
+	// lagged is set if the last step had a lag that the node was told of.
+	lagged bool
 }
 
-// envelope is an input and, if the sender waits for a decision, the channel that takes it.
+// envelope is an input with the time at which it was sent and, if the sender waits for a decision, the channel that takes it.
 type envelope struct {
 	input node.Input
 	reply chan<- node.Decision
+	sent  core.Time
 }
 
 // inputBacklog is the number of inputs that may be queued for the control goroutine before senders block.
@@ -62,8 +69,9 @@
 // Post queues an input without waiting for its effect. It blocks while inputBacklog inputs are queued. After the loop has
 // ended it does nothing.
 func (l *Loop) Post(in node.Input) {
+	sent := l.Now()
 	select {
-	case l.inputs <- envelope{input: in}:
+	case l.inputs <- envelope{input: in, sent: sent}:
 	case <-l.done:
 	}
 }
@@ -72,8 +80,9 @@
 // error of the context; the input may take effect nevertheless.
 func (l *Loop) Ask(ctx context.Context, in node.Input) (node.Decision, error) {
 	reply := make(chan node.Decision, 1)
+	sent := l.Now()
 	select {
-	case l.inputs <- envelope{input: in, reply: reply}:
+	case l.inputs <- envelope{input: in, reply: reply, sent: sent}:
 	case <-l.done:
 		return node.Decision{}, ErrStopped
 	case <-ctx.Done():
@@ -101,8 +110,11 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			next.oldest = l.Now()
 			next.add(node.Tick{})
 		case e := <-l.inputs:
+			next.oldest = e.sent
+			l.reportLag(&next)
 			next.add(l.withTicket(e))
 		}
 		l.fill(&next, ticker.C)
@@ -114,6 +126,8 @@
 type batch struct {
 	inputs    []node.Input
 	publishes bool
+	// oldest is when the first of the inputs was sent.
+	oldest core.Time
 }
 
 func (b *batch) add(in node.Input) {
@@ -121,6 +135,16 @@
 	b.publishes = b.publishes || changesSnapshot(in)
 }
 
+// reportLag tells the node and the executor how long the inputs of a step have waited. The node is not told of less than it acts on.
+func (l *Loop) reportLag(b *batch) {
+	lag := l.Now() - b.oldest
+	l.executor.Lagged(lag)
+	if lag >= overload.CloseLag || l.lagged {
+		b.add(node.StepLagged{Lag: lag})
+	}
+	l.lagged = lag > overload.OpenLag
+}
+
 // maxBatch is the number of inputs that the Node processes before it places requests: enough for the inputs that arrive
 // during a placement pass, and few enough for the pass not to come late.
 const maxBatch = 256
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"carobshunt/internal/control"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/overload"
 
 	"gotest.tools/v3/assert"
 )
@@ -21,7 +23,8 @@
 
 type discard struct{}
 
-func (discard) Execute(node.Action) {}
+func (discard) Execute(node.Action)  {}
+func (discard) Lagged(time.Duration) {}
 
 // Inputs that are processed together must not mix up who asked: each sender gets the decision on its own request.
 func TestSendersOfABatchGetTheirOwnDecisions(t *testing.T) {
@@ -53,3 +56,54 @@
 	assert.NilError(t, err)
 	assert.Equal(t, d.Result.Outcome, api.OutcomeNotRun, "the host is not ready")
 }
+
+// manualClock is a clock that tests set.
+type manualClock struct{ now atomic.Int64 }
+
+func (c *manualClock) Now() time.Duration { return time.Duration(c.now.Load()) }
+
+// recorder records what the loop tells its executor.
+type recorder struct {
+	clock   *manualClock
+	lags    []time.Duration
+	changes []string
+}
+
+// Lagged implements control.Executor. Each step takes a while.
+func (r *recorder) Lagged(lag time.Duration) {
+	r.lags = append(r.lags, lag)
+	r.clock.now.Add(int64(overload.CloseAfter))
+}
+
+func (r *recorder) Execute(a node.Action) {
+	if c, ok := a.(node.StateChange); ok && c.Event == node.EventOverload {
+		r.changes = append(r.changes, c.Text)
+	}
+}
+
+// The lag must count from when an input was sent, not from when it was read: otherwise a loop that is seconds behind looks idle. The
+// node must learn of it, and that it has ended.
+func TestLagCountsFromTheSending(t *testing.T) {
+	clock := &manualClock{}
+	loop := control.NewLoop(node.New(node.Options{Peer: "10.0.0.1:2", Records: 10}), clock)
+	const batches = 3
+	for range batches * 256 {
+		loop.Post(node.CallerLeft{})
+	}
+	clock.now.Store(int64(time.Second))
+	ctx, cancel := context.WithCancel(t.Context())
+	r := &recorder{clock: clock}
+	ended := make(chan struct{})
+	go func() {
+		loop.Run(ctx, r)
+		close(ended)
+	}()
+	for range 2 {
+		_, err := loop.Ask(t.Context(), node.Query{Request: core.Request{Idempotent: true}})
+		assert.NilError(t, err)
+	}
+	cancel()
+	<-ended
+	assert.Equal(t, r.lags[0], time.Second)
+	assert.Equal(t, len(r.changes), 2, r.changes)
+}
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -231,6 +231,8 @@
 	// EventSpillover: the share of short prompts that leave this host's availability zone has become zero or nonzero, or has
 	// passed another multiple of 0.1.
 	EventSpillover Event = "share of requests leaving the zone"
+	// EventOverload: the control goroutine lags so far behind that no new requests are admitted, or does no longer.
+	EventOverload Event = "lag of the control goroutine"
 )
 
 // Stop ends the process after a complete drain.
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -13,6 +13,7 @@
 func (n *Node) admission(req *core.Request) (core.Result, bool) {
 	checks := []func(*core.Request) core.Result{
 		n.checkReady,
+		n.checkOverload,
 		n.checkDeadline,
 		n.checkNames,
 		n.checkRegions,
--- a/internal/core/node/batch_test.go
+++ b/internal/core/node/batch_test.go
@@ -3,8 +3,10 @@
 import (
 	"testing"
 
+	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/overload"
 
 	"gotest.tools/v3/assert"
 )
@@ -55,3 +57,23 @@
 	assert.DeepEqual(t, decided, []node.DecisionKind{node.Admit})
 	assert.Equal(t, finished, 1)
 }
+
+// While the control goroutine lags, new requests must be refused as not run and with a time to return, before those that were admitted
+// miss their promises. What is known of an admitted one is still answered.
+func TestLagClosesAdmission(t *testing.T) {
+	e := newRoutedHost(t)
+	admitted := e.send("/ask/1")
+	e.step(node.StepLagged{Lag: overload.CloseLag})
+	e.after(overload.CloseAfter).step(node.StepLagged{Lag: overload.CloseLag})
+	d := e.submit(e.request("/ask/1"))
+	assert.Equal(t, d.Kind, node.Refuse)
+	assert.Equal(t, d.Result.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, d.Result.Code, api.CodeOverloaded)
+	assert.Assert(t, d.Result.RetryAfter > 0)
+	e.end(admitted, node.EndedDone)
+	result, finished := e.finished()
+	assert.Assert(t, finished)
+	assert.Equal(t, result.Outcome, api.OutcomeDone)
+	e.step(node.StepLagged{Lag: overload.OpenLag})
+	assert.Equal(t, e.submit(e.request("/ask/1")).Kind, node.Admit)
+}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -15,6 +15,10 @@
 // marks the types that are inputs.
 type Input interface{ input() }
 
+// StepLagged precedes the inputs of a step if they had to wait: Lag is the age of the oldest one. A step of which nothing is reported
+// had no lag to speak of.
+type StepLagged struct{ Lag time.Duration }
+
 // Ticket correlates a Decide action with the input that it answers.
 type Ticket uint64
 
@@ -177,6 +181,7 @@
 type Drain struct{}
 
 func (Submit) input()             {}
+func (StepLagged) input()         {}
 func (BodyEnded) input()          {}
 func (DispatchFirstToken) input() {}
 func (DispatchEnded) input()      {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -17,6 +17,7 @@
 	"carobshunt/internal/core/limit"
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
+	"carobshunt/internal/core/overload"
 	"carobshunt/internal/core/quarantine"
 	"carobshunt/internal/core/queue"
 	"carobshunt/internal/core/retry"
@@ -149,6 +150,7 @@
 	placement placementNeed
 	ticked    bool
 	passes    passState
+	overload  overload.Gate
 }
 
 // New returns the Node of a process that has just started, with its clock at zero.
@@ -256,6 +258,8 @@
 		n.releaseWithheld(in)
 	case Drain:
 		n.startDrain()
+	case StepLagged:
+		n.stepLagged(in)
 	default:
 		n.applyUpdate(in)
 	}
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/metrics"
@@ -25,6 +26,9 @@
 	stop context.CancelFunc
 }
 
+// Lagged implements control.Executor.
+func (x *executor) Lagged(lag time.Duration) { x.metrics.Lagged(lag) }
+
 // Execute implements control.Executor.
 func (x *executor) Execute(action node.Action) {
 	x.requestLog.record(action)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,8 @@
 	streamRuns *prometheus.CounterVec
 	events     *prometheus.CounterVec
 	reloads    *prometheus.CounterVec
+	lags       prometheus.Histogram
+	lastLag    prometheus.Gauge
 }
 
 // Label names.
@@ -66,6 +68,7 @@
 	firstTokenBuckets = []float64{0.05, 0.1, 0.25, 0.5, 0.75, 1, 2.5, 5, 15, 60, 300}
 	interTokenBuckets = []float64{0.01, 0.02, 0.03, 0.04, 0.059, 0.08, 0.12, 0.25, 1}
 	slowdownBuckets   = []float64{1, 1.1, 1.25, 1.5, 2, 3, 5, 10, 30}
+	lagBuckets        = []float64{0.0001, 0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2.5}
 	queueingBuckets   = []float64{0.001, 0.01, 0.05, 0.25, 1, 5, 30, 120}
 )
 
@@ -89,9 +92,17 @@
 		events:  counter("state_changes_total", "Changes of state, each of which is a log line too.", labelEvent),
 		reloads: counter("file_reloads_total", "Key and certificate files read again.", labelFile, labelResult),
 	}
+	m.lags = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "control_lag_seconds", Buckets: lagBuckets,
+		Help: "Age of the oldest input of each step of the control goroutine.",
+	})
+	m.lastLag = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "control_oldest_input_seconds",
+		Help: "Age of the oldest input of the last step of the control goroutine.",
+	})
 	m.teams = newTeamLabels(s, source, m.dropTeam)
 	m.registry.MustRegister(m.firstToken, m.interToken, m.slowdown, m.queueing,
-		m.finished, m.refusals, m.dispatches, m.streamRuns, m.events, m.reloads,
+		m.finished, m.refusals, m.dispatches, m.streamRuns, m.events, m.reloads, m.lags, m.lastLag,
 		newStateCollector(source), buildInfo(),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -142,6 +153,12 @@
 	m.streamRuns.WithLabelValues(string(a.Run.Framing), strconv.FormatBool(a.Run.Resumed), a.Ending.String()).Inc()
 }
 
+// Lagged observes the age of the oldest input of a step of the control goroutine.
+func (m *Metrics) Lagged(lag time.Duration) {
+	m.lags.Observe(lag.Seconds())
+	m.lastLag.Set(lag.Seconds())
+}
+
 // StateChanged counts a change of state.
 func (m *Metrics) StateChanged(event node.Event) { m.events.WithLabelValues(string(event)).Inc() }
 
