platform: orders for memory name the process that they are meant for

After an engine had ended, another engine at its address could be asked for the memory of a claim that was made for the engine before, and its promise counted as that engine's. A release went to it as well.

Cause: reservations and releases carried an address alone, over kept or new connections. The platform lets an order name the instance that it is meant for, and another process then refuses with 421.

Change: Reserve, its answer and Release carry the instance of the member, and the order names it. A refusal with 421 ends the claim, as any other refusal.

TestReleasesNameTheProcessThatHoldsTheMemory was written with the change and has not been run without it.

--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -17,8 +17,10 @@
 // Reserve asks an engine to hold memory, or to extend a reservation, until Expiry has passed since the engine
 // received it. The answer comes back as ReservationAnswered.
 type Reserve struct {
-	Key         core.Key
-	Target      string
+	Key    core.Key
+	Target string
+	// Instance identifies the target process, as in StartDispatch; a different process at the address must refuse.
+	Instance    string
 	Reservation core.Reservation
 	// Tokens is the KV memory to hold, in tokens.
 	Tokens int64
@@ -33,15 +35,19 @@
 
 // Release asks an engine to drop a reservation. It needs no answer: a reservation that is not released expires.
 type Release struct {
-	Key         core.Key
-	Target      string
+	Key    core.Key
+	Target string
+	// Instance identifies the target process, as in Reserve.
+	Instance    string
 	Reservation core.Reservation
 }
 
 // ReservationAnswered is the outcome of a Reserve.
 type ReservationAnswered struct {
-	Key         core.Key
-	Target      string
+	Key    core.Key
+	Target string
+	// Instance is that of the Reserve.
+	Instance    string
 	Reservation core.Reservation
 	SentAt      core.Time
 	Answer      group.Answer
@@ -306,6 +312,7 @@
 		n.do(Reserve{
 			Key:         key,
 			Target:      ask.Engine.Address,
+			Instance:    ask.Engine.Instance,
 			Reservation: claim.Reservation,
 			Tokens:      claim.Plan.Tokens,
 			Expiry:      n.opts.ReservationTiming.Expiry,
@@ -322,7 +329,7 @@
 	claim := n.groups.claims[in.Key]
 	if claim == nil || claim.Reservation != in.Reservation {
 		if in.Answer == group.Held || in.Answer == group.Waiting {
-			n.do(Release{Key: in.Key, Target: in.Target, Reservation: in.Reservation})
+			n.do(Release{Key: in.Key, Target: in.Target, Instance: in.Instance, Reservation: in.Reservation})
 		}
 		return
 	}
@@ -396,7 +403,7 @@
 	delete(n.groups.claims, key)
 	n.removeGroupLoad(key, claim)
 	for _, engine := range claim.Plan.Engines {
-		n.do(Release{Key: key, Target: engine.Address, Reservation: claim.Reservation})
+		n.do(Release{Key: key, Target: engine.Address, Instance: engine.Instance, Reservation: claim.Reservation})
 	}
 }
 
--- a/internal/core/node/reused_test.go
+++ b/internal/core/node/reused_test.go
@@ -6,6 +6,7 @@
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/hostlist"
 
@@ -57,6 +58,7 @@
 			e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
 			pending := slices.Clone(e.actions)
 			first := firstReserve(t, pending)
+			assert.Equal(t, first.Instance, "i"+first.Target, "another process must refuse the order")
 			pending = append(pending, e.replace(targetList(3, engines...), first.Target, change)...)
 			start := e.grant(pending)
 			assert.Assert(t, start.Reservation != first.Reservation, "the memory was promised by the process of before")
@@ -66,3 +68,25 @@
 		})
 	}
 }
+
+// TestReleasesNameTheProcessThatHoldsTheMemory guards against the release of a reservation at another process at the address, also
+// where the grant arrives after the claim has ended.
+func TestReleasesNameTheProcessThatHoldsTheMemory(t *testing.T) {
+	e := newRoutedHost(t)
+	d := e.startGroup(300_000)
+	e.end(d, node.EndedDone)
+	released := 0
+	for _, a := range e.actions {
+		if r, ok := a.(node.Release); ok {
+			released++
+			assert.Equal(t, r.Instance, "i"+r.Target)
+		}
+	}
+	assert.Equal(t, released, len(d.Group))
+	e.step(node.ReservationAnswered{
+		Key: d.Key, Target: d.Target, Instance: "old", Reservation: d.Reservation, SentAt: e.now, Answer: group.Held,
+	})
+	assert.DeepEqual(t, e.actions, []node.Action{
+		node.Release{Key: d.Key, Target: d.Target, Instance: "old", Reservation: d.Reservation},
+	})
+}
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -90,7 +90,9 @@
 	case status == http.StatusAccepted:
 		answer = group.Waiting
 	}
-	return node.ReservationAnswered{Key: a.Key, Target: a.Target, Reservation: a.Reservation, SentAt: a.SentAt, Answer: answer}
+	return node.ReservationAnswered{
+		Key: a.Key, Target: a.Target, Instance: a.Instance, Reservation: a.Reservation, SentAt: a.SentAt, Answer: answer,
+	}
 }
 
 // Release deletes a reservation. Errors are ignored: a reservation that stays expires.
--- a/internal/virtual/memory.go
+++ b/internal/virtual/memory.go
@@ -49,7 +49,9 @@
 func (h *Host) reserve(a node.Reserve) {
 	post := h.Poster()
 	reply := func(answer group.Answer) {
-		post(node.ReservationAnswered{Key: a.Key, Target: a.Target, Reservation: a.Reservation, SentAt: a.SentAt, Answer: answer})
+		post(node.ReservationAnswered{
+			Key: a.Key, Target: a.Target, Instance: a.Instance, Reservation: a.Reservation, SentAt: a.SentAt, Answer: answer,
+		})
 	}
 	h.callTarget(a.Target, func(t Target) func() {
 		answer := group.Held
