--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -177,6 +177,7 @@
 // of in.Blame. That no answer came counts as the target's failure only if the request awaits this dispatch. The end shows
 // nothing of another process that has the address now.
 func (n *Node) releaseTarget(in DispatchEnded) {
+	blamed, listed := n.blamedPart(in)
 	if rec := n.active[in.Key]; rec != nil && rec.LastDispatch == in.Dispatch {
 		n.removeHelperLoad(rec)
 	}
@@ -187,8 +188,10 @@
 		return
 	}
 	n.releaseLoad(t, in)
-	if blamed := n.targets.Get(in.Blame); blamed != nil && blamed != t {
-		blamed.Failed(n.now)
+	if listed && blamed != t {
+		if blamed != nil {
+			blamed.Failed(n.now)
+		}
 		return
 	}
 	switch in.Ending {
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -79,7 +79,7 @@
 	Target   string
 	Ending   Ending
 	Message  string
-	// Blame is the target at fault if it is not Target; empty otherwise.
+	// Blame is the address of the target at fault if it is not Target; empty otherwise.
 	Blame string
 	// LongestGap is the longest time between two events of a stream; 0 if it is not known.
 	LongestGap time.Duration
--- a/internal/core/node/reused_test.go
+++ b/internal/core/node/reused_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -90,3 +91,48 @@
 		node.Release{Key: d.Key, Target: d.Target, Instance: "old", Reservation: d.Reservation},
 	})
 }
+
+// startWithHelpers submits a prompt that several engines prefill together, and returns its dispatch.
+func (e *routedHost) startWithHelpers() node.StartDispatch {
+	e.t.Helper()
+	req := e.request("/ask/1")
+	req.PromptTokens, req.AnswerTokens = 190_000, 100
+	assert.Equal(e.t, e.submit(req).Kind, node.Admit)
+	e.step(node.BodyEnded{Key: core.Key{Team: "press", ID: req.ID}, Attempt: 1})
+	d := e.dispatched()
+	assert.Assert(e.t, len(d.Helpers) > 0)
+	return d
+}
+
+// TestFaultOfAHelperIsNotThatOfItsSuccessor guards against a sound process that gets no requests for a while since an engine named
+// its address as the cause of a refusal, which was that of a helper that has ended.
+func TestFaultOfAHelperIsNotThatOfItsSuccessor(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		t.Run(fmt.Sprint("replaced ", replaced), func(t *testing.T) {
+			e := newRoutedHost(t)
+			d := e.startWithHelpers()
+			helper := d.Helpers[0]
+			if replaced {
+				e.replace(targetList(2, "e1", "e2", "e3", "s1", "s2"), helper, replacements["other service"])
+			}
+			e.step(node.DispatchEnded{Key: d.Key, Dispatch: d.Dispatch, Target: d.Target, Ending: node.EndedRefused, Blame: helper})
+			assert.Equal(t, slices.Contains(e.eligible(), helper), replaced)
+		})
+	}
+}
+
+// TestFaultOfAMemberIsNotThatOfItsSuccessor guards against the same for the members of a group.
+func TestFaultOfAMemberIsNotThatOfItsSuccessor(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		t.Run(fmt.Sprint("replaced ", replaced), func(t *testing.T) {
+			e := newRoutedHost(t)
+			d := e.startGroup(300_000)
+			member := d.Group[len(d.Group)-1]
+			if replaced {
+				e.replace(targetList(2, "e1", "e2", "e3", "s1", "s2"), member, replacements["other engine"])
+			}
+			e.step(node.DispatchEnded{Key: d.Key, Dispatch: d.Dispatch, Target: d.Target, Ending: node.EndedRefused, Blame: member})
+			assert.Equal(t, slices.Contains(e.eligible(), member), replaced)
+		})
+	}
+}
