node: a request may go to the successor of a target that refused it

Seen by callers: a request that a target had refused, or at which it had failed, waited until its deadline or was refused although a sound process had that target's address and was the only one left.

Cause: the targets that a request has been tried at were kept by address, for as long as the request waits.

Change: they are kept as processes, and so is the last target of a record. The test of the router and one of the ledger name processes where they named addresses; what they assert is unchanged.

Evidence: TestRequestMayGoToTheSuccessorOfATargetThatRefusedIt failed for a replaced process; its other case shows that the same process is not asked again. The tests of internal/core/node, ledger and route pass.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -19,6 +19,7 @@
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/target"
 )
 
 // State is the stage of a request's life cycle.
@@ -46,8 +47,10 @@
 	// LastDispatch is the number of the last dispatch, from 1, which is part of its stream's name; 0 before the first one. It
 	// continues the numbers of the closed record that this one replaced, if any.
 	LastDispatch uint32
-	// Target is the address of the last target; empty before the first dispatch of this record.
-	Target string
+	// Target is the address of the last target; empty before the first dispatch of this record. Process is the process that the
+	// host list had there at the dispatch.
+	Target  string
+	Process target.Process
 	// MayHaveRun is set while a target may have executed the request: it is set by each dispatch, and UndoDispatch resets it
 	// if no earlier dispatch may have been executed.
 	MayHaveRun bool
@@ -88,9 +91,9 @@
 	Yields bool
 	// Probe is set if the request was let through although its prompt is withheld, to see whether it still ends targets.
 	Probe bool
-	// Tried are the targets of earlier dispatches that were retried or redispatched. Helpers are the prefill helpers of the
+	// Tried are the processes of earlier dispatches that were retried or redispatched. Helpers are the prefill helpers of the
 	// current dispatch: engines that each prefill a part of the prompt; none after the first token.
-	Tried   []string
+	Tried   []target.Process
 	Helpers []string
 	// closedThrough is the highest attempt closed by an answer "not run" or by CloseAll; 0 for none. While the record is
 	// closed, that one and all lower ones are refused.
@@ -317,10 +320,11 @@
 
 // Dispatch records that the request is sent to a target and returns the dispatch's number. The caller must have checked
 // MayDispatch.
-func (l *Ledger) Dispatch(now core.Time, rec *Record, target string) uint32 {
+func (l *Ledger) Dispatch(now core.Time, rec *Record, p target.Process) uint32 {
 	rec.State = Dispatched
 	rec.LastDispatch++
-	rec.Target = target
+	rec.Target = p.Address
+	rec.Process = p
 	rec.Executions++
 	rec.mayHaveRunBefore = rec.MayHaveRun
 	rec.MayHaveRun = true
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -10,6 +10,7 @@
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/ledger"
+	"carobshunt/internal/core/target"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -177,7 +178,7 @@
 	if m.now >= rec.Request.Deadline {
 		t.Fatalf("%v is dispatched past its deadline", rec.Request.Key)
 	}
-	m.ledger.Dispatch(m.now, rec, "target")
+	m.ledger.Dispatch(m.now, rec, target.Process{Address: "target"})
 	if !tr.idempotent {
 		tr.mayHaveRun = true
 	}
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -62,7 +62,7 @@
 // begin records a dispatch in the ledger and in the load of its target, and returns the action that starts it.
 func (n *Node) begin(rec *ledger.Record, t *target.Target, job target.Job) StartDispatch {
 	basis := n.basisOf(t)
-	number := n.ledger.Dispatch(n.now, rec, t.Address)
+	number := n.ledger.Dispatch(n.now, rec, t.Process())
 	d := target.Dispatch{Key: rec.Request.Key, Number: number}
 	t.Begin(n.now, d, job)
 	t.TakePermit(n.now)
@@ -312,7 +312,7 @@
 // retry puts a request back into the queue. It finishes the request instead when its deadline is too close or, with
 // the fallback result, when its dispatch limit is reached or the retry budget is used up.
 func (n *Node) retry(rec *ledger.Record, fallback core.Result) {
-	rec.Tried = append(rec.Tried, rec.Target)
+	rec.Tried = append(rec.Tried, rec.Process)
 	if n.now+ledger.DispatchCutoff >= rec.Request.Deadline {
 		n.finish(rec, deadlineResult(rec))
 		return
--- a/internal/core/node/redispatch.go
+++ b/internal/core/node/redispatch.go
@@ -63,7 +63,7 @@
 		n.quarantine.Lost(n.now, target.Dispatch{Key: rec.Request.Key, Number: rec.LastDispatch})
 		n.removeHelperLoad(rec)
 		n.ledger.Requeue(rec)
-		rec.Tried = append(rec.Tried, rec.Target)
+		rec.Tried = append(rec.Tried, rec.Process)
 		rec.Timing.FirstToken = 0
 		n.enqueue(rec)
 	}
--- a/internal/core/node/reused_test.go
+++ b/internal/core/node/reused_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/conf"
@@ -136,3 +137,25 @@
 		})
 	}
 }
+
+// TestRequestMayGoToTheSuccessorOfATargetThatRefusedIt guards against a request that waits until its deadline, since the only target
+// left has the address of one that refused the request and has ended.
+func TestRequestMayGoToTheSuccessorOfATargetThatRefusedIt(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		t.Run(fmt.Sprint("replaced ", replaced), func(t *testing.T) {
+			e := newRoutedHost(t)
+			e.list(targetList(2, "s1"))
+			d := e.send("/read/1")
+			e.end(d, node.EndedRefused)
+			if replaced {
+				e.replace(targetList(3, "s1"), "s1", replacements["other engine"])
+			}
+			began := e.started()
+			for range 20 {
+				e.after(50 * time.Millisecond).step(node.Tick{})
+				began = append(began, e.started()...)
+			}
+			assert.Equal(t, slices.Contains(began, "s1"), replaced)
+		})
+	}
+}
--- a/internal/core/route/packed.go
+++ b/internal/core/route/packed.go
@@ -25,12 +25,12 @@
 // slotTie is the difference in the fraction of used slots up to which two targets count as equal.
 const slotTie = 0.01
 
-// untriedFilter excludes targets that failed or refused the request before.
+// untriedFilter excludes targets that failed or refused the request before. Another process at the address of one has not.
 type untriedFilter struct{}
 
 // Keep implements Filter.
 func (untriedFilter) Keep(_ core.Time, rec *ledger.Record, t *target.Target) bool {
-	return !slices.Contains(rec.Tried, t.Address)
+	return !slices.Contains(rec.Tried, t.Process())
 }
 
 // slotsScorer rates targets by the fraction of their slots in use.
--- a/internal/core/route/packed_test.go
+++ b/internal/core/route/packed_test.go
@@ -132,9 +132,9 @@
 func TestTargetThatFailedTheRequestIsNotAskedAgain(t *testing.T) {
 	engines := publishedEngines(2)
 	rec := routedPrompt(5_000)
-	rec.Tried = []string{engines[0].Address}
+	rec.Tried = []target.Process{engines[0].Process()}
 	assert.Equal(t, place(rec, engines).Target, engines[1])
-	rec.Tried = append(rec.Tried, engines[1].Address)
+	rec.Tried = append(rec.Tried, engines[1].Process())
 	assert.Assert(t, place(rec, engines).Target == nil)
 }
 
