node: a first token shows nothing of the cache of a successor

Seen by callers: prompts were sent to an engine that had to prefill a prefix which the host took for cached there.

Cause: the first token of a dispatch marked its prefix as cached at whatever process had the address of the dispatch by then.

Change: only the process that carries the dispatch is marked.

Evidence: TestFirstTokenShowsNothingOfASuccessorsCache failed for a replaced process; its other case shows that the prefix still counts at the same one. The tests of internal/core/node pass.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -141,7 +141,7 @@
 	n.quarantine.FirstEvent(n.now, in.ID())
 	n.removeHelperLoad(rec)
 	n.groupPrefilled(in.Key)
-	if t := n.targets.Get(rec.Target); t != nil {
+	if t := n.targets.Get(rec.Target); t != nil && t.Carries(in.ID()) {
 		t.Prefilled(n.now, in.ID())
 		if rec.Request.Prefix != "" && !rec.Work.Group {
 			t.ApplyCacheEvent(target.CacheEvent{Prefix: rec.Request.Prefix, Tokens: rec.Request.PrefixTokens})
--- a/internal/core/node/reused_test.go
+++ b/internal/core/node/reused_test.go
@@ -10,6 +10,7 @@
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/target"
 	"carobshunt/internal/hostlist"
 
 	"gotest.tools/v3/assert"
@@ -159,3 +160,43 @@
 		})
 	}
 }
+
+// TestFirstTokenShowsNothingOfASuccessorsCache guards against prompts that are sent to an engine for a prefix that the process at
+// its address before has prefilled.
+func TestFirstTokenShowsNothingOfASuccessorsCache(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		t.Run(fmt.Sprint("replaced ", replaced), func(t *testing.T) {
+			l := newLone(t)
+			entry := hostlist.Host{
+				Address: loneSelf.Address, Peer: "10.0.0.1:2", Zone: "a", Role: hostlist.RoleEntry, State: hostlist.StateLive,
+			}
+			host := hostlist.Host{
+				Address: loneTarget, Zone: "a", Role: hostlist.RoleEngine, State: hostlist.StateLive, Models: []string{"orders"},
+			}
+			list := func(version uint64) {
+				list := &hostlist.List{Version: version, Hosts: []hostlist.Host{entry, host}}
+				l.step(node.HostsReceived{List: list, Source: conf.SourcePlatform})
+			}
+			list(2)
+			l.step(node.LoadReceived{Target: loneTarget, Report: target.Report{}})
+			send := func(id string) node.StartDispatch {
+				req := idempotent(1)
+				req.ID, req.Prefix, req.PromptTokens, req.PrefixTokens = id, "p", 1000, 900
+				return l.dispatched(req)
+			}
+			first := send("first")
+			if replaced {
+				host.Start = 7
+				list(3)
+				l.step(node.LoadReceived{Target: loneTarget, Report: target.Report{}})
+			}
+			l.step(node.DispatchFirstToken{Key: first.Key, Dispatch: first.Dispatch})
+			send("second")
+			for _, s := range l.node.Snapshot().Status.Targets {
+				if s.Address == loneTarget {
+					assert.Equal(t, s.PendingTokens < 1000, !replaced, "%d", s.PendingTokens)
+				}
+			}
+		})
+	}
+}
