--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -50,7 +50,7 @@
 // begin records a dispatch in the ledger and in the load of its target, and returns the action that starts it.
 func (n *Node) begin(rec *ledger.Record, t *target.Target, job target.Job) StartDispatch {
 	basis := n.basisOf(t)
-	number := n.ledger.Dispatch(n.now, rec, t.Address)
+	number := n.ledger.Dispatch(n.now, rec, t.Process())
 	d := target.Dispatch{Key: rec.Request.Key, Number: number}
 	t.Begin(n.now, d, job)
 	t.TakePermit(n.now)
@@ -129,7 +129,7 @@
 	n.quarantine.FirstEvent(n.now, in.ID())
 	n.removeHelperLoad(rec)
 	n.groupPrefilled(in.Key)
-	if t := n.targets.Get(rec.Target); t != nil {
+	if t := n.targets.Get(rec.Target); t != nil && t.Carries(in.ID()) {
 		t.Prefilled(n.now, in.ID())
 		if rec.Request.Prefix != "" && !rec.Work.Group {
 			t.ApplyCacheEvent(target.CacheEvent{Prefix: rec.Request.Prefix, Tokens: rec.Request.PrefixTokens})
@@ -165,6 +165,7 @@
 // of in.Blame. That no answer came counts as the target's failure only if the request awaits this dispatch. The end shows
 // nothing of another process that has the address now.
 func (n *Node) releaseTarget(in DispatchEnded) {
+	blamed, listed := n.blamedPart(in)
 	if rec := n.active[in.Key]; rec != nil && rec.LastDispatch == in.Dispatch {
 		n.removeHelperLoad(rec)
 	}
@@ -175,8 +176,10 @@
 		return
 	}
 	n.releaseLoad(t, in)
-	if blamed := n.targets.Get(in.Blame); blamed != nil && blamed != t {
-		blamed.Failed(n.now)
+	if listed && blamed != t {
+		if blamed != nil {
+			blamed.Failed(n.now)
+		}
 		return
 	}
 	switch in.Ending {
@@ -297,7 +300,7 @@
 // retry puts a request back into the queue. It finishes the request instead when its deadline is too close or, with
 // the fallback result, when its dispatch limit is reached or the retry budget is used up.
 func (n *Node) retry(rec *ledger.Record, fallback core.Result) {
-	rec.Tried = append(rec.Tried, rec.Target)
+	rec.Tried = append(rec.Tried, rec.Process)
 	if n.now+ledger.DispatchCutoff >= rec.Request.Deadline {
 		n.finish(rec, deadlineResult(rec))
 		return
