Adapter: one entry of a configuration costs that entry, not the whole

Seen: any value of a route, service, tenant or limit that the schema of the document refuses (an unknown kind, a name that is empty, a weight or a body limit beyond the maximum, a number of another type) kept the whole configuration out of force, and a host that started had none.

Cause: the adapter passed values on as they were, or refused the whole for one.

Change: entries are decoded one by one. An entry that can't be used is left out: a service, a tenant (its keys are unknown), a share of a route, a route that no request matches. A route that requests match stays, marked as unusable, and refuses them with 503 at once: left out, they would match a shorter prefix, which may lead to a service that no route for them names, and 404 would deny a route that is there. Still refused as a whole: text that is no JSON, no version, no lists of routes and services.

The document carries the number of entries left out, and each host logs and counts it (state change "entries of the configuration left out"). carobctl check config names each as value-refused, at paths that hold where entries before it are left out. Hosts of an older version refuse a document with the two new fields.

--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -197,6 +197,8 @@
 	EventConflict   Event = "two configurations under one revision"
 	// EventUnknownRegions: the new document lists regions that contain no zone, as far as the settings say.
 	EventUnknownRegions Event = "regions without a zone"
+	// EventEntriesLeftOut: published entries of the new document can't be used.
+	EventEntriesLeftOut Event = "entries of the configuration left out"
 	// EventResumed: the process was suspended. It is reported when the process dispatches again: it has caught up, or has
 	// waited for that for catchUpTime.
 	EventResumed            Event = "the process slept"
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -154,6 +154,9 @@
 		n.rebuildDirectory()
 		n.do(StateChange{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
 		n.reportUnknownRegions()
+		if doc.LeftOut > 0 {
+			n.do(StateChange{Event: EventEntriesLeftOut, Text: fmt.Sprintf("%d entries, revision %d", doc.LeftOut, doc.Revision)})
+		}
 		n.announceVersions()
 		n.dispatchQueued()
 	case conf.Invalid:
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -35,6 +35,12 @@
 		}
 		req.Team = team
 	}
+	if route.Unusable {
+		return core.Result{
+			Outcome: api.OutcomeNotRun, Code: api.CodeNoTarget, Message: "what was published for the route can't be used",
+			RetryAfter: n.retryAfter(overloadRetryAfter),
+		}, true
+	}
 	n.fillRoute(req, route)
 	n.setZones(req, route)
 	return core.Result{}, false
--- a/internal/core/node/routed_test.go
+++ b/internal/core/node/routed_test.go
@@ -375,6 +375,26 @@
 	assert.Equal(t, e.submit(e.request("/read/1")).Result.Code, api.CodeUnknownKey, "an older document changes nothing")
 }
 
+// TestRouteThatCantBeUsedRefusesAtOnce guards against requests that wait for a target of such a route or go to another route, and
+// against entries that are left out of a document without a word.
+func TestRouteThatCantBeUsedRefusesAtOnce(t *testing.T) {
+	e := newRoutedHost(t)
+	doc := routedDocument(2)
+	doc.Routes[1].Unusable, doc.Routes[1].Services[0].Name, doc.LeftOut = true, "gone", 1
+	raw, err := json.Marshal(doc)
+	assert.NilError(t, err)
+	reported := false
+	for _, a := range e.step(node.DocumentReceived{Raw: raw, Source: "peer"}) {
+		change, ok := a.(node.StateChange)
+		reported = reported || ok && change.Event == node.EventEntriesLeftOut
+	}
+	assert.Assert(t, reported)
+	refused := e.submit(e.request("/read/1"))
+	assert.Equal(t, refused.Result.Code, api.CodeNoTarget)
+	assert.Equal(t, refused.Result.Outcome, api.OutcomeNotRun)
+	e.end(e.send("/send/1"), node.EndedDone)
+}
+
 func TestLeavingTargetGetsNothingNew(t *testing.T) {
 	e := newRoutedHost(t)
 	list := targetList(2, "e1", "e2", "e3", "s1", "s2")
--- a/internal/ctl/configfile.go
+++ b/internal/ctl/configfile.go
@@ -122,7 +122,7 @@
 	for _, fault := range c.Refused {
 		out = append(out, lint.Finding{
 			Severity: lint.SeverityError, Code: CodeValueRefused, Path: fault.Path,
-			Sentence: "The value is refused: " + fault.Reason + ".", Action: "Correct it; hosts refuse the whole configuration.",
+			Sentence: "The value can't be used: " + fault.Reason + ".", Action: "Correct it; hosts use the rest of the configuration.",
 		})
 	}
 	for _, g := range grouped(c.Altered()) {
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -22,6 +22,8 @@
 	// Routes and Services serve callers whose requests are routed by host name and path.
 	Routes   []Route   `json:"routes,omitempty"`
 	Services []Service `json:"services,omitempty"`
+	// LeftOut is the number of published entries that can't be used and have no effect.
+	LeftOut int64 `json:"left_out,omitempty" jsonschema:"minimum=0,description=number of published entries that can't be used"`
 	// Callers limits what callers on routes may send.
 	Callers *CallerLimits `json:"callers,omitempty"`
 }
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -96,7 +96,7 @@
 		}
 		seen[key] = true
 		for j, s := range r.Services {
-			if !services[s.Name] {
+			if !services[s.Name] && !r.Unusable {
 				reason := fmt.Sprintf("no service is named %q", s.Name)
 				faults = append(faults, strictjson.Fault{Path: fmt.Sprintf("%s/services/%d/name", path, j), Reason: reason})
 			}
--- a/internal/document/routes.go
+++ b/internal/document/routes.go
@@ -30,6 +30,8 @@
 	Resumable bool `json:"resumable,omitempty" jsonschema:"description=whether a stream may go on at another target"`
 	// Public routes require no key.
 	Public bool `json:"public,omitempty" jsonschema:"description=whether no key is asked for"`
+	// Unusable routes match, but refuse all requests: what was published for them can't be used.
+	Unusable bool `json:"unusable,omitempty" jsonschema:"description=whether all requests are refused since what was published for the route can't be used"`
 	// Services share the requests by weight.
 	Services []WeightedService `json:"services" jsonschema:"minItems=1,description=services that share the requests by weight"`
 	// MaxExecutions is the maximum number of targets that may execute one request.
