peer: the document of the largest configuration fits a message

Seen in a test: a message between hosts held 2 MiB, and the document of a configuration of 1 MiB may have more: each key becomes a digest of 64 digits. Hosts that read the store would have used it, and the others would never have got it.

Cause: the limit was set for the text of the published value, not for the document that is made of it.

Change: the limit is the size in which the document of any published configuration fits, 24 MiB, and 1 MiB for the envelope. A message is read into memory as it arrives, from hosts only.

Evidence: TestDocumentOfTheLargestSizeFits failed before and passes now. The tests of internal/peer and docscheck passed.

--- a/internal/document/bounds.go
+++ b/internal/document/bounds.go
@@ -11,3 +11,7 @@
 	MinPrefillRate float64 = 1e-6
 	MaxPrefillRate float64 = 1e6
 )
+
+// MaxTextBytes is the size in which the document of any published configuration fits, in bytes. A value of 1 MiB may list 260,000
+// keys of one character, each of which has a digest of 64 digits in the document.
+const MaxTextBytes = 24 << 20
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -7,15 +7,16 @@
 	"io"
 	"log"
 
+	"carobshunt/internal/document"
 	"carobshunt/internal/lines"
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// maxMessageBytes is the maximum size of one message between hosts, in bytes. It leaves room for the largest published
-// value and its envelope.
-const maxMessageBytes = 2 << 20
+// maxMessageBytes is the maximum size of one message between hosts, in bytes. It leaves room for the document of the largest
+// published configuration and its envelope.
+const maxMessageBytes = document.MaxTextBytes + 1<<20
 
 // MessageSizeError reports a message that exceeds the size limit, in bytes.
 type MessageSizeError struct{ Limit int }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"carobshunt/internal/document"
+
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 )
@@ -53,6 +55,18 @@
 	assert.Assert(t, err != nil)
 }
 
+// TestDocumentOfTheLargestSizeFits guards against a configuration that only the hosts that read the platform get.
+func TestDocumentOfTheLargestSizeFits(t *testing.T) {
+	raw, err := json.Marshal(strings.Repeat("x", document.MaxTextBytes-2))
+	assert.NilError(t, err)
+	var wire bytes.Buffer
+	codec := lineCodec{limit: maxMessageBytes}
+	assert.NilError(t, codec.WriteObject(&wire, FetchResult{Raw: raw}))
+	var got FetchResult
+	assert.NilError(t, codec.ReadObject(bufio.NewReader(&wire), &got))
+	assert.Equal(t, len(got.Raw), document.MaxTextBytes)
+}
+
 func TestPublishedValueOfTheLargestSizeFits(t *testing.T) {
 	const largestValue = 1 << 20
 	raw, err := json.Marshal(strings.Repeat("x", largestValue-2))
