--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -64,27 +64,14 @@
 // it in order.
 func (f *fixture) forwardTo(t *testing.T, reply string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			req, err := http.ReadRequest(bufio.NewReader(conn))
-			switch {
-			case err != nil:
-			case req.URL.Path == elsewhere:
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+api.HeaderHost+": 10.0.0.3:1/i3\r\nContent-Length: 4\r\n\r\noops")
-			default:
-				_, _ = io.WriteString(conn, reply)
-			}
-			_ = conn.Close()
+	address := serveOnce(t, func(conn net.Conn, req *http.Request) {
+		if req.URL.Path == elsewhere {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+api.HeaderHost+": 10.0.0.3:1/i3\r\nContent-Length: 4\r\n\r\noops")
+			return
 		}
-	}()
-	home := core.Home{Address: l.Addr().String(), Incarnation: "i2"}
+		_, _ = io.WriteString(conn, reply)
+	})
+	home := core.Home{Address: address, Incarnation: "i2"}
 	f.control.decide = func(node.Input) (node.Decision, error) { return node.Decision{Kind: node.Forward, Home: home}, nil }
 }
 
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -31,9 +31,9 @@
 	return prometheus.ObserverFunc(func(float64) {})
 }
 
-// rawTarget runs a target that answers each connection with the same bytes and closes it in order, like a process that is
-// killed.
-func rawTarget(t *testing.T, reply string) string {
+// serveOnce runs a server that answers one request on each connection and closes it in order, like a process that is killed. It
+// returns its address.
+func serveOnce(t *testing.T, answer func(net.Conn, *http.Request)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -45,8 +45,7 @@
 				return
 			}
 			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(conn, reply)
+				answer(conn, req)
 			}
 			_ = conn.Close()
 		}
@@ -54,6 +53,15 @@
 	return l.Addr().String()
 }
 
+// rawTarget runs a target that answers each connection with the same bytes.
+func rawTarget(t *testing.T, reply string) string {
+	t.Helper()
+	return serveOnce(t, func(conn net.Conn, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(conn, reply)
+	})
+}
+
 // run runs a dispatch of the request to its end and returns how it ended.
 func (f *fixture) run(ex *stream.Exchange, number uint32, target string) node.Ending {
 	dispatch.New(f.control, netdial.Dialer{}, unobserved{}).Run(node.StartDispatch{
