Tests: an answer that is cut within its head is no answer

Reported by another operator: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It can't be shown here: nothing of the product changes.

--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -197,3 +197,17 @@
 		}
 	}
 }
+
+// TestHomeThatStopsWithinTheHeadOfItsAnswerIsUnreachable guards against the begin of a home's answer that a caller of another host
+// gets as a whole one.
+func TestHomeThatStopsWithinTheHeadOfItsAnswerIsUnreachable(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + api.HeaderHost + ": 10.0.0.1:1/i1\r\nContent-Length: 0\r\n\r\n"
+	f := newFixture(t, nil)
+	for cut := range len(head) {
+		address := serveOnce(t, func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, head[:cut]) })
+		home := core.Home{Address: address, Incarnation: "i1"}
+		f.control.decide = func(node.Input) (node.Decision, error) { return node.Decision{Kind: node.Forward, Home: home}, nil }
+		_, refusal := doRefused(t, f.submitRequest(t, testBody))
+		assert.Equal(t, refusal.Code, api.CodeHomeUnreachable, "after %d bytes", cut)
+	}
+}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -78,3 +78,14 @@
 	assert.NilError(t, codec.ReadObject(bufio.NewReader(&wire), &got))
 	assert.Equal(t, len(got.Raw), largestValue)
 }
+
+// TestMessageCutAtAnyByteIsNone guards against a part of a message that counts as one: a host that stops while it writes closes its
+// connection in order.
+func TestMessageCutAtAnyByteIsNone(t *testing.T) {
+	const message = `{"jsonrpc":"2.0","id":1,"result":{"a":"1"}}` + "\n"
+	for cut := range len(message) {
+		var v map[string]any
+		err := lineCodec{limit: 100}.ReadObject(bufio.NewReader(strings.NewReader(message[:cut])), &v)
+		assert.Assert(t, errors.Is(err, io.EOF), "after %d bytes: %v", cut, err)
+	}
+}
