Planned stop: nothing is cut without an answer when the process is killed

Seen by callers (reported by another operator, shown on processes of our own): requests that came up to 3 s after SIGTERM were taken and run, and their connections were closed without an answer when the process was killed at the end of its grace time, among them requests that run once. Cause: a planned stop had no end of its own. No code read the grace time, so a host took whatever came, and waited for the last answer, for bodies and for callers that read slowly without regard to the kill. From SIGTERM on all requests end half a second before the kill. One that is not at a target yet is refused unrun, with a Retry-After of 0.1 to 0.3 s, if it is not expected to end by then: by its deadline, or by the longest of the last 16 requests of its route and class (new: internal/core/durations), or the oldest that runs. What runs is aborted as at a deadline, so an outcome is "not run" where the end of the dispatch proves it. Reads of bodies and writes to callers end with the request; what is being delivered is cut 0.2 s before the kill, with a line each. Evidence: the tests of unfinishable_test.go failed with each part taken out (the check at admission, at the begin of the stop, at the end of a body, the last answers); TestPlannedStopGivesTheLastAnswersBeforeTheKill failed without the last answers (504 after 50 s) and without the end of body reads.

--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -15,6 +15,7 @@
 		n.checkReady,
 		n.checkOverload,
 		n.checkDeadline,
+		n.checkStop,
 		n.checkNames,
 		n.checkRegions,
 		n.checkQuarantine,
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -265,7 +265,7 @@
 // deadline, the request is retried. An earlier dispatch may have executed it, so the outcome is not always "not run".
 func (n *Node) handleNotTaken(rec *ledger.Record, in DispatchEnded) {
 	if rec.DeadlineAborted {
-		n.finish(rec, deadlineResult(rec))
+		n.finish(rec, n.expiredResult(rec))
 		return
 	}
 	n.retry(rec, core.Result{Outcome: outcomeWithoutAnswer(rec), Code: api.CodeTargetRefused, Message: in.Message})
@@ -280,7 +280,7 @@
 		n.ledger.Requeue(rec)
 		n.retry(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
 	case rec.DeadlineAborted:
-		n.finish(rec, deadlineResult(rec))
+		n.finish(rec, n.expiredResult(rec))
 	default:
 		n.finish(rec, core.Result{Outcome: outcomeWithoutAnswer(rec), Code: api.CodeTargetLost, Message: in.Message})
 	}
@@ -301,8 +301,8 @@
 // the fallback result, when its dispatch limit is reached or the retry budget is used up.
 func (n *Node) retry(rec *ledger.Record, fallback core.Result) {
 	rec.Tried = append(rec.Tried, rec.Process)
-	if n.now+ledger.DispatchCutoff >= rec.Request.Deadline {
-		n.finish(rec, deadlineResult(rec))
+	if n.now+ledger.DispatchCutoff >= n.endOf(rec) {
+		n.finish(rec, n.expiredResult(rec))
 		return
 	}
 	if n.dispatchLimitReached(rec) || !n.retries.Spend() {
@@ -313,8 +313,3 @@
 	rec.Timing.FirstToken = 0
 	n.enqueue(rec)
 }
-
-// deadlineResult returns the result of a request whose deadline has passed, or is too close for another dispatch.
-func deadlineResult(rec *ledger.Record) core.Result {
-	return core.Result{Outcome: outcomeWithoutAnswer(rec), Code: api.CodeDeadline, Message: "the deadline has passed"}
-}
--- a/internal/core/node/drain.go
+++ b/internal/core/node/drain.go
@@ -18,6 +18,8 @@
 	// queryableUntil is the latest deadline of the requests admitted here that are neither idempotent nor routed. Until
 	// then their callers may query the outcome, and no other host can answer.
 	queryableUntil core.Time
+	// answerBy is when the last requests end without an answer of a target, as the process will be killed; 0 for never.
+	answerBy core.Time
 }
 
 // Durations of a planned stop.
@@ -27,9 +29,29 @@
 	drainNotice = 2 * member.Interval
 	// maxLinger bounds how long a drained host waits for queryableUntil after its last request ended.
 	maxLinger = 10 * time.Second
+	// lastAnswersTime is the time before the process is killed in which the last answers are written, at most
+	// 1/lastAnswersShare of the time from the begin of the stop.
+	lastAnswersTime  = 500 * time.Millisecond
+	lastAnswersShare = 8
 )
 
-func (n *Node) startDrain() {
+// startDrain begins a planned stop. Requests that are not expected to end before the process is killed, and wait for a target,
+// end at once: their callers have the time to go elsewhere.
+func (n *Node) startDrain(in Drain) {
+	n.boundDrain(in.KillAt)
+	n.beginDrain()
+	n.refuseUnfinishable()
+}
+
+// boundDrain sets when the last requests end. The first of several times counts: nobody takes a kill back.
+func (n *Node) boundDrain(killAt core.Time) {
+	if killAt == 0 || n.drain.answerBy != 0 {
+		return
+	}
+	n.drain.answerBy = killAt - min(lastAnswersTime, (killAt-n.now)/lastAnswersShare)
+}
+
+func (n *Node) beginDrain() {
 	if n.drain.active {
 		return
 	}
@@ -52,7 +74,8 @@
 }
 
 // stopWhenDrained stops a draining process once no request is active, lookup answers that name it have expired, and
-// no caller may still query an outcome that only this process knows. The last wait ends after maxLinger.
+// no caller may still query an outcome that only this process knows. The last wait ends after maxLinger, and every wait
+// before the process is killed.
 func (n *Node) stopWhenDrained() {
 	if !n.drain.active || n.drain.stopped {
 		return
@@ -61,10 +84,19 @@
 		n.drain.idleSince = n.now
 		return
 	}
-	lingers := n.now < min(n.drain.queryableUntil, n.drain.idleSince+maxLinger)
-	if n.now < n.drain.since+max(drainNotice, n.opts.LookupTTL) || lingers {
+	if n.now < n.lingerUntil() {
 		return
 	}
 	n.drain.stopped = true
 	n.do(Stop{})
 }
+
+// lingerUntil returns until when a draining process without an active request goes on answering.
+func (n *Node) lingerUntil() core.Time {
+	notice := n.drain.since + max(drainNotice, n.opts.LookupTTL)
+	until := max(notice, min(n.drain.queryableUntil, n.drain.idleSince+maxLinger))
+	if n.drain.answerBy != 0 {
+		until = min(until, n.drain.answerBy)
+	}
+	return until
+}
--- a/internal/core/node/endings.go
+++ b/internal/core/node/endings.go
@@ -23,6 +23,7 @@
 		n.refund(rec)
 	}
 	n.countOutcome(result.Outcome)
+	n.recordDuration(rec, result)
 	n.do(Finish{Key: key, Result: result, Timing: rec.Timing, Target: rec.Target, Work: rec.Work})
 	if rec.Request.Routed != nil {
 		n.ledger.Forget(rec)
@@ -32,14 +33,14 @@
 
 func (n *Node) countOutcome(o api.Outcome) { n.outcomes[o]++ }
 
-// expireDeadlines ends every request whose deadline has passed. Where only the end of a dispatch shows whether it
-// was written, the dispatch is aborted ledger.DispatchCutoff before the deadline, so that its DispatchEnded arrives
-// first. A process that resumed late aborts it one tick before it ends the request. Only these aborts set
+// expireDeadlines ends every request whose deadline has passed, and all of them before this process is killed. Where only the
+// end of a dispatch shows whether it was written, the dispatch is aborted ledger.DispatchCutoff before, so that its
+// DispatchEnded arrives first. A process that resumed late aborts it one tick before it ends the request. Only these aborts set
 // DeadlineAborted.
 func (n *Node) expireDeadlines() {
 	var due []*ledger.Record
 	for _, rec := range n.active {
-		if n.now+ledger.DispatchCutoff >= rec.Request.Deadline {
+		if n.now+ledger.DispatchCutoff >= n.endOf(rec) {
 			due = append(due, rec)
 		}
 	}
@@ -49,9 +50,9 @@
 		case rec.State == ledger.Dispatched && !rec.DeadlineAborted && outcomeWithoutAnswer(rec) == api.OutcomeUnknown:
 			rec.DeadlineAborted = true
 			n.do(AbortDispatch{Key: rec.Request.Key, Dispatch: rec.LastDispatch})
-		case n.now >= rec.Request.Deadline:
+		case n.now >= n.endOf(rec):
 			n.abort(rec)
-			n.finish(rec, deadlineResult(rec))
+			n.finish(rec, n.expiredResult(rec))
 		}
 	}
 }
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -184,8 +184,11 @@
 	Name string
 }
 
-// Drain starts a planned stop.
-type Drain struct{}
+// Drain starts a planned stop, or tells when one that has begun must be over.
+type Drain struct {
+	// KillAt is when the process will be killed; 0 if it may take as long as it needs.
+	KillAt core.Time
+}
 
 func (Submit) input()             {}
 func (StepLagged) input()         {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -10,6 +10,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/cell"
 	"carobshunt/internal/core/conf"
+	"carobshunt/internal/core/durations"
 	"carobshunt/internal/core/evacuation"
 	"carobshunt/internal/core/fair"
 	"carobshunt/internal/core/group"
@@ -100,7 +101,9 @@
 	retries     *retry.Budget
 	// shares tracks each team's share of the prefill work of admitted short requests.
 	shares *fair.Shares
-	rng    *rand.Rand
+	// durations are those of recent requests.
+	durations *durations.Table
+	rng       *rand.Rand
 
 	// active are the unfinished records.
 	active map[core.Key]*ledger.Record
@@ -170,6 +173,7 @@
 		limits:        limit.New(opts.Peer),
 		retries:       retry.New(),
 		shares:        fair.New(),
+		durations:     durations.New(),
 		rng:           rng,
 		active:        make(map[core.Key]*ledger.Record),
 		sweeps:        newSweepState(),
@@ -257,7 +261,7 @@
 	case ReleaseWithheld:
 		n.releaseWithheld(in)
 	case Drain:
-		n.startDrain()
+		n.startDrain(in)
 	case StepLagged:
 		n.stepLagged(in)
 	default:
@@ -302,6 +306,7 @@
 
 func (n *Node) tick() {
 	n.expireDeadlines()
+	n.refuseUnfinishable()
 	n.ledger.Expire(n.now, func(rec *ledger.Record) { n.do(Drop{Key: rec.Request.Key}) })
 	n.heartbeat()
 	n.peers.Expire(n.now)
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -148,6 +148,7 @@
 		doc := n.config.Document()
 		n.table = routes.New(doc, n.opts.Regions)
 		n.budgets.forget(n.table.Has)
+		n.durations.KeepRoutes(n.table.Has)
 		n.setEngineSpeeds()
 		n.targets.UpdateCold(n.now)
 		n.setLimitRates()
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -229,7 +229,7 @@
 }
 
 // enqueue queues a request for dispatch to a target, unless its prompt is withheld by now, no target is left in the regions where
-// it may run, or all of them are evacuated.
+// it may run, all of them are evacuated, or this process will be killed before the request could end.
 func (n *Node) enqueue(rec *ledger.Record) {
 	if v := n.withholds(&rec.Request); v != nil {
 		n.finishWithheld(rec, v)
@@ -241,6 +241,9 @@
 	if n.finishIfRefused(rec, n.checkEvacuated(&rec.Request)) {
 		return
 	}
+	if n.finishIfRefused(rec, n.stopResult(&rec.Request, rec.Work.Class)) {
+		return
+	}
 	rec.WaitingSince = n.now
 	n.queue.Push(rec)
 }
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -90,7 +90,8 @@
 }
 
 // reloadOn reloads the settings file at each signal until the channel is closed. It applies the settings that can change
-// in a running process: the log level, the preset (if there is one) and the peers. Invalid settings are logged and ignored.
+// in a running process: the log level, the preset (if there is one), the time that a stop may take and the peers. Invalid
+// settings are logged and ignored.
 func (d *Daemon) reloadOn(signals <-chan os.Signal, path string) {
 	for range signals {
 		s, err := settings.Load(path)
@@ -102,6 +103,7 @@
 		if s.Platform.Preset != nil {
 			d.preset.Store(s.Platform.Preset)
 		}
+		d.stopGrace.Store(int64(s.StopGrace()))
 		d.loop.Post(node.SeedsReloaded{Peers: s.Peers})
 		d.log.Info("settings reloaded", "path", path, "seeds", len(s.Peers))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"carobshunt/internal/bootclock"
 	"carobshunt/internal/control"
@@ -40,6 +39,10 @@
 	peerTraffic netdial.Traffic
 	// preset is the preset in the settings, replaced by a reload; nil without one.
 	preset atomic.Pointer[document.Preset]
+	// stopGrace is the time from SIGTERM until the process is killed, replaced by a reload; 0 for no bound.
+	stopGrace atomic.Int64
+	// killAt is when the process will be killed, on the clock of the control loop; 0 if that is not known.
+	killAt atomic.Int64
 	// halted is done once Halt was called.
 	halted context.Context
 	halt   context.CancelFunc
@@ -68,6 +71,7 @@
 	}
 	d := &Daemon{settings: s, log: log, loop: control.NewLoop(node.New(options), clock), self: self}
 	d.preset.Store(s.Platform.Preset)
+	d.stopGrace.Store(int64(s.StopGrace()))
 	d.halted, d.halt = context.WithCancel(context.Background())
 	return d
 }
@@ -82,9 +86,6 @@
 	return hex.EncodeToString(raw[:8]), binary.BigEndian.Uint64(raw[8:])
 }
 
-// shutdownTimeout is how long open connections may take to close after the last request has ended.
-const shutdownTimeout = 5 * time.Second
-
 // Run serves until a drain is complete; canceling ctx starts the drain.
 func (d *Daemon) Run(ctx context.Context) error {
 	creds, err := loadCredentials(d.settings.Security)
@@ -128,7 +129,7 @@
 	})
 	group.Go(func() error { return d.serveHTTP(groupCtx, operators, listeners.operators) })
 	group.Go(func() error { return servePeers(groupCtx, peer.NewServer(d.loop), listeners.peers) })
-	context.AfterFunc(ctx, func() { d.loop.Post(node.Drain{}) })
+	context.AfterFunc(ctx, d.drain)
 	d.log.Info("started", "host", d.self.String(), "zone", d.settings.Zone)
 	return errors.Trace(group.Wait())
 }
--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -111,26 +111,6 @@
 	return d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 }
 
-// serveHTTP serves until ctx is done, then waits up to shutdownTimeout for open answers to end, unless the daemon is halted.
-func (d *Daemon) serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
-	shutdownDone := make(chan struct{})
-	context.AfterFunc(ctx, func() {
-		defer close(shutdownDone)
-		shutdownCtx, cancel := context.WithTimeout(d.halted, shutdownTimeout)
-		defer cancel()
-		if err := server.Shutdown(shutdownCtx); err != nil {
-			d.log.Info("open answers cut", "address", listener.Addr().String(), "why", err.Error())
-			_ = server.Close()
-		}
-	})
-	httplog.Prepare(server)
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Trace(err)
-	}
-	<-shutdownDone
-	return nil
-}
-
 // servePeers serves the peers' interface until ctx is done.
 func servePeers(ctx context.Context, server *peer.Server, listener net.Listener) error {
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"carobshunt/internal/core"
+	"carobshunt/internal/core/node"
+	"carobshunt/internal/httplog"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// shutdownTimeout is how long open connections may take to close after the last request has ended.
+	shutdownTimeout = 5 * time.Second
+	// exitTime is the time before the process is killed in which open connections are cut and the process ends.
+	exitTime = 200 * time.Millisecond
+	// cutTimeout is how long the handlers whose connections were cut may take to return.
+	cutTimeout = 100 * time.Millisecond
+)
+
+// drain starts the planned stop of a process that was told to stop, and may be killed after its grace time.
+func (d *Daemon) drain() {
+	in := node.Drain{}
+	if grace := time.Duration(d.stopGrace.Load()); grace > 0 {
+		in.KillAt = d.loop.Now() + grace
+		d.killAt.Store(int64(in.KillAt))
+	}
+	d.loop.Post(in)
+}
+
+// closeTime returns how long open connections may take to close: less than shutdownTimeout if the process is killed before.
+func (d *Daemon) closeTime() time.Duration {
+	killAt := core.Time(d.killAt.Load())
+	if killAt == 0 {
+		return shutdownTimeout
+	}
+	return min(shutdownTimeout, max(killAt-exitTime-d.loop.Now(), 0))
+}
+
+// serveHTTP serves until ctx is done, then waits up to closeTime for open answers to end, unless the daemon is halted. It cuts
+// those that have not ended by then.
+func (d *Daemon) serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+	open := &openRequests{next: server.Handler, remote: make(map[*http.Request]string)}
+	server.Handler = open
+	shutdownDone := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(shutdownDone)
+		shutdownCtx, cancel := context.WithTimeout(d.halted, d.closeTime())
+		defer cancel()
+		if err := server.Shutdown(shutdownCtx); err != nil {
+			d.log.Info("open answers cut", "address", listener.Addr().String(), "callers", open.remotes(), "why", err.Error())
+			_ = server.Close()
+			open.awaitEnd(cutTimeout)
+		}
+	})
+	httplog.Prepare(server)
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Trace(err)
+	}
+	<-shutdownDone
+	return nil
+}
+
+// openRequests is a handler that knows the requests that it serves. A server that is closed does not wait for its handlers, which
+// write a log line on an answer that was cut.
+type openRequests struct {
+	next   http.Handler
+	active sync.WaitGroup
+
+	mu sync.Mutex
+	// remote holds the addresses of the callers.
+	remote map[*http.Request]string
+}
+
+// ServeHTTP implements http.Handler.
+func (o *openRequests) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.begin(r)
+	defer o.end(r)
+	o.next.ServeHTTP(w, r)
+}
+
+func (o *openRequests) begin(r *http.Request) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.active.Add(1)
+	o.remote[r] = r.RemoteAddr
+}
+
+func (o *openRequests) end(r *http.Request) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.remote, r)
+	o.active.Done()
+}
+
+// maxLoggedCallers is the number of callers that a log line names at most.
+const maxLoggedCallers = 32
+
+// remotes returns the addresses of the callers that are being served, of maxLoggedCallers at most.
+func (o *openRequests) remotes() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]string, 0, min(len(o.remote), maxLoggedCallers))
+	for _, address := range o.remote {
+		if len(out) == maxLoggedCallers {
+			break
+		}
+		out = append(out, address)
+	}
+	return out
+}
+
+// awaitEnd waits until all handlers have returned, or for the timeout.
+func (o *openRequests) awaitEnd(timeout time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.active.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(timeout):
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,12 +160,14 @@
 	}
 }
 
-// receiveBody reads the body of an admitted request, which also sends "100 Continue". The read times out at the
-// request's deadline. ex must be the exchange that was opened on admission: a later one under the same identifier
-// belongs to another attempt.
+// receiveBody reads the body of an admitted request, which also sends "100 Continue". The read ends at the request's deadline,
+// or when the request has ended without this body. ex must be the exchange that was opened on admission: a later one under the
+// same identifier belongs to another attempt.
 func (g *Gateway) receiveBody(c echo.Context, req core.Request, ex *stream.Exchange, deadline core.Time) api.Code {
 	control := http.NewResponseController(c.Response().Writer)
 	_ = control.SetReadDeadline(time.Now().Add(deadline - g.control.Now()))
+	stop := ex.Answer.OnFinal(func() { _ = control.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, fault := readBody(c.Request().Body, req)
 	ended := node.BodyEnded{Key: req.Key, Attempt: req.Attempt, Fault: fault}
 	if fault == "" {
@@ -196,6 +198,8 @@
 		e.Outcome = api.OutcomeUnknown
 	case chunk.Last == nil || chunk.Last.Outcome != api.OutcomeNotRun:
 		return g.streamAnswer(c, req, ex, stream.Position{})
+	case chunk.Last.Code == api.CodeDraining:
+		e.Code, e.Message, e.RetryAfterMs = chunk.Last.Code, chunk.Last.Message, chunk.Last.RetryAfterMs
 	}
 	return writeError(c, e)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"time"
 
 	"carobshunt/internal/document"
 	"carobshunt/internal/strictjson"
@@ -42,6 +43,8 @@
 	Capacity Capacity `json:"capacity,omitzero"`
 	// LookupsByCapacity makes look-ups name hosts by what they can carry; otherwise they name all alike.
 	LookupsByCapacity bool `json:"lookups_by_capacity,omitempty" jsonschema:"description=whether look-ups name hosts by their capacity"`
+	// StopGraceSeconds is the time from SIGTERM until the process is killed; 0 if it may take as long as it needs to stop.
+	StopGraceSeconds float64 `json:"stop_grace_s,omitempty" jsonschema:"minimum=0,maximum=86400,default=0,description=seconds from SIGTERM until the process is killed; 0: a planned stop may take as long as it needs"`
 	// Security configures TLS and authentication for callers, operators and peers.
 	Security Security `json:"security,omitzero"`
 	// Metrics configures the labels of metrics and the reference for slowdown.
@@ -187,6 +190,11 @@
 	return regions
 }
 
+// StopGrace returns the time from SIGTERM until the process is killed; 0 if it may take as long as it needs to stop.
+func (s *Settings) StopGrace() time.Duration {
+	return time.Duration(s.StopGraceSeconds * float64(time.Second))
+}
+
 // storeFaults reports settings that a platform with a store needs and that are missing, those that only such a platform
 // uses and that are present without one, and faults of the preset.
 func (s *Settings) storeFaults() []strictjson.Fault {
--- a/internal/stream/buffer.go
+++ b/internal/stream/buffer.go
@@ -27,10 +27,20 @@
 	source   Source
 	last     *api.Last
 	changed  chan struct{}
+	// final is done once the answer is final.
+	final    context.Context
+	setFinal context.CancelFunc
 }
 
 // NewBuffer returns an empty buffer.
-func NewBuffer() *Buffer { return &Buffer{changed: make(chan struct{})} }
+func NewBuffer() *Buffer {
+	b := &Buffer{changed: make(chan struct{})}
+	b.final, b.setFinal = context.WithCancel(context.Background())
+	return b
+}
+
+// OnFinal calls a function once the answer is final, unless the returned function is called before.
+func (b *Buffer) OnFinal(f func()) (stop func() bool) { return context.AfterFunc(b.final, f) }
 
 // Source names the target that generates an answer, and the stream there.
 type Source struct {
@@ -75,6 +85,7 @@
 	last.Length = int64(len(b.text))
 	last.Checksum = Checksum(b.text)
 	b.last = &last
+	b.setFinal()
 	b.notifyReaders()
 }
 
