--- a/internal/httplog/httplog.go
+++ b/internal/httplog/httplog.go
@@ -41,6 +41,12 @@
 	}
 }
 
+// Conn returns the connection of the request whose context is given; nil for a server that Prepare has not set up.
+func Conn(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return conn
+}
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
