Tests: the own interface gives its last answers before the kill too

The planned stop's end was tested on the users' platform only. A call that may run once and still runs at the home gets "unknown" with the code draining before the process is killed; a caller whose body still arrives gets "not run".

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/labstack/echo/v4"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 const (
@@ -315,6 +316,32 @@
 	}
 }
 
+// TestBodyOfARequestThatHasEndedIsNotAwaited guards against a caller that sends its body slowly to a host that stops, and gets no
+// answer before the host is killed.
+func TestBodyOfARequestThatHasEndedIsNotAwaited(t *testing.T) {
+	f := newFixture(t, nil)
+	f.admit(time.Hour)
+	f.control.exchanges = nil
+	body := &stallingBody{text: strings.NewReader(testBody[:5]), release: make(chan struct{})}
+	defer close(body.release)
+	req := f.submitRequest(t, testBody)
+	req.Body, req.GetBody = io.NopCloser(body), nil
+	go func() {
+		key := core.Key{Team: "desk", ID: "request-1"}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if f.exchanges.Get(key) == nil {
+				return poll.Continue("the request is not admitted")
+			}
+			return poll.Success()
+		})
+		f.exchanges.Get(key).Answer.Finish(api.Last{Outcome: api.OutcomeNotRun, Code: api.CodeDraining, RetryAfterMs: 200})
+	}()
+	_, e := doRefused(t, req)
+	assert.Equal(t, e.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, e.Code, api.CodeDraining)
+	assert.Equal(t, e.RetryAfterMs, int64(200))
+}
+
 func TestAttemptWithABadBodyGetsTheAnswerOfALaterAttempt(t *testing.T) {
 	f := newFixture(t, nil)
 	f.admit(10 * time.Second)
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/client"
+	"carobshunt/internal/settings"
 
 	"gotest.tools/v3/assert"
 )
@@ -76,3 +79,33 @@
 	assert.Equal(t, <-outcome, api.OutcomeDone)
 	assert.NilError(t, c.hosts[0].awaitEnd())
 }
+
+// TestPlannedStopTellsTheTruthBeforeTheKill guards against a call that may run once and still runs when the process of its home is
+// killed: its caller would get no answer, and a host that ends without one looks like a host that was lost.
+func TestPlannedStopTellsTheTruthBeforeTheKill(t *testing.T) {
+	goOn := make(chan struct{})
+	c, service := newScriptedCluster(t, 2, func(http.ResponseWriter, int) bool {
+		<-goOn
+		return false
+	})
+	defer close(goOn)
+	h := c.hosts[0]
+	c.adjustSettings = func(_ *host, s *settings.Settings) { s.StopGraceSeconds = 2 }
+	h.kill()
+	h.start()
+	c.waitReady()
+	req := newRequest("order-0003", scriptedName, false)
+	req.Via, req.Budget = h.callersAddr, time.Minute
+	outcome := make(chan client.Result, 1)
+	go func() {
+		got, _ := c.client().Do(context.Background(), req)
+		outcome <- got
+	}()
+	<-service.arrived
+	h.terminate()
+	got := <-outcome
+	assert.Equal(t, got.Outcome, api.OutcomeUnknown, "%+v", got)
+	assert.Equal(t, got.Code, api.CodeDraining, "%+v", got)
+	assert.NilError(t, h.awaitEnd())
+	assert.Equal(t, service.count(), 1)
+}
