Streams: what may follow in a stream is decided in internal/stream

platform/ is to translate only. Whether an event continues a stream, whether a stream may be resumed and whether its end is one knows nothing of the platform's words. streamState becomes stream.Sequence, streamPart becomes stream.Part, with methods in place of fields; behaviour is unchanged.

--- a/platform/streamstate.go
+++ b/internal/stream/sequence.go
@@ -1,11 +1,9 @@
-package platform
+package stream
 
 import (
 	"bytes"
 	"strconv"
 
-	"carobshunt/internal/core"
-	"carobshunt/internal/core/node"
 	"carobshunt/internal/httpwire"
 
 	"github.com/juju/errors"
@@ -26,9 +24,9 @@
 	ErrNotResumable = errors.ConstError("the stream can't be resumed after an event without a number")
 )
 
-// streamState is what the caller has received of a stream, over all dispatches of its request. It decides whether an event may
-// follow. Only the end of a stream that follows without a gap sets ended.
-type streamState struct {
+// Sequence is what the caller has received of a stream of numbered events, over all dispatches of its request. It decides whether
+// an event may follow. Only the end of a stream that follows without a gap sets ended. It is not safe for concurrent use.
+type Sequence struct {
 	// ordered is set on routes of streams, whose events have increasing numbers. Other events pass unchanged, and none can
 	// continue them.
 	ordered bool
@@ -51,32 +49,41 @@
 	torn bool
 }
 
-// newStreamState returns the state of the stream of a request whose caller states the number of its last event; "" for none. Where
-// streams can't be resumed, a target starts them anew, whatever the caller states.
-func newStreamState(req *core.Request, lastEvent string) *streamState {
-	s := &streamState{ordered: req.Routed != nil && req.Routed.Streams}
-	if !s.ordered || !req.Idempotent {
-		return s
-	}
-	s.resumedByCaller = lastEvent != ""
+// NewSequence returns the sequence of a stream that a caller asks for from its begin. If ordered, its events have increasing
+// numbers.
+func NewSequence(ordered bool) *Sequence { return &Sequence{ordered: ordered} }
+
+// ResumeSequence returns the sequence of a stream that may be resumed, and whose caller states the number of its last event; "" for
+// none.
+func ResumeSequence(lastEvent string) *Sequence {
+	s := &Sequence{ordered: true, resumedByCaller: lastEvent != ""}
 	if last, err := strconv.ParseInt(lastEvent, 10, 64); err == nil {
 		s.last, s.hasLast = last, true
 	}
 	return s
 }
 
-// resumable reports whether another dispatch may continue the stream.
-func (s *streamState) resumable() bool { return !s.begun || s.hasLast && !s.unnumbered }
+// Ended reports whether a dispatch has brought the end of the stream.
+func (s *Sequence) Ended() bool { return s.ended }
+
+// ResumedByCaller reports whether the caller has received a part of the stream in the answer to an earlier request.
+func (s *Sequence) ResumedByCaller() bool { return s.resumedByCaller }
+
+// Last returns the number of the last numbered event that the caller has, and whether there is one.
+func (s *Sequence) Last() (number int64, known bool) { return s.last, s.hasLast }
+
+// Resumable reports whether another dispatch may continue the stream.
+func (s *Sequence) Resumable() bool { return !s.begun || s.hasLast && !s.unnumbered }
 
 // consecutive reports whether the numbers so far show that the next event has the next number. A single one does so only if it
 // is 1: other numbers may count something else than events.
-func (s *streamState) consecutive() bool {
+func (s *Sequence) consecutive() bool {
 	return !s.gaps && (s.counted > 1 || s.counted == 1 && s.last == 1)
 }
 
 // lastOnly reports whether an event at the start of a resumed run is the last one that the caller has, once more. One that the
 // caller received in another answer can't be compared; number 1 is where a new run begins too.
-func (s *streamState) lastOnly(event *httpwire.Event) bool {
+func (s *Sequence) lastOnly(event *httpwire.Event) bool {
 	if event.ID != s.last {
 		return false
 	}
@@ -86,19 +93,23 @@
 	return bytes.Equal(event.Data, s.lastData)
 }
 
-// streamPart is the part of a stream that one dispatch brings.
-type streamPart struct {
-	stream *streamState
+// Part is the part of a stream that one dispatch brings.
+type Part struct {
+	sequence *Sequence
 	// resumes is set as long as the part has to show that it continues the stream.
 	resumes bool
 }
 
-func (s *streamState) newPart() *streamPart { return &streamPart{stream: s, resumes: s.hasLast} }
+// NewPart begins the part of another dispatch.
+func (s *Sequence) NewPart() *Part { return &Part{sequence: s, resumes: s.hasLast} }
+
+// Resumes reports whether the part still has to show that it continues the stream.
+func (p *Part) Resumes() bool { return p.resumes }
 
-// check reports whether an event may be passed on; skip is set for one that the caller has, and that shows where the part
+// Check reports whether an event may be passed on; skip is set for one that the caller has, and that shows where the part
 // goes on.
-func (p *streamPart) check(event *httpwire.Event) (skip bool, err error) {
-	s := p.stream
+func (p *Part) Check(event *httpwire.Event) (skip bool, err error) {
+	s := p.sequence
 	switch {
 	case !s.ordered || !event.IsEvent():
 		return false, nil
@@ -116,9 +127,9 @@
 	return false, nil
 }
 
-// passedOn records an event that check has let pass.
-func (p *streamPart) passedOn(event *httpwire.Event) {
-	s := p.stream
+// PassedOn records an event that Check has let pass.
+func (p *Part) PassedOn(event *httpwire.Event) {
+	s := p.sequence
 	if !event.IsEvent() {
 		return
 	}
@@ -135,18 +146,18 @@
 	s.unnumbered, p.resumes = false, false
 }
 
-// brokeOff records the error that ended the part. One that stated its length owes at least another event.
-func (p *streamPart) brokeOff(err error, framing node.Framing) {
-	if errors.Is(err, httpwire.ErrTruncatedEvent) || framing == node.FramingLength {
-		p.stream.torn = true
+// BrokeOff records the error that ended the part. One that stated its length owes at least another event.
+func (p *Part) BrokeOff(err error, statedLength bool) {
+	if errors.Is(err, httpwire.ErrTruncatedEvent) || statedLength {
+		p.sequence.torn = true
 	}
 }
 
-// end records that the part ended in its framing. It fails if the caller lacks an event.
-func (p *streamPart) end() error {
-	if p.stream.torn {
-		return errors.Annotatef(ErrEventsMissing, "no event after %d, although one was due", p.stream.last)
+// End records that the part ended in its framing. It fails if the caller lacks an event.
+func (p *Part) End() error {
+	if p.sequence.torn {
+		return errors.Annotatef(ErrEventsMissing, "no event after %d, although one was due", p.sequence.last)
 	}
-	p.stream.ended = true
+	p.sequence.ended = true
 	return nil
 }
