Planned stop: one look at what runs for all that wait

Found while reading the diff: at each tick of a stop the oldest running request was looked for once for each waiting one, so a full queue would have cost its square. And a counter of handlers was raised while it was waited for, which its type does not allow. Change: the ages of what runs are computed once a tick; the end of the handlers is awaited by looking at those that are open.

--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -241,7 +241,7 @@
 	if n.finishIfRefused(rec, n.checkEvacuated(&rec.Request)) {
 		return
 	}
-	if n.finishIfRefused(rec, n.stopResult(&rec.Request, rec.Work.Class)) {
+	if n.finishIfRefused(rec, n.checkStopOf(rec)) {
 		return
 	}
 	rec.WaitingSince = n.now
--- a/internal/core/node/unfinishable.go
+++ b/internal/core/node/unfinishable.go
@@ -32,29 +32,30 @@
 	n.durations.Record(kindOf(&rec.Request, rec.Work.Class), n.now-rec.Timing.Admitted)
 }
 
-// expectedDuration returns how long a request of a kind may take: the longest of the recent ones and of those that still run. It
-// reports false if none is known.
-func (n *Node) expectedDuration(kind durations.Kind) (time.Duration, bool) {
-	longest, known := n.durations.Longest(kind)
-	if !known {
-		return 0, false
-	}
+// ages holds the time since the admission of the oldest request of each kind that is at a target.
+type ages map[durations.Kind]time.Duration
+
+func (n *Node) runningAges() ages {
+	out := make(ages)
 	for _, rec := range n.active {
-		if rec.State == ledger.Dispatched && kindOf(&rec.Request, rec.Work.Class) == kind {
-			longest = max(longest, n.now-rec.Timing.Admitted)
+		if rec.State == ledger.Dispatched {
+			kind := kindOf(&rec.Request, rec.Work.Class)
+			out[kind] = max(out[kind], n.now-rec.Timing.Admitted)
 		}
 	}
-	return longest, true
+	return out
 }
 
 // finishesBeforeKill reports whether a request that is not at a target yet is expected to end before this host must have given
-// its last answers. One of which nothing is known may take all the time that it has.
-func (n *Node) finishesBeforeKill(req *core.Request, class document.Class) bool {
-	if n.drain.answerBy == 0 || req.Deadline <= n.drain.answerBy {
+// its last answers. It may take as long as the longest of the recent ones of its kind and as the oldest that runs, or all the time
+// that it has if none is known.
+func (n *Node) finishesBeforeKill(req *core.Request, class document.Class, running ages) bool {
+	if req.Deadline <= n.drain.answerBy {
 		return true
 	}
-	expected, known := n.expectedDuration(kindOf(req, class))
-	return known && n.now+expected <= n.drain.answerBy
+	kind := kindOf(req, class)
+	longest, known := n.durations.Longest(kind)
+	return known && n.now+max(longest, running[kind]) <= n.drain.answerBy
 }
 
 // checkStop refuses a request that is not expected to end before this process is killed: its answer would be lost, and it may have
@@ -63,11 +64,20 @@
 	if n.drain.answerBy == 0 {
 		return core.Result{}
 	}
-	return n.stopResult(req, n.workOf(req).Class)
+	return n.stopResult(req, n.workOf(req).Class, n.runningAges())
+}
+
+// checkStopOf is checkStop for a request that was admitted.
+func (n *Node) checkStopOf(rec *ledger.Record) core.Result {
+	if n.drain.answerBy == 0 {
+		return core.Result{}
+	}
+	return n.stopResult(&rec.Request, rec.Work.Class, n.runningAges())
 }
 
-func (n *Node) stopResult(req *core.Request, class document.Class) core.Result {
-	if n.finishesBeforeKill(req, class) {
+// stopResult returns the refusal of a request by the kill of this process; the zero Result if it is expected to end before.
+func (n *Node) stopResult(req *core.Request, class document.Class, running ages) core.Result {
+	if n.finishesBeforeKill(req, class, running) {
 		return core.Result{}
 	}
 	return core.Result{
@@ -88,8 +98,9 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *ledger.Record) int { return a.Request.Compare(b.Request.Key) })
+	running := n.runningAges()
 	for _, rec := range waiting {
-		n.finishIfRefused(rec, n.stopResult(&rec.Request, rec.Work.Class))
+		n.finishIfRefused(rec, n.stopResult(&rec.Request, rec.Work.Class, running))
 	}
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,7 @@
 	exitTime = 200 * time.Millisecond
 	// cutTimeout is how long the handlers whose connections were cut may take to return.
 	cutTimeout = 100 * time.Millisecond
+	cutPoll    = 5 * time.Millisecond
 )
 
 // drain starts the planned stop of a process that was told to stop, and may be killed after its grace time.
@@ -45,7 +48,7 @@
 // serveHTTP serves until ctx is done, then waits up to closeTime for open answers to end, unless the daemon is halted. It cuts
 // those that have not ended by then.
 func (d *Daemon) serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
-	open := &openRequests{next: server.Handler, remote: make(map[*http.Request]string)}
+	open := &openRequests{next: server.Handler, callers: make(map[*http.Request]string)}
 	server.Handler = open
 	shutdownDone := make(chan struct{})
 	context.AfterFunc(ctx, func() {
@@ -53,9 +56,9 @@
 		shutdownCtx, cancel := context.WithTimeout(d.halted, d.closeTime())
 		defer cancel()
 		if err := server.Shutdown(shutdownCtx); err != nil {
-			d.log.Info("open answers cut", "address", listener.Addr().String(), "callers", open.remotes(), "why", err.Error())
+			d.log.Info("open answers cut", "address", listener.Addr().String(), "callers", open.served(), "why", err.Error())
 			_ = server.Close()
-			open.awaitEnd(cutTimeout)
+			open.awaitEnd()
 		}
 	})
 	httplog.Prepare(server)
@@ -66,15 +69,14 @@
 	return nil
 }
 
-// openRequests is a handler that knows the requests that it serves. A server that is closed does not wait for its handlers, which
+// openRequests is a handler that knows which callers it serves. A server that is closed does not wait for its handlers, which
 // write a log line on an answer that was cut.
 type openRequests struct {
-	next   http.Handler
-	active sync.WaitGroup
+	next http.Handler
 
 	mu sync.Mutex
-	// remote holds the addresses of the callers.
-	remote map[*http.Request]string
+	// callers holds the addresses of the callers.
+	callers map[*http.Request]string
 }
 
 // ServeHTTP implements http.Handler.
@@ -87,43 +89,29 @@
 func (o *openRequests) begin(r *http.Request) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.active.Add(1)
-	o.remote[r] = r.RemoteAddr
+	o.callers[r] = r.RemoteAddr
 }
 
 func (o *openRequests) end(r *http.Request) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.remote, r)
-	o.active.Done()
+	delete(o.callers, r)
 }
 
 // maxLoggedCallers is the number of callers that a log line names at most.
 const maxLoggedCallers = 32
 
-// remotes returns the addresses of the callers that are being served, of maxLoggedCallers at most.
-func (o *openRequests) remotes() []string {
+// served returns the sorted addresses of the callers that are being served, of maxLoggedCallers at most.
+func (o *openRequests) served() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := make([]string, 0, min(len(o.remote), maxLoggedCallers))
-	for _, address := range o.remote {
-		if len(out) == maxLoggedCallers {
-			break
-		}
-		out = append(out, address)
-	}
-	return out
+	out := slices.Sorted(maps.Values(o.callers))
+	return out[:min(len(out), maxLoggedCallers)]
 }
 
-// awaitEnd waits until all handlers have returned, or for the timeout.
-func (o *openRequests) awaitEnd(timeout time.Duration) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		o.active.Wait()
-	}()
-	select {
-	case <-done:
-	case <-time.After(timeout):
+// awaitEnd waits until all handlers have returned, or for cutTimeout.
+func (o *openRequests) awaitEnd() {
+	for end := time.Now().Add(cutTimeout); len(o.served()) > 0 && time.Now().Before(end); {
+		time.Sleep(cutPoll)
 	}
 }
