Client: what a stopping host ends goes to another host

Seen by callers: nothing yet; found while reading the end of a planned stop on the own interface. A request that waited at a host was told "not run", with the code draining, although another host could have run it; so was one that may be repeated and was aborted. Cause: the library took the last frame of an answer as final. Only refusals before the body with that code led to another host. Change: such a request is submitted to another host, with a new home where its home says that it did not run.

--- a/client/submit.go
+++ b/client/submit.go
@@ -316,9 +316,22 @@
 	if last.Outcome == api.OutcomeNotRun && last.Code == api.CodeTruncated && !s.bodyRead() {
 		return retrySameHost // it joined an earlier attempt whose body was truncated; now the host may ask for its own
 	}
+	if s.endedByStop(last) {
+		s.sent = s.sent && last.Outcome != api.OutcomeNotRun // its home says that nothing of it ran, or will
+		return retryOtherHost
+	}
 	return finished
 }
 
+// endedByStop reports whether a host has ended a request because it stops, and another host may run it: one that did not run, or
+// that may be repeated.
+func (s *submission) endedByStop(last *api.Last) bool {
+	if last.Code != api.CodeDraining {
+		return false
+	}
+	return last.Outcome == api.OutcomeNotRun || s.req.Idempotent && last.Outcome == api.OutcomeFailed
+}
+
 // bodyRead reports whether the host asked for the body of the current attempt.
 func (s *submission) bodyRead() bool { return s.body != nil && s.body.seal() }
 
