--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -216,6 +216,8 @@
 	EventTargetChecked Event = "health of a target checked"
 	// EventTargetReplaced: the host list has another process at the address of a target.
 	EventTargetReplaced Event = "target replaced"
+	// EventTargetEntry: the host list has a target as leaving or missing, or as live again after that.
+	EventTargetEntry Event = "entry of a target changed"
 	// EventTargetHeldOff: a target wants no requests from this host for a while.
 	EventTargetHeldOff Event = "target held off"
 	// EventNoticeInvalid: a target said something of itself that can't be decoded.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -321,6 +321,7 @@
 	n.groupsTick()
 	n.ordersTick()
 	n.targets.DropGone(n.now)
+	n.reportEntryChanges()
 	n.targets.ExpirePending(n.now)
 	n.checkTargets()
 	n.redispatchUnresponsive()
--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// maxReportedReplaced is the number of replaced targets that one host list is reported with at most.
+// maxReportedReplaced is the number of targets that are reported at most of those that one host list replaces, or whose entries it changes.
 const maxReportedReplaced = 50
 
 // reportReplaced reports the targets that have another process by a host list, and who sent the list.
@@ -68,6 +68,14 @@
 	}
 }
 
+// reportEntryChanges reports the targets that the host list now has as leaving, missing or live again.
+func (n *Node) reportEntryChanges() {
+	changes := n.targets.TakeEntryChanges()
+	for _, c := range changes[:min(len(changes), maxReportedReplaced)] {
+		n.do(StateChange{Event: EventTargetEntry, Text: fmt.Sprintf("%v, list version %d, %d in all", c, n.targets.Version(), len(changes))})
+	}
+}
+
 // reportStanding reports a change of what holds of a target, and where it was learned.
 func (n *Node) reportStanding(c target.StandingChange, source string) {
 	if c.Limit != c.WasLimit {
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -189,6 +189,7 @@
 	}
 	n.targets.DropGone(n.now)
 	n.reportReplaced(in.Source)
+	n.reportEntryChanges()
 	n.hosts = in.List
 	n.cells = cells
 	n.setEngineSpeeds()
--- a/internal/core/target/standing.go
+++ b/internal/core/target/standing.go
@@ -40,6 +40,8 @@
 	identity Identity
 	// listedStart is the last start of it in the host list.
 	listedStart int64
+	// entry is the last that the host list said of it.
+	entry entry
 	// Limit is the number of requests a second that the target takes from all hosts together; 0 for no limit.
 	Limit float64
 	// coldLimit is the limit, in requests a second, while the target is cold; 0 otherwise.
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -304,6 +304,8 @@
 	evacuated []string
 	// replaced are the replacements of processes by Apply since the last TakeReplaced.
 	replaced []Replacement
+	// entryChanges are the changes of entries since the last TakeEntryChanges.
+	entryChanges []EntryChange
 	// distrustUntil is until when a target that has left is not taken back because a host list has it as live: see
 	// trackRetirement.
 	distrustUntil core.Time
@@ -373,6 +375,7 @@
 		changed = changed || t.State != hostlist.StateLeaving
 		t.State = hostlist.StateLeaving
 		tb.retired.add(now, t.Process())
+		tb.noteEntry(t, entryMissing)
 		if t.InFlight() == 0 {
 			t.evidence.forget(t)
 			delete(tb.byAddress, address)
@@ -394,6 +397,7 @@
 		t.evacuated = tb.isEvacuated(t.Zone)
 		t.goneAt = 0
 		tb.trackRetirement(now, t)
+		tb.noteEntry(t, entryStateOf(host.State))
 		return
 	} else if t != nil {
 		tb.replaced = append(tb.replaced, Replacement{Old: t.Process(), New: Process{host.Address, host.Instance, host.Start}})
@@ -411,6 +415,7 @@
 	t.evacuated = tb.isEvacuated(t.Zone)
 	tb.byAddress[host.Address] = t
 	tb.trackRetirement(now, t)
+	tb.noteEntry(t, entryStateOf(host.State))
 }
 
 // Replacement is that the host list has another process at an address.
