--- a/test/fleet/target_test.go
+++ b/test/fleet/target_test.go
@@ -40,6 +40,8 @@
 	resets int
 	down   bool
 	runs   []*run
+	// unhealthy is set while its health is bad although it answers requests, falseHealth while its health does not say that it leaves.
+	unhealthy, falseHealth bool
 }
 
 // arrival is a request that has reached a target.
@@ -134,9 +136,9 @@
 		switch {
 		case t.down:
 			result, after = coretarget.CheckFailed, checkTimeout
-		case check.Process.Instance != t.instance:
+		case check.Process.Instance != t.instance || t.unhealthy:
 			result = coretarget.CheckFailed
-		case t.notice.Leaving:
+		case t.notice.Leaving && !t.falseHealth:
 			result = coretarget.CheckLeaves
 		}
 		w.After(after, func() { post(node.TargetChecked{Process: check.Process, SentAt: check.SentAt, Result: result}) })
@@ -204,7 +206,7 @@
 	t.starts++
 	t.startMs = t.fleet.world.Now().Milliseconds()
 	t.notice = coretarget.Notice{}
-	t.refuses = false
+	t.refuses, t.unhealthy, t.falseHealth = false, false, false
 	clear(t.toldLeaving)
 }
 
