Targets: one memory of leaving, and one proof of its end

Cause: what a target says in answers and what its entry says were kept in two memories with two rules for their end. The second, `retirements`, was kept by process and dropped as soon as a list had the target live: at once after a write that the store carried out late or with any other start, 10 s after a restore. Nothing had shown another process. The first ended with any health answer of 200 while the list showed another start, also an earlier one, although such an answer does not tell which process gave it. Class of fault: that a source is newer was taken for proof, although what it says may be older than what is known.

Change: `departure` holds what is known from answers, entries, missing entries, checks and peers. A start whose entry said that it leaves never serves again; a later one does at once, since the list tells the two apart. Word in answers ends with a check of a process with a later start. An entry that was missing is believed after a check. An earlier start is believed only if an engine names it in its report when it is checked, or after 30 s. Engines are asked for their report beside their health. Targets that can't be asked are believed by their entry after a while. `retirements` is gone. A list without starts is believed as it is.

--- a/api/status.go
+++ b/api/status.go
@@ -148,7 +148,7 @@
 	Cold bool `json:"cold,omitempty"`
 	// Evacuated is set while the target's availability zone is evacuated.
 	Evacuated bool `json:"evacuated,omitempty"`
-	// SaysLeaving is set when the target has said in an answer that it is about to stop.
+	// SaysLeaving is set when the target counts as about to stop, by its answers, its earlier entries or other hosts, whatever State is.
 	SaysLeaving bool `json:"says_leaving,omitempty"`
 	// HeldOffMs is how much longer this host sends the target nothing because the target asked for that, in milliseconds.
 	HeldOffMs int64 `json:"held_off_ms,omitempty"`
--- a/internal/core/node/checks.go
+++ b/internal/core/node/checks.go
@@ -6,6 +6,7 @@
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/target"
+	"carobshunt/internal/hostlist"
 )
 
 // CheckTarget asks a target for its health, which needs no request. The answer comes back as TargetChecked.
@@ -14,6 +15,8 @@
 	Process target.Process
 	// Path is where the target answers for its health.
 	Path string
+	// Role tells whether it is an engine, which also reports its start.
+	Role hostlist.Role
 	// SentAt is this host's clock when the action was made; the answer returns it.
 	SentAt core.Time
 }
@@ -23,6 +26,8 @@
 	Process target.Process
 	SentAt  core.Time
 	Result  target.CheckResult
+	// Start is the start of the process that answered, by its own word; 0 if it does not say.
+	Start int64
 	// ColdFor is how much longer the target is cold by its own word; 0 if it does not say so.
 	ColdFor time.Duration
 	// Detail says more of a check that failed, for the log.
@@ -32,15 +37,20 @@
 func (CheckTarget) action()  {}
 func (TargetChecked) input() {}
 
-// checkTargets checks the health of the targets that said that they leave, where the host list now has another start: only a
-// new process is to get requests. A target whose service has no path for that gets none under the same identity.
+// checkTargets checks the health of the targets that the host list has as live although they, or others under their names, are known to
+// leave. Those whose service has no path for that are believed after a while.
 func (n *Node) checkTargets() {
 	for _, t := range n.targets.All() {
 		if !t.CheckDue(n.now) {
 			continue
 		}
 		if path := n.healthPath(t); path != "" {
-			n.do(CheckTarget{Process: t.Process(), Path: path, SentAt: n.now})
+			n.do(CheckTarget{Process: t.Process(), Path: path, Role: t.Role, SentAt: n.now})
+			continue
+		}
+		if n.targets.BelieveEntry(n.now, t) {
+			n.reportStanding(target.StandingChange{Process: t.Process(), NowServing: true}, "its entry alone")
+			n.requestPlacement()
 		}
 	}
 }
@@ -61,9 +71,10 @@
 
 // targetChecked records what a check has shown. Other hosts check for themselves.
 func (n *Node) targetChecked(in TargetChecked) {
-	n.do(StateChange{Event: EventTargetChecked, Text: fmt.Sprintf("%v: %v %s", in.Process, in.Result, in.Detail)})
+	n.do(StateChange{Event: EventTargetChecked, Text: fmt.Sprintf("%v: %v, start %d %s", in.Process, in.Result, in.Start, in.Detail)})
 	n.targets.ObserveCold(n.now, in.Process, in.ColdFor)
-	change, changed := n.targets.ApplyCheck(n.now, in.SentAt, in.Process, in.Result)
+	check := target.Check{Process: in.Process, Began: in.SentAt, Result: in.Result, Start: in.Start}
+	change, changed := n.targets.ApplyCheck(n.now, check)
 	if !changed {
 		return
 	}
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -227,7 +227,7 @@
 			Limit:         t.Limit(),
 			Cold:          t.Cold(),
 			Evacuated:     t.Evacuated(),
-			SaysLeaving:   t.SaysLeaving(),
+			SaysLeaving:   t.KnownToLeave(),
 			HeldOffMs:     t.HeldFor(n.now).Milliseconds(),
 		})
 	}
--- a/internal/core/target/departure.go
+++ b/internal/core/target/departure.go
@@ -7,16 +7,22 @@
 	"carobshunt/internal/hostlist"
 )
 
-// departure is what a host knows of whether a target is about to stop, from the target's own words.
+// departure is what a host knows of whether a target is about to stop, from whatever source.
 //
-// Such word holds for good, as far as the same process is concerned. That the host list has another start is no proof that
-// another process has taken its place: the list may be older than the process that spoke. Only a check of the target's health
-// that began later shows it.
+// A process that has said so never serves again; only another process under its name does. That the host list shows the target as live
+// proves none: the list may be older than the word. Proof is the answer to a check of the target's health that began later, of the process
+// that the list has: see mayBeAnother and proves.
 type departure struct {
+	// leaving is set by word that does not tell the start of the process that gave it, such as an answer. start is the latest start that
+	// a host list had when such word was heard, here or at a peer.
 	leaving bool
-	// start is the start that the host list had when the dispatch began whose answer said so, or when a check did.
-	start int64
-	// heard is when this host last learned of it, disproved when the last check began that showed the contrary; never before.
+	start   int64
+	// left is the latest start of which the host list has said that it leaves; 0 for none.
+	left int64
+	// missing is the latest start whose entry has gone missing in the host list; 0 for none. Such a process may have left unannounced, or
+	// may only have lost contact to the platform.
+	missing int64
+	// heard is when this host last learned of word in answers, disproved when the last check began that showed the contrary; never before.
 	heard, disproved core.Time
 	// checkedAt is when the last check began; never before.
 	checkedAt core.Time
@@ -27,13 +33,34 @@
 // said records that a process which the list had with a start says at an instant that it leaves. It reports whether that is
 // news for other hosts.
 func (d *departure) said(at core.Time, start int64) bool {
-	news := !d.leaving || d.start != start
+	news := !d.leaving || start > d.start
 	d.leaving = true
-	d.start = start
+	d.start = max(d.start, start)
 	d.heard = max(d.heard, at)
 	return news
 }
 
+// entryLeaves records that the host list has a start as leaving, entryMissing that its entry is missing. A list without starts is
+// believed as it is.
+func (d *departure) entryLeaves(start int64) { d.left = max(d.left, start) }
+
+func (d *departure) entryMissing(start int64) { d.missing = max(d.missing, start) }
+
+// binds reports whether the process that the list has with a start counts as leaving.
+func (d *departure) binds(start int64) bool {
+	return d.leaving || start != 0 && start <= max(d.left, d.missing)
+}
+
+// latest returns the latest start that is known to have said that it leaves; 0 for none.
+func (d *departure) latest() int64 { return max(d.left, d.start) }
+
+// disprove records that a check that began at an instant has shown a process with a start that serves.
+func (d *departure) disprove(began core.Time, start int64) {
+	d.leaving, d.start = false, 0
+	d.left, d.missing = min(d.left, start-1), min(d.missing, start-1)
+	d.disproved = began
+}
+
 // CheckResult is what a check of a target's health has shown.
 type CheckResult int
 
@@ -50,38 +77,95 @@
 // String returns the name of the result for logs.
 func (r CheckResult) String() string { return [...]string{"no answer", "it leaves", "it serves"}[r] }
 
-// checkInterval is the time between two checks of a target.
-const checkInterval = 500 * time.Millisecond
+const (
+	// checkInterval is the time between two checks of a target.
+	checkInterval = 500 * time.Millisecond
+	// staleEntryTime is how long an entry is shown at most that is older than what the target has said. By then its writer has
+	// replaced or lost it.
+	staleEntryTime = 30 * time.Second
+)
+
+// mayBeAnother reports whether the process that the list has may be another one than all that are known to leave. One with an earlier
+// start than those is one of before, unless the start came from another writer or the target's clock was set back: an engine tells its
+// start when it is asked, and for others the entry must outlast any older one.
+func (t *Target) mayBeAnother(now core.Time) bool {
+	d := &t.standing.departure
+	switch {
+	case t.State != hostlist.StateLive || t.goneAt != 0 || !d.binds(t.Start) || t.Start == d.latest():
+		return false
+	case t.Start > d.latest():
+		return true
+	}
+	return t.Role == hostlist.RoleEngine || t.outlastsOlder(now)
+}
+
+// outlastsOlder reports whether the entry has been shown for longer than an older one can be.
+func (t *Target) outlastsOlder(now core.Time) bool { return now-t.shownSince >= staleEntryTime }
 
-// CheckDue reports whether the target's health is to be checked now, and records that it is: another process may have taken
-// the place of one that said that it leaves.
+// CheckDue reports whether the target's health is to be checked now, and records that it is: the process that the list has
+// may take requests, although one under its name is known to leave.
 func (t *Target) CheckDue(now core.Time) bool {
 	d := &t.standing.departure
-	listed := t.State == hostlist.StateLive && t.goneAt == 0
-	if !d.leaving || !listed || t.Start == d.start || d.checkedAt != never && now-d.checkedAt < checkInterval {
+	if !t.mayBeAnother(now) || d.checkedAt != never && now-d.checkedAt < checkInterval {
 		return false
 	}
 	d.checkedAt = now
 	return true
 }
 
-// ApplyCheck records the result of a check that began at an instant, of a process that the list then had. It reports whether
-// the target is now known to leave, or to take requests, other than before.
-func (tb *Table) ApplyCheck(now, began core.Time, p Process, result CheckResult) (StandingChange, bool) {
-	s := tb.standings[p.Identity()]
+// proves reports whether an answer that a process serves proves that it is the one that the list has, and none of those that are known
+// to leave. The answer may name the start of the process that gave it; 0 if it does not.
+func (t *Target) proves(now core.Time, answeredStart int64) bool {
+	switch {
+	case !t.mayBeAnother(now):
+		return false
+	case answeredStart != 0:
+		return answeredStart == t.Start
+	}
+	return t.Start > t.standing.departure.latest() || t.outlastsOlder(now)
+}
+
+// Check is the answer to a check of a target's health.
+type Check struct {
+	// Process is the process that the host list had when the check began.
+	Process Process
+	Began   core.Time
+	Result  CheckResult
+	// Start is the start of the process that answered, by its own word; 0 if it does not say.
+	Start int64
+}
+
+// ApplyCheck records a check. It reports whether the target is now known to leave, or to take requests, other than before.
+func (tb *Table) ApplyCheck(now core.Time, c Check) (StandingChange, bool) {
+	s := tb.standings[c.Process.Identity()]
 	if s == nil {
 		return StandingChange{}, false
 	}
-	d := &s.departure
 	next := standingChange(s)
+	t := tb.Current(c.Process)
 	switch {
-	case result == CheckLeaves:
-		next.NowLeaving = d.said(now, p.Start)
-	case result == CheckServes && d.leaving && began > d.heard:
-		d.leaving = false
-		d.disproved = began
+	case c.Result == CheckLeaves:
+		next.NowLeaving = s.departure.said(now, max(c.Process.Start, c.Start))
+	case c.Result == CheckServes && c.Began > s.departure.heard && t != nil && t.proves(now, c.Start):
+		s.departure.disprove(c.Began, t.Start)
 		next.NowServing = true
 	}
 	next, changed := tb.change(now, now, s, next)
 	return next, changed || next.NowServing
 }
+
+// distrustTime is how long after the platform was restored from an older copy a missing entry that is back is not believed.
+const distrustTime = 10 * time.Second
+
+// BelieveEntry believes the entry of a target that can't be checked, once it may be believed: one that was only missing unless the
+// platform has just been restored, and one of a target that has said that it leaves if it outlasts any older entry. It reports whether it
+// did.
+func (tb *Table) BelieveEntry(now core.Time, t *Target) bool {
+	d := &t.standing.departure
+	onlyMissing := d.latest() == 0 && !d.leaving
+	if !onlyMissing && !t.outlastsOlder(now) || onlyMissing && now < tb.distrustUntil {
+		return false
+	}
+	d.disprove(now, t.Start)
+	return true
+}
--- a/internal/core/target/entrychange.go
+++ b/internal/core/target/entrychange.go
@@ -57,6 +57,13 @@
 
 // noteEntry records what the host list says of a target.
 func (tb *Table) noteEntry(t *Target, state entryState) {
+	switch state {
+	case entryLeaving:
+		t.standing.departure.entryLeaves(t.Start)
+	case entryMissing:
+		t.standing.departure.entryMissing(t.Start)
+	case entryUnknown, entryLive:
+	}
 	was := t.standing.entry
 	t.standing.entry = entry{start: t.Start, state: state}
 	if state == was.state || state == entryLive && was.state == entryUnknown {
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -57,8 +57,8 @@
 	evidence     *evidence
 	// lastSeen is when this host last saw the target alive, see MarkSeen; the first token of a dispatch counts too.
 	lastSeen core.Time
-	// trustedAt is when a target counts as live that is listed as live again but kept as leaving until then; 0 for none.
-	trustedAt core.Time
+	// shownSince is since when the host list has the process without a gap.
+	shownSince core.Time
 	// goneAt is when a target that is missing from the host list counts as gone; 0 while it is listed.
 	goneAt core.Time
 	// Engine is the published speed of the target; nil if none is published.
@@ -294,7 +294,6 @@
 	remembered []peerLoad
 	// standings hold what targets have said of themselves.
 	standings map[Identity]*Standing
-	retired   retirements
 	// limited are the targets that name a limit, in order of address.
 	limited []*Target
 	fleet   Fleet
@@ -306,8 +305,7 @@
 	replaced []Replacement
 	// entryChanges are the changes of entries since the last TakeEntryChanges.
 	entryChanges []EntryChange
-	// distrustUntil is until when a target that has left is not taken back because a host list has it as live: see
-	// trackRetirement.
+	// distrustUntil is until when an entry that is back is not believed without a check: see BelieveEntry.
 	distrustUntil core.Time
 }
 
@@ -318,7 +316,6 @@
 		withPeer:  make(map[string][]*Target),
 		evidence:  newEvidence(),
 		standings: make(map[Identity]*Standing),
-		retired:   make(retirements),
 		fleet:     lone{},
 	}
 }
@@ -368,13 +365,11 @@
 func (tb *Table) DropGone(now core.Time) {
 	changed := false
 	for address, t := range tb.byAddress {
-		changed = tb.regainTrust(now, t) || changed
 		if t.goneAt == 0 || now < t.goneAt {
 			continue
 		}
 		changed = changed || t.State != hostlist.StateLeaving
 		t.State = hostlist.StateLeaving
-		tb.retired.add(now, t.Process())
 		tb.noteEntry(t, entryMissing)
 		if t.InFlight() == 0 {
 			t.evidence.forget(t)
@@ -395,8 +390,9 @@
 	if t := tb.byAddress[host.Address]; t != nil && t.Instance == host.Instance && t.Start == host.Start {
 		t.Host = host
 		t.evacuated = tb.isEvacuated(t.Zone)
-		t.goneAt = 0
-		tb.trackRetirement(now, t)
+		if t.goneAt != 0 {
+			t.goneAt, t.shownSince = 0, now
+		}
 		tb.noteEntry(t, entryStateOf(host.State))
 		return
 	} else if t != nil {
@@ -408,13 +404,13 @@
 		inFlight:    make(map[Dispatch]*activeDispatch),
 		peers:       make(map[string]Load),
 		evidence:    tb.evidence,
+		shownSince:  now,
 		loadChanges: &tb.loadChanges,
 		loadFalls:   &tb.loadFalls,
 	}
 	tb.attach(t)
 	t.evacuated = tb.isEvacuated(t.Zone)
 	tb.byAddress[host.Address] = t
-	tb.trackRetirement(now, t)
 	tb.noteEntry(t, entryStateOf(host.State))
 }
 
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -70,8 +70,9 @@
 	// Instance names the target that has the address now. On a platform with a store, requests carry it, and a target
 	// refuses those for another instance.
 	Instance string `json:"instance,omitempty" jsonschema:"description=name of the target that has the address now"`
-	// Start identifies the current run of the target's process; each start has another value.
-	Start int64 `json:"start,omitempty" jsonschema:"minimum=0,description=start of the target; differs between two starts"`
+	// Start identifies the current run of the target's process, for example by the Unix time in milliseconds; a later start has a greater
+	// value. A process that was listed as leaving is not used again. 0 if it is not known: then the list is believed as it is.
+	Start int64 `json:"start,omitempty" jsonschema:"minimum=0,description=start of the target; greater for a later start"`
 	// Slots is the number of requests that the target works on at a time, at most MaxSlots.
 	Slots int64 `json:"slots,omitempty" jsonschema:"minimum=0,maximum=65536,description=requests that the target works on at a time"`
 	// Cold is set while the target has just started, is slow and takes few requests: see document.Service.ColdPerSecond.
