Targets: a check names the start of an engine that leaves; an entry that is back soon after a restore is not believed

- The word of a check was kept under the start in the list, also where that was a false newer entry.

--- a/internal/core/node/checks.go
+++ b/internal/core/node/checks.go
@@ -48,7 +48,7 @@
 			n.do(CheckTarget{Process: t.Process(), Path: path, Role: t.Role, SentAt: n.now})
 			continue
 		}
-		if n.targets.BelieveEntry(n.now, t) {
+		if t.BelieveEntry(n.now) {
 			n.reportStanding(target.StandingChange{Process: t.Process(), NowServing: true}, "its entry alone")
 			n.requestPlacement()
 		}
--- a/internal/core/target/departure.go
+++ b/internal/core/target/departure.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"time"
 
 	"carobshunt/internal/core"
@@ -22,6 +23,8 @@
 	// missing is the latest start whose entry has gone missing in the host list; 0 for none. Such a process may have left unannounced, or
 	// may only have lost contact to the platform.
 	missing int64
+	// distrustUntil is until when the entry of a process is not believed that was missing and is back.
+	distrustUntil core.Time
 	// heard is when this host last learned of word in answers, disproved when the last check began that showed the contrary; never before.
 	heard, disproved core.Time
 	// checkedAt is when the last check began; never before.
@@ -93,10 +96,10 @@
 	switch {
 	case t.State != hostlist.StateLive || t.goneAt != 0 || !d.binds(t.Start) || t.Start == d.latest():
 		return false
-	case t.Start > d.latest():
-		return true
+	case t.Start < d.latest():
+		return t.Role == hostlist.RoleEngine || t.outlastsOlder(now)
 	}
-	return t.Role == hostlist.RoleEngine || t.outlastsOlder(now)
+	return d.leaving || now >= d.distrustUntil
 }
 
 // outlastsOlder reports whether the entry has been shown for longer than an older one can be.
@@ -145,7 +148,7 @@
 	t := tb.Current(c.Process)
 	switch {
 	case c.Result == CheckLeaves:
-		next.NowLeaving = s.departure.said(now, max(c.Process.Start, c.Start))
+		next.NowLeaving = s.departure.said(now, cmp.Or(c.Start, c.Process.Start))
 	case c.Result == CheckServes && c.Began > s.departure.heard && t != nil && t.proves(now, c.Start):
 		s.departure.disprove(c.Began, t.Start)
 		next.NowServing = true
@@ -154,16 +157,15 @@
 	return next, changed || next.NowServing
 }
 
-// distrustTime is how long after the platform was restored from an older copy a missing entry that is back is not believed.
+// distrustTime is how long after the platform was restored from an older copy an entry that was missing and is back is not believed. What
+// wrote the entry ends it by then, if it is gone.
 const distrustTime = 10 * time.Second
 
-// BelieveEntry believes the entry of a target that can't be checked, once it may be believed: one that was only missing unless the
-// platform has just been restored, and one of a target that has said that it leaves if it outlasts any older entry. It reports whether it
-// did.
-func (tb *Table) BelieveEntry(now core.Time, t *Target) bool {
+// BelieveEntry believes the entry of a target whose check is due but that can't be checked: one that was only missing, and one of a
+// target that has said that it leaves if it outlasts any older entry. It reports whether it did.
+func (t *Target) BelieveEntry(now core.Time) bool {
 	d := &t.standing.departure
-	onlyMissing := d.latest() == 0 && !d.leaving
-	if !onlyMissing && !t.outlastsOlder(now) || onlyMissing && now < tb.distrustUntil {
+	if d.leaving && !t.outlastsOlder(now) {
 		return false
 	}
 	d.disprove(now, t.Start)
--- a/internal/core/target/departure_test.go
+++ b/internal/core/target/departure_test.go
@@ -135,6 +135,21 @@
 	assert.Assert(t, x.Eligible(2*time.Second))
 }
 
+// TestEntryThatWasMissingIsNotBelievedSoonAfterARestore guards against requests to a target that left unannounced and still answers that it
+// serves, once the platform is back from a copy that has its entry.
+func TestEntryThatWasMissingIsNotBelievedSoonAfterARestore(t *testing.T) {
+	tb, _ := listed(t, 5)
+	assert.Assert(t, tb.Apply(&hostlist.List{Version: tb.Version() + 1}))
+	host := hostlist.Host{Address: "a:1", Instance: "x", Start: 5, State: hostlist.StateLive, Role: hostlist.RoleService}
+	restored := &hostlist.List{Version: hostlist.VersionOf(1, 1), Hosts: []hostlist.Host{host}}
+	assert.Assert(t, tb.ApplyWithGrace(time.Second, restored, 0))
+	x := tb.Get("a:1")
+	assert.Assert(t, !x.CheckDue(distrustTime))
+	tb.ApplyCheck(2*time.Second, Check{Process: x.Process(), Began: 2 * time.Second, Result: CheckServes})
+	assert.Assert(t, !x.Eligible(distrustTime))
+	assert.Assert(t, x.CheckDue(time.Second+distrustTime))
+}
+
 // TestTargetWithoutChecksIsBelievedByItsEntry guards against a target that gets nothing for good because nothing can be asked for its
 // health, and against one that is believed while the platform shows an older copy.
 func TestTargetWithoutChecksIsBelievedByItsEntry(t *testing.T) {
@@ -142,7 +157,8 @@
 	tb.ApplyNotice(time.Second, Dispatch{}, &Notice{From: x.Process(), Leaving: true})
 	relist(t, tb, 6)
 	x = tb.Get("a:1")
-	assert.Assert(t, !tb.BelieveEntry(staleEntryTime-1, x) && tb.BelieveEntry(staleEntryTime, x) && x.Eligible(staleEntryTime))
+	assert.Assert(t, x.CheckDue(staleEntryTime-1) && !x.BelieveEntry(staleEntryTime-1))
+	assert.Assert(t, x.BelieveEntry(staleEntryTime) && x.Eligible(staleEntryTime))
 
 	tb, _ = listed(t, 5)
 	assert.Assert(t, tb.Apply(&hostlist.List{Version: tb.Version() + 1}))
@@ -150,8 +166,8 @@
 	assert.Assert(t, tb.ApplyWithGrace(time.Second, &hostlist.List{Version: restored}, 0))
 	relist(t, tb, 5)
 	x = tb.Get("a:1")
-	assert.Assert(t, !tb.BelieveEntry(2*time.Second, x))
-	assert.Assert(t, tb.BelieveEntry(time.Second+distrustTime, x) && x.Eligible(time.Minute))
+	assert.Assert(t, !x.CheckDue(2*time.Second))
+	assert.Assert(t, x.CheckDue(time.Second+distrustTime) && x.BelieveEntry(time.Second+distrustTime) && x.Eligible(time.Minute))
 }
 
 // TestListWithoutStartsIsBelieved guards against a target that gets nothing for good because an operator had listed it as leaving: a
--- a/internal/core/target/entrychange.go
+++ b/internal/core/target/entrychange.go
@@ -62,7 +62,9 @@
 		t.standing.departure.entryLeaves(t.Start)
 	case entryMissing:
 		t.standing.departure.entryMissing(t.Start)
-	case entryUnknown, entryLive:
+	case entryLive:
+		t.standing.departure.distrustUntil = tb.distrustUntil
+	case entryUnknown:
 	}
 	was := t.standing.entry
 	t.standing.entry = entry{start: t.Start, state: state}
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -305,7 +305,7 @@
 	replaced []Replacement
 	// entryChanges are the changes of entries since the last TakeEntryChanges.
 	entryChanges []EntryChange
-	// distrustUntil is until when an entry that is back is not believed without a check: see BelieveEntry.
+	// distrustUntil is until when an entry that was missing and is back is not believed: the platform has been restored.
 	distrustUntil core.Time
 }
 
