Targets: a host that starts hears which processes the host list had as leaving

Callers saw (shown by a test): a host that starts while the list shows an older entry of a target that has said there that it leaves sends it requests until one is answered with word of leaving, or for as long as the entry is shown if answers don't say it.

Cause: what a host learns from the list alone was told to no other host; only word in answers was. Found by asking of the paths by which leaving is learned which of them outlives a start of the process.

Other heartbeats are as before, so it costs nothing in steady state.

If all hosts start at once beside an older copy, nobody can tell them; this stays open.

--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// leftPublished records which targets had left by the host lists that a peer has seen.
+func (n *Node) leftPublished(hb *member.Heartbeat) {
+	for _, p := range hb.Left {
+		if n.targets.ApplyLeft(n.now, p) {
+			n.do(StateChange{Event: EventTargetLeaving, Text: fmt.Sprintf("%v, by an entry that %s has seen", p, hb.Peer)})
+		}
+	}
+}
+
 // maxReportedReplaced is the number of targets that are reported at most of those that one host list replaces, or whose entries it changes.
 const maxReportedReplaced = 50
 
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -77,6 +77,13 @@
 	return hb
 }
 
+// introduction returns this host's state for a host that has just started, or that asks: with what it can't learn otherwise.
+func (n *Node) introduction() member.Heartbeat {
+	hb := n.fullHeartbeat()
+	hb.Left = n.targets.Left(n.now)
+	return hb
+}
+
 // sentState is the content of the last full heartbeat that this host made, and how often the content has changed.
 type sentState struct {
 	content member.Heartbeat
@@ -129,6 +136,7 @@
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
 	if received.Fresh {
 		n.noticesPublished(&hb)
+		n.leftPublished(&hb)
 		n.quarantineReceived(&hb)
 	}
 	n.applyHeartbeatLoads(&hb)
@@ -136,7 +144,7 @@
 	n.resume.fresh = n.resume.fresh || received.Fresh
 	n.mergePlatformAges(&hb)
 	if (received.Started || hb.Ask) && n.peers.Get(hb.Peer) != nil {
-		n.do(SendHeartbeat{Peer: hb.Peer, Heartbeat: n.fullHeartbeat()})
+		n.do(SendHeartbeat{Peer: hb.Peer, Heartbeat: n.introduction()})
 	}
 	n.freshnessReceived(hb.Peer, heartbeatFreshness(&hb, received.Fresh))
 }
--- a/internal/core/target/departure.go
+++ b/internal/core/target/departure.go
@@ -18,8 +18,9 @@
 	// a host list had when such word was heard, here or at a peer.
 	leaving bool
 	start   int64
-	// left is the latest start of which the host list has said that it leaves; 0 for none.
-	left int64
+	// left is the latest start of which the host list has said that it leaves, and leftSince is since when; 0 for none.
+	left      int64
+	leftSince core.Time
 	// missing is the latest start whose entry has gone missing in the host list; 0 for none. Such a process may have left unannounced, or
 	// may only have lost contact to the platform.
 	missing int64
@@ -45,7 +46,11 @@
 
 // entryLeaves records that the host list has a start as leaving, entryMissing that its entry is missing. A list without starts is
 // believed as it is.
-func (d *departure) entryLeaves(start int64) { d.left = max(d.left, start) }
+func (d *departure) entryLeaves(now core.Time, start int64) {
+	if start > d.left {
+		d.left, d.leftSince = start, now
+	}
+}
 
 func (d *departure) entryMissing(start int64) { d.missing = max(d.missing, start) }
 
--- a/internal/core/target/entrychange.go
+++ b/internal/core/target/entrychange.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"carobshunt/internal/core"
 	"carobshunt/internal/hostlist"
 )
 
@@ -56,10 +57,10 @@
 }
 
 // noteEntry records what the host list says of a target.
-func (tb *Table) noteEntry(t *Target, state entryState) {
+func (tb *Table) noteEntry(now core.Time, t *Target, state entryState) {
 	switch state {
 	case entryLeaving:
-		t.standing.departure.entryLeaves(t.Start)
+		t.standing.departure.entryLeaves(now, t.Start)
 	case entryMissing:
 		t.standing.departure.entryMissing(t.Start)
 	case entryLive:
--- a/internal/core/target/target.go
+++ b/internal/core/target/target.go
@@ -370,7 +370,7 @@
 		}
 		changed = changed || t.State != hostlist.StateLeaving
 		t.State = hostlist.StateLeaving
-		tb.noteEntry(t, entryMissing)
+		tb.noteEntry(now, t, entryMissing)
 		if t.InFlight() == 0 {
 			t.evidence.forget(t)
 			delete(tb.byAddress, address)
@@ -393,7 +393,7 @@
 		if t.goneAt != 0 {
 			t.goneAt, t.shownSince = 0, now
 		}
-		tb.noteEntry(t, entryStateOf(host.State))
+		tb.noteEntry(now, t, entryStateOf(host.State))
 		return
 	} else if t != nil {
 		tb.replaced = append(tb.replaced, Replacement{Old: t.Process(), New: Process{host.Address, host.Instance, host.Start}})
@@ -411,7 +411,7 @@
 	tb.attach(t)
 	t.evacuated = tb.isEvacuated(t.Zone)
 	tb.byAddress[host.Address] = t
-	tb.noteEntry(t, entryStateOf(host.State))
+	tb.noteEntry(now, t, entryStateOf(host.State))
 }
 
 // Replacement is that the host list has another process at an address.
--- a/test/fleet/entries_test.go
+++ b/test/fleet/entries_test.go
@@ -156,6 +156,29 @@
 	}
 }
 
+// TestHostThatStartsHearsWhichTargetsLeftByTheirEntries guards against requests to a target whose entry has said that it leaves, from a host
+// that starts while the list shows an older entry of it: nothing but its peers can tell it.
+func TestHostThatStartsHearsWhichTargetsLeftByTheirEntries(t *testing.T) {
+	f, engine, desk := newEntriesFleet(t)
+	engine.unhealthy, desk.unhealthy = true, true
+	f.changeEntries(func(e *hostlist.Host) { e.State = hostlist.StateLeaving }, engine, desk)
+	f.publishWithout(0)
+	said := f.world.Now()
+	f.runFor(3 * time.Second)
+	f.changeEntries(func(e *hostlist.Host) { e.State = hostlist.StateLive }, engine, desk)
+	f.publishWithout(1)
+	for _, h := range f.hosts {
+		f.restart(h)
+		h.Post(node.PlatformAnswered{Restores: 1})
+		f.runFor(3 * time.Second)
+	}
+	engine.checkNothingSentAfter(said)
+	desk.checkNothingSentAfter(said)
+	for _, h := range f.hosts {
+		assert.Check(t, h.Snapshot().Ready)
+	}
+}
+
 // TestTargetStaysLeftWhenItsHealthIsFalse guards against a health answer that is taken as proof of another process, while the list
 // shows an earlier start and the process that has said that it leaves still has the address.
 func TestTargetStaysLeftWhenItsHealthIsFalse(t *testing.T) {
