--- a/test/fleet/entries_test.go
+++ b/test/fleet/entries_test.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// TestHostThatStartsHearsWhichTargetsLeftByTheirEntries guards against requests to a target whose entry has said that it leaves, from a host
-// that starts while the list shows an older entry of it: nothing but its peers can tell it.
+// TestHostThatStartsHearsWhichTargetsLeftByTheirEntries guards against requests to a target whose entry has said that it leaves, from a
+// host that starts while the list shows an older entry of it: nothing but its peers can tell it.
 func TestHostThatStartsHearsWhichTargetsLeftByTheirEntries(t *testing.T) {
 	f, engine, desk := newEntriesFleet(t)
 	engine.unhealthy, desk.unhealthy = true, true
