Targets: an entry that was missing is believed after 30 s despite its health

Found while reading the fix: a target whose entry was missing for a while and whose health answers are false would get nothing for as long as they are; and an engine of a service without a path for its health would be believed at once by an entry with an earlier start than one that had said that it leaves. An entry that has been shown for 30 s is no older one, so it is believed without an answer if it was only missing. An entry with an earlier start is never believed at once.

--- a/internal/core/node/checks.go
+++ b/internal/core/node/checks.go
@@ -44,13 +44,13 @@
 		if !t.CheckDue(n.now) {
 			continue
 		}
-		if path := n.healthPath(t); path != "" {
-			n.do(CheckTarget{Process: t.Process(), Path: path, Role: t.Role, SentAt: n.now})
-			continue
-		}
-		if t.BelieveEntry(n.now) {
+		path := n.healthPath(t)
+		switch {
+		case t.BelieveEntry(n.now, path != ""):
 			n.reportStanding(target.StandingChange{Process: t.Process(), NowServing: true}, "its entry alone")
 			n.requestPlacement()
+		case path != "":
+			n.do(CheckTarget{Process: t.Process(), Path: path, Role: t.Role, SentAt: n.now})
 		}
 	}
 }
--- a/internal/core/target/departure.go
+++ b/internal/core/target/departure.go
@@ -166,11 +166,14 @@
 // wrote the entry ends it by then, if it is gone.
 const distrustTime = 10 * time.Second
 
-// BelieveEntry believes the entry of a target whose check is due but that can't be checked: one that was only missing, and one of a
-// target that has said that it leaves if it outlasts any older entry. It reports whether it did.
-func (t *Target) BelieveEntry(now core.Time) bool {
+// BelieveEntry believes the entry of a target whose check is due, where no answer is to be waited for: one that was only missing, if the
+// target can't be checked or the entry outlasts any older one, since its health may be false; and one of a target that has said that it
+// leaves, if it can't be checked and the entry outlasts any older one. It reports whether it did.
+func (t *Target) BelieveEntry(now core.Time, checkable bool) bool {
 	d := &t.standing.departure
-	if d.leaving && !t.outlastsOlder(now) {
+	onlyMissing := !d.leaving && t.Start > d.latest()
+	outlasts := t.outlastsOlder(now)
+	if onlyMissing && checkable && !outlasts || !onlyMissing && (checkable || !outlasts) {
 		return false
 	}
 	d.disprove(now, t.Start)
