--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -66,14 +66,14 @@
 	Evacuations evacuation.Published `json:"evacuations,omitzero"`
 	// Notices are what targets have said of themselves to any host, as far as it holds. Hosts of other cells don't get them.
 	Notices []target.PublishedNotice `json:"notices,omitempty"`
-	// Left are the targets' processes that the host list had as leaving lately. Only heartbeats that answer a host which has just started,
+	// Departed are the targets' processes that the host list had as leaving lately. Only heartbeats that answer a host which has just started,
 	// or which asks, carry them.
-	Left []target.Process `json:"left,omitempty"`
+	Departed []target.Process `json:"departed,omitempty"`
 	// Prompts is what the sender tells of harmful requests and prompts, WorkRates how its own requests have fared lately. Brief
 	// heartbeats carry the rates too. Hosts of other cells get what Published.OfOtherCells returns.
 	Prompts   quarantine.Published `json:"prompts,omitzero"`
 	WorkRates quarantine.HostRates `json:"work_rates,omitzero"`
-	// State is incremented whenever any of the fields above changes, except Left, Demands and Grants, which only full heartbeats
+	// State is incremented whenever any of the fields above changes, except Departed, Demands and Grants, which only full heartbeats
 	// carry, and ClockMs, Revision, Digest, HostsVersion, HostsDigest, Introduces, Evacuations, PlatformAgesMs, AnsweredMs, Loads,
 	// Work and WorkRates, which brief heartbeats carry too.
 	State uint64 `json:"state,omitempty"`
@@ -97,7 +97,7 @@
 func (h Heartbeat) Content() Heartbeat {
 	h.ClockMs, h.AnsweredMs, h.PlatformAgesMs, h.State, h.Ask = 0, 0, nil, 0, false
 	h.Revision, h.Digest, h.HostsVersion, h.HostsDigest = 0, 0, 0, 0
-	h.Introduces, h.Left = nil, nil
+	h.Introduces, h.Departed = nil, nil
 	h.Evacuations = evacuation.Published{}
 	h.Demands, h.Grants = nil, nil
 	h.Loads, h.Work, h.WorkRates = nil, Work{}, quarantine.HostRates{}
--- a/internal/core/node/notices.go
+++ b/internal/core/node/notices.go
@@ -54,10 +54,10 @@
 	}
 }
 
-// leftPublished records which targets had left by the host lists that a peer has seen.
-func (n *Node) leftPublished(hb *member.Heartbeat) {
-	for _, p := range hb.Left {
-		if n.targets.ApplyLeft(n.now, p) {
+// departedPublished records which targets had left by the host lists that a peer has seen.
+func (n *Node) departedPublished(hb *member.Heartbeat) {
+	for _, p := range hb.Departed {
+		if n.targets.ApplyDeparted(n.now, p) {
 			n.do(StateChange{Event: EventTargetLeaving, Text: fmt.Sprintf("%v, by an entry that %s has seen", p, hb.Peer)})
 		}
 	}
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -80,7 +80,7 @@
 // introduction returns this host's state for a host that has just started, or that asks: with what it can't learn otherwise.
 func (n *Node) introduction() member.Heartbeat {
 	hb := n.fullHeartbeat()
-	hb.Left = n.targets.Left(n.now)
+	hb.Departed = n.targets.Departed(n.now)
 	return hb
 }
 
@@ -136,7 +136,7 @@
 	n.limits.Borrow(n.now, hb.Peer, n.opts.Self.Incarnation, hb.Grants)
 	if received.Fresh {
 		n.noticesPublished(&hb)
-		n.leftPublished(&hb)
+		n.departedPublished(&hb)
 		n.quarantineReceived(&hb)
 	}
 	n.applyHeartbeatLoads(&hb)
--- a/internal/core/target/departure.go
+++ b/internal/core/target/departure.go
@@ -18,9 +18,9 @@
 	// a host list had when such word was heard, here or at a peer.
 	leaving bool
 	start   int64
-	// left is the latest start of which the host list has said that it leaves, and leftSince is since when; 0 for none.
-	left      int64
-	leftSince core.Time
+	// departed is the latest start of which the host list has said that it leaves, and departedSince is since when; 0 for none.
+	departed      int64
+	departedSince core.Time
 	// missing is the latest start whose entry has gone missing in the host list; 0 for none. Such a process may have left unannounced, or
 	// may only have lost contact to the platform.
 	missing int64
@@ -47,8 +47,8 @@
 // entryLeaves records that the host list has a start as leaving, entryMissing that its entry is missing. A list without starts is
 // believed as it is.
 func (d *departure) entryLeaves(now core.Time, start int64) {
-	if start > d.left {
-		d.left, d.leftSince = start, now
+	if start > d.departed {
+		d.departed, d.departedSince = start, now
 	}
 }
 
@@ -56,16 +56,16 @@
 
 // binds reports whether the process that the list has with a start counts as leaving.
 func (d *departure) binds(start int64) bool {
-	return d.leaving || start != 0 && start <= max(d.left, d.missing)
+	return d.leaving || start != 0 && start <= max(d.departed, d.missing)
 }
 
 // latest returns the latest start that is known to have said that it leaves; 0 for none.
-func (d *departure) latest() int64 { return max(d.left, d.start) }
+func (d *departure) latest() int64 { return max(d.departed, d.start) }
 
 // disprove records that a check that began at an instant has shown a process with a start that serves.
 func (d *departure) disprove(began core.Time, start int64) {
 	d.leaving, d.start = false, 0
-	d.left, d.missing = min(d.left, start-1), min(d.missing, start-1)
+	d.departed, d.missing = min(d.departed, start-1), min(d.missing, start-1)
 	d.disproved = began
 }
 
--- a/internal/core/target/published.go
+++ b/internal/core/target/published.go
@@ -14,8 +14,8 @@
 	// unlistedNoticeTTL is how long notices of a target that is not listed are told to other hosts. An older copy of the
 	// platform's list may have it for some seconds.
 	unlistedNoticeTTL = time.Minute
-	// leftTTL is how long other hosts are told that the host list had a process as leaving.
-	leftTTL = 2 * time.Minute
+	// departedTTL is how long other hosts are told that the host list had a process as leaving.
+	departedTTL = 2 * time.Minute
 	// maxPublished is the number of notices that a heartbeat carries at most, and of processes that have left.
 	maxPublished = 64
 )
@@ -52,30 +52,30 @@
 	return out
 }
 
-// Left returns the processes that the host list has had as leaving, for a host that has just started and can't tell that its list shows
-// older entries of them: the newest maxPublished of the last leftTTL.
-func (tb *Table) Left(now core.Time) []Process {
+// Departed returns the processes that the host list has had as leaving, for a host that has just started and can't tell that its list shows
+// older entries of them: the newest maxPublished of the last departedTTL.
+func (tb *Table) Departed(now core.Time) []Process {
 	var recent []*Standing
 	for _, s := range tb.standings {
-		if s.departure.left != 0 && now-s.departure.leftSince < leftTTL {
+		if s.departure.departed != 0 && now-s.departure.departedSince < departedTTL {
 			recent = append(recent, s)
 		}
 	}
 	slices.SortFunc(recent, func(a, b *Standing) int {
-		return cmp.Or(cmp.Compare(b.departure.leftSince, a.departure.leftSince), cmp.Compare(a.identity.Address, b.identity.Address),
+		return cmp.Or(cmp.Compare(b.departure.departedSince, a.departure.departedSince), cmp.Compare(a.identity.Address, b.identity.Address),
 			cmp.Compare(a.identity.Instance, b.identity.Instance))
 	})
 	out := make([]Process, 0, min(len(recent), maxPublished))
 	for _, s := range recent[:cap(out)] {
-		out = append(out, Process{Address: s.identity.Address, Instance: s.identity.Instance, Start: s.departure.left})
+		out = append(out, Process{Address: s.identity.Address, Instance: s.identity.Instance, Start: s.departure.departed})
 	}
 	return out
 }
 
-// ApplyLeft records that a peer's host list has had a process as leaving. It reports whether that is news.
-func (tb *Table) ApplyLeft(now core.Time, p Process) bool {
+// ApplyDeparted records that a peer's host list has had a process as leaving. It reports whether that is news.
+func (tb *Table) ApplyDeparted(now core.Time, p Process) bool {
 	s := tb.standingOf(p.Identity())
-	if s == nil || p.Start <= s.departure.left {
+	if s == nil || p.Start <= s.departure.departed {
 		return false
 	}
 	s.departure.entryLeaves(now, p.Start)
