Read-through: one way to publish a list in the fleet's tests, and who is believed in two plain steps

Found by reading the change once more. publishWithout repeated publish and hostlist's number of bits for a revision; both now use publishAs, and a restored platform gives its revisions out again from 1. BelieveEntry's condition stood in one line with six terms. The comment of departure named one of three proofs. No behaviour changes.

--- a/internal/core/target/departure.go
+++ b/internal/core/target/departure.go
@@ -11,8 +11,8 @@
 // departure is what a host knows of whether a target is about to stop, from whatever source.
 //
 // A process that has said so never serves again; only another process under its name does. That the host list shows the target as live
-// proves none: the list may be older than the word. Proof is the answer to a check of the target's health that began later, of the process
-// that the list has: see mayBeAnother and proves.
+// proves none: the list may be older than the word. A later start than that of an entry which said so proves one: see binds. Otherwise
+// the answer to a check that began later does, see proves, or an entry that is shown for long enough, see BelieveEntry.
 type departure struct {
 	// leaving is set by word that does not tell the start of the process that gave it, such as an answer. start is the latest start that
 	// a host list had when such word was heard, here or at a peer.
@@ -171,11 +171,13 @@
 // leaves, if it can't be checked and the entry outlasts any older one. It reports whether it did.
 func (t *Target) BelieveEntry(now core.Time, checkable bool) bool {
 	d := &t.standing.departure
-	onlyMissing := !d.leaving && t.Start > d.latest()
 	outlasts := t.outlastsOlder(now)
-	if onlyMissing && checkable && !outlasts || !onlyMissing && (checkable || !outlasts) {
-		return false
+	believed := outlasts && !checkable
+	if onlyMissing := !d.leaving && t.Start > d.latest(); onlyMissing {
+		believed = outlasts || !checkable
 	}
-	d.disprove(now, t.Start)
-	return true
+	if believed {
+		d.disprove(now, t.Start)
+	}
+	return believed
 }
--- a/test/fleet/entries_test.go
+++ b/test/fleet/entries_test.go
@@ -1,10 +1,10 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
-	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/virtual"
@@ -81,22 +81,17 @@
 	}
 }
 
-// publishWithout publishes what the platform has, without the entries of some targets.
+// publishWithout publishes what the platform has, without the entries of some targets. A platform that has been restored gives its
+// revisions out again.
 func (f *fleet) publishWithout(restores uint64, targets ...*target) {
-	list := &hostlist.List{Version: hostlist.VersionOf(restores, f.list.Version&(1<<40-1)+1)}
-	for _, entry := range f.all {
-		missing := false
-		for _, t := range targets {
-			missing = missing || t.address == entry.Address
-		}
-		if !missing {
-			list.Hosts = append(list.Hosts, entry)
-		}
-	}
-	f.list = list
-	for _, h := range f.hosts {
-		h.Post(node.HostsReceived{List: list, Source: conf.SourcePlatform})
+	entries := slices.DeleteFunc(slices.Clone(f.all), func(e hostlist.Host) bool {
+		return slices.ContainsFunc(targets, func(t *target) bool { return t.address == e.Address })
+	})
+	version := f.list.Version + 1
+	if restores > hostlist.RestoresOf(version) {
+		version = hostlist.VersionOf(restores, 1)
 	}
+	f.publishAs(version, entries)
 }
 
 // checkNothingSentAfter checks that nothing has reached a target that callers sent later than drainTime after an instant.
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -214,8 +214,10 @@
 }
 
 // publish publishes a new version of the host list.
-func (f *fleet) publish(entries []hostlist.Host) {
-	f.list = &hostlist.List{Version: f.list.Version + 1, Hosts: entries}
+func (f *fleet) publish(entries []hostlist.Host) { f.publishAs(f.list.Version+1, entries) }
+
+func (f *fleet) publishAs(version uint64, entries []hostlist.Host) {
+	f.list = &hostlist.List{Version: version, Hosts: entries}
 	for _, h := range f.hosts {
 		h.Post(node.HostsReceived{List: f.list, Source: conf.SourcePlatform})
 	}
