--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -140,6 +140,19 @@
 	Works []core.WorkID
 }
 
+// Withdrawn reports, for the log, a dispatch that this host gave up although its target had not ended it: why, and what becomes
+// of its request.
+type Withdrawn struct {
+	Key      core.Key
+	Dispatch uint32
+	Target   string
+	Message  string
+	// Requeued reports whether the request was queued again.
+	Requeued bool
+	// Began reports whether the answer had begun.
+	Began bool
+}
+
 // AbortDispatch aborts a dispatch, which ends its connection. If package dispatch may have written bytes of it to an engine,
 // it asks the engine to drop the stream.
 type AbortDispatch struct {
@@ -249,6 +262,7 @@
 func (StartDispatch) action() {}
 func (Refused) action()       {}
 func (Unanswered) action()    {}
+func (Withdrawn) action()     {}
 func (AbortDispatch) action() {}
 func (Finish) action()        {}
 func (Drop) action()          {}
--- a/internal/core/node/groups.go
+++ b/internal/core/node/groups.go
@@ -403,7 +403,10 @@
 	n.groups.counts.Lost++
 	n.removeHelperLoad(rec)
 	n.do(AbortDispatch{Key: key, Dispatch: rec.LastDispatch})
-	n.handleLost(rec, DispatchEnded{Key: key, Dispatch: rec.LastDispatch, Target: rec.Target, Message: "memory of a group was lost"})
+	began := rec.Timing.FirstToken != 0
+	lost := DispatchEnded{Key: key, Dispatch: rec.LastDispatch, Target: rec.Target, Message: "memory of a group was lost"}
+	n.handleLost(rec, lost)
+	n.reportWithdrawn(rec, began, lost.Message)
 }
 
 // groupsTick advances the claims, always in the same order.
--- a/internal/core/node/redispatch.go
+++ b/internal/core/node/redispatch.go
@@ -20,7 +20,7 @@
 	for _, t := range route.NonReporting(n.now, n.targets.All()) {
 		nonReporting[t.Address] = true
 		if !n.nonReporting[t.Address] {
-			n.redispatchFrom(t)
+			n.redispatchFrom(t, "the engine stopped reporting")
 		}
 	}
 	n.nonReporting = nonReporting
@@ -38,13 +38,13 @@
 		}
 		t.Failed(n.now)
 		n.do(StateChange{Event: EventTargetUnresponsive, Text: fmt.Sprintf("%s with %d requests of this host", t.Address, t.InFlight())})
-		n.redispatchFrom(t)
+		n.redispatchFrom(t, "the target is unresponsive")
 	}
 }
 
 // redispatchFrom aborts and requeues the idempotent requests that a target answers without a group, earliest deadline
 // first, as far as the retry budget and their dispatch limits allow.
-func (n *Node) redispatchFrom(t *target.Target) {
+func (n *Node) redispatchFrom(t *target.Target, why string) {
 	var stuck []*ledger.Record
 	for _, rec := range n.active {
 		waiting := rec.State == ledger.Dispatched && rec.Target == t.Address && !rec.Work.Group
@@ -64,7 +64,17 @@
 		n.removeHelperLoad(rec)
 		n.ledger.Requeue(rec)
 		rec.Tried = append(rec.Tried, rec.Process)
+		began := rec.Timing.FirstToken != 0
 		rec.Timing.FirstToken = 0
 		n.enqueue(rec)
+		n.reportWithdrawn(rec, began, why)
 	}
 }
+
+// reportWithdrawn reports that the last dispatch of a request was given up, and whether the request waits for another one.
+func (n *Node) reportWithdrawn(rec *ledger.Record, began bool, why string) {
+	n.do(Withdrawn{
+		Key: rec.Request.Key, Dispatch: rec.LastDispatch, Target: rec.Target, Message: why,
+		Requeued: rec.State == ledger.Queued, Began: began,
+	})
+}
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -59,7 +59,7 @@
 		x.log.Info(string(a.Event), "detail", shorttext.Cut(a.Text, maxDetail))
 	case node.StreamRunEnded:
 		x.metrics.StreamRunEnded(a)
-	case node.Refused, node.Unanswered: // only logged
+	case node.Refused, node.Unanswered, node.Withdrawn: // only logged
 	case node.Stop:
 		x.stop()
 	default:
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -8,8 +8,8 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// requestLog logs each dispatch, run of a stream, final result, refusal and ending without a whole answer in one line. The line
-// of a dispatch has the inputs of the decision and their age. Refusals for want of the right home are not logged.
+// requestLog logs each dispatch, withdrawal of one, run of a stream, final result, refusal and ending without a whole answer in one
+// line. The line of a dispatch has the inputs of the decision and their age. Refusals for want of the right home are not logged.
 type requestLog struct{ log hclog.Logger }
 
 // record logs the action if it is one of these.
@@ -26,6 +26,8 @@
 		l.refused(&a)
 	case node.Unanswered:
 		l.unanswered(&a)
+	case node.Withdrawn:
+		l.withdrawn(&a)
 	case node.StreamRunEnded:
 		l.streamRun(&a)
 	}
@@ -58,6 +60,11 @@
 		"began", a.Began, "work", core.WorksText(a.Works), "parts", partsText(a.Parts))
 }
 
+func (l *requestLog) withdrawn(a *node.Withdrawn) {
+	l.log.Info("dispatch withdrawn", "id", a.Key.ID, "team", document.ShownName(a.Key.Team), "dispatch", a.Dispatch, "target", a.Target,
+		"why", a.Message, "again", a.Requeued, "began", a.Began)
+}
+
 func (l *requestLog) streamRun(a *node.StreamRunEnded) {
 	l.log.Info("run of a stream", "id", a.Key.ID, "dispatch", a.Dispatch, "target", a.Target, "ending", a.Ending.String(),
 		"why", a.Message, "status", a.Run.Status, "framing", string(a.Run.Framing), "resumed", a.Run.Resumed, "after", a.Run.After,
--- a/internal/daemon/requestlog_test.go
+++ b/internal/daemon/requestlog_test.go
@@ -18,11 +18,12 @@
 	key := core.Key{Team: strings.Repeat("水", 10_000), ID: "request-1"}
 	for _, action := range []node.Action{
 		node.StartDispatch{Key: key}, node.Finish{Key: key}, node.Refused{Key: key}, node.Unanswered{Key: key},
+		node.Withdrawn{Key: key},
 	} {
 		l.record(action)
 	}
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-	assert.Equal(t, len(lines), 4)
+	assert.Equal(t, len(lines), 5)
 	for _, line := range lines {
 		assert.Assert(t, len(line) < 1000 && strings.Contains(line, "~"), "%d bytes", len(line))
 	}
--- a/internal/httplog/httplog.go
+++ b/internal/httplog/httplog.go
@@ -78,7 +78,11 @@
 		status, _, _ := bytes.Cut(p, []byte("\r\n"))
 		c.log.Warn("request refused before it was read", "caller", c.RemoteAddr().String(), "why", string(status))
 	}
-	return c.Conn.Write(p) // not wrapped, since net/http inspects the error
+	n, err := c.Conn.Write(p) // not wrapped, since net/http inspects the error
+	if err != nil {
+		c.log.Info("connection to a caller failed", "caller", c.RemoteAddr().String(), "unwritten", len(p)-n, "why", err.Error())
+	}
+	return n, err
 }
 
 // NetConn returns the connection that this one observes.
