Streams that have begun are not refused: not in a planned stop, and not for want of room

What callers saw: two streams of a host that was stopping ended together in the middle, with no last event, seconds before the host had to end; their engine still ran them.

Cause: an engine with two streams that had no event for 1.8 s is taken for unresponsive, and its requests are dispatched once more. Each dispatch goes through the checks by which a stopping host refuses requests that are not expected to end before the kill. A refusal costs the caller of a new request nothing; one whose answer has begun is cut off. The same happened to a stream whose engine broke it off or failed it in a stop, and, without a stop, to one that found no room within the time for a first event (0.3 s). Class of fault: a check on admission that also decides about what was admitted, and has begun.

Change: the record knows whether the answer has begun. Such a request waits until its end (its deadline, or the last answers of the stop), and goes first in the queue, as its caller can't come again for the same answer.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -54,6 +54,9 @@
 	// MayHaveRun is set while a target may have executed the request: it is set by each dispatch, and UndoDispatch resets it
 	// if no earlier dispatch may have been executed.
 	MayHaveRun bool
+	// Begun is set once the caller of a routed request may have received a part of a streamed answer. Such a request can't be
+	// refused any more: an end without the rest of its answer cuts its caller off.
+	Begun bool
 	// DeadlineAborted is set when the last dispatch was aborted just before the deadline (later if the process was
 	// suspended), so that its end shows in time whether it was written. The next dispatch clears it.
 	DeadlineAborted bool
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -126,6 +126,7 @@
 		return
 	}
 	rec.Timing.FirstToken = n.now
+	rec.Begun = rec.Request.Routed != nil
 	n.quarantine.FirstEvent(n.now, in.ID())
 	n.removeHelperLoad(rec)
 	n.groupPrefilled(in.Key)
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -229,7 +229,8 @@
 }
 
 // enqueue queues a request for dispatch to a target, unless its prompt is withheld by now, no target is left in the regions where
-// it may run, all of them are evacuated, or this process will be killed before the request could end.
+// it may run, all of them are evacuated, or this process will be killed before the request could end. The last does not end a
+// streamed answer that has begun, and neither does a lack of room: it may go on until the end of its request.
 func (n *Node) enqueue(rec *ledger.Record) {
 	if v := n.withholds(&rec.Request); v != nil {
 		n.finishWithheld(rec, v)
@@ -241,10 +242,13 @@
 	if n.finishIfRefused(rec, n.checkEvacuated(&rec.Request)) {
 		return
 	}
-	if n.finishIfRefused(rec, n.checkStopOf(rec)) {
+	if !rec.Begun && n.finishIfRefused(rec, n.checkStopOf(rec)) {
 		return
 	}
 	rec.WaitingSince = n.now
+	if rec.Begun {
+		rec.WaitLimit = rec.Request.Deadline - n.now
+	}
 	n.queue.Push(rec)
 }
 
--- a/internal/core/node/unfinishable.go
+++ b/internal/core/node/unfinishable.go
@@ -86,14 +86,15 @@
 	}
 }
 
-// refuseUnfinishable ends the waiting requests that are not expected to end before this process is killed.
+// refuseUnfinishable ends the waiting requests that are not expected to end before this process is killed, except those whose answer
+// has begun.
 func (n *Node) refuseUnfinishable() {
 	if n.drain.answerBy == 0 {
 		return
 	}
 	var waiting []*ledger.Record
 	for _, rec := range n.active {
-		if rec.State == ledger.Queued {
+		if rec.State == ledger.Queued && !rec.Begun {
 			waiting = append(waiting, rec)
 		}
 	}
--- a/internal/core/queue/lane.go
+++ b/internal/core/queue/lane.go
@@ -39,17 +39,17 @@
 	maxTurnOffers = [kinds]int{kindShort: 4, kindLong: 1, kindGroup: 1}
 )
 
-// laneKey names the requests among which a bound on the offers of a pass is shared. Ranks and resubmitted requests have lanes of
+// laneKey names the requests among which a bound on the offers of a pass is shared. Ranks and requests that go first have lanes of
 // their own, so that none of them keeps another from being offered.
 type laneKey struct {
-	service     string
-	kind        kind
-	resubmitted bool
-	rank        int64
+	service   string
+	kind      kind
+	goesFirst bool
+	rank      int64
 }
 
 func laneKeyOf(rec *ledger.Record) laneKey {
-	return laneKey{service: rec.Request.Model, kind: kindOf(rec), resubmitted: resubmitted(rec), rank: rankOf(rec)}
+	return laneKey{service: rec.Request.Model, kind: kindOf(rec), goesFirst: goesFirst(rec), rank: rankOf(rec)}
 }
 
 // waiter is a waiting record with its place in the queue.
--- a/internal/core/queue/objectives.go
+++ b/internal/core/queue/objectives.go
@@ -10,7 +10,7 @@
 	"carobshunt/internal/document"
 )
 
-// Objectives orders waiting records by their time to first token objective. After resubmitted requests come those that
+// Objectives orders waiting records by their time to first token objective. After those that go first come those that
 // can still meet it, the one with the least time left first: under overload a late answer has less utility than one in
 // time. Those that can't meet it follow, the most recently admitted first. If teams have ranks and those of the requests
 // differ, the rank precedes the time left among requests that can still meet their objective, and some dispatches ignore
@@ -249,15 +249,15 @@
 	return rec.Timing.Admitted + rec.FirstTokenTarget - rec.FirstTokenTarget/serviceDivisor
 }
 
-// resubmitted reports whether the caller submits the request again after a refusal. It has no further attempt, so such
-// requests go first.
-func resubmitted(rec *ledger.Record) bool {
-	return rec.Request.Routed != nil && rec.Request.Routed.Resubmitted
+// goesFirst reports whether a request goes before others, whatever their objectives: its caller submits it again after a refusal, and
+// has no further attempt, or has a part of its answer.
+func goesFirst(rec *ledger.Record) bool {
+	return rec.Begun || rec.Request.Routed != nil && rec.Request.Routed.Resubmitted
 }
 
 func compareObjectives(now core.Time, a, b *ledger.Record) int {
-	if resubmittedA, resubmittedB := resubmitted(a), resubmitted(b); resubmittedA != resubmittedB {
-		if resubmittedA {
+	if firstA, firstB := goesFirst(a), goesFirst(b); firstA != firstB {
+		if firstA {
 			return -1
 		}
 		return 1
--- a/internal/core/queue/ranked.go
+++ b/internal/core/queue/ranked.go
@@ -80,7 +80,7 @@
 
 // compareRanked orders requests as compareObjectives does, but those that can still meet their objective by rank first.
 func compareRanked(now core.Time, a, b *ledger.Record) int {
-	if now <= min(latestStart(a), latestStart(b)) && resubmitted(a) == resubmitted(b) {
+	if now <= min(latestStart(a), latestStart(b)) && goesFirst(a) == goesFirst(b) {
 		if order := cmp.Compare(rankOf(a), rankOf(b)); order != 0 {
 			return order
 		}
