Planned stop: a silent target keeps the requests that the host would only refuse

What callers saw: plain requests and streams without an event yet, whose target had been silent for a while, ended seconds before the last answers of a planned stop, though their target might still have answered. The play of planned stops with real processes found them: with the answer that was lost on the way (a fault of its own), such a request ended with a closed connection and no byte.

Cause: two overdue requests at a target make it count as unresponsive, which takes its repeatable requests away from it to send them to another one. A host that stops refuses most of them at that moment. Nothing is won by it: nobody else is asked, and the run is in vain.

Change: such a request stays with its target until the last answers. refusedByStop is the one place that decides; the two forms of checkStop differed only in where the class came from.

Evidence: TestSilenceOfATargetEndsNoRequestOfAStoppingHost failed before with 'this host stops before the request is expected to end'. Tests of internal/core/node pass.

--- a/internal/core/node/begun_test.go
+++ b/internal/core/node/begun_test.go
@@ -84,3 +84,18 @@
 		})
 	}
 }
+
+// TestSilenceOfATargetEndsNoRequestOfAStoppingHost guards against requests that a host takes from a silent target only to refuse them, as
+// it stops: the target may still answer, and nobody else is to be asked.
+func TestSilenceOfATargetEndsNoRequestOfAStoppingHost(t *testing.T) {
+	for _, path := range []string{"/read/1", "/ask/1"} {
+		e := newStoppableHost(t)
+		e.list(targetList(2, "e1", "s1"))
+		first := e.sendLong(path)
+		e.sendLong(path)
+		killAt := e.stop()
+		assert.Equal(t, e.dispatchesUntil(killAt-time.Second), 0, path)
+		e.end(first, node.EndedDone)
+		assert.Equal(t, e.mustFinish().Outcome, api.OutcomeDone)
+	}
+}
--- a/internal/core/node/redispatch.go
+++ b/internal/core/node/redispatch.go
@@ -43,12 +43,14 @@
 }
 
 // redispatchFrom aborts and requeues the idempotent requests that a target answers without a group, earliest deadline
-// first, as far as the retry budget and their dispatch limits allow.
+// first, as far as the retry budget and their dispatch limits allow. Those that this host would only refuse then, as it stops, stay
+// with the target: it may still answer.
 func (n *Node) redispatchFrom(t *target.Target, why string) {
 	var stuck []*ledger.Record
+	running := n.runningAges()
 	for _, rec := range n.active {
 		waiting := rec.State == ledger.Dispatched && rec.Target == t.Address && !rec.Work.Group
-		if waiting && rec.Request.Idempotent && !n.dispatchLimitReached(rec) {
+		if waiting && rec.Request.Idempotent && !n.dispatchLimitReached(rec) && !n.refusedByStop(rec, running) {
 			stuck = append(stuck, rec)
 		}
 	}
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -242,7 +242,8 @@
 	if n.finishIfRefused(rec, n.checkEvacuated(&rec.Request)) {
 		return
 	}
-	if !rec.Begun && n.finishIfRefused(rec, n.checkStopOf(rec)) {
+	if n.drain.answerBy != 0 && n.refusedByStop(rec, n.runningAges()) {
+		n.finishIfRefused(rec, n.stopRefusal())
 		return
 	}
 	rec.WaitingSince = n.now
--- a/internal/core/node/unfinishable.go
+++ b/internal/core/node/unfinishable.go
@@ -61,47 +61,41 @@
 // checkStop refuses a request that is not expected to end before this process is killed: its answer would be lost, and it may have
 // run. The zero Result means no refusal.
 func (n *Node) checkStop(req *core.Request) core.Result {
-	if n.drain.answerBy == 0 {
-		return core.Result{}
-	}
-	return n.stopResult(req, n.workOf(req).Class, n.runningAges())
-}
-
-// checkStopOf is checkStop for a request that was admitted.
-func (n *Node) checkStopOf(rec *ledger.Record) core.Result {
-	if n.drain.answerBy == 0 {
+	if n.drain.answerBy == 0 || n.finishesBeforeKill(req, n.workOf(req).Class, n.runningAges()) {
 		return core.Result{}
 	}
-	return n.stopResult(&rec.Request, rec.Work.Class, n.runningAges())
+	return n.stopRefusal()
 }
 
-// stopResult returns the refusal of a request by the kill of this process; the zero Result if it is expected to end before.
-func (n *Node) stopResult(req *core.Request, class document.Class, running ages) core.Result {
-	if n.finishesBeforeKill(req, class, running) {
-		return core.Result{}
-	}
+// stopRefusal returns the result of a request that is refused by the stop of this process.
+func (n *Node) stopRefusal() core.Result {
 	return core.Result{
 		Code: api.CodeDraining, Message: "this host stops before the request is expected to end",
 		RetryAfter: n.retryAfter(stopRetryAfter),
 	}
 }
 
-// refuseUnfinishable ends the waiting requests that are not expected to end before this process is killed, except those whose answer
-// has begun.
+// refusedByStop reports whether a request is refused when it waits for a target, as it is not expected to end before this process is
+// killed. One whose answer has begun is not.
+func (n *Node) refusedByStop(rec *ledger.Record, running ages) bool {
+	return n.drain.answerBy != 0 && !rec.Begun && !n.finishesBeforeKill(&rec.Request, rec.Work.Class, running)
+}
+
+// refuseUnfinishable ends the waiting requests that are refused by the stop of this process.
 func (n *Node) refuseUnfinishable() {
 	if n.drain.answerBy == 0 {
 		return
 	}
 	var waiting []*ledger.Record
+	running := n.runningAges()
 	for _, rec := range n.active {
-		if rec.State == ledger.Queued && !rec.Begun {
+		if rec.State == ledger.Queued && n.refusedByStop(rec, running) {
 			waiting = append(waiting, rec)
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *ledger.Record) int { return a.Request.Compare(b.Request.Key) })
-	running := n.runningAges()
 	for _, rec := range waiting {
-		n.finishIfRefused(rec, n.stopResult(&rec.Request, rec.Work.Class, running))
+		n.finishIfRefused(rec, n.stopRefusal())
 	}
 }
 
