Tests that fail: a stop counts from when the signal was noticed

Callers saw: requests that ran at a target when their host was stopped got no whole answer before the process was killed.

Cause, shown here: the time for new requests and the grace time count from the moment at which the control loop learns of SIGTERM. A process that is suspended, or has no processor time, when the signal is sent counts both too late.

--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -1,9 +1,14 @@
 package daemon
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"carobshunt/internal/control"
+	"carobshunt/internal/core/node"
 	"carobshunt/internal/settings"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,3 +29,44 @@
 	d.killAt.Store(int64(d.loop.Now() + time.Hour))
 	assert.Equal(t, d.closeTime(), shutdownTimeout)
 }
+
+// pausedClock is a clock that also runs while the process is suspended.
+type pausedClock struct {
+	start     time.Time
+	suspended atomic.Int64
+}
+
+// Now implements control.Clock.
+func (c *pausedClock) Now() time.Duration {
+	return time.Since(c.start) + time.Duration(c.suspended.Load())
+}
+
+// ignore is an executor that does nothing.
+type ignore struct{}
+
+func (ignore) Execute(node.Action)  {}
+func (ignore) Lagged(time.Duration) {}
+
+// TestSuspensionLeavesLessTimeToClose guards against open connections that are waited for beyond the kill, as the process was suspended
+// when the signal came.
+func TestSuspensionLeavesLessTimeToClose(t *testing.T) {
+	const grace, suspended = 8 * time.Second, 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		d := New(settings.Example(), hclog.NewNullLogger())
+		defer d.Halt()
+		clock := &pausedClock{start: time.Now()}
+		d.loop = control.NewLoop(node.New(node.Options{Peer: "10.0.0.1:2", Records: 10}), clock)
+		d.stopGrace.Store(int64(grace))
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go d.loop.Run(ctx, ignore{})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		clock.suspended.Store(int64(suspended))
+		d.drain()
+		synctest.Wait()
+		left := d.closeTime()
+		assert.Assert(t, left <= grace-suspended-exitTime, "%v", left)
+		assert.Assert(t, left >= grace-suspended-time.Second, "%v", left)
+	})
+}
