Stop: count from before the signal, not from when it was noticed

Callers saw: requests without a whole answer at the end of a planned stop, and requests taken later than the look-up TTL after SIGTERM.

Cause: nobody tells a process when a signal was sent. The time for new requests and the grace time counted from when the control loop learned of it: too late by the whole suspension, or by the delay of a process that is short of processor time.

Change: the node keeps the times of its last ticks. A stop begins at the one that lies four ticks back when the signal is noticed, which is before the signal: the input Terminate carries it, with the grace time. If the kill is due, the last answers go out in the same step. How long a host stays for callers with old look-ups still counts from when it told its peers. A drain by carobctl has no bound, and a signal bounds it. The line 'draining' tells when the signal can have been sent, when it was noticed and when the last answers are given.

The price is that a stop begins 0.2 s early or a little more.

Tests changed: unfinishable_test.go sends Terminate for Drain with a time. TestOpenConnectionsAreCutBeforeTheKill set the time of the kill in a field that is gone; it now runs the loop on a clock of its own, and requires minCloseTime instead of 0 once the kill is due: as the estimate is early, a process that still lives writes the answers that it has just given.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -174,7 +174,7 @@
 // quarter of what control costs.
 func changesSnapshot(in node.Input) bool {
 	switch in.(type) {
-	case node.Tick, node.DocumentReceived, node.HostsReceived, node.Drain:
+	case node.Tick, node.DocumentReceived, node.HostsReceived, node.Drain, node.Terminate:
 		return true
 	}
 	return false
@@ -187,6 +187,9 @@
 			l.deliver(decide)
 			continue
 		}
+		if _, stops := action.(node.Stop); stops {
+			l.publish() // whoever closes connections reads when the process will be killed
+		}
 		l.executor.Execute(action)
 	}
 	if b.publishes {
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -132,3 +132,35 @@
 		assert.Assert(t, loop.Snapshot().Draining, "what must show at once")
 	})
 }
+
+// stopReader is an executor that reads when the process will be killed while the process is being stopped.
+type stopReader struct {
+	loop   *control.Loop
+	killAt chan core.Time
+}
+
+// Lagged implements control.Executor. A tick is due afterwards, and belongs to the same step.
+func (stopReader) Lagged(time.Duration) { time.Sleep(node.TickInterval) }
+
+// Execute implements control.Executor.
+func (r stopReader) Execute(a node.Action) {
+	if _, stops := a.(node.Stop); stops {
+		r.killAt <- r.loop.Snapshot().KillAt
+	}
+}
+
+// TestStopShowsWhenTheProcessIsKilled guards against connections that are waited for beyond the kill, since a host stops in the step in
+// which it learns that the kill is due.
+func TestStopShowsWhenTheProcessIsKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &manualClock{}
+		loop := control.NewLoop(node.New(node.Options{Peer: "10.0.0.1:2", Records: 10}), clock)
+		clock.now.Store(int64(10 * time.Second))
+		loop.Post(node.Terminate{NotBefore: time.Second, Noticed: loop.Now(), Grace: time.Second})
+		r := stopReader{loop: loop, killAt: make(chan core.Time, 1)}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go loop.Run(ctx, r)
+		assert.Equal(t, <-r.killAt, 2*time.Second)
+	})
+}
--- a/internal/core/node/drain.go
+++ b/internal/core/node/drain.go
@@ -11,13 +11,18 @@
 type drainState struct {
 	active  bool
 	stopped bool
-	since   core.Time
+	// since is when this process learned of the stop, and told its peers.
+	since core.Time
+	// begun is when the stop began, for callers: no later than the signal that requested it, or since without one.
+	begun core.Time
 	// idleSince is the last tick with an active request, or the start of the drain if that was later; valid only while
 	// no request is active.
 	idleSince core.Time
 	// queryableUntil is the latest deadline of the requests admitted here that are neither idempotent nor routed. Until
 	// then their callers may query the outcome, and no other host can answer.
 	queryableUntil core.Time
+	// killAt is when the process will be killed, at the earliest; 0 for never.
+	killAt core.Time
 	// answerBy is when the last requests end without an answer of a target, as the process will be killed; 0 for never.
 	answerBy core.Time
 }
@@ -35,20 +40,13 @@
 	lastAnswersShare = 8
 )
 
-// startDrain begins a planned stop. Requests that are not expected to end before the process is killed, and wait for a target,
-// end at once: their callers have the time to go elsewhere.
-func (n *Node) startDrain(in Drain) {
-	n.boundDrain(in.KillAt)
-	n.beginDrain()
-	n.refuseUnfinishable()
-}
-
-// boundDrain sets when the last requests end. The first of several times counts: nobody takes a kill back.
-func (n *Node) boundDrain(killAt core.Time) {
-	if killAt == 0 || n.drain.answerBy != 0 {
+// startDrain begins a planned stop that may take as long as its requests do.
+func (n *Node) startDrain() {
+	if n.drain.active {
 		return
 	}
-	n.drain.answerBy = killAt - min(lastAnswersTime, (killAt-n.now)/lastAnswersShare)
+	n.beginDrain()
+	n.do(StateChange{Event: EventDraining})
 }
 
 func (n *Node) beginDrain() {
@@ -57,8 +55,8 @@
 	}
 	n.drain.active = true
 	n.drain.since = n.now
+	n.drain.begun = n.now
 	n.drain.idleSince = n.now
-	n.do(StateChange{Event: EventDraining})
 	n.announce(func(*member.Peer) bool { return true })
 }
 
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -184,10 +184,16 @@
 	Name string
 }
 
-// Drain starts a planned stop, or tells when one that has begun must be over.
-type Drain struct {
-	// KillAt is when the process will be killed; 0 if it may take as long as it needs.
-	KillAt core.Time
+// Drain starts a planned stop that may take as long as it needs.
+type Drain struct{}
+
+// Terminate reports that the process was told to stop by a signal. It starts a planned stop, or bounds one that has begun. When the
+// signal was sent is not known: the process may have been suspended then.
+type Terminate struct {
+	// NotBefore is a time before the signal: Snapshot.SignalNotBefore of when it was noticed. Noticed is when that was.
+	NotBefore, Noticed core.Time
+	// Grace is the time from the signal until the process is killed; 0 if it may take as long as it needs.
+	Grace time.Duration
 }
 
 func (Submit) input()             {}
@@ -210,4 +216,5 @@
 func (CacheEventReceived) input() {}
 func (Tick) input()               {}
 func (Drain) input()              {}
+func (Terminate) input()          {}
 func (ReleaseWithheld) input()    {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -117,6 +117,7 @@
 	adoptions AdoptionCounts
 
 	drain drainState
+	ticks recentTicks
 	ready bool
 	// alive holds the peer addresses of the peers that were last reported reachable.
 	alive         map[string]bool
@@ -261,7 +262,9 @@
 	case ReleaseWithheld:
 		n.releaseWithheld(in)
 	case Drain:
-		n.startDrain(in)
+		n.startDrain()
+	case Terminate:
+		n.terminate(in)
 	case StepLagged:
 		n.stepLagged(in)
 	default:
@@ -305,6 +308,7 @@
 func (n *Node) do(a Action) { n.actions = append(n.actions, a) }
 
 func (n *Node) tick() {
+	n.ticks.record(n.now)
 	n.expireDeadlines()
 	n.refuseUnfinishable()
 	n.ledger.Expire(n.now, func(rec *ledger.Record) { n.do(Drop{Key: rec.Request.Key}) })
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -178,7 +178,7 @@
 // acceptsWhileDraining reports whether a draining host still accepts a request: callers keep a lookup answer that names
 // this host for up to Options.LookupTTL, and are served rather than redirected.
 func (n *Node) acceptsWhileDraining(req *core.Request) bool {
-	return req.Routed != nil && n.now < n.drain.since+n.opts.LookupTTL
+	return req.Routed != nil && n.now < n.drain.begun+n.opts.LookupTTL
 }
 
 // callerLeft ends the request of a caller that has disconnected.
--- a/internal/core/node/snapshot.go
+++ b/internal/core/node/snapshot.go
@@ -22,6 +22,9 @@
 	Taken    core.Time
 	Ready    bool
 	Draining bool
+	// SignalNotBefore is a time at which the process ran; a signal that it has not noticed yet was sent later. KillAt is when a process
+	// that was told to stop will be killed, at the earliest; 0 if that is not known.
+	SignalNotBefore, KillAt core.Time
 	// Hosts lists the entry hosts that take requests, this one first if it is among them.
 	Hosts []api.Host
 	// Capacities holds what this host and its peers state that they can carry, by the addresses on which they serve callers, where
@@ -60,6 +63,8 @@
 		Taken:           n.now,
 		Ready:           n.notReady() == "",
 		Draining:        n.drain.active,
+		SignalNotBefore: n.ticks.oldest(),
+		KillAt:          n.drain.killAt,
 		Hosts:           n.usableHosts(),
 		Capacities:      n.capacities(),
 		Document:        n.config.Document(),
--- /dev/null
+++ b/internal/core/node/terminate.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"carobshunt/internal/core"
+)
+
+// signalDelayTicks is the number of ticks that may pass from when a signal is delivered until the process notices it: under load, the
+// control goroutine goes on while the goroutines wait that hand the signal on. After a suspension, the first ticks may come before it.
+const signalDelayTicks = 4
+
+// recentTicks holds the times of the last ticks, the oldest first. The zero value holds the start of the process.
+type recentTicks [signalDelayTicks + 1]core.Time
+
+// record adds the time of a tick, unless it is one of two that come at once after a suspension or a long step.
+func (r *recentTicks) record(now core.Time) {
+	if now-r[len(r)-1] < TickInterval/2 {
+		return
+	}
+	copy(r[:], r[1:])
+	r[len(r)-1] = now
+}
+
+// oldest returns a time at which the process ran, and a signal that was not noticed by now had not been sent yet.
+func (r *recentTicks) oldest() core.Time { return r[0] }
+
+// terminate begins a planned stop, or bounds one that has begun. Requests that are not expected to end before the process is killed, and
+// wait for a target, end at once: their callers have the time to go elsewhere. If the kill is due, so do all others.
+func (n *Node) terminate(in Terminate) {
+	n.beginDrain()
+	n.drain.begun = min(n.drain.begun, in.NotBefore)
+	n.boundDrain(in)
+	n.do(StateChange{Event: EventDraining, Text: n.terminationText(in)})
+	n.refuseUnfinishable()
+	n.expireDeadlines()
+}
+
+// boundDrain sets when the last requests end. The first of several times counts: nobody takes a kill back.
+func (n *Node) boundDrain(in Terminate) {
+	if in.Grace == 0 || n.drain.killAt != 0 {
+		return
+	}
+	n.drain.killAt = in.NotBefore + in.Grace
+	n.drain.answerBy = n.drain.killAt - min(lastAnswersTime, in.Grace/lastAnswersShare)
+}
+
+// terminationText returns what the log says of a stop that was requested by a signal.
+func (n *Node) terminationText(in Terminate) string {
+	ago := func(at core.Time) time.Duration { return (n.now - at).Round(time.Millisecond) }
+	text := fmt.Sprintf("signal sent at most %v ago, noticed %v ago", ago(in.NotBefore), ago(in.Noticed))
+	switch {
+	case n.drain.answerBy == 0:
+		return text + ", no bound"
+	case n.drain.answerBy <= n.now:
+		return text + ", last answers now"
+	}
+	return text + fmt.Sprintf(", last answers in %v", -ago(n.drain.answerBy))
+}
--- a/internal/core/node/terminate_test.go
+++ b/internal/core/node/terminate_test.go
@@ -19,7 +19,7 @@
 	for range ticks {
 		e.after(node.TickInterval).step(node.Tick{})
 	}
-	e.step(node.Drain{KillAt: e.now + stopGrace})
+	e.step(node.Terminate{NotBefore: e.node.Snapshot().SignalNotBefore, Noticed: e.now, Grace: stopGrace})
 }
 
 // TestSuspendedHostCountsItsStopFromBeforeTheSuspension guards against a host that takes requests that were sent more than LookupTTL
@@ -98,3 +98,76 @@
 	e.t.Fatal("no answer before the kill")
 	return core.Result{}
 }
+
+// TestTicksThatComeAtOnceCountAsOne guards against a host that takes the time in which it was suspended for time in which it ran, as the
+// tick that was due before the suspension and the one after it come together.
+func TestTicksThatComeAtOnceCountAsOne(t *testing.T) {
+	e := newStoppableHost(t)
+	e.run(time.Second)
+	ran := e.now
+	e.suspend(4 * time.Second)
+	e.step(node.Tick{})
+	e.after(time.Millisecond).step(node.Tick{})
+	e.run(3 * node.TickInterval)
+	assert.Assert(t, e.node.Snapshot().SignalNotBefore <= ran)
+}
+
+// TestLogTellsWhenTheSignalCanHaveCome guards against a log from which nobody can tell whether a host learned late of its stop.
+func TestLogTellsWhenTheSignalCanHaveCome(t *testing.T) {
+	for name, c := range map[string]struct {
+		suspended, grace time.Duration
+		text             string
+	}{
+		"suspended":   {4 * time.Second, stopGrace, "signal sent at most 4.2s ago, noticed 0s ago, last answers in 3.3s"},
+		"kill is due": {stopGrace, stopGrace, "signal sent at most 8.2s ago, noticed 0s ago, last answers now"},
+		"no bound":    {0, 0, "signal sent at most 200ms ago, noticed 0s ago, no bound"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newStoppableHost(t)
+			e.run(time.Second)
+			e.suspend(c.suspended)
+			e.step(node.Terminate{NotBefore: e.node.Snapshot().SignalNotBefore, Noticed: e.now, Grace: c.grace})
+			assert.DeepEqual(t, e.changeTexts(node.EventDraining), []string{c.text})
+		})
+	}
+}
+
+// TestSignalAfterADrainBoundsIt guards against a drain without a bound that is cut by the kill, and against one that takes requests again.
+func TestSignalAfterADrainBoundsIt(t *testing.T) {
+	e := newStoppableHost(t)
+	e.serve("/send/1", 100*time.Millisecond)
+	d := e.sendLong("/send/1")
+	e.step(node.Drain{})
+	e.run(3 * time.Second)
+	assert.Equal(t, e.node.Snapshot().KillAt, core.Time(0))
+	signaled := e.now
+	e.terminate(0)
+	assert.Assert(t, e.node.Snapshot().KillAt <= signaled+stopGrace)
+	assert.Equal(t, e.submit(e.longRequest("/send/1")).Result.Code, api.CodeDraining)
+	assert.Equal(t, e.awaitLastAnswer(d, signaled+stopGrace).Outcome, api.OutcomeUnknown)
+}
+
+// TestIdleHostStaysUntilItsPeersLookupsExpire guards against a host that is gone while others still name it, as it learned late of its
+// stop: they name it until it has told them.
+func TestIdleHostStaysUntilItsPeersLookupsExpire(t *testing.T) {
+	e := newStoppableHost(t)
+	e.run(time.Second)
+	e.suspend(2 * time.Second)
+	e.terminate(0)
+	told := e.now
+	e.run(2900 * time.Millisecond)
+	assert.Assert(t, e.node.Snapshot().Draining)
+	e.awaitStop(told + 3*time.Second + 3*node.TickInterval)
+	assert.Assert(t, e.now >= told+3*time.Second)
+}
+
+// changeTexts returns the texts of the state changes of a kind that the last step has reported.
+func (e *routedHost) changeTexts(event node.Event) []string {
+	var out []string
+	for _, a := range e.actions {
+		if c, ok := a.(node.StateChange); ok && c.Event == event {
+			out = append(out, c.Text)
+		}
+	}
+	return out
+}
--- a/internal/core/node/unfinishable_test.go
+++ b/internal/core/node/unfinishable_test.go
@@ -52,9 +52,8 @@
 
 // stop begins a planned stop, and returns when the process is killed.
 func (e *routedHost) stop() core.Time {
-	killAt := e.now + stopGrace
-	e.step(node.Drain{KillAt: killAt})
-	return killAt
+	e.step(node.Terminate{NotBefore: e.now, Noticed: e.now, Grace: stopGrace})
+	return e.now + stopGrace
 }
 
 // runUntilFinished runs ticks up to a time and returns the result of the first request that ends.
@@ -120,7 +119,7 @@
 	e.end(e.sendLong("/send/1"), node.EndedRefused) // it waits, as nobody else takes it
 	_, ended := e.finished()
 	assert.Assert(t, !ended)
-	e.step(node.Drain{KillAt: e.now + 4*time.Second})
+	e.step(node.Terminate{NotBefore: e.now, Noticed: e.now, Grace: 4 * time.Second})
 	result, ok := e.finished()
 	assert.Assert(t, ok, "the request waits for a target, and those of its kind take 5 s")
 	assert.Equal(t, result.Code, api.CodeDraining)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,8 +41,6 @@
 	preset atomic.Pointer[document.Preset]
 	// stopGrace is the time from SIGTERM until the process is killed, replaced by a reload; 0 for no bound.
 	stopGrace atomic.Int64
-	// killAt is when the process will be killed, on the clock of the control loop; 0 if that is not known.
-	killAt atomic.Int64
 	// halted is done once Halt was called.
 	halted context.Context
 	halt   context.CancelFunc
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/httplog"
 
@@ -21,6 +20,9 @@
 	shutdownTimeout = 5 * time.Second
 	// exitTime is the time before the process is killed in which open connections are cut and the process ends.
 	exitTime = 200 * time.Millisecond
+	// minCloseTime is the least time for open connections to close: the kill may be later than estimated, and last answers need a
+	// moment to be written.
+	minCloseTime = 100 * time.Millisecond
 	// cutTimeout is how long the handlers whose connections were cut may take to return.
 	cutTimeout = 100 * time.Millisecond
 	cutPoll    = 5 * time.Millisecond
@@ -28,21 +30,17 @@
 
 // drain starts the planned stop of a process that was told to stop, and may be killed after its grace time.
 func (d *Daemon) drain() {
-	in := node.Drain{}
-	if grace := time.Duration(d.stopGrace.Load()); grace > 0 {
-		in.KillAt = d.loop.Now() + grace
-		d.killAt.Store(int64(in.KillAt))
-	}
-	d.loop.Post(in)
+	notBefore := d.loop.Snapshot().SignalNotBefore
+	d.loop.Post(node.Terminate{NotBefore: notBefore, Noticed: d.loop.Now(), Grace: time.Duration(d.stopGrace.Load())})
 }
 
 // closeTime returns how long open connections may take to close: less than shutdownTimeout if the process is killed before.
 func (d *Daemon) closeTime() time.Duration {
-	killAt := core.Time(d.killAt.Load())
+	killAt := d.loop.Snapshot().KillAt
 	if killAt == 0 {
 		return shutdownTimeout
 	}
-	return min(shutdownTimeout, max(killAt-exitTime-d.loop.Now(), 0))
+	return min(shutdownTimeout, max(killAt-exitTime-d.loop.Now(), minCloseTime))
 }
 
 // serveHTTP serves until ctx is done, then waits up to closeTime for open answers to end, unless the daemon is halted. It cuts
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -15,21 +15,6 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestOpenConnectionsAreCutBeforeTheKill guards against a process that is killed while it waits for callers that read slowly, with
-// its last log lines unwritten.
-func TestOpenConnectionsAreCutBeforeTheKill(t *testing.T) {
-	s := settings.Example()
-	d := New(s, hclog.NewNullLogger())
-	assert.Equal(t, d.closeTime(), shutdownTimeout, "nobody kills it")
-	d.stopGrace.Store(int64(time.Second))
-	d.drain()
-	assert.Assert(t, d.closeTime() <= time.Second-exitTime)
-	d.killAt.Store(int64(d.loop.Now()))
-	assert.Equal(t, d.closeTime(), time.Duration(0))
-	d.killAt.Store(int64(d.loop.Now() + time.Hour))
-	assert.Equal(t, d.closeTime(), shutdownTimeout)
-}
-
 // pausedClock is a clock that also runs while the process is suspended.
 type pausedClock struct {
 	start     time.Time
@@ -47,21 +32,49 @@
 func (ignore) Execute(node.Action)  {}
 func (ignore) Lagged(time.Duration) {}
 
+// startLoop replaces the daemon's control loop by one that runs on a clock and has processed some ticks.
+func startLoop(t *testing.T, d *Daemon) *pausedClock {
+	t.Helper()
+	clock := &pausedClock{start: time.Now()}
+	d.loop = control.NewLoop(node.New(node.Options{Peer: "10.0.0.1:2", Records: 10}), clock)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go d.loop.Run(ctx, ignore{})
+	time.Sleep(time.Second)
+	synctest.Wait()
+	return clock
+}
+
+// TestOpenConnectionsAreCutBeforeTheKill guards against a process that is killed while it waits for callers that read slowly, with
+// its last log lines unwritten.
+func TestOpenConnectionsAreCutBeforeTheKill(t *testing.T) {
+	for grace, want := range map[time.Duration]struct{ atFirst, atTheKill time.Duration }{
+		time.Second: {time.Second - exitTime, minCloseTime},
+		time.Hour:   {shutdownTimeout, minCloseTime},
+		0:           {shutdownTimeout, shutdownTimeout},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			d := New(settings.Example(), hclog.NewNullLogger())
+			clock := startLoop(t, d)
+			assert.Equal(t, d.closeTime(), shutdownTimeout, "nobody kills it")
+			d.stopGrace.Store(int64(grace))
+			d.drain()
+			synctest.Wait()
+			assert.Assert(t, d.closeTime() <= want.atFirst && d.closeTime() > want.atFirst/2, "%v", d.closeTime())
+			clock.suspended.Store(int64(grace))
+			assert.Equal(t, d.closeTime(), want.atTheKill)
+		})
+	}
+}
+
 // TestSuspensionLeavesLessTimeToClose guards against open connections that are waited for beyond the kill, as the process was suspended
 // when the signal came.
 func TestSuspensionLeavesLessTimeToClose(t *testing.T) {
 	const grace, suspended = 8 * time.Second, 6 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		d := New(settings.Example(), hclog.NewNullLogger())
-		defer d.Halt()
-		clock := &pausedClock{start: time.Now()}
-		d.loop = control.NewLoop(node.New(node.Options{Peer: "10.0.0.1:2", Records: 10}), clock)
+		clock := startLoop(t, d)
 		d.stopGrace.Store(int64(grace))
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		go d.loop.Run(ctx, ignore{})
-		time.Sleep(time.Second)
-		synctest.Wait()
 		clock.suspended.Store(int64(suspended))
 		d.drain()
 		synctest.Wait()
