Stop: a shorter grace time that is reloaded during a stop bounds it

Callers would see: no answer from requests that run when a host is killed, if the settings with a shorter grace time were changed just before SIGTERM and reloaded just after it was noticed, or if a process was suspended when both signals came. Found by reading, not seen by callers.

Cause: the grace time was read once, when the signal was noticed. SIGHUP and SIGTERM are handled by different goroutines, so a reload that was requested first may come second.

Change: a reload tells the node the grace time. During a stop by a signal, the earliest bound counts: a shorter one, or the first one, applies from the same moment; a longer one changes nothing, as the kill may already be planned.

Evidence: TestReloadedGraceTimeBoundsAStop (shorter, longer, none, first) and TestReloadDuringAStopShortensIt, which fails without the post in reloadOn (5 s instead of at most 2.8 s).

--- a/internal/core/node/drain.go
+++ b/internal/core/node/drain.go
@@ -15,6 +15,8 @@
 	since core.Time
 	// begun is when the stop began, for callers: no later than the signal that requested it, or since without one.
 	begun core.Time
+	// signal is what is known of the signal that requested the stop; nil without one.
+	signal *Terminate
 	// idleSince is the last tick with an active request, or the start of the drain if that was later; valid only while
 	// no request is active.
 	idleSince core.Time
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -196,6 +196,9 @@
 	Grace time.Duration
 }
 
+// GraceReloaded reports the grace time of reloaded settings; 0 for none.
+type GraceReloaded struct{ Grace time.Duration }
+
 func (Submit) input()             {}
 func (StepLagged) input()         {}
 func (BodyEnded) input()          {}
@@ -217,4 +220,5 @@
 func (Tick) input()               {}
 func (Drain) input()              {}
 func (Terminate) input()          {}
+func (GraceReloaded) input()      {}
 func (ReleaseWithheld) input()    {}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -285,6 +285,8 @@
 		}
 	case LoadsReceived:
 		n.loadsReceived(in)
+	case GraceReloaded:
+		n.graceReloaded(in)
 	case SeedsReloaded:
 		n.peers.Seed(n.now, in.Peers)
 	case DocumentReceived:
--- a/internal/core/node/terminate.go
+++ b/internal/core/node/terminate.go
@@ -29,25 +29,44 @@
 // terminate begins a planned stop, or bounds one that has begun. Requests that are not expected to end before the process is killed, and
 // wait for a target, end at once: their callers have the time to go elsewhere. If the kill is due, so do all others.
 func (n *Node) terminate(in Terminate) {
+	if n.drain.signal != nil {
+		return
+	}
 	n.beginDrain()
+	n.drain.signal = &in
 	n.drain.begun = min(n.drain.begun, in.NotBefore)
-	n.boundDrain(in)
-	n.do(StateChange{Event: EventDraining, Text: n.terminationText(in)})
-	n.refuseUnfinishable()
-	n.expireDeadlines()
+	n.boundDrain(in.Grace)
+	n.applyBound()
 }
 
-// boundDrain sets when the last requests end. The first of several times counts: nobody takes a kill back.
-func (n *Node) boundDrain(in Terminate) {
-	if in.Grace == 0 || n.drain.killAt != 0 {
-		return
+// graceReloaded bounds a stop that was requested by a signal by a shorter grace time: the settings may have changed before the signal.
+func (n *Node) graceReloaded(in GraceReloaded) {
+	if n.drain.signal != nil && n.boundDrain(in.Grace) {
+		n.applyBound()
+	}
+}
+
+// boundDrain sets when the last requests end, and reports whether it did. The earliest of several times counts: one that is too early
+// costs a caller another request, one that is too late its answer.
+func (n *Node) boundDrain(grace time.Duration) bool {
+	killAt := n.drain.signal.NotBefore + grace
+	if grace == 0 || (n.drain.killAt != 0 && n.drain.killAt <= killAt) {
+		return false
 	}
-	n.drain.killAt = in.NotBefore + in.Grace
-	n.drain.answerBy = n.drain.killAt - min(lastAnswersTime, in.Grace/lastAnswersShare)
+	n.drain.killAt = killAt
+	n.drain.answerBy = killAt - min(lastAnswersTime, grace/lastAnswersShare)
+	return true
+}
+
+// applyBound logs the bound of a stop and ends the requests that it leaves no time for.
+func (n *Node) applyBound() {
+	n.do(StateChange{Event: EventDraining, Text: n.terminationText(n.drain.signal)})
+	n.refuseUnfinishable()
+	n.expireDeadlines()
 }
 
 // terminationText returns what the log says of a stop that was requested by a signal.
-func (n *Node) terminationText(in Terminate) string {
+func (n *Node) terminationText(in *Terminate) string {
 	ago := func(at core.Time) time.Duration { return (n.now - at).Round(time.Millisecond) }
 	text := fmt.Sprintf("signal sent at most %v ago, noticed %v ago", ago(in.NotBefore), ago(in.Noticed))
 	switch {
--- a/internal/core/node/terminate_test.go
+++ b/internal/core/node/terminate_test.go
@@ -147,6 +147,29 @@
 	assert.Equal(t, e.awaitLastAnswer(d, signaled+stopGrace).Outcome, api.OutcomeUnknown)
 }
 
+// TestReloadedGraceTimeBoundsAStop guards against answers that come after the kill, as the settings with a shorter grace time were
+// reloaded after the signal that came next; and against a bound that is taken back.
+func TestReloadedGraceTimeBoundsAStop(t *testing.T) {
+	for name, c := range map[string]struct{ before, reloaded, want time.Duration }{
+		"shorter":   {stopGrace, 4 * time.Second, 4 * time.Second},
+		"longer":    {stopGrace, time.Minute, stopGrace},
+		"none":      {stopGrace, 0, stopGrace},
+		"the first": {0, stopGrace, stopGrace},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newStoppableHost(t)
+			d := e.sendLong("/send/1")
+			e.step(node.GraceReloaded{Grace: time.Second})
+			assert.Equal(t, e.node.Snapshot().KillAt, core.Time(0), "it does not stop")
+			signaled := e.now
+			e.step(node.Terminate{NotBefore: signaled, Noticed: signaled, Grace: c.before})
+			e.after(time.Second).step(node.GraceReloaded{Grace: c.reloaded})
+			assert.Equal(t, e.node.Snapshot().KillAt, signaled+c.want)
+			assert.Equal(t, e.awaitLastAnswer(d, signaled+c.want).Outcome, api.OutcomeUnknown)
+		})
+	}
+}
+
 // TestIdleHostStaysUntilItsPeersLookupsExpire guards against a host that is gone while others still name it, as it learned late of its
 // stop: they name it until it has told them.
 func TestIdleHostStaysUntilItsPeersLookupsExpire(t *testing.T) {
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -104,6 +104,7 @@
 			d.preset.Store(s.Platform.Preset)
 		}
 		d.stopGrace.Store(int64(s.StopGrace()))
+		d.loop.Post(node.GraceReloaded{Grace: s.StopGrace()})
 		d.loop.Post(node.SeedsReloaded{Peers: s.Peers})
 		d.log.Info("settings reloaded", "path", path, "seeds", len(s.Peers))
 	}
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -83,3 +86,27 @@
 		assert.Assert(t, left >= grace-suspended-time.Second, "%v", left)
 	})
 }
+
+// TestReloadDuringAStopShortensIt guards against a shorter grace time in the settings that a stop which has begun never learns of.
+func TestReloadDuringAStopShortensIt(t *testing.T) {
+	raw, err := os.ReadFile("../settings/testdata/good/store.json")
+	assert.NilError(t, err)
+	text := strings.Replace(string(raw), "{", `{"stop_grace_s": 3,`, 1)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	synctest.Test(t, func(t *testing.T) {
+		d := New(settings.Example(), hclog.NewNullLogger())
+		startLoop(t, d)
+		d.stopGrace.Store(int64(time.Hour))
+		d.drain()
+		synctest.Wait()
+		assert.Equal(t, d.closeTime(), shutdownTimeout)
+		hangup := make(chan os.Signal, 1)
+		hangup <- os.Interrupt
+		close(hangup)
+		d.reloadOn(hangup, path)
+		time.Sleep(node.TickInterval)
+		synctest.Wait()
+		assert.Assert(t, d.closeTime() <= 3*time.Second-exitTime, "%v", d.closeTime())
+	})
+}
