Tests: answers of a stopping host that do not reach their callers

Callers saw: requests that ran when a host stopped ended without a byte, or a whole stream without its last chunk.

--- a/internal/gateway/write_test.go
+++ b/internal/gateway/write_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -9,7 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/node"
 	"carobshunt/internal/stream"
 
 	"github.com/juju/errors"
@@ -98,3 +102,77 @@
 		_ = server.Close()
 	})
 }
+
+// serveOnPipe serves the requests of one connection in memory, and returns the caller's end of it.
+func serveOnPipe(t *testing.T, handler echo.HandlerFunc) net.Conn {
+	t.Helper()
+	near, far := net.Pipe()
+	l := &singleConnListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+	l.conns <- far
+	e := echo.New()
+	e.Any("/", handler)
+	server := &http.Server{Handler: e}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = server.Close()
+	})
+	return near
+}
+
+// pausingBody is a body that ends a while after its only byte.
+type pausingBody struct{ begun bool }
+
+// Read implements io.Reader.
+func (b *pausingBody) Read(p []byte) (int, error) {
+	if b.begun {
+		time.Sleep(writeTimeout + time.Second)
+		return 0, io.EOF
+	}
+	b.begun = true
+	p[0] = 'x'
+	return 1, nil
+}
+
+// TestForwardedAnswerThatEndsAfterAPauseIsWhole guards against a last chunk that is written under the deadline of a write long before.
+func TestForwardedAnswerThatEndsAfterAPauseIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller := serveOnPipe(t, func(c echo.Context) error { return copyFlushing(c.Response(), &pausingBody{}) })
+		go func() { _, _ = fmt.Fprint(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") }()
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "x")
+	})
+}
+
+// idleControl is a Control that does nothing.
+type idleControl struct{ Control }
+
+func (idleControl) Now() core.Time  { return 0 }
+func (idleControl) Post(node.Input) {}
+
+// TestLastAnswerOfAStopDoesNotWaitForTheRestOfTheBody guards against a request whose body has not arrived when the host stops: if its
+// answer waits for the rest, the process is killed before.
+func TestLastAnswerOfAStopDoesNotWaitForTheRestOfTheBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &Gateway{control: idleControl{}}
+		req := core.Request{Key: core.Key{ID: "request-1"}, BodyBytes: 9}
+		ex := stream.NewStore().Open(req.Key)
+		caller := serveOnPipe(t, func(c echo.Context) error {
+			return g.answerBodyFault(c, req, ex, g.receiveBody(c, req, ex, time.Hour), time.Hour)
+		})
+		_, err := fmt.Fprint(caller, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\npart")
+		assert.NilError(t, err)
+		synctest.Wait()
+		start := time.Now()
+		ex.Answer.Finish(api.Last{Outcome: api.OutcomeNotRun, Code: api.CodeDraining})
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+	})
+}
