Targets: the time in which a host was suspended is no silence of its targets

What callers would see: a host that was suspended, or had no processor time, for two seconds takes every target with two requests of its own for unresponsive as soon as it runs again, before it has read what they sent meanwhile. Their repeatable requests are sent to others, streams are resumed there, and runs are in vain. Seen in the log of a process that was suspended around SIGTERM: target unresponsive before draining, at once after it went on.

Cause: silence is measured from when a target was last seen to the present. Nothing can be seen while the process is suspended.

Change: silence counts from the end of the last suspension at the earliest.

Evidence: TestSuspensionIsNoSilenceOfTargets fails without the change: 0 of 2 requests still run. Calls in target_test.go name 0, no suspension; their bounds are the same.

--- a/internal/core/node/begun_test.go
+++ b/internal/core/node/begun_test.go
@@ -99,3 +99,17 @@
 		assert.Equal(t, e.mustFinish().Outcome, api.OutcomeDone)
 	}
 }
+
+// TestSuspensionIsNoSilenceOfTargets guards against requests that are taken from sound targets right after their host was suspended:
+// what the targets sent meanwhile has not been read yet.
+func TestSuspensionIsNoSilenceOfTargets(t *testing.T) {
+	for _, path := range []string{"/read/1", "/ask/1"} {
+		e := newStoppableHost(t)
+		e.list(targetList(2, "e1", "s1"))
+		e.sendLong(path)
+		e.sendLong(path)
+		e.suspend(5 * time.Second)
+		e.run(400 * time.Millisecond)
+		assert.Equal(t, e.node.Snapshot().Status.Requests.Running, 2, path)
+	}
+}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -127,8 +127,10 @@
 	outcomes       map[api.Outcome]uint64
 	observed       observations
 	resume         resumeState
-	sent           sentState
-	cache          statusCache
+	// runningSince is the end of the last suspension of this process; 0 if it has not been suspended.
+	runningSince core.Time
+	sent         sentState
+	cache        statusCache
 	// shortRate is the rate at which this host places short prompts.
 	shortRate shortRate
 	// demand is the work offered to this host. lanesSized is when the lanes were last resized to it.
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -163,6 +163,7 @@
 func (n *Node) detectSuspension(now core.Time) {
 	if now-n.now >= suspensionGap && n.now > 0 {
 		n.resume = resumeState{active: true, since: now}
+		n.runningSince = now
 		n.quarantine.Resumed()
 	}
 }
--- a/internal/core/node/redispatch.go
+++ b/internal/core/node/redispatch.go
@@ -33,7 +33,7 @@
 		return
 	}
 	for _, t := range n.targets.All() {
-		if t.InFlight() == 0 || !t.Eligible(n.now) || !t.Unresponsive(n.now) {
+		if t.InFlight() == 0 || !t.Eligible(n.now) || !t.Unresponsive(n.now, n.runningSince) {
 			continue
 		}
 		t.Failed(n.now)
--- a/internal/core/target/silence.go
+++ b/internal/core/target/silence.go
@@ -28,11 +28,12 @@
 func (t *Target) SeenSince(at core.Time) bool { return t.lastSeen > at }
 
 // Unresponsive reports whether the target is unresponsive: at least minOverdue dispatches of this host are overdue there.
-// What is only prefilled there for a dispatch to another engine does not count.
-func (t *Target) Unresponsive(now core.Time) bool {
+// What is only prefilled there for a dispatch to another engine does not count. Nothing could be seen before runningSince, the time since
+// which this process has not been suspended.
+func (t *Target) Unresponsive(now, runningSince core.Time) bool {
 	overdue := 0
 	for _, p := range t.inFlight {
-		if p.load.Streams > 0 && t.overdue(now, p) {
+		if p.load.Streams > 0 && t.overdue(now, runningSince, p) {
 			overdue++
 		}
 	}
@@ -41,13 +42,13 @@
 
 // overdue reports whether the target should have been seen by now because of this dispatch. During a prefill on an engine
 // of published speed, the dispatch is not overdue if the target was seen, for any request, after the dispatch began.
-func (t *Target) overdue(now core.Time, p *activeDispatch) bool {
-	since := max(t.lastSeen, p.began)
+func (t *Target) overdue(now, runningSince core.Time, p *activeDispatch) bool {
+	since := max(t.lastSeen, p.began, runningSince)
 	switch {
 	case t.Engine == nil:
 		return now-since >= serviceTimeout
 	case p.streaming:
 		return now-since >= streamTimeout
 	}
-	return now >= t.prefillDue(p)+prefillGrace && t.lastSeen < p.began
+	return now >= max(t.prefillDue(p), runningSince)+prefillGrace && t.lastSeen < p.began
 }
--- a/internal/core/target/target_test.go
+++ b/internal/core/target/target_test.go
@@ -53,13 +53,13 @@
 	e.Engine = speed
 	e.Begin(0, dispatchOf("a"), target.Job{})
 	e.Prefilled(0, dispatchOf("a"))
-	assert.Assert(t, !e.Unresponsive(10*time.Second), "one request may be slow for its own reasons")
+	assert.Assert(t, !e.Unresponsive(10*time.Second, 0), "one request may be slow for its own reasons")
 	e.Begin(0, dispatchOf("b"), target.Job{})
 	e.Prefilled(0, dispatchOf("b"))
-	assert.Assert(t, !e.Unresponsive(1700*time.Millisecond))
-	assert.Assert(t, e.Unresponsive(1800*time.Millisecond))
+	assert.Assert(t, !e.Unresponsive(1700*time.Millisecond, 0))
+	assert.Assert(t, e.Unresponsive(1800*time.Millisecond, 0))
 	e.MarkSeen(1790 * time.Millisecond)
-	assert.Assert(t, !e.Unresponsive(1800*time.Millisecond))
+	assert.Assert(t, !e.Unresponsive(1800*time.Millisecond, 0))
 }
 
 func TestPlainServiceThatDoesNotAnswerIsUnresponsive(t *testing.T) {
@@ -68,8 +68,8 @@
 	s := tb.Get("s1")
 	s.Begin(0, dispatchOf("a"), target.Job{})
 	s.Begin(0, dispatchOf("b"), target.Job{})
-	assert.Assert(t, !s.Unresponsive(490*time.Millisecond))
-	assert.Assert(t, s.Unresponsive(500*time.Millisecond))
+	assert.Assert(t, !s.Unresponsive(490*time.Millisecond, 0))
+	assert.Assert(t, s.Unresponsive(500*time.Millisecond, 0))
 }
 
 // TestEntryThatLapsedMeanwhileIsWaitedFor: a target whose entry expired in an outage of the platform serves on until its
@@ -136,8 +136,8 @@
 	e.Begin(began, dispatchOf("a"), target.Job{Work: 206_000})
 	e.Begin(began, dispatchOf("b"), target.Job{Work: 206_000})
 	e.Engine = speed
-	assert.Assert(t, !e.Unresponsive(began+time.Millisecond))
-	assert.Assert(t, e.Unresponsive(began+6*time.Second), "two seconds of prefill with their margins have passed")
+	assert.Assert(t, !e.Unresponsive(began+time.Millisecond, 0))
+	assert.Assert(t, e.Unresponsive(began+6*time.Second, 0), "two seconds of prefill with their margins have passed")
 	tb.ExpirePending(began + 6*time.Second)
 	assert.Equal(t, e.PendingTokens(), int64(0), "the prefill must be done")
 }
