Own interface: the answer to a request whose body was given up does not wait for its rest

Callers would see: a request whose body is still arriving when its host stops gets no answer before the process ends.

Cause: the end of the request interrupts the read of the body, and then writeError gave the same body 1 s more, which net/http waits for before it writes.

Change: writeErrorWithin takes the time for the body: none once the read of it was given up, 1 s as before for refusals that did not read it. Error responses also have a write deadline of their own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -201,7 +201,7 @@
 	case chunk.Last.Code == api.CodeDraining:
 		e.Code, e.Message, e.RetryAfterMs = chunk.Last.Code, chunk.Last.Message, chunk.Last.RetryAfterMs
 	}
-	return writeError(c, e)
+	return writeErrorWithin(c, e, 0) // the time of the body is over
 }
 
 // finalResultDelay is the time after its deadline by which every request has its final result.
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -55,16 +55,23 @@
 // unreadBodyTimeout bounds how long a connection waits, after an error response, for the rest of a body that is not read.
 const unreadBodyTimeout = time.Second
 
-// writeError responds with a typed error without reading the body, and leaves its code for countRefusals. The retry delay
-// is given in the body, in milliseconds, and in the Retry-After header, in whole seconds rounded up.
+// writeError responds with a typed error without reading the body.
 func writeError(c echo.Context, e *api.Error) error {
+	return writeErrorWithin(c, e, unreadBodyTimeout)
+}
+
+// writeErrorWithin responds with a typed error, and leaves its code for countRefusals. It waits for the rest of the body for a time,
+// since net/http reads it first. The retry delay is given in the body, in milliseconds, and in the Retry-After header, in whole seconds
+// rounded up.
+func writeErrorWithin(c echo.Context, e *api.Error, bodyTime time.Duration) error {
 	if e.RetryAfterMs > 0 {
 		seconds := (e.RetryAfterMs + 999) / 1000
 		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
 	c.Set(refusalKey, e.Code)
 	control := http.NewResponseController(c.Response().Writer)
-	_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return c.JSON(statusOf(e.Code), e)
 }
 
