Own interface: the last chunk of a forwarded answer has a deadline of its own

Callers would see: a forwarded answer whose home pauses for more than 30 s before it ends lacks its last chunk, and counts as broken off.

Cause: the write deadline of the last bytes still stands when net/http writes the last chunk.

Change: copyFlushing sets the deadline after each read, also after the one that finds the end.

Measured (arm64): ForwardedAnswerThatEndsAfterAPauseIsWhole (simulated time) failed, now passes, with all of internal/gateway (2 runs).

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -81,8 +81,8 @@
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := body.Read(buf)
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout)) // also for the last chunk, which follows this function
 		if n > 0 {
-			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				panic(http.ErrAbortHandler)
 			}
