Test that fails: the first event of a stream that is withdrawn while the event is on its way

Callers would see: a stream that ends after its first event, as no engine had room within the time for a first event.

Cause: enqueue (internal/core/node/requests.go) gives a record that has begun its longer wait. A first event that the control loop reads after it has withdrawn the dispatch, and before the next one, sets Begun on a record that waits already (dispatchFirstToken checks the number of the dispatch, not the state): its wait keeps the short limit, and its lane is that of requests that have not begun. It also sets Timing.FirstToken of the run to come, so that the first event of that run is ignored. The serving goroutine posts the event before it writes it, so the caller has it.

Evidence: TestLateFirstEventOfAWithdrawnStreamKeepsItWaiting ends with no_room.

--- a/internal/core/node/withdrawn_test.go
+++ b/internal/core/node/withdrawn_test.go
@@ -35,3 +35,18 @@
 		})
 	}
 }
+
+// TestLateFirstEventOfAWithdrawnStreamKeepsItWaiting guards against a stream that is refused for want of room although its caller has its
+// first event: the event was on its way when the host took the stream from its engine.
+func TestLateFirstEventOfAWithdrawnStreamKeepsItWaiting(t *testing.T) {
+	e := withOneEngine(t)
+	first, second := e.sendLong("/ask/1"), e.sendLong("/ask/1")
+	for e.node.Snapshot().Status.Requests.Running > 0 {
+		e.after(node.TickInterval).step(node.Tick{})
+		assert.Assert(t, e.now < 20*time.Second, "the engine is not taken for unresponsive")
+	}
+	for _, d := range []node.StartDispatch{first, second} {
+		e.step(node.DispatchFirstToken{Key: d.Key, Dispatch: d.Dispatch})
+	}
+	e.dispatchesUntil(e.now + time.Second)
+}
