Test that fails: three refusals by engines end a stream that has begun

Callers would see: a stream that is cut in the middle, since three engines had no room to go on with it, though time is left.

Cause: retry (internal/core/node/dispatches.go) ends a request at maxRefusals, at MaxExecutions, or without retry budget. The first of these bounds is for requests that "are to be resubmitted later", which a stream that has begun can't be: the same class as checkStopOf.

--- a/internal/core/node/withdrawn_test.go
+++ b/internal/core/node/withdrawn_test.go
@@ -50,3 +50,41 @@
 	}
 	e.dispatchesUntil(e.now + time.Second)
 }
+
+// awaitDispatch runs ticks until a dispatch starts, for three seconds at most. No request may end until then.
+func (e *routedHost) awaitDispatch() node.StartDispatch {
+	e.t.Helper()
+	for until := e.now + 3*time.Second; e.now < until; {
+		result, ended := e.finished()
+		assert.Assert(e.t, !ended, "ended with %s: %s", result.Code, result.Message)
+		for _, a := range e.actions {
+			if d, ok := a.(node.StartDispatch); ok {
+				return d
+			}
+		}
+		e.after(node.TickInterval).step(node.Tick{})
+	}
+	e.t.Fatal("no dispatch")
+	return node.StartDispatch{}
+}
+
+// TestRefusalsByEnginesEndNoBegunStream guards against a stream that is cut off as three engines have refused to go on with it: the limit
+// is for requests whose callers may submit them again.
+func TestRefusalsByEnginesEndNoBegunStream(t *testing.T) {
+	for name, stops := range map[string]bool{"in a stop": true, "without one": false} {
+		t.Run(name, func(t *testing.T) {
+			e := newStoppableHost(t)
+			e.list(targetList(2, "e1", "e2", "e3", "e4", "e5", "s1"))
+			d := e.beginStream()
+			if stops {
+				e.stop()
+			}
+			e.end(d, node.EndedLost)
+			for range 3 {
+				e.end(e.awaitDispatch(), node.EndedRefused)
+				result, ended := e.finished()
+				assert.Assert(t, !ended, "ended with %s: %s", result.Code, result.Message)
+			}
+		})
+	}
+}
