Test that fails: a pause of a host shorter than a suspension counts as silence of its targets

Callers would see: plain requests that are taken from sound targets and sent to others, or refused for want of room, after a host had no processor time for half a second.

Cause: silence counts from the end of the last suspension (runningSince), and only a gap of 1 s between inputs is one (suspensionGap, internal/core/node/readiness.go). A plain service is overdue after 0.5 s (serviceTimeout, internal/core/target/silence.go), so one gap of 0.5 to 1 s is enough.

Evidence: TestShortPauseOfAHostIsNoSilenceOfTargets: two requests at a service, a gap of 0.9 s, one tick: 0 of 2 still run. Silence that adds up only the time in which the host ran, a few ticks for each gap, would close the class.

--- a/internal/core/node/slowticks_test.go
+++ b/internal/core/node/slowticks_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"carobshunt/internal/core/node"
+
+	"gotest.tools/v3/assert"
 )
 
 // TestSlowTicksDoNotCutBegunStreamsBeforeTheLastSixthOfTheGraceTime guards against begun streams that are broken off too soon, as a host
@@ -20,3 +22,13 @@
 	e.terminate(0)
 	e.dispatchesUntil(signaled + stopGrace*5/6)
 }
+
+// TestShortPauseOfAHostIsNoSilenceOfTargets guards against requests that are taken from sound targets right after their host had no
+// processor time for less than a suspension: what the targets sent meanwhile has not been read yet.
+func TestShortPauseOfAHostIsNoSilenceOfTargets(t *testing.T) {
+	e := withOneEngine(t)
+	e.sendLong("/read/1")
+	e.sendLong("/read/1")
+	e.after(900 * time.Millisecond).step(node.Tick{})
+	assert.Equal(t, e.node.Snapshot().Status.Requests.Running, 2)
+}
