Listeners: one connection that can't be accepted does not end a host's servers

Cause: net/http accepts again after a temporary error, such as a lack of descriptors, only if it sees the listener's own error; the listener that logs rejections wrapped it. The peers' server gave up at any error. Either one ends the group of servers, but not the control loop.

Change: the listener passes the error on, and the peers' server waits for 20 ms and accepts again.

--- a/internal/httplog/httplog.go
+++ b/internal/httplog/httplog.go
@@ -12,7 +12,6 @@
 	"carobshunt/internal/netdial"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/juju/errors"
 )
 
 // Listener wraps a listener so that rejections by net/http on its connections are logged. The server that accepts from it
@@ -59,7 +58,7 @@
 func (l *observedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, err // not wrapped: net/http tries again only if it sees a temporary error itself
 	}
 	return &observedConn{Conn: conn, log: l.log}, nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/delta"
+	"carobshunt/internal/wait"
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -61,10 +62,23 @@
 // NewServer returns a server that posts to the control loop and answers from its snapshot.
 func NewServer(control Control) *Server { return &Server{control: control} }
 
-// Serve accepts connections until that fails, as when the listener is closed. Connections end with the context.
+// acceptRetryInterval is the time until the next connection is accepted after one could not be for a temporary reason.
+const acceptRetryInterval = 20 * time.Millisecond
+
+// isTemporary reports whether accepting a connection may succeed later, as after a lack of descriptors.
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary()
+}
+
+// Serve accepts connections until that fails for good, as when the listener is closed. Connections end with the context.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
+		if isTemporary(err) {
+			wait.For(ctx, acceptRetryInterval)
+			continue
+		}
 		if err != nil {
 			return errors.Trace(err)
 		}
