Streams: a first event that comes after its dispatch was given up counts as the begin of the answer

What callers would see: a stream that ends after its first event, as no engine had room within the time for a first event.

Cause: the first event is posted before it is written to the caller. One that was on its way when the host took the stream from its engine set Begun on a request that waited already, with the short wait and the place of one that has not begun, and the time of the first event of the run to come.

Change: such a request is queued again as one that has begun; only an event of the dispatch that runs sets its time.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -122,11 +122,14 @@
 func (n *Node) dispatchFirstToken(in DispatchFirstToken) {
 	n.noticeReceived(in.ID(), in.Notice)
 	rec := n.active[in.Key]
-	if rec == nil || rec.LastDispatch != in.Dispatch || rec.Timing.FirstToken != 0 {
+	if rec == nil {
+		return
+	}
+	n.noteBegun(rec)
+	if rec.State != ledger.Dispatched || rec.LastDispatch != in.Dispatch || rec.Timing.FirstToken != 0 {
 		return
 	}
 	rec.Timing.FirstToken = n.now
-	rec.Begun = rec.Request.Routed != nil
 	n.quarantine.FirstEvent(n.now, in.ID())
 	n.removeHelperLoad(rec)
 	n.groupPrefilled(in.Key)
@@ -138,6 +141,19 @@
 	}
 }
 
+// noteBegun records that the answer to a request has begun. The event may be of a dispatch that was given up while it was on its way,
+// so that the request waits already.
+func (n *Node) noteBegun(rec *ledger.Record) {
+	if rec.Begun || rec.Request.Routed == nil {
+		return
+	}
+	waits := rec.State == ledger.Queued && n.queue.Remove(rec.Request.Key)
+	rec.Begun = true
+	if waits {
+		n.push(rec)
+	}
+}
+
 func (n *Node) dispatchEnded(in DispatchEnded) {
 	n.noticeReceived(in.ID(), in.Notice)
 	n.releaseTarget(in)
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -246,6 +246,11 @@
 		n.finishIfRefused(rec, n.stopRefusal())
 		return
 	}
+	n.push(rec)
+}
+
+// push lets a request wait for a target. One whose answer has begun may wait until its end.
+func (n *Node) push(rec *ledger.Record) {
 	rec.WaitingSince = n.now
 	if rec.Begun {
 		rec.WaitLimit = rec.Request.Deadline - n.now
