Streams that have begun are not ended by refusals of targets, nor by an empty retry budget

What callers would see: a stream that is cut in the middle, since three engines had no room to go on with it, or many other requests were retried at that moment, though time is left.

Cause: the same class as the checks of a stop: the limit on refused dispatches, and the end of the retry budget, are for requests whose callers submit them again later.

Change: refusals do not count against a request whose answer has begun; the number of its runs is limited as before. Without a budget it waits until there is one, and takes its dispatch from it then, so that all retries stay within the budget.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -18,6 +18,10 @@
 		n.coveredWaits = true
 		return false
 	}
+	if rec.OwesRetry && n.retries.Balance() < 1 {
+		rec.Obstacle = core.ObstacleRetryBudget
+		return false
+	}
 	if n.mustPace(rec) {
 		rec.Obstacle = core.ObstaclePacing
 		return false
@@ -49,6 +53,9 @@
 
 // begin records a dispatch in the ledger and in the load of its target, and returns the action that starts it.
 func (n *Node) begin(rec *ledger.Record, t *target.Target, job target.Job) StartDispatch {
+	if rec.OwesRetry {
+		rec.OwesRetry = !n.retries.Spend()
+	}
 	basis := n.basisOf(t)
 	number := n.ledger.Dispatch(n.now, rec, t.Process())
 	d := target.Dispatch{Key: rec.Request.Key, Number: number}
@@ -315,14 +322,17 @@
 }
 
 // retry puts a request back into the queue. It finishes the request instead when its deadline is too close or, with
-// the fallback result, when its dispatch limit is reached or the retry budget is used up.
+// the fallback result, when its dispatch limit is reached or the retry budget is used up. One whose answer has begun waits until
+// there is a budget again.
 func (n *Node) retry(rec *ledger.Record, fallback core.Result) {
 	rec.Tried = append(rec.Tried, rec.Process)
 	if n.now+ledger.DispatchCutoff >= n.endOf(rec) {
 		n.finish(rec, n.expiredResult(rec))
 		return
 	}
-	if n.dispatchLimitReached(rec) || !n.retries.Spend() {
+	limited := n.dispatchLimitReached(rec)
+	rec.OwesRetry = !limited && !n.retries.Spend()
+	if limited || rec.OwesRetry && !rec.Begun {
 		fallback.RetryAfter = n.retryAfter(overloadRetryAfter)
 		n.finish(rec, fallback)
 		return
--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -189,10 +189,10 @@
 }
 
 // dispatchLimitReached reports whether a routed request may have been executed as often as its route allows, or
-// maxRefusals of its dispatches were refused or not written.
+// maxRefusals of its dispatches were refused or not written before its answer had begun.
 func (n *Node) dispatchLimitReached(rec *ledger.Record) bool {
 	routed := rec.Request.Routed
-	return routed != nil && (rec.Executions >= routed.MaxExecutions || rec.Refusals >= maxRefusals)
+	return routed != nil && (rec.Executions >= routed.MaxExecutions || !rec.Begun && rec.Refusals >= maxRefusals)
 }
 
 // maxRefusals is the number of refused or unwritten dispatches after which a routed request is not retried; its caller
--- a/internal/core/obstacle.go
+++ b/internal/core/obstacle.go
@@ -22,6 +22,8 @@
 	ObstaclePacing
 	// ObstacleReservation: its engines have not granted the memory reservations yet.
 	ObstacleReservation
+	// ObstacleRetryBudget: its answer has begun, and the retry budget is used up.
+	ObstacleRetryBudget
 )
 
 var obstacleNames = map[Obstacle]string{
@@ -33,6 +35,7 @@
 	ObstacleGroupTurn:    "another group goes first",
 	ObstaclePacing:       "other long prompts first",
 	ObstacleReservation:  "memory not granted yet",
+	ObstacleRetryBudget:  "retry budget used up",
 }
 
 // String implements fmt.Stringer.
