Streams stay with a silent engine while no other one can go on with them

What callers would see: a stream with no more events although its engine had only paused, and in a stop a cut at its end.

Cause: two overdue streams make an engine unresponsive, and all that may be repeated there was aborted. A stream that has begun then waited, but its run was gone, also where no other engine had a free slot.

Change: a stream that has begun is taken from a silent engine only if another one has a free slot for it at that moment.

--- a/internal/core/node/redispatch.go
+++ b/internal/core/node/redispatch.go
@@ -44,13 +44,16 @@
 
 // redispatchFrom aborts and requeues the idempotent requests that a target answers without a group, earliest deadline
 // first, as far as the retry budget and their dispatch limits allow. Those that this host would only refuse then, as it stops, stay
-// with the target: it may still answer.
+// with the target: it may still answer. So do those whose answer has begun and that no other target can go on with now.
 func (n *Node) redispatchFrom(t *target.Target, why string) {
 	var stuck []*ledger.Record
 	running := n.runningAges()
 	for _, rec := range n.active {
 		waiting := rec.State == ledger.Dispatched && rec.Target == t.Address && !rec.Work.Group
-		if waiting && rec.Request.Idempotent && !n.dispatchLimitReached(rec) && !n.refusedByStop(rec, running) {
+		if !waiting || !rec.Request.Idempotent || n.dispatchLimitReached(rec) || n.refusedByStop(rec, running) {
+			continue
+		}
+		if !rec.Begun || n.hasRoomElsewhere(rec, t) {
 			stuck = append(stuck, rec)
 		}
 	}
@@ -80,3 +83,12 @@
 		Requeued: rec.State == ledger.Queued, Began: began,
 	})
 }
+
+// hasRoomElsewhere reports whether a target other than t has a free slot for a request. Slots that are not known count as free.
+func (n *Node) hasRoomElsewhere(rec *ledger.Record, t *target.Target) bool {
+	return slices.ContainsFunc(n.targets.All(), func(other *target.Target) bool {
+		usable := other != t && other.Serves(rec.Request.Model) && other.Eligible(n.now) && rec.Request.AllowsZone(other.Zone)
+		hasSlot := other.Slots == 0 || other.Total().Streams < other.Slots
+		return usable && hasSlot && !slices.Contains(rec.Tried, other.Process())
+	})
+}
