Targets: a pause of their host of 0.3 s is no silence either

What callers would see: plain requests that are taken from sound targets, and sent to others or refused for want of room, after a host had no processor time for half a second.

Cause: silence counted from the end of the last suspension, and only a gap of 1 s between inputs is one. A plain service is overdue after 0.5 s, so a shorter gap was enough.

Change: silence counts from the end of the last gap of six ticks. Catching up still takes a gap of 1 s.

A host that has such gaps all the time takes no target for unresponsive; connection probes and errors still tell.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -127,7 +127,7 @@
 	outcomes       map[api.Outcome]uint64
 	observed       observations
 	resume         resumeState
-	// runningSince is the end of the last suspension of this process; 0 if it has not been suspended.
+	// runningSince is the end of the last time for which this process did not run; 0 if there was none.
 	runningSince core.Time
 	sent         sentState
 	cache        statusCache
--- a/internal/core/node/readiness.go
+++ b/internal/core/node/readiness.go
@@ -153,6 +153,9 @@
 }
 
 const (
+	// pauseGap is the time between two inputs, several ticks, from which the process had no processor time. What targets have sent
+	// meanwhile is read only afterwards.
+	pauseGap = 6 * TickInterval
 	// suspensionGap is the time between two inputs from which the process counts as having been suspended.
 	suspensionGap = time.Second
 	// catchUpTime bounds how long a resumed process waits for updates before it dispatches requests again.
@@ -161,9 +164,11 @@
 
 // detectSuspension starts to catch up if the time since the last input shows that the process was suspended.
 func (n *Node) detectSuspension(now core.Time) {
+	if now-n.now >= pauseGap && n.now > 0 {
+		n.runningSince = now
+	}
 	if now-n.now >= suspensionGap && n.now > 0 {
 		n.resume = resumeState{active: true, since: now}
-		n.runningSince = now
 		n.quarantine.Resumed()
 	}
 }
--- a/internal/core/target/silence.go
+++ b/internal/core/target/silence.go
@@ -28,8 +28,8 @@
 func (t *Target) SeenSince(at core.Time) bool { return t.lastSeen > at }
 
 // Unresponsive reports whether the target is unresponsive: at least minOverdue dispatches of this host are overdue there.
-// What is only prefilled there for a dispatch to another engine does not count. Nothing could be seen before runningSince, the time since
-// which this process has not been suspended.
+// What is only prefilled there for a dispatch to another engine does not count. Nothing could be seen before runningSince, the end of
+// the last time for which this process did not run.
 func (t *Target) Unresponsive(now, runningSince core.Time) bool {
 	overdue := 0
 	for _, p := range t.inFlight {
