Planned stop: the doubt about the signal counts as a part of the time for the last answers

What callers would see: streams that are broken off 6.5 s after the signal of 8 s of grace, while their engine runs them, on a host whose ticks take 250 ms.

Cause: a stop counts from four ticks before the signal is noticed, so the kill is estimated early by up to the time of these ticks, and the last answers were given another 0.5 s before. Both margins are for the same risk.

Change: the doubt is taken off the 0.5 s, down to 0.3 s. Usually the last answers come 7.5 s after the signal again, as before the estimate; after four ticks of 250 ms, 6.7 s.

--- a/internal/core/node/drain.go
+++ b/internal/core/node/drain.go
@@ -40,6 +40,8 @@
 	// 1/lastAnswersShare of the time from the begin of the stop.
 	lastAnswersTime  = 500 * time.Millisecond
 	lastAnswersShare = 8
+	// leastLastAnswersPercent is the part of that time, in percent, that is left for writing whatever the doubt about the signal.
+	leastLastAnswersPercent = 60
 )
 
 // startDrain begins a planned stop that may take as long as its requests do.
--- a/internal/core/node/terminate.go
+++ b/internal/core/node/terminate.go
@@ -47,17 +47,24 @@
 }
 
 // boundDrain sets when the last requests end, and reports whether it did. The earliest of several times counts: one that is too early
-// costs a caller another request, one that is too late its answer.
+// costs a caller another request, or the rest of a stream, one that is too late every answer.
 func (n *Node) boundDrain(grace time.Duration) bool {
 	killAt := n.drain.signal.NotBefore + grace
 	if grace == 0 || (n.drain.killAt != 0 && n.drain.killAt <= killAt) {
 		return false
 	}
 	n.drain.killAt = killAt
-	n.drain.answerBy = killAt - min(lastAnswersTime, grace/lastAnswersShare)
+	n.drain.answerBy = killAt - lastAnswersFor(grace, n.drain.signal.Noticed-n.drain.signal.NotBefore)
 	return true
 }
 
+// lastAnswersFor returns how long before the earliest time of the kill the last answers are due. The doubt about when the signal was sent
+// makes that time early already, so it counts as a part.
+func lastAnswersFor(grace, doubt time.Duration) time.Duration {
+	full := min(lastAnswersTime, grace/lastAnswersShare)
+	return max(full-doubt, full*leastLastAnswersPercent/percent)
+}
+
 // applyBound logs the bound of a stop and ends the requests that it leaves no time for.
 func (n *Node) applyBound() {
 	n.do(StateChange{Event: EventDraining, Text: n.terminationText(n.drain.signal)})
