--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -119,9 +119,13 @@
 // hasUnread reports whether bytes are buffered that belong to no answer.
 func (c *Conn) hasUnread() bool { return c.reader.Buffered() > 0 }
 
-// DrainBody reads and discards an answer's body. It reports whether the body ended before the limit, in bytes.
-func DrainBody(body io.Reader, limit int64) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, limit))
+// DrainBody reads and discards an answer's body. It reports whether the body ended before the limit, in bytes. It reads nothing of a
+// body that is declared to be longer.
+func DrainBody(resp *http.Response, limit int64) bool {
+	if resp.Body != http.NoBody && resp.ContentLength > limit {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit))
 	return err == nil && n < limit
 }
 
