One budget of memory for all answers of targets

Cause: each answer that is no stream may grow to 16 MB, and nothing bounded their sum; io.ReadAll took up to twice as much while it grew. An answer that declares more than 16 MB was read up to there too. Whole answers waited for their callers without a bound.

Change: internal/membudget is the one budget, derived from capacity.memory_mb as that of bodies is (settings.AnswerMemory: 18 MB of 136, 55 MB of 284, 256 MB without the setting). An answer that is given up is lost, never 'not run', and no evidence against its target or request (DispatchEnded.GivenUp).

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -198,7 +198,7 @@
 // blameless reports whether a dispatch ended without an answer for another reason than its target t, which may be nil. One that
 // nothing could continue was never sent there.
 func (n *Node) blameless(in DispatchEnded, t *target.Target) bool {
-	if in.Blame != "" || !n.awaits(in) || in.Unresumable && in.Ending == EndedNotWritten {
+	if in.Blame != "" || in.GivenUp || !n.awaits(in) || in.Unresumable && in.Ending == EndedNotWritten {
 		return true
 	}
 	rec := n.active[in.Key]
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -93,6 +93,8 @@
 	// Unresumable is set if the caller has received a part of the answer that no other dispatch can continue. If the answer is
 	// not complete, the request ends without one.
 	Unresumable bool
+	// GivenUp is set if this host gave the answer up for want of memory, which shows nothing of the target and the request.
+	GivenUp bool
 	// Run tells what the dispatch brought of a stream; nil if the request is none, or without an answer.
 	Run *StreamRun
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"carobshunt/internal/dispatch"
 	"carobshunt/internal/document"
 	"carobshunt/internal/engines"
+	"carobshunt/internal/membudget"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/peer"
@@ -107,8 +108,10 @@
 		log:        d.log,
 		requestLog: &requestLog{log: d.log},
 		metrics:    m,
+		answers:    membudget.New(d.settings.AnswerMemory()),
 		stop:       stop,
 	}
+	m.WatchAnswers(x.answers)
 	group, groupCtx := errgroup.WithContext(runCtx)
 	var callers *http.Server
 	if d.settings.Platform.Kind == settings.PlatformStore {
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/membudget"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/peer"
 	"carobshunt/internal/shorttext"
@@ -23,6 +24,8 @@
 	log        hclog.Logger
 	requestLog *requestLog
 	metrics    *metrics.Metrics
+	// answers is the memory that answers of targets share.
+	answers *membudget.Budget
 	// stop ends Daemon.Run.
 	stop context.CancelFunc
 }
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -50,7 +50,7 @@
 // serveStore sets up the host for a platform with a store: it starts the store's readers, the lookup and readiness
 // servers and, if configured, the exchange of loads by datagram, and returns the server of the callers' interface.
 func (d *Daemon) serveStore(ctx context.Context, group *errgroup.Group, x *executor, dialer netdial.Dialer) (*http.Server, error) {
-	ingress := platform.NewIngress(d.loop, dialer, d.log)
+	ingress := platform.NewIngress(d.loop, dialer, x.answers, d.log)
 	x.requests = ingress
 	x.engines = &storeEngines{orders: platform.NewOrders(d.loop, dialer), health: platform.NewHealth(d.loop, dialer), log: d.log}
 	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer, d.currentPreset, d.log)
--- a/internal/docscheck/reference_test.go
+++ b/internal/docscheck/reference_test.go
@@ -18,6 +18,7 @@
 	"carobshunt/internal/ctl"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
+	"carobshunt/internal/membudget"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/settings"
@@ -236,6 +237,7 @@
 	m := metrics.New(settings.Example().Metrics, s)
 	m.WatchListener("callers", fakeListener{})
 	m.WatchPeerTraffic(&netdial.Traffic{})
+	m.WatchAnswers(membudget.New(1))
 	key := core.Key{Team: "desk", ID: "request-1"}
 	work := core.Work{Class: document.ClassShort, PrefillTokens: 1}
 	m.Dispatched(node.StartDispatch{Key: key, Dispatch: 1, Work: work})
--- a/internal/metrics/connections.go
+++ b/internal/metrics/connections.go
@@ -22,6 +22,24 @@
 	)
 }
 
+// AnswerMemory is the memory that answers of targets take, in bytes, and how many were given up for want of it.
+type AnswerMemory interface {
+	Held() int64
+	GivenUp() uint64
+}
+
+// WatchAnswers registers the memory that answers of targets take. It panics if called twice.
+func (m *Metrics) WatchAnswers(a AnswerMemory) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "answer_bytes", Help: "Memory that answers of targets take now, in bytes.",
+		}, func() float64 { return float64(a.Held()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "answers_given_up_total", Help: "Answers of targets given up for want of memory on this host.",
+		}, func() float64 { return float64(a.GivenUp()) }),
+	)
+}
+
 // Traffic holds the numbers of bytes received and sent.
 type Traffic interface {
 	In() uint64
--- a/internal/settings/capacity.go
+++ b/internal/settings/capacity.go
@@ -15,10 +15,14 @@
 	garbageFactor = 2
 	// controlMB is the memory that control may take, in megabytes.
 	controlMB = 32
-	// bodyShare is the part of the other memory that request bodies may take. The rest is for answers and connections.
+	// bodyShare is the part of the other memory that request bodies may take. The rest is for answers.
 	bodyShare = 0.5
 	// minBodyShare is the least part of the whole memory that request bodies may take, on a host of little memory.
 	minBodyShare = 1.0 / 16
+	// minAnswerMB is the least memory for answers, in megabytes: one of the largest size and small ones beside it.
+	minAnswerMB = 17
+	// maxAnswerMB is the most memory for answers, and that of a host which does not state its memory.
+	maxAnswerMB = 256
 )
 
 // BodyMemory returns the bound for the request bodies held at one time, in bytes: limits.body_bytes, or less where that is
@@ -30,3 +34,13 @@
 	room := max((s.Capacity.MemoryMB/garbageFactor-controlMB)*bodyShare, s.Capacity.MemoryMB*minBodyShare)
 	return min(s.Limits.BodyBytes, int64(room*bytesPerMB))
 }
+
+// AnswerMemory returns the bound for the answers of targets held at one time, in bytes: what the stated memory leaves beside control
+// and bodies.
+func (s *Settings) AnswerMemory() int64 {
+	if s.Capacity.MemoryMB <= 0 {
+		return maxAnswerMB * bytesPerMB
+	}
+	room := (s.Capacity.MemoryMB/garbageFactor - controlMB) * (1 - bodyShare)
+	return int64(min(max(room, minAnswerMB), maxAnswerMB) * bytesPerMB)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -98,3 +98,15 @@
 		assert.Equal(t, s.BodyMemory()>>20, c.wantMB, "%v MB", c.memoryMB)
 	}
 }
+
+// TestAnswersAreBoundedByTheStatedMemory guards against a host that holds more of answers than it has memory, or too little for one
+// of 16 MB.
+func TestAnswersAreBoundedByTheStatedMemory(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB float64
+		wantMB   int64
+	}{{0, 256}, {136, 18}, {284, 55}, {536, 118}, {4000, 256}, {64, 17}} {
+		s := &Settings{Capacity: Capacity{MemoryMB: c.memoryMB}}
+		assert.Equal(t, s.AnswerMemory()>>20, c.wantMB, "%v MB", c.memoryMB)
+	}
+}
