Large events of streams take from the budget of answers

Change: what is read of an event beyond 8 KB takes memory from internal/membudget, three bytes for each, until the event has been passed on. The stream that holds most is given up where there is none, as a lost one, so it is resumed where it can be.

--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -175,3 +175,26 @@
 	assert.ErrorIs(t, err, io.ErrClosedPipe)
 	assert.Equal(t, b.Held(), int64(15<<20))
 }
+
+// TestMeterCountsLargePiecesOnly guards against large events of many streams that together take more than the host has, and against
+// small ones that take from the budget and are given up for it.
+func TestMeterCountsLargePiecesOnly(t *testing.T) {
+	b := New(limit)
+	m := b.Open(UnknownLength, ignore).Meter(text(2 << 20))
+	piece := make([]byte, 4<<10)
+	for range 10 {
+		m.NextPiece()
+		_, err := m.Read(piece)
+		assert.NilError(t, err)
+		assert.Equal(t, b.Held(), int64(0))
+	}
+	_, err := io.CopyN(io.Discard, m, 1<<20)
+	assert.NilError(t, err)
+	assert.Assert(t, b.Held() >= 3<<20-64<<10, "%d bytes", b.Held())
+	m.NextPiece()
+	assert.Equal(t, b.Held(), int64(0))
+	full := grown(t, b, 15<<20, 15<<20)
+	assert.NilError(t, full.Complete())
+	_, err = io.Copy(io.Discard, m)
+	assert.ErrorIs(t, err, ErrGivenUp)
+}
