--- a/client/client.go
+++ b/client/client.go
@@ -78,11 +78,12 @@
 		opts.MaxAttempts = DefaultMaxAttempts
 	}
 	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSClientConfig:       opts.TLS,
-		TLSHandshakeTimeout:   dialTimeout,
-		ExpectContinueTimeout: continueTimeout,
-		DisableCompression:    true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig:        opts.TLS,
+		TLSHandshakeTimeout:    dialTimeout,
+		ExpectContinueTimeout:  continueTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
 	return &Client{opts: opts, http: &http.Client{Transport: transport, CheckRedirect: netdial.ReturnRedirect}}
 }
--- a/internal/ctl/operators.go
+++ b/internal/ctl/operators.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/internal/netdial"
 	"carobshunt/internal/secure"
 
 	"github.com/juju/errors"
@@ -45,7 +46,7 @@
 	if config != nil {
 		scheme = "https"
 	}
-	transport := &http.Transport{TLSClientConfig: config, DisableCompression: true}
+	transport := &http.Transport{TLSClientConfig: config, DisableCompression: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes}
 	return &hostClient{scheme: scheme, key: key, http: &http.Client{Timeout: operatorTimeout, Transport: transport}}, nil
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -95,9 +95,10 @@
 // a request twice, the second answer would pass for that to the next request.
 func New(reporter Reporter, dialer netdial.Dialer, observer Observer) *Dispatcher {
 	transport := &http.Transport{
-		DialContext:        dialer.WithTimeout(dialTimeout),
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            dialer.WithTimeout(dialTimeout),
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: netdial.ReturnRedirect}
 	return &Dispatcher{reporter: reporter, dialer: dialer, observer: observer, client: client}
@@ -204,8 +205,9 @@
 				}
 				return &gatedConn{Conn: conn, gate: gate}, nil
 			},
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 		},
 		CheckRedirect: netdial.ReturnRedirect,
 	}
--- a/internal/engines/deadline.go
+++ b/internal/engines/deadline.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/netdial"
 
 	"github.com/juju/errors"
 )
@@ -42,8 +43,9 @@
 				}
 				return &deadlineConn{Conn: conn, now: c.control.Now, deadline: deadline}, nil
 			},
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 		},
 	}
 }
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -63,10 +63,11 @@
 	return &Client{control: control, dialer: dialer, http: &http.Client{
 		Timeout: callTimeout,
 		Transport: &http.Transport{
-			DialContext:         dialer.WithTimeout(dialTimeout),
-			MaxIdleConnsPerHost: 4,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			DialContext:            dialer.WithTimeout(dialTimeout),
+			MaxIdleConnsPerHost:    4,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 		},
 	}}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -22,10 +22,11 @@
 func newForwarder(dialer netdial.Dialer) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:           dialer.WithTimeout(forwardDialTimeout),
-			ExpectContinueTimeout: forwardContinueTimeout,
-			DisableKeepAlives:     true,
-			DisableCompression:    true,
+			DialContext:            dialer.WithTimeout(forwardDialTimeout),
+			ExpectContinueTimeout:  forwardContinueTimeout,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 		},
 		CheckRedirect: netdial.ReturnRedirect,
 	}
--- a/internal/published/platform.go
+++ b/internal/published/platform.go
@@ -67,7 +67,9 @@
 }
 
 func newClient(dialer netdial.Dialer, timeout time.Duration) *http.Client {
-	transport := &http.Transport{DialContext: dialer.WithTimeout(timeout), DisableCompression: true}
+	transport := &http.Transport{
+		DialContext: dialer.WithTimeout(timeout), DisableCompression: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+	}
 	return &http.Client{Timeout: timeout, Transport: transport}
 }
 
