An answer of the own interface is at most 32 MB

Change: an answer longer than 32 MB (2^21 tokens, the most that a request may ask for, of 16 bytes) is lost.

Evidence: TestAnswerWithoutEndIsLost: before, the host read all 64 MB that the target sent; now the dispatch ends at 32 MB.

Open: the sum over all answers of the own interface, see docs/design/answer-memory.md.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,6 +71,9 @@
 // maxFrameBytes bounds one line of a target's answer, in bytes.
 const maxFrameBytes = 1 << 20
 
+// maxAnswerBytes bounds the text of an answer, in bytes: 2^21 tokens, the most that a request may ask for, of 16 bytes each.
+const maxAnswerBytes = 32 << 20
+
 // Reporter receives the events of a dispatch; the control loop implements it.
 type Reporter interface {
 	Post(node.Input)
@@ -271,6 +274,9 @@
 		if frame.End {
 			return verifier.verify(frame)
 		}
+		if frame.Offset+int64(len(frame.Text)) > maxAnswerBytes {
+			return node.EndedLost, "the answer is too long"
+		}
 		if !verifier.add(frame) || !r.exchange.Answer.Append(r.action.Dispatch, frame.Offset, frame.Text) {
 			return node.EndedLost, "a frame does not follow the one before it"
 		}
--- a/internal/dispatch/size_test.go
+++ b/internal/dispatch/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -43,3 +44,18 @@
 		}
 	}
 }
+
+// TestAnswerWithoutEndIsLost guards against a target whose frames have no end, each of which is valid: the host kept them all.
+func TestAnswerWithoutEndIsLost(t *testing.T) {
+	const frames = 64 // of a megabyte; then the answer ends as a whole one would not
+	text := strings.Repeat("x", 1<<20-100)
+	sent := 0
+	ending := runAgainst(t, true, func(conn net.Conn) {
+		_, err := io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\n")
+		for ; err == nil && sent < frames; sent++ {
+			_, err = fmt.Fprintf(conn, `{"offset":%d,"text":%q}`+"\n", sent*len(text), text)
+		}
+		_, _ = io.WriteString(conn, `{"error":"the target has sent all"}`+"\n")
+	})
+	assert.Equal(t, ending, node.EndedLost) // EndedFailed if all was read
+}
