Callers of the own interface get a long answer in frames of 1 MB at most

Change: stream.Buffer returns 1 MB of text at a time, cut between two characters.

Evidence: TestLongAnswerIsReadInBoundedChunks got 4 MB in one chunk before.

--- a/internal/stream/buffer.go
+++ b/internal/stream/buffer.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"unicode/utf8"
 
 	"carobshunt/api"
 
@@ -112,8 +113,8 @@
 	Last *api.Last
 }
 
-// Next waits for text after the position or the end of the answer, and returns what there is: a chunk may hold the rest of
-// the text and the end together. A reader of any other dispatch is moved to the start of the current one immediately, so
+// Next waits for text after the position or the end of the answer, and returns what there is, up to maxChunkBytes: a chunk may
+// hold the rest of the text and the end together. A reader of any other dispatch is moved to the start of the current one immediately, so
 // that it learns the source before the first text. A position after the text is moved to its end. The error is that of
 // the context.
 func (b *Buffer) Next(ctx context.Context, at Position) (Chunk, error) {
@@ -140,10 +141,29 @@
 		at = Position{Dispatch: b.dispatch}
 	}
 	at.Offset = min(at.Offset, int64(len(b.text)))
-	chunk := Chunk{At: at, Text: string(b.text[at.Offset:]), Source: b.source, Last: b.last}
+	end := b.chunkEnd(at.Offset)
+	chunk := Chunk{At: at, Text: string(b.text[at.Offset:end]), Source: b.source}
+	if end == int64(len(b.text)) {
+		chunk.Last = b.last
+	}
 	return chunk, b.changed, restarted || chunk.Text != "" || chunk.Last != nil
 }
 
+// maxChunkBytes bounds the text of a chunk, so that readers of long answers do not hold a copy of each at one time.
+const maxChunkBytes = 1 << 20
+
+// chunkEnd returns the offset at which a chunk that begins at an offset ends: between two characters.
+func (b *Buffer) chunkEnd(offset int64) int64 {
+	if int64(len(b.text))-offset <= maxChunkBytes {
+		return int64(len(b.text))
+	}
+	end := offset + maxChunkBytes
+	for end > offset+maxChunkBytes-utf8.UTFMax && !utf8.RuneStart(b.text[end]) {
+		end--
+	}
+	return end
+}
+
 // Beyond reports whether a position is past the end of a final answer.
 func (b *Buffer) Beyond(at Position) bool {
 	b.mu.Lock()
--- a/internal/stream/buffer_test.go
+++ b/internal/stream/buffer_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"os"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
@@ -154,3 +156,25 @@
 	ex.OnAbort(2, func() { aborted++ })
 	assert.Equal(t, aborted, 1, "a later dispatch must not be aborted")
 }
+
+// TestLongAnswerIsReadInBoundedChunks guards against readers that each get a copy of a whole long answer at one time, and against a
+// chunk that ends within a character, which no frame can hold.
+func TestLongAnswerIsReadInBoundedChunks(t *testing.T) {
+	b := stream.NewBuffer()
+	b.Start(1, stream.Source{})
+	want := strings.Repeat("a\u20ac", 1<<20) // four bytes, of which three are one character
+	assert.Assert(t, b.Append(1, 0, want))
+	b.Finish(api.Last{Outcome: api.OutcomeDone})
+	var got strings.Builder
+	at := stream.Position{Dispatch: 1, Offset: 1}
+	for ended := false; !ended; {
+		chunk, err := b.Next(t.Context(), at)
+		assert.NilError(t, err)
+		assert.Assert(t, chunk.Text != "" && len(chunk.Text) <= 1<<20, "%d bytes", len(chunk.Text))
+		assert.Assert(t, utf8.ValidString(chunk.Text))
+		got.WriteString(chunk.Text)
+		at.Offset += int64(len(chunk.Text))
+		ended = chunk.Last != nil
+	}
+	assert.Assert(t, got.String() == want[1:])
+}
