The client library bounds what it reads of a host

Change: 4 MB, 64 KB, 8 MB and 32 MB.

Evidence: with the bounds set out of reach, TestAnswerWithoutEndIsGivenUp and TestLookupWithoutEndIsGivenUp fail (all 100 MB and 64 MB were read); they pass with them.

--- a/client/assembly.go
+++ b/client/assembly.go
@@ -14,10 +14,35 @@
 const (
 	// ErrTruncated reports an answer that ended before its last frame, or whose length or checksum is wrong.
 	ErrTruncated = errors.ConstError("incomplete answer")
+	// ErrFrameTooLong and ErrAnswerTooLong report a frame, or a text, that is longer than any host sends.
+	ErrFrameTooLong  = errors.ConstError("the frame is too long")
+	ErrAnswerTooLong = errors.ConstError("the answer is too long")
 	// ErrWrongRequest reports a frame of another request.
 	ErrWrongRequest = errors.ConstError("frame belongs to another request")
 )
 
+// Bounds of an answer, in bytes. Hosts send frames with 1 MB of text at most, each byte of which takes up to six in JSON.
+const (
+	maxFrameBytes  = 8 << 20
+	maxAnswerBytes = 32 << 20
+)
+
+// frameLimit reads frames and fails once more than maxFrameBytes were read since the last one began.
+type frameLimit struct {
+	inner io.Reader
+	left  int
+}
+
+// Read implements io.Reader.
+func (l *frameLimit) Read(p []byte) (int, error) {
+	if l.left == 0 {
+		return 0, ErrFrameTooLong
+	}
+	n, err := l.inner.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // assembly reassembles an answer from its frames.
 type assembly struct {
 	// host is the host process that sends the answer, as "address/incarnation"; dispatch numbers are valid only for it.
@@ -42,8 +67,10 @@
 // so again after the answer was discarded. An error leaves the text received so far, so that the answer can be resumed
 // from there, unless the complete answer fails the last frame's checks.
 func (a *assembly) read(body io.Reader, id string, onFirstText func()) (*api.Last, error) {
-	decoder := json.NewDecoder(body)
+	frames := &frameLimit{inner: body}
+	decoder := json.NewDecoder(frames)
 	for {
+		frames.left = maxFrameBytes
 		var frame api.Frame
 		if err := decoder.Decode(&frame); err != nil {
 			return nil, errors.Trace(errors.WithType(err, ErrTruncated))
@@ -58,6 +85,9 @@
 			a.target, a.stream = frame.Target, frame.Stream
 		}
 		a.add(frame)
+		if len(a.text) > maxAnswerBytes {
+			return nil, ErrAnswerTooLong
+		}
 		if frame.Last != nil && frame.Dispatch == a.dispatch {
 			return frame.Last, a.verify(frame.Last)
 		}
--- a/client/client.go
+++ b/client/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -195,16 +196,22 @@
 		return api.Lookup{}, readError(resp)
 	}
 	var answer api.Lookup
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLookupBytes)).Decode(&answer); err != nil {
 		return api.Lookup{}, errors.Trace(err)
 	}
 	return answer, nil
 }
 
+// Bounds of answers that are no streams, in bytes.
+const (
+	maxLookupBytes = 4 << 20
+	maxErrorBytes  = 64 << 10
+)
+
 // readError returns the typed error of an answer that is not a stream.
 func readError(resp *http.Response) error {
 	e := &api.Error{}
-	if err := json.NewDecoder(resp.Body).Decode(e); err != nil || e.Outcome == "" {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(e); err != nil || e.Outcome == "" {
 		return &ProtocolError{Status: resp.StatusCode}
 	}
 	return e
