--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,6 +71,9 @@
 // maxFrameBytes bounds one line of a target's answer, in bytes.
 const maxFrameBytes = 1 << 20
 
+// maxAnswerBytes bounds the text of an answer, in bytes: 2^21 tokens, the most that a request may ask for, of 16 bytes each.
+const maxAnswerBytes = 32 << 20
+
 // Reporter receives the events of a dispatch; the control loop implements it.
 type Reporter interface {
 	Post(node.Input)
@@ -95,9 +98,10 @@
 // a request twice, the second answer would pass for that to the next request.
 func New(reporter Reporter, dialer netdial.Dialer, observer Observer) *Dispatcher {
 	transport := &http.Transport{
-		DialContext:        dialer.WithTimeout(dialTimeout),
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            dialer.WithTimeout(dialTimeout),
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: netdial.ReturnRedirect}
 	return &Dispatcher{reporter: reporter, dialer: dialer, observer: observer, client: client}
@@ -204,8 +208,9 @@
 				}
 				return &gatedConn{Conn: conn, gate: gate}, nil
 			},
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 		},
 		CheckRedirect: netdial.ReturnRedirect,
 	}
@@ -269,6 +274,9 @@
 		if frame.End {
 			return verifier.verify(frame)
 		}
+		if frame.Offset+int64(len(frame.Text)) > maxAnswerBytes {
+			return node.EndedLost, "the answer is too long"
+		}
 		if !verifier.add(frame) || !r.exchange.Answer.Append(r.action.Dispatch, frame.Offset, frame.Text) {
 			return node.EndedLost, "a frame does not follow the one before it"
 		}
