Streams that have begun: an empty retry budget ends them again

Such streams go first, so they took each dispatch that the budget earned to targets that were ending, and their losses counted as evidence against sound requests.

Change: the budget ends them, as it did.

TestRefusalsByEnginesEndNoBegunStream met the empty budget at its third refusal; it now fills the budget first, and still fails (target_refused) if refusals count.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -57,8 +57,6 @@
 	// Begun is set once the caller of a routed request may have received a part of a streamed answer. Such a request can't be
 	// refused any more: an end without the rest of its answer cuts its caller off.
 	Begun bool
-	// OwesRetry is set while the request waits without having taken its next dispatch from the retry budget.
-	OwesRetry bool
 	// DeadlineAborted is set when the last dispatch was aborted just before the deadline (later if the process was
 	// suspended), so that its end shows in time whether it was written. The next dispatch clears it.
 	DeadlineAborted bool
--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -18,10 +18,6 @@
 		n.coveredWaits = true
 		return false
 	}
-	if rec.OwesRetry && n.retries.Balance() < 1 {
-		rec.Obstacle = core.ObstacleRetryBudget
-		return false
-	}
 	if n.mustPace(rec) {
 		rec.Obstacle = core.ObstaclePacing
 		return false
@@ -53,9 +49,6 @@
 
 // begin records a dispatch in the ledger and in the load of its target, and returns the action that starts it.
 func (n *Node) begin(rec *ledger.Record, t *target.Target, job target.Job) StartDispatch {
-	if rec.OwesRetry {
-		rec.OwesRetry = !n.retries.Spend()
-	}
 	basis := n.basisOf(t)
 	number := n.ledger.Dispatch(n.now, rec, t.Process())
 	d := target.Dispatch{Key: rec.Request.Key, Number: number}
@@ -322,17 +315,14 @@
 }
 
 // retry puts a request back into the queue. It finishes the request instead when its deadline is too close or, with
-// the fallback result, when its dispatch limit is reached or the retry budget is used up. One whose answer has begun waits until
-// there is a budget again.
+// the fallback result, when its dispatch limit is reached or the retry budget is used up.
 func (n *Node) retry(rec *ledger.Record, fallback core.Result) {
 	rec.Tried = append(rec.Tried, rec.Process)
 	if n.now+ledger.DispatchCutoff >= n.endOf(rec) {
 		n.finish(rec, n.expiredResult(rec))
 		return
 	}
-	limited := n.dispatchLimitReached(rec)
-	rec.OwesRetry = !limited && !n.retries.Spend()
-	if limited || rec.OwesRetry && !rec.Begun {
+	if n.dispatchLimitReached(rec) || !n.retries.Spend() {
 		fallback.RetryAfter = n.retryAfter(overloadRetryAfter)
 		n.finish(rec, fallback)
 		return
--- a/internal/core/node/withdrawn_test.go
+++ b/internal/core/node/withdrawn_test.go
@@ -75,6 +75,9 @@
 		t.Run(name, func(t *testing.T) {
 			e := newStoppableHost(t)
 			e.list(targetList(2, "e1", "e2", "e3", "e4", "e5", "s1"))
+			for range 20 { // they fill the retry budget
+				e.end(e.send("/read/1"), node.EndedDone)
+			}
 			d := e.beginStream()
 			if stops {
 				e.stop()
--- a/internal/core/obstacle.go
+++ b/internal/core/obstacle.go
@@ -22,8 +22,6 @@
 	ObstaclePacing
 	// ObstacleReservation: its engines have not granted the memory reservations yet.
 	ObstacleReservation
-	// ObstacleRetryBudget: its answer has begun, and the retry budget is used up.
-	ObstacleRetryBudget
 )
 
 var obstacleNames = map[Obstacle]string{
@@ -35,7 +33,6 @@
 	ObstacleGroupTurn:    "another group goes first",
 	ObstaclePacing:       "other long prompts first",
 	ObstacleReservation:  "memory not granted yet",
-	ObstacleRetryBudget:  "retry budget used up",
 }
 
 // String implements fmt.Stringer.
