--- a/internal/core/node/drain.go
+++ b/internal/core/node/drain.go
@@ -40,7 +40,7 @@
 	// 1/lastAnswersShare of the time from the begin of the stop.
 	lastAnswersTime  = 500 * time.Millisecond
 	lastAnswersShare = 8
-	// leastLastAnswersPercent is the part of that time, in percent, that is left for writing whatever the doubt about the signal.
+	// leastLastAnswersPercent is the part of that time, in percent, that is left for writing whatever the uncertainty about the signal.
 	leastLastAnswersPercent = 60
 )
 
--- a/internal/core/node/terminate.go
+++ b/internal/core/node/terminate.go
@@ -58,11 +58,11 @@
 	return true
 }
 
-// lastAnswersFor returns how long before the earliest time of the kill the last answers are due. The doubt about when the signal was sent
-// makes that time early already, so it counts as a part.
-func lastAnswersFor(grace, doubt time.Duration) time.Duration {
+// lastAnswersFor returns how long before the earliest time of the kill the last answers are due. The uncertainty about when the signal
+// was sent makes that time early already, so it counts as a part.
+func lastAnswersFor(grace, uncertainty time.Duration) time.Duration {
 	full := min(lastAnswersTime, grace/lastAnswersShare)
-	return max(full-doubt, full*leastLastAnswersPercent/percent)
+	return max(full-uncertainty, full*leastLastAnswersPercent/percent)
 }
 
 // applyBound logs the bound of a stop and ends the requests that it leaves no time for.
