--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -25,6 +25,8 @@
 	}
 	cases := map[string]func(*run) (bool, error){
 		"restarted-service": restartedService,
+		"full-service":      fullService,
+		"broken-stream":     brokenStream,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review2 CASE RECORD")
--- a/review/tools-2/store.go
+++ b/review/tools-2/store.go
@@ -173,3 +173,25 @@
 func affilDesk() object {
 	return object{"name": "affil-desk", "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false}
 }
+
+// draftRoute returns a route of streams that may be resumed.
+func draftRoute() object {
+	return object{
+		"name": "draft", "host": "ficu95.example", "prefix": "/draft/", "type": "streaming", "timeout_ms": 10000,
+		"goal_latency_ms": 300, "priority": 1, "service": "lm-newsroom", "max_attempts": 2, "public": false, "sticky": true,
+		"resumable": true, "gap_target_ms": 250,
+	}
+}
+
+// newsroom returns a service of engines.
+func newsroom() object {
+	return object{
+		"name": "lm-newsroom", "health_path": "/healthz", "max_conns": 264, "protocol": "h1", "tls": false, "cold_s": 0.0, "cold_per_s": 0.0,
+		"engine": object{
+			"slots": 16, "kv_capacity_tokens": 232000, "kv_token_bytes": 327680, "link_mbps": 400000.0, "stride": 43,
+			"models": []object{{"name": "m"}}, "step_ms": 1.02, "per_seq_ms": 0.00226, "context_per_k": 0.00431, "read_per_s": 206000.0,
+			"pairs_per_m": 0.138, "chunk": 2048, "report_lag_ms": 200.0, "loads_per_s": 0.0, "loads_at_once": 8, "delays": []object{},
+			"usual": object{"prompt": 10000, "answer": 1300}, "hop_ms": 0.1,
+		},
+	}
+}
