Peers' interface: the messages that other hosts send share a budget of memory

Cause: each message was bounded, by the largest document (25 MB), and nothing bounded their sum.

Change: a codec for accepted connections counts each part of a message before it keeps it, four times for what decoding takes, until the next message of its connection is read. The budget (internal/membudget, now also for messages other than answers) gives up the one without an end that holds most, and closes its connection. Half is kept for messages of up to 64 KB, as heartbeats are. What a host fetches itself is not counted: one call for each link, to hosts that it has chosen.

Why it works: what is held is counted before it is allocated, so the sum can't exceed the budget, whatever the number of connections.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,7 +129,9 @@
 		return d.serveHTTP(groupCtx, callers, listeners.callers)
 	})
 	group.Go(func() error { return d.serveHTTP(groupCtx, operators, listeners.operators) })
-	group.Go(func() error { return servePeers(groupCtx, peer.NewServer(d.loop), listeners.peers) })
+	group.Go(func() error {
+		return servePeers(groupCtx, peer.NewServer(d.loop, d.settings.PeerMemory()), listeners.peers)
+	})
 	context.AfterFunc(ctx, d.drain)
 	d.log.Info("started", "host", d.self.String(), "zone", d.settings.Zone)
 	return errors.Trace(group.Wait())
--- a/internal/peer/accept_test.go
+++ b/internal/peer/accept_test.go
@@ -28,7 +28,7 @@
 // connection.
 func TestServerAcceptsAgainAfterItHadNoDescriptor(t *testing.T) {
 	listener := &fullListener{}
-	err := peer.NewServer(nil).Serve(t.Context(), listener)
+	err := peer.NewServer(nil, 1).Serve(t.Context(), listener)
 	assert.ErrorIs(t, err, net.ErrClosed)
 	assert.Equal(t, listener.asked, 2)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/delta"
+	"carobshunt/internal/membudget"
 	"carobshunt/internal/wait"
 
 	"github.com/juju/errors"
@@ -57,10 +58,16 @@
 }
 
 // Server serves the requests of other hosts.
-type Server struct{ control Control }
+type Server struct {
+	control Control
+	memory  *membudget.Budget
+}
 
-// NewServer returns a server that posts to the control loop and answers from its snapshot.
-func NewServer(control Control) *Server { return &Server{control: control} }
+// NewServer returns a server that posts to the control loop and answers from its snapshot. The messages that it reads take at most
+// memory bytes.
+func NewServer(control Control, memory int64) *Server {
+	return &Server{control: control, memory: membudget.NewWithReserve(memory, messageReserve)}
+}
 
 // acceptRetryInterval is the time until the next connection is accepted after one could not be for a temporary reason.
 const acceptRetryInterval = 20 * time.Millisecond
@@ -82,7 +89,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		stream := newStream(conn)
+		stream := newBoundedStream(conn, s.memory)
 		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle), discardLog)
 	}
 }
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -44,7 +44,7 @@
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(func() { stop(); _ = listener.Close() })
-	go func() { _ = NewServer(control).Serve(ctx, listener) }()
+	go func() { _ = NewServer(control, 1<<26).Serve(ctx, listener) }()
 	return listener.Addr().String()
 }
 
--- a/internal/settings/capacity.go
+++ b/internal/settings/capacity.go
@@ -23,6 +23,12 @@
 	minAnswerMB = 17
 	// maxAnswerMB is the most memory for answers, and that of a host which does not state its memory.
 	maxAnswerMB = 256
+	// inputShare is the part of the whole memory that the heads of requests may take, and the messages of other entry hosts.
+	inputShare = 1.0 / 16
+	// minInputMB is the least memory for each of them, in megabytes: a few of the largest size. maxInputMB is the most, and that of a
+	// host which does not state its memory.
+	minInputMB = 8
+	maxInputMB = 64
 )
 
 // BodyMemory returns the bound for the request bodies held at one time, in bytes: limits.body_bytes, or less where that is
@@ -44,3 +50,16 @@
 	room := (s.Capacity.MemoryMB/garbageFactor - controlMB) * (1 - bodyShare)
 	return int64(min(max(room, minAnswerMB), maxAnswerMB) * bytesPerMB)
 }
+
+// HeadMemory returns the bound for the heads of requests held at one time, in bytes.
+func (s *Settings) HeadMemory() int64 { return s.inputMemory() }
+
+// PeerMemory returns the bound for the messages that other entry hosts send at one time, in bytes.
+func (s *Settings) PeerMemory() int64 { return s.inputMemory() }
+
+func (s *Settings) inputMemory() int64 {
+	if s.Capacity.MemoryMB <= 0 {
+		return maxInputMB * bytesPerMB
+	}
+	return int64(min(max(s.Capacity.MemoryMB*inputShare, minInputMB), maxInputMB) * bytesPerMB)
+}
