Heads of requests: all together take no more memory than there is for them

Callers saw connections that ended without an answer: the process had run out of memory. 200 clients with heads of 60 KB in lines of 4 bytes or of many names, never ended, made a host that states 136 MB take 153 to 172 and 261 to 284 MB, at callers, look-ups and readiness alike; whole heads whose bodies never come 164 MB; whole requests to a slow target 172 MB (TestCrowdOfHeads, TestCrowdOfHeadsWithoutBodies, TestCrowdOfWholeRequests, all failed before).

Cause: a head is bounded in bytes, 64 KB, but net/http makes a map entry, a slice and two strings of each line before any handler runs: about 20 times the bytes. It keeps them until the request ends, and nothing bounds the sum over connections. A limit on lines, or a smaller head, would refuse a single legal request of many lines.

Change: internal/headlimit stands under each HTTP server. It passes a head on only when it is whole and has taken room for its parsed form from one budget (membudget, 1/16 of the memory). Heads that are not whole give way, the largest first; a whole one that finds no room gets 503 with Retry-After, which is true: it has not run. A quarter of the budget is for heads of up to 8 KB. Once a request is admitted, its header lines are kept as they are forwarded, encoded once, and the parsed form is dropped. The published limits for heads and idle connections are applied: a larger one was refused with 431 before, beyond it is 431 now, and times are never shorter than the constants were. internal/httpconn (out of httplog) tells connections when a request begins and ends.

Ruled out: refusing the head that came last (heads without end would keep what they have), an own HTTP server.

TestCrowdRequestOfManyLinesIsServed still passes: one request of 60 KB in 15,000 lines is served with all of them forwarded. internal/headlimit: requests in parts of 1 byte to 4 KB, ahead of each other and behind bodies, are served in order; heads at the limit pass; clean with -race. Why it works: what a head may take is counted from its first byte and before it is allocated; only 4 KB that net/http reads ahead behind a body get past, and count as the worst head of that size.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"carobshunt/internal/dispatch"
 	"carobshunt/internal/document"
 	"carobshunt/internal/engines"
+	"carobshunt/internal/headlimit"
 	"carobshunt/internal/membudget"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
@@ -38,6 +39,8 @@
 	self     core.Home
 	// peerTraffic counts the bytes exchanged on incoming and outgoing peer links, without forwarded requests and datagrams.
 	peerTraffic netdial.Traffic
+	// heads bounds the heads of requests on all interfaces of HTTP.
+	heads *headlimit.Guard
 	// preset is the preset in the settings, replaced by a reload; nil without one.
 	preset atomic.Pointer[document.Preset]
 	// stopGrace is the time from SIGTERM until the process is killed, replaced by a reload; 0 for no bound.
@@ -68,7 +71,9 @@
 	if s.Platform.Kind == settings.PlatformStore {
 		setStoreOptions(&options, s)
 	}
-	d := &Daemon{settings: s, log: log, loop: control.NewLoop(node.New(options), clock), self: self}
+	d := &Daemon{
+		settings: s, log: log, loop: control.NewLoop(node.New(options), clock), self: self, heads: headlimit.NewGuard(s.HeadMemory()),
+	}
 	d.preset.Store(s.Platform.Preset)
 	d.stopGrace.Store(int64(s.StopGrace()))
 	d.halted, d.halt = context.WithCancel(context.Background())
@@ -110,10 +115,11 @@
 		stop:       stop,
 	}
 	m.WatchAnswers(x.answers)
+	m.WatchHeads(d.heads)
 	group, groupCtx := errgroup.WithContext(runCtx)
 	var callers *http.Server
 	if d.settings.Platform.Kind == settings.PlatformStore {
-		callers, err = d.serveStore(groupCtx, group, x, dialer)
+		callers, err = d.serveStore(groupCtx, group, x, dialer, listeners)
 	} else {
 		callers = d.serveDocuments(runCtx, group, x, dialer, creds)
 	}
--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/tls"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"carobshunt/internal/gateway"
+	"carobshunt/internal/headlimit"
 	"carobshunt/internal/httplog"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
@@ -17,17 +19,18 @@
 	"carobshunt/internal/secure"
 	"carobshunt/internal/settings"
 	"carobshunt/internal/stream"
+	"carobshunt/platform"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 )
 
-// listeners holds the listeners of the three interfaces, each with limits on its connections and with TLS if configured.
-type listeners struct{ callers, operators, peers net.Listener }
+// listeners holds the listeners of the interfaces, each with limits on its connections and with TLS if configured. The last two are
+// nil without a platform with a store.
+type listeners struct{ callers, operators, peers, lookup, ready net.Listener }
 
-// listen opens the listeners and registers their connection metrics. HTTP listeners without TLS log the requests that
-// net/http refuses.
+// listen opens the listeners and registers their connection metrics. HTTP listeners log the requests that net/http refuses.
 func (d *Daemon) listen(creds *credentials, m *metrics.Metrics) (listeners, error) {
 	var out listeners
 	s := d.settings
@@ -37,34 +40,47 @@
 		limits   secure.Limits
 		identity *secure.Identity
 		listener *net.Listener
-		http     bool
+		// heads returns the limits on the heads of requests; nil for an interface without HTTP.
+		heads func() headlimit.Limits
 	}{
-		{"callers", s.Listen.Callers, secure.Limits{MaxConnections: s.Limits.CallerConnections}, creds.callers, &out.callers, true},
-		{"operators", s.Listen.Operators, secure.Limits{MaxConnections: s.Limits.OperatorConnections}, creds.operators, &out.operators, true},
-		{"peers", s.Listen.Peers, d.peerLimits(), creds.peers, &out.peers, false},
+		{"callers", s.Listen.Callers, secure.Limits{MaxConnections: s.Limits.CallerConnections}, creds.callers, &out.callers, d.callerHeads},
+		{"operators", s.Listen.Operators, secure.Limits{MaxConnections: s.Limits.OperatorConnections}, creds.operators, &out.operators, operator.HeadLimits},
+		{"peers", s.Listen.Peers, d.peerLimits(s.Limits.PeerConnections), creds.peers, &out.peers, nil},
+		{"lookup", s.Listen.Lookup, secure.Limits{MaxConnections: math.MaxInt}, nil, &out.lookup, d.callerHeads},
+		{"ready", s.Listen.Ready, secure.Limits{MaxConnections: math.MaxInt}, nil, &out.ready, d.callerHeads},
 	} {
+		if one.address == "" {
+			continue
+		}
 		inner, err := net.Listen("tcp", one.address)
 		if err != nil {
 			return out, errors.Annotatef(err, "listen on %s", one.address)
 		}
 		limited := secure.LimitListener(inner, one.limits)
 		m.WatchListener(one.name, limited)
-		switch {
-		case one.identity != nil:
+		*one.listener = limited
+		if one.identity != nil {
 			*one.listener = tls.NewListener(limited, one.identity.ServerConfig())
-		case one.http:
-			*one.listener = httplog.Listener(limited, d.log)
-		default:
-			*one.listener = limited
+		}
+		if one.heads != nil {
+			*one.listener = d.heads.Listener(httplog.Listener(*one.listener, d.log), one.heads)
 		}
 	}
 	return out, nil
 }
 
+// callerHeads returns the limits on the heads of callers' requests.
+func (d *Daemon) callerHeads() headlimit.Limits {
+	if d.settings.Platform.Kind == settings.PlatformStore {
+		return platform.HeadLimits(d.loop)
+	}
+	return headlimit.Limits{Bytes: maxHeaderBytes, Timeout: headerTimeout, Idle: callerIdleTimeout}
+}
+
 // peerLimits returns the limits of the peers' interface. Its traffic is counted together with that of outgoing links.
-func (d *Daemon) peerLimits() secure.Limits {
+func (d *Daemon) peerLimits(connections int) secure.Limits {
 	return secure.Limits{
-		MaxConnections: d.settings.Limits.PeerConnections,
+		MaxConnections: connections,
 		IdleTimeout:    peerIdleTimeout,
 		WriteTimeout:   peerWriteTimeout,
 		Traffic:        &d.peerTraffic,
@@ -88,12 +104,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	gateway.New(d.loop, exchanges, d.self, d.settings.Limits.RequestBytes, dialer, m).Register(e)
-	return &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	return headlimit.NewServer(e)
 }
 
 func (d *Daemon) operatorsServer(creds *credentials, m *metrics.Metrics) *http.Server {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"carobshunt/internal/core/node"
-	"carobshunt/internal/httplog"
+	"carobshunt/internal/httpconn"
 
 	"github.com/juju/errors"
 )
@@ -59,7 +59,7 @@
 			open.awaitEnd()
 		}
 	})
-	httplog.Prepare(server)
+	httpconn.Prepare(server)
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Trace(err)
 	}
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -9,7 +9,6 @@
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/document"
-	"carobshunt/internal/httplog"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/peer"
 	"carobshunt/internal/settings"
@@ -49,23 +48,21 @@
 
 // serveStore sets up the host for a platform with a store: it starts the store's readers, the lookup and readiness
 // servers and, if configured, the exchange of loads by datagram, and returns the server of the callers' interface.
-func (d *Daemon) serveStore(ctx context.Context, group *errgroup.Group, x *executor, dialer netdial.Dialer) (*http.Server, error) {
+func (d *Daemon) serveStore(
+	ctx context.Context, group *errgroup.Group, x *executor, dialer netdial.Dialer, open listeners,
+) (*http.Server, error) {
 	ingress := platform.NewIngress(d.loop, dialer, x.answers, d.log)
 	x.requests = ingress
 	x.engines = &storeEngines{orders: platform.NewOrders(d.loop, dialer), health: platform.NewHealth(d.loop, dialer), log: d.log}
 	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer, d.currentPreset, d.log)
 	lookup := platform.NewLookup(d.loop, d.log)
 	for _, one := range []struct {
-		address string
-		handler http.Handler
-	}{{d.settings.Listen.Lookup, lookup.Handler()}, {d.settings.Listen.Ready, lookup.ReadyHandler()}} {
-		listener, err := net.Listen("tcp", one.address)
-		if err != nil {
-			return nil, errors.Annotatef(err, "listen on %s", one.address)
-		}
+		listener net.Listener
+		handler  http.Handler
+	}{{open.lookup, lookup.Handler()}, {open.ready, lookup.ReadyHandler()}} {
 		server := platform.NewServer(one.handler)
 		server.ErrorLog = d.connectionLogger()
-		group.Go(func() error { return d.serveHTTP(ctx, server, httplog.Listener(listener, d.log)) })
+		group.Go(func() error { return d.serveHTTP(ctx, server, one.listener) })
 	}
 	if d.settings.Listen.Loads != "" {
 		loads, err := peer.ListenLoads(d.settings.Listen.Loads, d.settings.Advertise.Peers, d.loop, d.log)
--- a/internal/docscheck/reference_test.go
+++ b/internal/docscheck/reference_test.go
@@ -18,6 +18,7 @@
 	"carobshunt/internal/ctl"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
+	"carobshunt/internal/headlimit"
 	"carobshunt/internal/membudget"
 	"carobshunt/internal/metrics"
 	"carobshunt/internal/netdial"
@@ -221,8 +222,9 @@
 
 type fakeListener struct{}
 
-func (fakeListener) Open() int64     { return 0 }
-func (fakeListener) Refused() uint64 { return 0 }
+func (fakeListener) Open() int64       { return 0 }
+func (fakeListener) Refused() uint64   { return 0 }
+func (fakeListener) Displaced() uint64 { return 0 }
 
 // metricRows records one of each kind of event, so that every metric has a sample, and returns the scraped metrics.
 func metricRows(t *testing.T) []metricRow {
@@ -238,6 +240,7 @@
 	m.WatchListener("callers", fakeListener{})
 	m.WatchPeerTraffic(&netdial.Traffic{})
 	m.WatchAnswers(membudget.New(1))
+	m.WatchHeads(headlimit.NewGuard(1))
 	key := core.Key{Team: "desk", ID: "request-1"}
 	work := core.Work{Class: document.ClassShort, PrefillTokens: 1}
 	m.Dispatched(node.StartDispatch{Key: key, Dispatch: 1, Work: work})
--- a/internal/httplog/accept_test.go
+++ b/internal/httplog/accept_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"testing"
 
+	"carobshunt/internal/httpconn"
 	"carobshunt/internal/httplog"
 
 	"github.com/hashicorp/go-hclog"
@@ -33,7 +34,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: http.NotFoundHandler()}
-	httplog.Prepare(server)
+	httpconn.Prepare(server)
 	ended := make(chan error, 1)
 	listener := httplog.Listener(&abortedListener{Listener: inner}, hclog.NewNullLogger())
 	go func() { ended <- server.Serve(listener) }()
--- a/internal/httplog/httplog_test.go
+++ b/internal/httplog/httplog_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"carobshunt/internal/httpconn"
 	"carobshunt/internal/httplog"
 	"carobshunt/internal/testlog"
 
@@ -24,7 +25,7 @@
 		_, _ = io.WriteString(w, "fine")
 	}))
 	server.Config.MaxHeaderBytes = 4 << 10
-	httplog.Prepare(server.Config)
+	httpconn.Prepare(server.Config)
 	server.Listener = httplog.Listener(server.Listener, hclog.New(&hclog.LoggerOptions{Output: &lines}))
 	server.Start()
 	defer server.Close()
--- a/internal/metrics/connections.go
+++ b/internal/metrics/connections.go
@@ -22,6 +22,24 @@
 	)
 }
 
+// HeadMemory is the memory that heads of requests take, in bytes, and how many were given up for want of it.
+type HeadMemory interface {
+	Held() int64
+	GivenUp() uint64
+}
+
+// WatchHeads registers the memory that heads of requests take. It panics if called twice.
+func (m *Metrics) WatchHeads(h HeadMemory) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "head_bytes", Help: "Memory that heads of requests take now, in bytes, at most.",
+		}, func() float64 { return float64(h.Held()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "heads_given_up_total", Help: "Heads of requests given up for want of memory on this host.",
+		}, func() float64 { return float64(h.GivenUp()) }),
+	)
+}
+
 // AnswerMemory is the memory that answers of targets take, in bytes, and how many were given up for want of it.
 type AnswerMemory interface {
 	Held() int64
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 	"carobshunt/api"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/headlimit"
 	"carobshunt/internal/secure"
 
 	"github.com/labstack/echo/v4"
@@ -55,14 +56,15 @@
 	e.Use(h.authorize)
 	h.registerQueries(e)
 	h.registerCommands(e)
-	return &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	server := headlimit.NewServer(e)
+	server.ReadTimeout = readTimeout
+	server.WriteTimeout = writeTimeout
+	return server
+}
+
+// HeadLimits returns the limits on the heads of operators' requests.
+func HeadLimits() headlimit.Limits {
+	return headlimit.Limits{Bytes: maxHeaderBytes, Timeout: headerTimeout, Idle: idleTimeout}
 }
 
 type handlers struct{ Options }
