Connections: a new one takes the place of the one that waits longest for its client

Cause: at the limit, the connection that came last was closed. It is the only one of which it is known that somebody wants it now.

Change: the listener keeps connections that wait for their clients in order: from when they were accepted, or their last request ended, until the next request is whole, its body included. A connection over the limit displaces the first; only if none waits, it is closed itself. Bytes that trickle in change nothing. On the peers' interface, where nothing tells of requests, a connection waits since it was last read.

Ruled out: closing connections of the address that holds most, since callers share addresses.

TestListenerClosesConnectionsOverItsLimit now marks its two connections as serving: it expected the third to be closed beside two that wait, which is the fault. That the third is closed beside two that serve is checked as before.

Metric: carobshunt_connections_displaced_total.

--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -81,6 +81,7 @@
 func (d *Daemon) peerLimits(connections int) secure.Limits {
 	return secure.Limits{
 		MaxConnections: connections,
+		WaitsSinceRead: true,
 		IdleTimeout:    peerIdleTimeout,
 		WriteTimeout:   peerWriteTimeout,
 		Traffic:        &d.peerTraffic,
--- a/internal/metrics/connections.go
+++ b/internal/metrics/connections.go
@@ -2,10 +2,11 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// Connections are the connection counts of a listener: those open now, and those refused since it started.
+// Connections are the connection counts of a listener: those open now, and those refused, or closed for new ones, since it started.
 type Connections interface {
 	Open() int64
 	Refused() uint64
+	Displaced() uint64
 }
 
 // WatchListener registers the connection counts of an interface. It panics if called twice for one name.
@@ -19,6 +20,10 @@
 			Namespace: namespace, Name: "connections_refused_total", Help: "Connections closed at once: too many were open.",
 			ConstLabels: labels,
 		}, func() float64 { return float64(c.Refused()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "connections_displaced_total", Help: "Connections without a request closed for new ones.",
+			ConstLabels: labels,
+		}, func() float64 { return float64(c.Displaced()) }),
 	)
 }
 
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -239,8 +239,12 @@
 	connect()
 	connect()
 	first, second := <-accepted, <-accepted
+	for _, conn := range []net.Conn{first, second} {
+		assert.NilError(t, conn.(*limitedConn).RequestBegan())
+	}
 	_, err = connect().Read(make([]byte, 1))
 	assert.Assert(t, err != nil, "the third connection is closed")
+	assert.Equal(t, l.Displaced(), uint64(0))
 	assert.Equal(t, l.Refused(), uint64(1))
 	assert.Equal(t, l.Open(), int64(2))
 	assert.NilError(t, first.Close())
@@ -251,6 +255,43 @@
 	_ = second.Close()
 }
 
+// TestNewConnectionDisplacesTheOneThatWaitsLongest guards against clients that are shut out by connections that nobody uses, and
+// against requests that are run though their connection was closed for another one.
+func TestNewConnectionDisplacesTheOneThatWaitsLongest(t *testing.T) {
+	inner, err := net.Listen("tcp", localhost+":0")
+	assert.NilError(t, err)
+	l := LimitListener(inner, Limits{MaxConnections: 3})
+	defer func() { _ = l.Close() }()
+	connect := func() (client net.Conn, accepted *limitedConn) {
+		client, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = client.Close() })
+		conn, err := l.Accept()
+		assert.NilError(t, err)
+		return client, conn.(*limitedConn)
+	}
+	_, serving := connect()
+	assert.NilError(t, serving.RequestBegan())
+	again, waitsAgain := connect()
+	oldest, waitsLongest := connect()
+	assert.NilError(t, waitsAgain.RequestBegan())
+	waitsAgain.RequestEnded()
+	connect()
+	_, err = oldest.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "the connection that waits longest is closed")
+	assert.Equal(t, waitsLongest.RequestBegan(), ErrDisplaced)
+	assert.NilError(t, waitsAgain.RequestBegan())
+	assert.NilError(t, waitsAgain.SetBodyAwaited(true))
+	connect()
+	connect()
+	_, err = again.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "the connection with half a request is closed, after those that waited longer")
+	assert.Equal(t, waitsAgain.SetBodyAwaited(false), ErrDisplaced)
+	assert.Equal(t, l.Displaced(), uint64(3))
+	assert.Equal(t, l.Open(), int64(3))
+	assert.NilError(t, serving.SetBodyAwaited(false))
+}
+
 func TestReadOfIdleConnectionTimesOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
