Descriptors: each interface has its part of the host's connections

Ordinary callers weren't answered for 30 s, as 400 silent connections to the peers' interface had taken all 300 descriptors: the host could reach no target. At callers, look-ups and readiness 400 silent ones took all of them for 5 s (TestCrowdLeavesDescriptors, failed before on four of five interfaces).

Cause: the limits of the interfaces add up to more than the host has (2,048 of callers and 4,096 of peers on one with 2,870), and look-ups and readiness had none.

Change: capacity.connections is divided: 3/8 for callers, 1/8 for peers, 1/16 for look-ups, 1/64 each for readiness and operators; two fifths are left for targets, the store, peers and files. The limits in the settings hold where they are less; look-ups and readiness have limits now (1,024 and 64).

--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"log"
-	"math"
 	"net"
 	"net/http"
 	"time"
@@ -34,6 +33,7 @@
 func (d *Daemon) listen(creds *credentials, m *metrics.Metrics) (listeners, error) {
 	var out listeners
 	s := d.settings
+	limits := s.ConnectionLimits()
 	for _, one := range []struct {
 		name     string
 		address  string
@@ -43,11 +43,11 @@
 		// heads returns the limits on the heads of requests; nil for an interface without HTTP.
 		heads func() headlimit.Limits
 	}{
-		{"callers", s.Listen.Callers, secure.Limits{MaxConnections: s.Limits.CallerConnections}, creds.callers, &out.callers, d.callerHeads},
-		{"operators", s.Listen.Operators, secure.Limits{MaxConnections: s.Limits.OperatorConnections}, creds.operators, &out.operators, operator.HeadLimits},
-		{"peers", s.Listen.Peers, d.peerLimits(s.Limits.PeerConnections), creds.peers, &out.peers, nil},
-		{"lookup", s.Listen.Lookup, secure.Limits{MaxConnections: math.MaxInt}, nil, &out.lookup, d.callerHeads},
-		{"ready", s.Listen.Ready, secure.Limits{MaxConnections: math.MaxInt}, nil, &out.ready, d.callerHeads},
+		{"callers", s.Listen.Callers, secure.Limits{MaxConnections: limits.Callers}, creds.callers, &out.callers, d.callerHeads},
+		{"operators", s.Listen.Operators, secure.Limits{MaxConnections: limits.Operators}, creds.operators, &out.operators, operator.HeadLimits},
+		{"peers", s.Listen.Peers, d.peerLimits(limits.Peers), creds.peers, &out.peers, nil},
+		{"lookup", s.Listen.Lookup, secure.Limits{MaxConnections: limits.Lookups}, nil, &out.lookup, d.callerHeads},
+		{"ready", s.Listen.Ready, secure.Limits{MaxConnections: limits.Ready}, nil, &out.ready, d.callerHeads},
 	} {
 		if one.address == "" {
 			continue
--- a/internal/settings/capacity.go
+++ b/internal/settings/capacity.go
@@ -63,3 +63,34 @@
 	}
 	return int64(min(max(s.Capacity.MemoryMB*inputShare, minInputMB), maxInputMB) * bytesPerMB)
 }
+
+// Parts of the connections that a host may have open, for each interface. What is left is for those that the host opens itself: to
+// targets, the platform and other entry hosts.
+const (
+	callerConnectionShare   = 3.0 / 8
+	peerConnectionShare     = 1.0 / 8
+	lookupConnectionShare   = 1.0 / 16
+	readyConnectionShare    = 1.0 / 64
+	operatorConnectionShare = 1.0 / 64
+)
+
+// ConnectionLimits are the numbers of connections that may be open at one time on each interface.
+type ConnectionLimits struct{ Callers, Operators, Peers, Lookups, Ready int }
+
+// ConnectionLimits returns the bounds of Limits, or less where the stated number of connections has no room for them.
+func (s *Settings) ConnectionLimits() ConnectionLimits {
+	within := func(limit int, share float64) int {
+		if s.Capacity.Connections <= 0 {
+			return limit
+		}
+		return min(limit, max(int(s.Capacity.Connections*share), 1))
+	}
+	l := s.Limits
+	return ConnectionLimits{
+		Callers:   within(l.CallerConnections, callerConnectionShare),
+		Operators: within(l.OperatorConnections, operatorConnectionShare),
+		Peers:     within(l.PeerConnections, peerConnectionShare),
+		Lookups:   within(l.LookupConnections, lookupConnectionShare),
+		Ready:     within(l.ReadyConnections, readyConnectionShare),
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -111,10 +111,12 @@
 	RequestBytes int64 `json:"request_bytes,omitempty" jsonschema:"minimum=1,default=16777216,description=one request body in bytes"`
 	// Records bounds the number of request records kept at one time.
 	Records int `json:"records,omitempty" jsonschema:"minimum=1,default=16384,description=request records kept at one time"`
-	// CallerConnections, OperatorConnections and PeerConnections bound the number of open connections of each interface.
+	// The bounds on open connections of each interface. ConnectionLimits returns those that hold.
 	CallerConnections   int `json:"caller_connections,omitempty" jsonschema:"minimum=1,default=8192,description=connections of callers open at one time"`
 	OperatorConnections int `json:"operator_connections,omitempty" jsonschema:"minimum=1,default=64,description=connections of operators open at one time"`
 	PeerConnections     int `json:"peer_connections,omitempty" jsonschema:"minimum=1,default=4096,description=connections of other entry hosts open at one time"`
+	LookupConnections   int `json:"lookup_connections,omitempty" jsonschema:"minimum=1,default=1024,description=connections for look-ups open at one time"`
+	ReadyConnections    int `json:"ready_connections,omitempty" jsonschema:"minimum=1,default=64,description=connections for readiness checks open at one time"`
 }
 
 // ColdStarts is how far all hosts together may exceed the requests a second that a service takes at a target that has just
@@ -132,6 +134,8 @@
 	DefaultCallerConnections   = 8192
 	DefaultOperatorConnections = 64
 	DefaultPeerConnections     = 4096
+	DefaultLookupConnections   = 1024
+	DefaultReadyConnections    = 64
 	DefaultLogLevel            = "info"
 )
 
@@ -291,6 +295,8 @@
 	l.CallerConnections = cmp.Or(l.CallerConnections, DefaultCallerConnections)
 	l.OperatorConnections = cmp.Or(l.OperatorConnections, DefaultOperatorConnections)
 	l.PeerConnections = cmp.Or(l.PeerConnections, DefaultPeerConnections)
+	l.LookupConnections = cmp.Or(l.LookupConnections, DefaultLookupConnections)
+	l.ReadyConnections = cmp.Or(l.ReadyConnections, DefaultReadyConnections)
 	s.Metrics.applyDefaults()
 	s.Platform.Kind = cmp.Or(s.Platform.Kind, PlatformDocuments)
 	s.LogLevel = cmp.Or(s.LogLevel, DefaultLogLevel)
