Log: lines on refused requests and failed connections are bounded, and counted

An operator sees nothing of ordinary requests while a crowd connects: each request that net/http rejects, and each connection that fails, is a line, as fast as clients connect, and the backlog of 4,096 lines drops whatever comes next.

The next line has left_out, the number of those that are missing.

Lines of requests that the control loop decides on are not touched: they are bounded by the backlog, which says how many it dropped.

--- a/internal/httplog/httplog.go
+++ b/internal/httplog/httplog.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"carobshunt/internal/netdial"
 
@@ -15,12 +16,13 @@
 // Listener wraps a listener so that rejections by net/http on its connections are logged. The server that accepts from it
 // must have been set up by httpconn.Prepare.
 func Listener(listener net.Listener, log hclog.Logger) net.Listener {
-	return &observedListener{Listener: listener, log: log}
+	return &observedListener{Listener: listener, log: log, lines: &lineLimit{}}
 }
 
 type observedListener struct {
 	net.Listener
-	log hclog.Logger
+	log   hclog.Logger
+	lines *lineLimit
 }
 
 // Accept implements net.Listener.
@@ -53,9 +55,17 @@
 	return n, err
 }
 
-// logLine logs a line with the caller's address.
+// logLine logs a line with the caller's address, unless there were too many. The next line then has their number.
 func (c *observedConn) logLine(level hclog.Level, message string, fields ...any) {
-	c.listener.log.Log(level, message, append(fields, "caller", c.RemoteAddr().String())...)
+	allowed, leftOut := c.listener.lines.take(time.Now())
+	if !allowed {
+		return
+	}
+	fields = append(fields, "caller", c.RemoteAddr().String())
+	if leftOut > 0 {
+		fields = append(fields, "left_out", leftOut)
+	}
+	c.listener.log.Log(level, message, fields...)
 }
 
 // HeadRead implements httpconn.Observer.
