Targets: rejecting a head of unusual size counts as no failure of the target

All callers of a service got 503, "no target takes work", after one client had sent heads that the targets' HTTP servers don't take (TestRejectedHeadsShowNothingOfTheirTarget: from the second odd request on, before any ordinary one).

Cause: an answer without the target's signature counts as a lost run, whatever its status, and a lost run as a failure of the target, which gets no work for 0.5 to 8 s. A server with a smaller limit than ours answers 431, 400, 413 or 414 without asking its program.

Change: such an answer to a head of over 4 KB or 64 lines shows nothing of the target, and the request is not retried, as each target would reject it. The caller gets 502 as before: the status is not signed, so it promises nothing. A rejected usual head counts against its target as before (TestRejectedUsualHeadCountsAgainstItsTarget), else a target that rejects everything would get everything.

Open: a server that resets the connection in place of an answer can't be told from one that crashes.

--- a/internal/core/node/dispatches.go
+++ b/internal/core/node/dispatches.go
@@ -214,7 +214,7 @@
 // blameless reports whether a dispatch ended without an answer for another reason than its target t, which may be nil. One that
 // nothing could continue was never sent there.
 func (n *Node) blameless(in DispatchEnded, t *target.Target) bool {
-	if in.Blame != "" || in.GivenUp || !n.awaits(in) || in.Unresumable && in.Ending == EndedNotWritten {
+	if in.Blame != "" || in.GivenUp || in.Rejected || !n.awaits(in) || in.Unresumable && in.Ending == EndedNotWritten {
 		return true
 	}
 	rec := n.active[in.Key]
@@ -289,11 +289,11 @@
 }
 
 // handleLost handles a dispatch that may have been executed but returned no whole answer: it ended as EndedLost, or
-// failClaim has aborted it. It reads only the Message of in, since failClaim sets no Ending. Only an idempotent request is
-// retried, and not if its prompt is suspected of having ended targets.
+// failClaim has aborted it. It reads only Message and Rejected of in, since failClaim sets no Ending. Only an idempotent request is
+// retried, and not if a target rejected it or its prompt is suspected of having ended targets.
 func (n *Node) handleLost(rec *ledger.Record, in DispatchEnded) {
 	switch {
-	case rec.Request.Idempotent && !n.quarantine.SuspectsPart(rec.Request.Parts):
+	case rec.Request.Idempotent && !in.Rejected && !n.quarantine.SuspectsPart(rec.Request.Parts):
 		n.ledger.Requeue(rec)
 		n.retry(rec, core.Result{Outcome: api.OutcomeFailed, Code: api.CodeTargetLost, Message: in.Message})
 	case rec.DeadlineAborted:
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -95,6 +95,9 @@
 	Unresumable bool
 	// GivenUp is set if this host gave the answer up for want of memory, which shows nothing of the target and the request.
 	GivenUp bool
+	// Rejected is set if the target rejected the form of the request, as it would that of any copy: the request is not retried, and
+	// the end shows nothing of the target.
+	Rejected bool
 	// Run tells what the dispatch brought of a stream; nil if the request is none, or without an answer.
 	Run *StreamRun
 }
