--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -219,7 +219,11 @@
 		return
 	}
 	if in.Fault != "" {
-		n.finish(rec, core.Result{Outcome: api.OutcomeNotRun, Code: in.Fault, Message: "the body did not arrive whole"})
+		result := core.Result{Outcome: api.OutcomeNotRun, Code: in.Fault, Message: "the body did not arrive whole"}
+		if in.Fault == api.CodeBodyMemory {
+			result.RetryAfter = n.retryAfter(overloadRetryAfter)
+		}
+		n.finish(rec, result)
 		return
 	}
 	rec.Request.Works = core.WorksOf(&rec.Request, in.Content)
