--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -84,6 +84,29 @@
 	Repeated
 )
 
+// Checked is a document that was parsed and checked outside of the control goroutine, which takes long if it is large.
+type Checked struct {
+	// digest is that of the text as received.
+	digest uint64
+	doc    *document.Document
+	// text is the canonical text; err tells why there is none.
+	text delta.Text
+	err  error
+}
+
+// Err returns why the document is invalid; nil if it is valid.
+func (c *Checked) Err() error { return c.err }
+
+// Check parses and checks a document.
+func Check(reader *document.Reader, raw []byte) *Checked {
+	c := &Checked{digest: delta.NewText(raw).Digest}
+	c.doc, c.err = reader.Read(raw)
+	if c.err == nil {
+		c.text, c.err = delta.Encode(c.doc)
+	}
+	return c
+}
+
 // Offer checks a received document and puts it in force if it is valid and newer. The source is SourcePlatform or the
 // address of a peer.
 func (c *Config) Offer(now core.Time, raw []byte, source string) OfferResult {
@@ -91,8 +114,16 @@
 	if digest == c.lastDigest {
 		return c.lastResult.onRepeat()
 	}
-	c.lastDigest = digest
-	c.lastResult = c.apply(now, raw, source)
+	return c.OfferChecked(now, Check(c.reader, raw), source)
+}
+
+// OfferChecked is Offer for a document that was checked before.
+func (c *Config) OfferChecked(now core.Time, checked *Checked, source string) OfferResult {
+	if checked.digest == c.lastDigest {
+		return c.lastResult.onRepeat()
+	}
+	c.lastDigest = checked.digest
+	c.lastResult = c.apply(now, checked, source)
 	return c.lastResult
 }
 
@@ -104,35 +135,24 @@
 	return Old
 }
 
-func (c *Config) apply(now core.Time, raw []byte, source string) OfferResult {
-	doc, text, err := c.read(raw)
-	if err != nil {
+func (c *Config) apply(now core.Time, checked *Checked, source string) OfferResult {
+	if checked.err != nil {
 		c.rejected++
-		c.rejection = shorttext.Cut(err.Error(), maxRejectionText)
+		c.rejection = shorttext.Cut(checked.err.Error(), maxRejectionText)
 		return Invalid
 	}
-	version := Version{Revision: doc.Revision, Digest: text.Digest}
+	version := Version{Revision: checked.doc.Revision, Digest: checked.text.Digest}
 	c.recordConflict(version)
 	if !version.NewerThan(c.Version()) {
 		return Old
 	}
-	c.doc = doc
-	c.history = c.history.Add(text)
+	c.doc = checked.doc
+	c.history = c.history.Add(checked.text)
 	c.since = now
 	c.source = source
 	return Applied
 }
 
-// read parses a document and returns it with its canonical text.
-func (c *Config) read(raw []byte) (*document.Document, delta.Text, error) {
-	doc, err := c.reader.Read(raw)
-	if err != nil {
-		return nil, delta.Text{}, err
-	}
-	text, err := delta.Encode(doc)
-	return doc, text, err
-}
-
 // recordConflict counts a second text under the revision in force; the same lower version is counted once in a row.
 func (c *Config) recordConflict(version Version) {
 	inForce := c.Version()
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -5,6 +5,7 @@
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/target"
@@ -144,6 +145,8 @@
 // DocumentReceived is a published document, received from the platform or a peer.
 type DocumentReceived struct {
 	Raw []byte
+	// Checked is the document as parsed and checked by the sender of the input; nil if it is to be checked when the input is processed.
+	Checked *conf.Checked
 	// Source is the peer address of the sender, or conf.SourcePlatform.
 	Source string
 }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -151,7 +151,7 @@
 
 func (n *Node) documentReceived(in DocumentReceived) {
 	conflicts, _ := n.config.Conflicts()
-	switch n.config.Offer(n.now, in.Raw, in.Source) {
+	switch n.offer(in) {
 	case conf.Applied:
 		doc := n.config.Document()
 		n.table = routes.New(doc, n.opts.Regions)
@@ -181,6 +181,14 @@
 	}
 }
 
+// offer offers a document to the configuration, as checked if it was.
+func (n *Node) offer(in DocumentReceived) conf.OfferResult {
+	if in.Checked != nil {
+		return n.config.OfferChecked(n.now, in.Checked, in.Source)
+	}
+	return n.config.Offer(n.now, in.Raw, in.Source)
+}
+
 func (n *Node) hostsReceived(in HostsReceived) {
 	text, err := delta.Encode(in.List)
 	version := conf.Version{Revision: in.List.Version, Digest: text.Digest}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/delta"
+	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/netdial"
 
@@ -23,6 +25,9 @@
 	control Control
 	dialer  netdial.Dialer
 	lists   *hostlist.Reader
+	// documents checks documents, one at a time.
+	checking  sync.Mutex
+	documents *document.Reader
 	// idle is the time without anything to send after which a connection is closed.
 	idle  time.Duration
 	mu    sync.Mutex
@@ -35,7 +40,10 @@
 
 // NewPool returns a pool with no open connection.
 func NewPool(control Control, dialer netdial.Dialer) *Pool {
-	return &Pool{control: control, dialer: dialer, lists: hostlist.NewReader(), idle: idleTimeout, links: make(map[string]*link)}
+	return &Pool{
+		control: control, dialer: dialer, idle: idleTimeout, links: make(map[string]*link),
+		lists: hostlist.NewReader(), documents: document.NewReader(),
+	}
 }
 
 // Heartbeat sends a heartbeat. If an earlier one is still pending for a slow peer, the two are merged, see
@@ -66,6 +74,13 @@
 	l.enqueue(o)
 }
 
+// check parses and checks a document, so that the control goroutine need not.
+func (p *Pool) check(raw []byte) *conf.Checked {
+	p.checking.Lock()
+	defer p.checking.Unlock()
+	return conf.Check(p.documents, raw)
+}
+
 // removeIfIdle removes a link that has nothing to send, and reports whether it did.
 func (p *Pool) removeIfIdle(l *link) bool {
 	p.mu.Lock()
@@ -225,7 +240,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	l.pool.control.Post(node.DocumentReceived{Raw: text.Raw, Source: l.address})
+	l.pool.control.Post(node.DocumentReceived{Raw: text.Raw, Checked: l.pool.check(text.Raw), Source: l.address})
 	return nil
 }
 
