--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -24,6 +24,8 @@
 	// lookupTTL is the longest time for which callers use a lookup answer: some use it for three times as long as it
 	// states.
 	lookupTTL = 3 * platform.LookupTTL
+	// lookupReadTimeout bounds how long a look-up or a readiness check may take to arrive whole.
+	lookupReadTimeout = 5 * time.Second
 	// reservationExpiry is how long engines hold a reservation without renewal. It is more than twice
 	// reservationRenewInterval, so that one renewal may be lost.
 	reservationExpiry = 3800 * time.Millisecond
@@ -61,6 +63,7 @@
 		handler  http.Handler
 	}{{open.lookup, lookup.Handler()}, {open.ready, lookup.ReadyHandler()}} {
 		server := platform.NewServer(one.handler)
+		server.ReadTimeout = lookupReadTimeout
 		server.ErrorLog = d.connectionLogger()
 		group.Go(func() error { return d.serveHTTP(ctx, server, one.listener) })
 	}
