Connections: one whose answer is written gives way to a new one

Cause: after an answer with Connection: close, net/http closes the write side and waits half a second for the client. Such a connection counted as serving, so it could not be displaced, and a few of them are all that the interface takes.

Change: a connection whose write side is closed waits for its client, like one that is idle.

--- a/internal/secure/listener.go
+++ b/internal/secure/listener.go
@@ -178,8 +178,13 @@
 // NetConn returns the connection that this one limits.
 func (c *limitedConn) NetConn() net.Conn { return c.Conn }
 
-// CloseWrite closes the write side only; net/http looks for this method before it closes a connection.
-func (c *limitedConn) CloseWrite() error { return netdial.CloseWrite(c.Conn) }
+// CloseWrite closes the write side only; net/http looks for this method before it closes a connection. The answer is written, so the
+// connection only waits for its client to take it.
+func (c *limitedConn) CloseWrite() error {
+	err := netdial.CloseWrite(c.Conn)
+	_ = c.setWaiting(true)
+	return err
+}
 
 // Close implements net.Conn. Only the first call has an effect.
 func (c *limitedConn) Close() error {
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -292,6 +292,24 @@
 	assert.NilError(t, serving.SetBodyAwaited(false))
 }
 
+// TestConnectionWhoseAnswerIsWrittenGivesWay guards against new clients that are shut out by connections which only wait to be closed.
+func TestConnectionWhoseAnswerIsWrittenGivesWay(t *testing.T) {
+	inner, err := net.Listen("tcp", localhost+":0")
+	assert.NilError(t, err)
+	l := LimitListener(inner, Limits{MaxConnections: 1})
+	defer func() { _ = l.Close() }()
+	for range 2 {
+		client, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = client.Close() })
+		conn, err := l.Accept()
+		assert.NilError(t, err)
+		assert.NilError(t, conn.(*limitedConn).RequestBegan())
+		assert.NilError(t, conn.(*limitedConn).CloseWrite())
+	}
+	assert.Equal(t, l.Displaced(), uint64(1))
+}
+
 func TestReadOfIdleConnectionTimesOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
