Metrics: budgets of memory are watched by one function

WatchHeads and WatchAnswers had the same shape, and their interfaces the same methods. Names, help and values are as before: docscheck compares them with docs/REFERENCE.md.

--- a/internal/metrics/connections.go
+++ b/internal/metrics/connections.go
@@ -27,39 +27,32 @@
 	)
 }
 
-// HeadMemory is the memory that heads of requests take, in bytes, and how many were given up for want of it.
-type HeadMemory interface {
+// Memory is a budget of memory: the bytes that it holds, and how many messages were given up for want of them.
+type Memory interface {
 	Held() int64
 	GivenUp() uint64
 }
 
 // WatchHeads registers the memory that heads of requests take. It panics if called twice.
-func (m *Metrics) WatchHeads(h HeadMemory) {
-	m.registry.MustRegister(
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "head_bytes", Help: "Memory that heads of requests take now, in bytes, at most.",
-		}, func() float64 { return float64(h.Held()) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: namespace, Name: "heads_given_up_total", Help: "Heads of requests given up for want of memory on this host.",
-		}, func() float64 { return float64(h.GivenUp()) }),
-	)
+func (m *Metrics) WatchHeads(heads Memory) {
+	m.watchMemory(heads,
+		prometheus.Opts{Name: "head_bytes", Help: "Memory that heads of requests take now, in bytes, at most."},
+		prometheus.Opts{Name: "heads_given_up_total", Help: "Heads of requests given up for want of memory on this host."})
 }
 
-// AnswerMemory is the memory that answers of targets take, in bytes, and how many were given up for want of it.
-type AnswerMemory interface {
-	Held() int64
-	GivenUp() uint64
+// WatchAnswers registers the memory that answers of targets take. It panics if called twice.
+func (m *Metrics) WatchAnswers(answers Memory) {
+	m.watchMemory(answers,
+		prometheus.Opts{Name: "answer_bytes", Help: "Memory that answers of targets take now, in bytes."},
+		prometheus.Opts{Name: "answers_given_up_total", Help: "Answers of targets given up for want of memory on this host."})
 }
 
-// WatchAnswers registers the memory that answers of targets take. It panics if called twice.
-func (m *Metrics) WatchAnswers(a AnswerMemory) {
+// watchMemory registers the bytes that a budget holds and the messages that it has given up.
+func (m *Metrics) watchMemory(memory Memory, held, givenUp prometheus.Opts) {
+	held.Namespace, givenUp.Namespace = namespace, namespace
 	m.registry.MustRegister(
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "answer_bytes", Help: "Memory that answers of targets take now, in bytes.",
-		}, func() float64 { return float64(a.Held()) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: namespace, Name: "answers_given_up_total", Help: "Answers of targets given up for want of memory on this host.",
-		}, func() float64 { return float64(a.GivenUp()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts(held), func() float64 { return float64(memory.Held()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts(givenUp), func() float64 { return float64(memory.GivenUp()) }),
 	)
 }
 
