Own interface: bodies that don't come give way there too

Cause: the same as on the users' platform: memory is set aside at admission and kept until the deadline.

Its caller gets body_memory with a time to come back; only an attempt that may be repeated is asked for again at once, since the refused attempt of another is closed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/internal/bodyrate"
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/netdial"
@@ -32,6 +33,8 @@
 	exchanges *stream.Store
 	self      core.Home
 	maxBody   int64
+	// bodies are those that are read.
+	bodies    bodyrate.Tracker
 	forwarder *http.Client
 	observer  Observer
 }
@@ -111,7 +114,7 @@
 	if fault != nil {
 		return writeError(c, fault)
 	}
-	decision, err := g.control.Ask(c.Request().Context(), node.Submit{Request: req})
+	decision, err := g.askAdmission(c, req)
 	if err != nil {
 		return writeError(c, stoppingError(req))
 	}
@@ -133,6 +136,20 @@
 	return g.streamAnswer(c, req, g.exchanges.Get(req.Key), stream.Position{})
 }
 
+// askAdmission asks the control loop for its decision on a request. If there is no room for its body, a slow body of another request
+// gives way, if there is one. The refused attempt of a request that is not idempotent is closed, so there is room for its next one.
+func (g *Gateway) askAdmission(c echo.Context, req core.Request) (node.Decision, error) {
+	submit := node.Submit{Request: req}
+	decision, err := g.control.Ask(c.Request().Context(), submit)
+	if err != nil || decision.Kind != node.Refuse || decision.Result.Code != api.CodeBodyMemory {
+		return decision, err
+	}
+	if g.bodies.MakeRoom() == nil || !req.Idempotent {
+		return decision, nil
+	}
+	return g.control.Ask(c.Request().Context(), submit)
+}
+
 // stoppingError returns the error for a request that got no decision from the control loop. The outcome of a request that
 // is not idempotent is unknown, since an earlier submit of it may have run here.
 func stoppingError(req core.Request) *api.Error {
@@ -168,7 +185,12 @@
 	_ = control.SetReadDeadline(time.Now().Add(deadline - g.control.Now()))
 	stop := ex.Answer.OnFinal(func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stop()
-	body, fault := readBody(c.Request().Body, req)
+	progress := g.bodies.Begin(req.ID, func() { _ = control.SetReadDeadline(time.Now()) })
+	defer progress.End()
+	body, fault := readBody(progress.Reader(c.Request().Body), req)
+	if fault == api.CodeTruncated && progress.GaveWay() {
+		fault = api.CodeBodyMemory
+	}
 	ended := node.BodyEnded{Key: req.Key, Attempt: req.Attempt, Fault: fault}
 	if fault == "" {
 		_ = control.SetReadDeadline(time.Time{})
@@ -198,7 +220,7 @@
 		e.Outcome = api.OutcomeUnknown
 	case chunk.Last == nil || chunk.Last.Outcome != api.OutcomeNotRun:
 		return g.streamAnswer(c, req, ex, stream.Position{})
-	case chunk.Last.Code == api.CodeDraining:
+	case chunk.Last.Code == api.CodeDraining, chunk.Last.Code == api.CodeBodyMemory:
 		e.Code, e.Message, e.RetryAfterMs = chunk.Last.Code, chunk.Last.Message, chunk.Last.RetryAfterMs
 	}
 	return writeErrorWithin(c, e, 0) // the time of the body is over
