--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -29,7 +29,7 @@
 }
 
 // CallerLimits limit the size of a request on a route, the time for its headers and the idle time of its connection.
-// The hosts apply only BodyBytes.
+// Hosts give no less time than they do without a document.
 type CallerLimits struct {
 	HeaderBytes     int64 `json:"header_bytes" jsonschema:"minimum=1,description=headers of one request in bytes"`
 	BodyBytes       int64 `json:"body_bytes" jsonschema:"minimum=1,maximum=1099511627776,description=body of one request in bytes"`
