Connections to targets: a failure that the write of a request takes ends no answer

What callers saw: a target answers a long upload at once with a 200 that states no length, sends a part of its body and resets the connection while the upload is still being written. The caller gets the part as a whole answer; a stream ends in order after some events.

Cause: the kernel reports the failure of a connection to one system call only. Reads after it find what had arrived and then an ordinary end. Requests are written beside the reading of their answers, or before, and the error of the write was dropped, on the assumption that reads return it too. The check of the process then finds one that lives, which proves nothing about the connection. A short request to a target that answers without having read it is affected as well, and so is a target that is cut off and whose connection times out.

Change: httpwire.Conn owns the errors of its connection. A read that finds the end of the input interrupts the write of the request, waits for it, and returns its error in place of io.EOF if it is one of the connection. Later reads return the same error. So heads, bodies, streams, orders and the check of a process, which all read there, ask without knowing of it.

Why it works: the write took the error only if its system call returned before the read's found the end, and it is registered before that call, so it can't be missed. EPIPE is no such error: for a connection that the target has ended in order, the kernel reports a later reset as EPIPE, and it reports EPIPE for a write after an error that a read has returned. The interrupt is a write deadline in the past, so a write that hangs does not hold up a sound answer. After the end of an answer the connection is closed, as before.

Sound early answers in each form (no length, HTTP/1.0, Connection: close, length, chunks, streams; the target reads on, reads no more, or rejects the rest after an end in order) are delivered whole, before and after: TestEarlyWholeAnswerIsDelivered, TestEarlyWholeStreamIsDelivered.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -29,16 +29,18 @@
 	carried attemptRecord
 	// reused is set once an earlier request was answered on the connection.
 	reused bool
-	// sending is set while a request is being written, and stays set if that fails.
-	sending atomic.Bool
+	// lastWrite is the writing of the last request; nil before the first one.
+	lastWrite atomic.Pointer[requestWrite]
 }
 
 // readBufferBytes is the size of a connection's read buffer.
 const readBufferBytes = 4096
 
 func newConn(inner net.Conn, target string) *Conn {
-	head := &headLimit{inner: inner}
-	return &Conn{Conn: inner, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, target: target}
+	c := &Conn{Conn: inner, target: target}
+	c.head = &headLimit{inner: &inputReader{conn: inner, endWrites: c.endWrites}}
+	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
+	return c
 }
 
 // maxHeadBytes bounds the head of an answer, with those of the informational answers before it.
@@ -64,24 +66,6 @@
 	return n, err
 }
 
-// Send writes a request. It returns the number of bytes that the connection accepted; if it is 0, the target received
-// nothing.
-func (c *Conn) Send(head, body []byte) (int64, error) {
-	c.sending.Store(true)
-	buffers := net.Buffers{head}
-	if len(body) > 0 {
-		buffers = append(buffers, body)
-	}
-	n, err := buffers.WriteTo(c.Conn)
-	if err == nil {
-		c.sending.Store(false)
-	}
-	return n, errors.Trace(err)
-}
-
-// Sending reports whether the last request is still being written, or could not be written completely.
-func (c *Conn) Sending() bool { return c.sending.Load() }
-
 // Receive reads the status line and headers of the answer to a request with the given method, and skips informational
 // answers (1xx). The body is read from the returned response.
 func (c *Conn) Receive(method string) (*http.Response, error) {
