Heads of answers: a status outside 100 to 599, or an unasked 101, makes a broken answer

What callers saw: an answer of a target in trouble whose status is 000 reaches them as an answer. On the way to a caller of the adapter a 000 alone gave 502 by accident, since any status under 200 was taken for an informational answer and passed over: the sealed answer behind it on the connection was delivered in its place. 101, 600 and 999 were passed on as they came.

Cause: net/http parses any three characters that are a number as a status, and each reader judged it in its own way.

Change: internal/httpstrict says what no status of an answer is, once: what lies outside of 100 to 599, the range of RFC 9110, section 15, and 101, which no request here asks for. The reader of internal/httpwire checks each head, informational ones too, and every HTTP client of the product goes through httpstrict.Transport. The error is that of a lost run: no promise, no second run of a request that may run once, evidence against the target, nothing read from head or body.

Why it works: nobody sees an answer before the check, and a caller of the check can't forget it for one kind of call.

--- a/client/client.go
+++ b/client/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/internal/httpstrict"
 	"carobshunt/internal/netdial"
 
 	"github.com/juju/errors"
@@ -86,7 +87,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
-	return &Client{opts: opts, http: &http.Client{Transport: transport, CheckRedirect: netdial.ReturnRedirect}}
+	return &Client{opts: opts, http: &http.Client{Transport: httpstrict.Transport{Base: transport}, CheckRedirect: netdial.ReturnRedirect}}
 }
 
 // url returns the URL of a path on a host.
--- a/internal/ctl/operators.go
+++ b/internal/ctl/operators.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"carobshunt/api"
+	"carobshunt/internal/httpstrict"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/secure"
 
@@ -47,7 +48,8 @@
 		scheme = "https"
 	}
 	transport := &http.Transport{TLSClientConfig: config, DisableCompression: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes}
-	return &hostClient{scheme: scheme, key: key, http: &http.Client{Timeout: operatorTimeout, Transport: transport}}, nil
+	client := &http.Client{Timeout: operatorTimeout, Transport: httpstrict.Transport{Base: transport}}
+	return &hostClient{scheme: scheme, key: key, http: client}, nil
 }
 
 // ResponseError reports a response with an error status and no api.Error as its body.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/hostlist"
+	"carobshunt/internal/httpstrict"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/stream"
 
@@ -94,17 +95,22 @@
 	client   *http.Client
 }
 
-// New returns a dispatcher. It uses no connection again: frames do not name their request, so after a target that answers
-// a request twice, the second answer would pass for that to the next request.
+// New returns a dispatcher.
 func New(reporter Reporter, dialer netdial.Dialer, observer Observer) *Dispatcher {
+	client := newClient(dialer.WithTimeout(dialTimeout))
+	return &Dispatcher{reporter: reporter, dialer: dialer, observer: observer, client: client}
+}
+
+// newClient returns an HTTP client that connects by dial. It uses no connection again: frames do not name their request, so after a target
+// that answers a request twice, the second answer would pass for that to the next request.
+func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	transport := &http.Transport{
-		DialContext:            dialer.WithTimeout(dialTimeout),
+		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
-	client := &http.Client{Transport: transport, CheckRedirect: netdial.ReturnRedirect}
-	return &Dispatcher{reporter: reporter, dialer: dialer, observer: observer, client: client}
+	return &http.Client{Transport: httpstrict.Transport{Base: transport}, CheckRedirect: netdial.ReturnRedirect}
 }
 
 // Run executes one dispatch and reports its events. It returns after the dispatch has ended. If it ended as node.EndedLost at
@@ -199,21 +205,13 @@
 	if r.action.Request.Idempotent {
 		return r.dispatcher.client
 	}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := r.dispatcher.dialer.WithTimeout(dialTimeout)(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return &gatedConn{Conn: conn, gate: gate}, nil
-			},
-			DisableKeepAlives:      true,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
-		},
-		CheckRedirect: netdial.ReturnRedirect,
-	}
+	return newClient(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := r.dispatcher.dialer.WithTimeout(dialTimeout)(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &gatedConn{Conn: conn, gate: gate}, nil
+	})
 }
 
 // adoptionRequest returns a request that reads a stream started by another host, from its beginning.
--- a/internal/engines/deadline.go
+++ b/internal/engines/deadline.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"carobshunt/internal/core"
+	"carobshunt/internal/httpstrict"
 	"carobshunt/internal/netdial"
 
 	"github.com/juju/errors"
@@ -33,19 +34,17 @@
 // the transport retries requests on reused connections only, so it sends the order at most once.
 func (c *Client) clientUntil(deadline core.Time) *http.Client {
 	dial := c.dialer.WithTimeout(dialTimeout)
-	return &http.Client{
-		Timeout: callTimeout,
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := dial(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return &deadlineConn{Conn: conn, now: c.control.Now, deadline: deadline}, nil
-			},
-			DisableKeepAlives:      true,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &deadlineConn{Conn: conn, now: c.control.Now, deadline: deadline}, nil
 		},
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
+	return &http.Client{Timeout: callTimeout, Transport: httpstrict.Transport{Base: transport}}
 }
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -13,6 +13,7 @@
 	"carobshunt/internal/core/group"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/core/sweep"
+	"carobshunt/internal/httpstrict"
 	"carobshunt/internal/jsonhttp"
 	"carobshunt/internal/netdial"
 )
@@ -60,16 +61,15 @@
 
 // New returns a client that connects through the dialer and posts results to control.
 func New(control Control, dialer netdial.Dialer) *Client {
-	return &Client{control: control, dialer: dialer, http: &http.Client{
-		Timeout: callTimeout,
-		Transport: &http.Transport{
-			DialContext:            dialer.WithTimeout(dialTimeout),
-			MaxIdleConnsPerHost:    4,
-			IdleConnTimeout:        idleTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
-		},
-	}}
+	transport := &http.Transport{
+		DialContext:            dialer.WithTimeout(dialTimeout),
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+	}
+	client := &http.Client{Timeout: callTimeout, Transport: httpstrict.Transport{Base: transport}}
+	return &Client{control: control, dialer: dialer, http: client}
 }
 
 // Reserve creates or renews a reservation and posts a node.ReservationAnswered.
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -13,6 +13,7 @@
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/stream"
+	"carobshunt/internal/testhead"
 
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
@@ -119,3 +120,16 @@
 		})
 	}
 }
+
+// TestForwardedAnswerWithAMalformedHeadIsNotPassedOn guards against a broken answer of a home that a caller of another host gets as one.
+func TestForwardedAnswerWithAMalformedHeadIsNotPassedOn(t *testing.T) {
+	for name, head := range testhead.Malformed(api.HeaderHost + ": 10.0.0.1:1/i1\r\nContent-Length: 4\r\n") {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.forwardTo(t, head+"oops")
+			_, e := doRefused(t, f.submitRequest(t, testBody))
+			assert.Equal(t, e.Code, api.CodeHomeUnreachable)
+			assert.Equal(t, e.Outcome, api.OutcomeUnknown)
+		})
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -7,6 +7,7 @@
 
 	"carobshunt/api"
 	"carobshunt/internal/core"
+	"carobshunt/internal/httpstrict"
 	"carobshunt/internal/netdial"
 
 	"github.com/labstack/echo/v4"
@@ -20,16 +21,14 @@
 )
 
 func newForwarder(dialer netdial.Dialer) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.WithTimeout(forwardDialTimeout),
-			ExpectContinueTimeout:  forwardContinueTimeout,
-			DisableKeepAlives:      true,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: netdial.MaxHeadBytes,
-		},
-		CheckRedirect: netdial.ReturnRedirect,
+	transport := &http.Transport{
+		DialContext:            dialer.WithTimeout(forwardDialTimeout),
+		ExpectContinueTimeout:  forwardContinueTimeout,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
+	return &http.Client{Transport: httpstrict.Transport{Base: transport}, CheckRedirect: netdial.ReturnRedirect}
 }
 
 // forward proxies a request to its home. If that fails, or another server has the home's address, the home may have run
--- /dev/null
+++ b/internal/httpstrict/httpstrict_test.go
@@ -0,0 +1,67 @@
+package httpstrict_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"carobshunt/internal/httpstrict"
+	"carobshunt/internal/testhead"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+// getFrom sends a request through a Transport to a server that answers with a text and closes the connection, and returns the body.
+func getFrom(t *testing.T, answer string) (string, error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, answer)
+		}
+		_ = conn.Close()
+	}()
+	client := &http.Client{Transport: httpstrict.Transport{Base: &http.Transport{DisableKeepAlives: true}}}
+	resp, err := client.Get("http://" + listener.Addr().String())
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// TestMalformedHeadIsAnError guards against answers that count although their heads are malformed.
+func TestMalformedHeadIsAnError(t *testing.T) {
+	for name, head := range testhead.Malformed("Content-Length: 4\r\n") {
+		body, err := getFrom(t, head+"body")
+		var status *httpstrict.StatusError
+		assert.Check(t, errors.As(err, &status), "%s: %q, %v", name, body, err)
+	}
+}
+
+// TestSoundHeadIsAccepted guards against sound answers that are dropped for an unusual but legal head.
+func TestSoundHeadIsAccepted(t *testing.T) {
+	for name, head := range testhead.Sound("Content-Length: 4\r\n") {
+		body, err := getFrom(t, head+"body")
+		assert.Check(t, err == nil && body == "body", "%s: %q, %v", name, body, err)
+	}
+}
+
+// TestStatusesOfAnswers guards against a status at the border of the legal range that is judged wrongly.
+func TestStatusesOfAnswers(t *testing.T) {
+	for status, legal := range map[int]bool{
+		0: false, 99: false, 100: true, 101: false, 102: true, 199: true, 200: true, 599: true, 600: false, 999: false,
+	} {
+		assert.Equal(t, httpstrict.Check(&http.Response{StatusCode: status}) == nil, legal, "%d", status)
+	}
+}
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"carobshunt/internal/httpstrict"
+
 	"github.com/juju/errors"
 )
 
@@ -79,7 +81,10 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err := httpstrict.Check(resp); err != nil {
+			return nil, errors.Trace(err)
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
--- a/internal/published/platform.go
+++ b/internal/published/platform.go
@@ -15,6 +15,7 @@
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
 	"carobshunt/internal/hostlist"
+	"carobshunt/internal/httpstrict"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/wait"
 
@@ -70,7 +71,7 @@
 	transport := &http.Transport{
 		DialContext: dialer.WithTimeout(timeout), DisableCompression: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
-	return &http.Client{Timeout: timeout, Transport: transport}
+	return &http.Client{Timeout: timeout, Transport: httpstrict.Transport{Base: transport}}
 }
 
 // StatusError reports an answer of the platform that is neither 200 OK nor 304 Not Modified.
