Heads of answers: a field whose name is no token makes a broken answer, trailers too

What callers saw: an answer of a target in trouble whose head has a blank in the name of a field reaches them as an answer. Where the name is that of a framing field, the body is not the target's: after "Content-Length : 2" the caller gets all four bytes that follow, after "Transfer-Encoding : chunked" the chunks with their sizes, each as a 200. Control bytes, DEL, bytes above 127, CR, separators, an empty name and a line without a colon were broken answers already; their cases are kept.

Cause: net/http takes blanks for a part of a name, and knows such a field under no name, so it is as if the field were not there.

Change: httpstrict.Check asks each name in the head of an answer, final or informational, with httpguts.ValidHeaderFieldName of golang.org/x/net (an indirect dependency until now), and in the trailer at the end of the body, where it returns the error in place of io.EOF. The check is that of statuses, so all who read answers have it: no promise, no second run, evidence against the target.

Why it works: framing is decided by fields; a head in which one can't be told is refused before anything is taken from it.

--- a/internal/httpstrict/httpstrict.go
+++ b/internal/httpstrict/httpstrict.go
@@ -1,10 +1,14 @@
-// Package httpstrict rejects HTTP answers that net/http accepts although their heads are malformed. Nothing of such an answer counts:
-// neither its status nor its fields, and not its body, whose length may be another one.
+// Package httpstrict rejects HTTP answers that net/http accepts although their heads or trailers are malformed. Nothing of such an answer
+// counts: neither its status nor its fields, and not its body, whose length may be another one.
 package httpstrict
 
 import (
 	"fmt"
 	"net/http"
+
+	"carobshunt/internal/shorttext"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // StatusError is returned for an answer whose status no answer can have: one outside of the range that RFC 9110, section 15, defines, or
@@ -16,36 +20,45 @@
 	return fmt.Sprintf("the answer has the invalid status %03d", e.Status)
 }
 
+// FieldNameError is returned for an answer with a field whose name is no token (RFC 9110, section 5.1). net/http accepts blanks there.
+type FieldNameError struct{ Name string }
+
+// Error implements error.
+func (e *FieldNameError) Error() string {
+	return fmt.Sprintf("the answer has a field with the invalid name %q", shorttext.Cut(e.Name, maxNameBytes))
+}
+
+// maxNameBytes bounds the part of a name that the text of an error repeats.
+const maxNameBytes = 64
+
 // Range of the statuses that answers may have, informational ones included.
 const (
 	minStatus = 100
 	maxStatus = 599
 )
 
-// Check returns an error for an answer, final or informational, whose head is malformed.
+// Check returns an error for an answer, final or informational, whose head is malformed. Otherwise it makes reads of the body return an
+// error in place of io.EOF if the trailer is malformed.
 func Check(resp *http.Response) error {
 	status := resp.StatusCode
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return &StatusError{Status: status}
 	}
+	if err := checkNames(resp.Header); err != nil {
+		return err
+	}
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody { // only chunks have a trailer
+		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp}
+	}
 	return nil
 }
 
-// Transport is an http.RoundTripper that returns the error of Check in place of an answer with a malformed head.
-type Transport struct{ Base *http.Transport }
-
-// RoundTrip implements http.RoundTripper.
-func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Base.RoundTrip(req)
-	if err != nil {
-		return nil, err
+// checkNames returns an error for a field whose name is malformed.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &FieldNameError{Name: name}
+		}
 	}
-	if err := Check(resp); err != nil {
-		_ = resp.Body.Close()
-		return nil, err
-	}
-	return resp, nil
+	return nil
 }
-
-// CloseIdleConnections closes the idle connections of the transport; http.Client calls it.
-func (t Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
