Clients of HTTP: what holds for all of them is set in one place

Nine clients set each that no encoding is asked for and how large a head may be, two packages defined that bound, and httpwire had a function that nobody called (IsReset). httpstrict.NewTransport sets both for the clients of the product, and internal/load uses it too.

--- a/client/client.go
+++ b/client/client.go
@@ -80,14 +80,12 @@
 		opts.MaxAttempts = DefaultMaxAttempts
 	}
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSClientConfig:        opts.TLS,
-		TLSHandshakeTimeout:    dialTimeout,
-		ExpectContinueTimeout:  continueTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig:       opts.TLS,
+		TLSHandshakeTimeout:   dialTimeout,
+		ExpectContinueTimeout: continueTimeout,
 	}
-	return &Client{opts: opts, http: &http.Client{Transport: httpstrict.Transport{Base: transport}, CheckRedirect: netdial.ReturnRedirect}}
+	return &Client{opts: opts, http: &http.Client{Transport: httpstrict.NewTransport(transport), CheckRedirect: netdial.ReturnRedirect}}
 }
 
 // url returns the URL of a path on a host.
--- a/internal/ctl/operators.go
+++ b/internal/ctl/operators.go
@@ -12,7 +12,6 @@
 
 	"carobshunt/api"
 	"carobshunt/internal/httpstrict"
-	"carobshunt/internal/netdial"
 	"carobshunt/internal/secure"
 
 	"github.com/juju/errors"
@@ -47,8 +46,8 @@
 	if config != nil {
 		scheme = "https"
 	}
-	transport := &http.Transport{TLSClientConfig: config, DisableCompression: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes}
-	client := &http.Client{Timeout: operatorTimeout, Transport: httpstrict.Transport{Base: transport}}
+	transport := &http.Transport{TLSClientConfig: config}
+	client := &http.Client{Timeout: operatorTimeout, Transport: httpstrict.NewTransport(transport)}
 	return &hostClient{scheme: scheme, key: key, http: client}, nil
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -105,12 +105,10 @@
 // that answers a request twice, the second answer would pass for that to the next request.
 func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	transport := &http.Transport{
-		DialContext:            dial,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+		DialContext:       dial,
+		DisableKeepAlives: true,
 	}
-	return &http.Client{Transport: httpstrict.Transport{Base: transport}, CheckRedirect: netdial.ReturnRedirect}
+	return &http.Client{Transport: httpstrict.NewTransport(transport), CheckRedirect: netdial.ReturnRedirect}
 }
 
 // Run executes one dispatch and reports its events. It returns after the dispatch has ended. If it ended as node.EndedLost at
--- a/internal/engines/deadline.go
+++ b/internal/engines/deadline.go
@@ -7,7 +7,6 @@
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/httpstrict"
-	"carobshunt/internal/netdial"
 
 	"github.com/juju/errors"
 )
@@ -42,9 +41,7 @@
 			}
 			return &deadlineConn{Conn: conn, now: c.control.Now, deadline: deadline}, nil
 		},
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+		DisableKeepAlives: true,
 	}
-	return &http.Client{Timeout: callTimeout, Transport: httpstrict.Transport{Base: transport}}
+	return &http.Client{Timeout: callTimeout, Transport: httpstrict.NewTransport(transport)}
 }
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -62,13 +62,11 @@
 // New returns a client that connects through the dialer and posts results to control.
 func New(control Control, dialer netdial.Dialer) *Client {
 	transport := &http.Transport{
-		DialContext:            dialer.WithTimeout(dialTimeout),
-		MaxIdleConnsPerHost:    4,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+		DialContext:         dialer.WithTimeout(dialTimeout),
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleTimeout,
 	}
-	client := &http.Client{Timeout: callTimeout, Transport: httpstrict.Transport{Base: transport}}
+	client := &http.Client{Timeout: callTimeout, Transport: httpstrict.NewTransport(transport)}
 	return &Client{control: control, dialer: dialer, http: client}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -22,13 +22,11 @@
 
 func newForwarder(dialer netdial.Dialer) *http.Client {
 	transport := &http.Transport{
-		DialContext:            dialer.WithTimeout(forwardDialTimeout),
-		ExpectContinueTimeout:  forwardContinueTimeout,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+		DialContext:           dialer.WithTimeout(forwardDialTimeout),
+		ExpectContinueTimeout: forwardContinueTimeout,
+		DisableKeepAlives:     true,
 	}
-	return &http.Client{Transport: httpstrict.Transport{Base: transport}, CheckRedirect: netdial.ReturnRedirect}
+	return &http.Client{Transport: httpstrict.NewTransport(transport), CheckRedirect: netdial.ReturnRedirect}
 }
 
 // forward proxies a request to its home. If that fails, or another server has the home's address, the home may have run
--- a/internal/httpstrict/httpstrict_test.go
+++ b/internal/httpstrict/httpstrict_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// getFrom sends a request through a Transport to a server that answers with a text and closes the connection, and returns the body.
+// getFrom sends a request by a transport of the package to a server that answers with a text and closes the connection. It returns the body.
 func getFrom(t *testing.T, answer string) (string, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -31,7 +31,7 @@
 		}
 		_ = conn.Close()
 	}()
-	client := &http.Client{Transport: httpstrict.Transport{Base: &http.Transport{DisableKeepAlives: true}}}
+	client := &http.Client{Transport: httpstrict.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	resp, err := client.Get("http://" + listener.Addr().String())
 	if err != nil {
 		return "", err
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"carobshunt/internal/httpstrict"
@@ -45,10 +44,7 @@
 	return c
 }
 
-// maxHeadBytes bounds the head of an answer, with those of the informational answers before it.
-const maxHeadBytes = 64 << 10
-
-// headLimit reads from a connection, and while a head is read no more than maxHeadBytes.
+// headLimit reads from a connection, and while a head is read no more than httpstrict.MaxHeadBytes.
 type headLimit struct {
 	inner  io.Reader
 	active bool
@@ -71,7 +67,7 @@
 // Receive reads the status line and headers of the answer to a request with the given method, and skips informational
 // answers (1xx). The body is read from the returned response.
 func (c *Conn) Receive(method string) (*http.Response, error) {
-	c.head.active, c.head.left = true, maxHeadBytes
+	c.head.active, c.head.left = true, httpstrict.MaxHeadBytes
 	defer func() { c.head.active = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -117,8 +113,3 @@
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit))
 	return err == nil && n < limit
 }
-
-// IsReset reports whether an error shows that the other side reset the connection.
-func IsReset(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
--- a/internal/httpwire/events.go
+++ b/internal/httpwire/events.go
@@ -29,7 +29,7 @@
 // ends with io.ErrUnexpectedEOF or the error of the connection.
 const ErrTruncatedEvent = errors.ConstError("the stream ended within an event")
 
-// ErrHeadTooLarge is returned for a head of an answer that is larger than maxHeadBytes.
+// ErrHeadTooLarge is returned for a head of an answer that is larger than httpstrict.MaxHeadBytes.
 const ErrHeadTooLarge = errors.ConstError("the head of the answer is too long")
 
 // ErrEventTooLarge is returned for an event larger than maxEventBytes.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -10,6 +10,7 @@
 
 	"carobshunt/api"
 	"carobshunt/client"
+	"carobshunt/internal/httpstrict"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/juju/errors"
@@ -76,7 +77,7 @@
 // samples see the same load on the machine.
 func MeasureOverhead(ctx context.Context, caller *client.Client, host, engine string, shape Shape, pairs int) (Overhead, error) {
 	direct, through := newHistogram(), newHistogram()
-	httpClient := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	httpClient := &http.Client{Transport: httpstrict.NewTransport(&http.Transport{})}
 	for i := range pairs {
 		firstToken, err := firstTokenDirect(ctx, httpClient, engine, shape, i)
 		if err != nil {
--- a/internal/published/platform.go
+++ b/internal/published/platform.go
@@ -69,9 +69,9 @@
 
 func newClient(dialer netdial.Dialer, timeout time.Duration) *http.Client {
 	transport := &http.Transport{
-		DialContext: dialer.WithTimeout(timeout), DisableCompression: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes,
+		DialContext: dialer.WithTimeout(timeout),
 	}
-	return &http.Client{Timeout: timeout, Transport: httpstrict.Transport{Base: transport}}
+	return &http.Client{Timeout: timeout, Transport: httpstrict.NewTransport(transport)}
 }
 
 // StatusError reports an answer of the platform that is neither 200 OK nor 304 Not Modified.
