--- a/internal/httpstrict/httpstrict_test.go
+++ b/internal/httpstrict/httpstrict_test.go
@@ -15,7 +15,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// getFrom sends a request by a transport of the package to a server that answers with a text and closes the connection. It returns the body.
+// getFrom sends a request by a transport of the package to a server that answers with a text and closes the connection. It returns the
+// body.
 func getFrom(t *testing.T, answer string) (string, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
