--- a/internal/httpstrict/httpstrict_test.go
+++ b/internal/httpstrict/httpstrict_test.go
@@ -1,9 +1,7 @@
 package httpstrict_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -15,25 +13,11 @@
 	"gotest.tools/v3/assert"
 )
 
-// getFrom sends a request by a transport of the package to a server that answers with a text and closes the connection. It returns the
-// body.
+// getFrom sends a request by a transport of the package to a server that answers with a text, and returns the body.
 func getFrom(t *testing.T, answer string) (string, error) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = io.WriteString(conn, answer)
-		}
-		_ = conn.Close()
-	}()
 	client := &http.Client{Transport: httpstrict.NewTransport(&http.Transport{DisableKeepAlives: true})}
-	resp, err := client.Get("http://" + listener.Addr().String())
+	resp, err := client.Get("http://" + testhead.Serve(t, answer))
 	if err != nil {
 		return "", err
 	}
--- a/internal/published/platform.go
+++ b/internal/published/platform.go
@@ -68,9 +68,7 @@
 }
 
 func newClient(dialer netdial.Dialer, timeout time.Duration) *http.Client {
-	transport := &http.Transport{
-		DialContext: dialer.WithTimeout(timeout),
-	}
+	transport := &http.Transport{DialContext: dialer.WithTimeout(timeout)}
 	return &http.Client{Timeout: timeout, Transport: httpstrict.NewTransport(transport)}
 }
 
--- a/internal/testhead/testhead.go
+++ b/internal/testhead/testhead.go
@@ -1,7 +1,16 @@
-// Package testhead provides heads of HTTP answers for the tests of those who read answers.
+// Package testhead provides heads of HTTP answers, and a server that gives them, for the tests of those who read answers.
 package testhead
 
-import "strings"
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
 
 // malformed are heads that belong to no answer, by what is wrong with them. FIELDS stands for further lines.
 var malformed = map[string]string{
@@ -71,3 +80,33 @@
 	}
 	return out
 }
+
+// Serve runs a server that answers the first request on each connection with a text and closes the connection in order, until the test
+// ends. It returns the server's address.
+func Serve(t *testing.T, text string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn, text)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// answer reads a request and writes a text.
+func answer(conn net.Conn, text string) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(conn, text)
+}
