Logs: a refusal names the configuration that it was decided by; configurations tell what their check took

Lines "refused" with unknown_route or "no team has this key" named neither the revision that the host decided by nor whether it knew of a newer one, so a 404 that is right and one that is late looked alike; and nothing told whether a late configuration had waited for the network, for the check of others or for its own. Now each refusal has revision, revision_age_ms and known_revision; "configuration in force" tells how long the document waited for the check of others and how long its own took; and a document that was checked in vain leaves a line, counted in state_changes_total.

--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -11,7 +11,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"strconv"
+	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/delta"
@@ -94,6 +96,20 @@
 	err  error
 }
 
+// CheckCost is what the check of a document took.
+type CheckCost struct {
+	// Waited is how long the document waited for the check of others to end, Took how long its own took.
+	Waited, Took time.Duration
+}
+
+// String returns the cost in milliseconds, for log lines.
+func (c CheckCost) String() string {
+	return fmt.Sprintf("waited %d ms, checked in %d ms", c.Waited.Milliseconds(), c.Took.Milliseconds())
+}
+
+// Revision returns the revision of a valid document.
+func (c *Checked) Revision() uint64 { return c.doc.Revision }
+
 // Err returns why the document is invalid; nil if it is valid.
 func (c *Checked) Err() error { return c.err }
 
--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -119,6 +119,17 @@
 	Key          core.Key
 	Result       core.Result
 	PromptTokens int64
+	// Config is the configuration that the request was refused by.
+	Config ConfigBasis
+}
+
+// ConfigBasis tells, for the log, by which configuration a request was decided, and whether the host knew that it was behind.
+type ConfigBasis struct {
+	// Revision is the one in force, for InForce; 0 before the first.
+	Revision uint64
+	InForce  time.Duration
+	// Known is the highest revision that this host knows to be in force on any host.
+	Known uint64
 }
 
 // Unanswered reports, for the log, a dispatch that ended in any way but EndedDone: why, and what becomes of its
@@ -210,6 +221,8 @@
 	// EventHostsRefused: a host list is invalid. It is reported once in a row for a sender and reason.
 	EventHostsRefused Event = "host list refused"
 	EventConflict     Event = "two configurations under one revision"
+	// EventDocumentUnused: a document was checked in vain, as it was not newer than the one in force by then.
+	EventDocumentUnused Event = "configuration checked in vain"
 	// EventUnknownRegions: the new document lists regions that contain no zone, as far as the settings say.
 	EventUnknownRegions Event = "regions without a zone"
 	// EventEntriesLeftOut: published entries of the new document can't be used.
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -147,6 +147,8 @@
 	Raw []byte
 	// Checked is the document as parsed and checked by the sender of the input; nil if it is to be checked when the input is processed.
 	Checked *conf.Checked
+	// Cost is what that took, for the log.
+	Cost conf.CheckCost
 	// Source is the peer address of the sender, or conf.SourcePlatform.
 	Source string
 }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -161,7 +161,8 @@
 		n.targets.UpdateCold(n.now)
 		n.setLimitRates()
 		n.rebuildDirectory()
-		n.do(StateChange{Event: EventRevision, Text: fmt.Sprintf("revision %d preset %s from %s", doc.Revision, doc.Active, in.Source)})
+		text := fmt.Sprintf("revision %d preset %s from %s, %v", doc.Revision, doc.Active, in.Source, in.Cost)
+		n.do(StateChange{Event: EventRevision, Text: text})
 		n.reportUnknownRegions()
 		if doc.LeftOut > 0 {
 			n.do(StateChange{Event: EventEntriesLeftOut, Text: fmt.Sprintf("%d entries, revision %d", doc.LeftOut, doc.Revision)})
@@ -175,6 +176,10 @@
 	case conf.Repeated:
 		n.observed.documentFetch.until = n.now + refusedFetchPause
 	case conf.Old:
+		if in.Checked != nil && in.Source != conf.SourcePlatform {
+			text := fmt.Sprintf("revision %d from %s, %v", in.Checked.Revision(), in.Source, in.Cost)
+			n.do(StateChange{Event: EventDocumentUnused, Text: text})
+		}
 	}
 	if after, _ := n.config.Conflicts(); after > conflicts {
 		n.do(StateChange{Event: EventConflict, Text: n.config.Version().String()})
--- a/internal/core/node/requests.go
+++ b/internal/core/node/requests.go
@@ -172,7 +172,7 @@
 
 func (n *Node) refuse(ticket Ticket, req *core.Request, result core.Result) {
 	n.countOutcome(result.Outcome)
-	n.do(Refused{Key: req.Key, Result: result, PromptTokens: req.PromptTokens})
+	n.do(Refused{Key: req.Key, Result: result, PromptTokens: req.PromptTokens, Config: n.configBasis()})
 	decision := n.refusal(result)
 	if result.Code == api.CodeNotServed {
 		decision.Alternatives = n.directory.referrals(req.Team)
@@ -180,6 +180,12 @@
 	n.do(Decide{Ticket: ticket, Decision: decision})
 }
 
+// configBasis returns what requests are decided by now.
+func (n *Node) configBasis() ConfigBasis {
+	revision := n.config.Revision()
+	return ConfigBasis{Revision: revision, InForce: n.now - n.config.Since(), Known: max(n.floor(), revision)}
+}
+
 func (n *Node) refusal(result core.Result) Decision {
 	return Decision{Kind: Refuse, Result: result, Alternatives: n.alternatives()}
 }
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -51,7 +51,8 @@
 func (l *requestLog) refused(a *node.Refused) {
 	l.log.Info("refused", "id", a.Key.ID, "team", document.ShownName(a.Key.Team),
 		"outcome", string(a.Result.Outcome), "code", string(a.Result.Code),
-		"why", a.Result.Message, "retry_after_ms", a.Result.RetryAfter.Milliseconds(), "prompt", a.PromptTokens)
+		"why", a.Result.Message, "retry_after_ms", a.Result.RetryAfter.Milliseconds(), "prompt", a.PromptTokens,
+		"revision", a.Config.Revision, "revision_age_ms", a.Config.InForce.Milliseconds(), "known_revision", a.Config.Known)
 }
 
 func (l *requestLog) unanswered(a *node.Unanswered) {
--- a/internal/daemon/requestlog_test.go
+++ b/internal/daemon/requestlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
@@ -28,3 +29,12 @@
 		assert.Assert(t, len(line) < 1000 && strings.Contains(line, "~"), "%d bytes", len(line))
 	}
 }
+
+// TestRefusalNamesTheConfigurationItWasDecidedBy guards against refusals of unknown routes of which nobody can tell whether they were
+// right, or came from a host that was late with a configuration.
+func TestRefusalNamesTheConfigurationItWasDecidedBy(t *testing.T) {
+	var out strings.Builder
+	l := &requestLog{log: hclog.New(&hclog.LoggerOptions{Output: &out, Level: hclog.Info})}
+	l.record(node.Refused{Config: node.ConfigBasis{Revision: 36, InForce: 630 * time.Millisecond, Known: 51}})
+	assert.Assert(t, strings.Contains(out.String(), "revision=36 revision_age_ms=630 known_revision=51"), out.String())
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -75,10 +75,13 @@
 }
 
 // check parses and checks a document, so that the control goroutine need not.
-func (p *Pool) check(raw []byte) *conf.Checked {
+func (p *Pool) check(raw []byte) (*conf.Checked, conf.CheckCost) {
+	received := time.Now()
 	p.checking.Lock()
 	defer p.checking.Unlock()
-	return conf.Check(p.documents, raw)
+	began := time.Now()
+	checked := conf.Check(p.documents, raw)
+	return checked, conf.CheckCost{Waited: began.Sub(received), Took: time.Since(began)}
 }
 
 // removeIfIdle removes a link that has nothing to send, and reports whether it did.
@@ -240,7 +243,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	l.pool.control.Post(node.DocumentReceived{Raw: text.Raw, Checked: l.pool.check(text.Raw), Source: l.address})
+	checked, cost := l.pool.check(text.Raw)
+	l.pool.control.Post(node.DocumentReceived{Raw: text.Raw, Checked: checked, Cost: cost, Source: l.address})
 	return nil
 }
 
