--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/node"
@@ -15,6 +16,10 @@
 	OnFinish func(node.Finish)
 	// OnChange, if set, is called for every state change that a process on this host reports.
 	OnChange func(node.StateChange)
+	// OnCheck, if set, is called when a process on this host begins to check a document that it has fetched.
+	OnCheck func(raw []byte)
+	// CheckTime is how long a process takes to check a document that it has fetched. It checks one at a time.
+	CheckTime time.Duration
 
 	world *World
 	opts  node.Options
@@ -30,6 +35,8 @@
 	waiting map[node.Ticket]func(node.Decision)
 	tickets node.Ticket
 	stopped bool
+	// checkedUntil is when the process will have checked all documents that it has fetched.
+	checkedUntil Time
 }
 
 // AddHost adds a host and starts it. Each start replaces the incarnation and the seed in the options.
@@ -55,6 +62,7 @@
 	h.stopped = false
 	h.inbox = nil
 	h.waiting = make(map[node.Ticket]func(node.Decision))
+	h.checkedUntil = 0
 	h.scheduleTick(h.starts)
 }
 
@@ -204,12 +212,12 @@
 	case node.SendLoads:
 		h.sendLoads(a)
 	case node.FetchDocument:
-		h.fetch(a.Peer, func(s *node.Snapshot) node.Input {
-			return node.DocumentReceived{Raw: s.RawDocument, Source: a.Peer}
+		h.fetch(a.Peer, func(s *node.Snapshot, post func(node.Input)) {
+			h.check(s.RawDocument, func() { post(node.DocumentReceived{Raw: s.RawDocument, Source: a.Peer}) })
 		})
 	case node.FetchHosts:
-		h.fetch(a.Peer, func(s *node.Snapshot) node.Input {
-			return node.HostsReceived{List: s.HostList, Source: a.Peer}
+		h.fetch(a.Peer, func(s *node.Snapshot, post func(node.Input)) {
+			post(node.HostsReceived{List: s.HostList, Source: a.Peer})
 		})
 	case node.Stop:
 		h.stopped = true
@@ -263,9 +271,19 @@
 	}
 }
 
-// fetch posts a part of a peer's state; the request and the answer each cross the network. A peer that is dead or paused, or
-// that has neither a document nor a host list yet, doesn't answer.
-func (h *Host) fetch(peer string, answer func(*node.Snapshot) node.Input) {
+// check calls done when the process has checked a document, after those that it fetched before.
+func (h *Host) check(raw []byte, done func()) {
+	begin := max(h.checkedUntil, h.world.now)
+	h.checkedUntil = begin + h.CheckTime
+	if h.OnCheck != nil {
+		h.world.At(begin, func() { h.OnCheck(raw) })
+	}
+	h.world.At(h.checkedUntil, done)
+}
+
+// fetch passes a peer's state to received, with the function that posts to the process that asked for it; the request and the
+// answer each cross the network. A peer that is dead or paused, or that has neither a document nor a host list yet, doesn't answer.
+func (h *Host) fetch(peer string, received func(s *node.Snapshot, post func(node.Input))) {
 	post := h.Poster()
 	h.world.deliver(h.opts.Peer, peer, func() {
 		other := h.world.hosts[peer]
@@ -276,7 +294,6 @@
 		if snapshot.Document == nil || snapshot.HostList == nil {
 			return
 		}
-		in := answer(snapshot)
-		h.world.deliver(peer, h.opts.Peer, func() { post(in) })
+		h.world.deliver(peer, h.opts.Peer, func() { received(snapshot, post) })
 	})
 }
