Documents: only the entries of a version that changed are decoded and checked

A host checked each of 1,000 routes against the schema in each version: the memo of strictjson.Reader covered one list, the teams, and checked only; it decoded and encoded the whole document all the same.

strictjson.Reader now knows all long lists of a text. The text is cut into entries without being decoded; what is identical to an entry of the last valid text keeps its value; the rest is checked, decoded, and compared with its canonical encoding. So a text that is canonical, as peers send it, is not encoded either. Any doubt (a fault, a field that stands twice, another encoding) falls back to the whole text, and the result is that of Parse: TestReaderAgreesWithParse now changes routes too, and compares the canonical text.

--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -116,10 +116,9 @@
 // Check parses and checks a document.
 func Check(reader *document.Reader, raw []byte) *Checked {
 	c := &Checked{digest: delta.NewText(raw).Digest}
-	c.doc, c.err = reader.Read(raw)
-	if c.err == nil {
-		c.text, c.err = delta.Encode(c.doc)
-	}
+	var text []byte
+	c.doc, text, c.err = reader.Read(raw)
+	c.text = delta.NewText(text)
 	return c
 }
 
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -88,17 +88,18 @@
 	}
 	type routeKey struct{ authority, prefix string }
 	seen := make(map[routeKey]bool, len(doc.Routes))
-	for i, r := range doc.Routes {
-		path := fmt.Sprintf("/routes/%d", i)
+	for i := range doc.Routes {
+		r := &doc.Routes[i]
 		key := routeKey{authority: r.Authority, prefix: r.Prefix}
 		if seen[key] {
-			faults = append(faults, strictjson.Fault{Path: path + "/prefix", Reason: "stands twice for this authority"})
+			path := fmt.Sprintf("/routes/%d/prefix", i)
+			faults = append(faults, strictjson.Fault{Path: path, Reason: "stands twice for this authority"})
 		}
 		seen[key] = true
 		for j, s := range r.Services {
 			if !services[s.Name] && !r.Unusable {
 				reason := fmt.Sprintf("no service is named %q", s.Name)
-				faults = append(faults, strictjson.Fault{Path: fmt.Sprintf("%s/services/%d/name", path, j), Reason: reason})
+				faults = append(faults, strictjson.Fault{Path: fmt.Sprintf("/routes/%d/services/%d/name", i, j), Reason: reason})
 			}
 		}
 	}
--- a/internal/document/reader.go
+++ b/internal/document/reader.go
@@ -6,21 +6,23 @@
 	"github.com/juju/errors"
 )
 
-// Reader decodes successive documents with the same result as Parse, but of a valid document's teams it checks only the
-// first and those that have changed since the last valid one against the schema. It is not safe for concurrent use.
-type Reader struct{ reader *strictjson.Reader }
+// Reader decodes successive documents with the same result as Parse, but of the teams, placements, routes and services it decodes and
+// checks only the first of each and those that have changed since the last valid document. It is not safe for concurrent use.
+type Reader struct{ reader *strictjson.Reader[Document] }
 
 // NewReader returns a reader for the first document, which it will check in full.
-func NewReader() *Reader { return &Reader{reader: strictjson.NewReader(schema(), "teams")} }
+func NewReader() *Reader {
+	return &Reader{reader: strictjson.NewReader(schema(), semanticFaults,
+		strictjson.NewList("teams", func(d *Document) *[]Team { return &d.Teams }),
+		strictjson.NewList("placements", func(d *Document) *[]Placement { return &d.Placements }),
+		strictjson.NewList("routes", func(d *Document) *[]Route { return &d.Routes }),
+		strictjson.NewList("services", func(d *Document) *[]Service { return &d.Services }),
+	)}
+}
 
-// Read returns the document, or the error that Parse returns for it.
-func (r *Reader) Read(data []byte) (*Document, error) {
-	value, err := r.reader.Decode(data, func() (any, func() []strictjson.Fault) {
-		doc := &Document{}
-		return doc, func() []strictjson.Fault { return semanticFaults(doc) }
-	})
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return value.(*Document), nil
+// Read returns the document with its canonical text, or the error that Parse returns for it. The document shares memory with earlier
+// ones, and the reader keeps the text, so neither may be changed.
+func (r *Reader) Read(data []byte) (*Document, []byte, error) {
+	doc, text, err := r.reader.Decode(data)
+	return doc, text, errors.Trace(err)
 }
--- a/internal/document/reader_test.go
+++ b/internal/document/reader_test.go
@@ -22,7 +22,12 @@
 	doc := Document{Revision: 1, Active: "ordinary", Presets: map[string]Preset{"ordinary": preset}}
 	for i := range teams {
 		doc.Teams = append(doc.Teams, Team{Name: fmt.Sprintf("team-%d", i), Weight: 1, TokensPerSecond: 1000})
+		doc.Routes = append(doc.Routes, Route{
+			Name: fmt.Sprintf("route-%d", i), Authority: "a.example", Prefix: fmt.Sprintf("/%d/", i), Kind: KindIdempotent, Public: true,
+			MaxExecutions: 1, TimeoutMs: 5_000, FirstTokenTargetMs: 300, Services: []WeightedService{{Name: "desk", Weight: 1}},
+		})
 	}
+	doc.Services = []Service{{Name: "desk", MaxConnections: 1}}
 	raw, err := json.Marshal(doc)
 	assert.NilError(t, err)
 	return string(raw)
@@ -37,7 +42,9 @@
 		{`"teams"`, `"Teams"`}, {`"revision":1`, `"revision":2`}, {`"revision":1`, `"revision":-1`}, {`"active":"ordinary"`, `"active":"peak"`},
 		{`"short_prompt_tokens":4000`, `"short_prompt_tokens":400000`}, {`"retry_percent":0`, `"retry_percent":101`},
 		{`"retry_percent":0,`, ``}, {`{"name"`, `{"color":1,"name"`}, {`"tokens_per_second":1000`, `"tokens_per_second":2000`},
-		{`}`, ``}, {`:`, ` : `}, {`"revision":1`, `"revision":1,"teams":[]`},
+		{`}`, ``}, {`:`, ` : `}, {`"revision":1`, `"revision":1,"teams":[]`}, {`},{`, `}, {`}, {`"routes":[`, `"routes":null,"x":[`},
+		{`"name":"route-1"`, `"name":"\u0072oute-1"`}, {`"timeout_ms":5000`, `"timeout_ms":5001`}, {`"prefix":"/1/"`, `"prefix":"/0/"`},
+		{`"name":"desk","weight"`, `"name":"none","weight"`}, {`"public":true,`, ``}, {`"name":"route-2"`, `"name":"<&>"`},
 	}
 	valid := validText(t, 5)
 	for seed := range uint64(500) {
@@ -50,13 +57,16 @@
 				text = replaceOne(rng, text, edit[0], edit[1])
 			}
 			want, wantErr := Parse([]byte(text))
-			got, gotErr := reader.Read([]byte(text))
+			got, canonical, gotErr := reader.Read([]byte(text))
 			assert.Equal(t, wantErr == nil, gotErr == nil, "seed %d: %s", seed, text)
 			if wantErr != nil {
 				assert.DeepEqual(t, paths(t, gotErr), paths(t, wantErr))
 				continue
 			}
 			assert.DeepEqual(t, got, want)
+			encoded, err := json.Marshal(want)
+			assert.NilError(t, err)
+			assert.Equal(t, string(canonical), string(encoded), "seed %d: %s", seed, text)
 		}
 	}
 }
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -95,13 +95,17 @@
 // addressFaults returns the faults of addresses, whose form the schema does not check.
 func addressFaults(list *List) []strictjson.Fault {
 	var faults []strictjson.Fault
-	check := func(path, address string) {
-		faults = append(faults, strictjson.AddressFaults(path, address)...)
+	check := func(i int, field, address string) {
+		if strictjson.IsAddress(address) {
+			return
+		}
+		faults = append(faults, strictjson.AddressFaults(hostPath(i, field), address)...)
 	}
-	for i, h := range list.Hosts {
-		check(hostPath(i, "address"), h.Address)
+	for i := range list.Hosts {
+		h := &list.Hosts[i]
+		check(i, "address", h.Address)
 		if h.Role == RoleEntry {
-			check(hostPath(i, "peer"), h.Peer)
+			check(i, "peer", h.Peer)
 		}
 	}
 	return faults
--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -15,16 +15,36 @@
 
 // Fields returns the fields of an object, the last one of each name. They share the memory of the text.
 func Fields(text []byte) (map[string]json.RawMessage, error) {
-	out := make(map[string]json.RawMessage)
+	members, err := Members(text)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]json.RawMessage, len(members))
+	for _, m := range members {
+		out[m.Name] = m.Value
+	}
+	return out, nil
+}
+
+// Member is a field of an object.
+type Member struct {
+	Name  string
+	Value json.RawMessage
+}
+
+// Members returns the fields of an object in their order, also those whose name stands twice. They share the memory of the text.
+func Members(text []byte) ([]Member, error) {
+	var out []Member
 	err := each(text, '{', '}', func(s *scanner) error {
-		var name string
-		if err := json.Unmarshal(s.value(), &name); err != nil {
+		var m Member
+		if err := json.Unmarshal(s.value(), &m.Name); err != nil {
 			return errors.Trace(err)
 		}
 		if !s.take(':') {
 			return ErrSyntax
 		}
-		out[name] = s.value()
+		m.Value = s.value()
+		out = append(out, m)
 		return nil
 	})
 	if err != nil {
@@ -76,7 +96,11 @@
 // scanner reads a text from its begin; rest is what it has not read yet.
 type scanner struct{ rest []byte }
 
-func (s *scanner) skipSpace() { s.rest = bytes.TrimLeft(s.rest, " \t\r\n") }
+func (s *scanner) skipSpace() {
+	for len(s.rest) > 0 && (s.rest[0] == ' ' || s.rest[0] == '\t' || s.rest[0] == '\r' || s.rest[0] == '\n') {
+		s.rest = s.rest[1:]
+	}
+}
 
 // take skips white space and then a byte, and reports whether it was there.
 func (s *scanner) take(b byte) bool {
@@ -112,17 +136,25 @@
 }
 
 func stringLength(text []byte) int {
-	for i := 1; i < len(text); i++ {
-		switch text[i] {
-		case '\\':
-			i++
-		case '"':
-			return i + 1
+	for i := 1; i < len(text); {
+		n := bytes.IndexByte(text[i:], '"')
+		if n < 0 {
+			return 0
+		}
+		i += n + 1
+		if !endsEscaped(text[:i-1]) {
+			return i
 		}
 	}
 	return 0
 }
 
+// endsEscaped reports whether a string's text ends with an odd number of backslashes, so that the next byte is escaped.
+func endsEscaped(text []byte) bool {
+	n := len(text) - len(bytes.TrimRight(text, `\`))
+	return n%2 == 1
+}
+
 func nestedLength(text []byte) int {
 	depth := 0
 	for i := 0; i < len(text); i++ {
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -70,12 +70,18 @@
 // AddressFaults returns a fault at path if address is not an IP address and port, the only form in which hosts are
 // addressed.
 func AddressFaults(path, address string) []Fault {
-	if _, err := netip.ParseAddrPort(address); err != nil {
+	if !IsAddress(address) {
 		return []Fault{{Path: path, Reason: "must be an IP address and port"}}
 	}
 	return nil
 }
 
+// IsAddress reports whether a text is an IP address and port.
+func IsAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
 // Schema is the JSON schema of a Go type.
 type Schema struct {
 	text     []byte
