Peers: heartbeats don't wait for the answer to a fetch

A peer that is taken for lost gets no forwarded work, its load is forgotten, and others take its duties.

A fetch now runs on a goroutine of its own, one of each kind for a link.

TestFetchHoldsUpNoHeartbeats failed before: the heartbeat came when the fetch had timed out.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carobshunt/internal/core/conf"
@@ -123,6 +124,9 @@
 	mu      sync.Mutex
 	pending outgoing
 	wake    chan struct{}
+
+	// fetchingDocument and fetchingHosts are set while such a fetch runs.
+	fetchingDocument, fetchingHosts atomic.Bool
 }
 
 func (l *link) enqueue(o outgoing) {
@@ -188,16 +192,29 @@
 		}
 	}
 	if o.fetchDocument {
-		if err := l.fetchDocument(ctx, l.conn); err != nil {
-			return errors.Trace(err)
-		}
+		l.fetchBeside(ctx, &l.fetchingDocument, l.fetchDocument)
 	}
 	if o.fetchHosts {
-		return errors.Trace(l.fetchHosts(ctx, l.conn))
+		l.fetchBeside(ctx, &l.fetchingHosts, l.fetchHosts)
 	}
 	return nil
 }
 
+// fetchBeside runs a fetch on a goroutine of its own, so that heartbeats don't wait for its answer. While the fetch before still runs, it
+// does nothing. A fetch that fails closes its connection.
+func (l *link) fetchBeside(ctx context.Context, running *atomic.Bool, fetch func(context.Context, *jsonrpc2.Conn) error) {
+	if !running.CompareAndSwap(false, true) {
+		return
+	}
+	conn := l.conn
+	go func() {
+		defer running.Store(false)
+		if err := fetch(ctx, conn); err != nil {
+			_ = conn.Close()
+		}
+	}()
+}
+
 func (l *link) connect(ctx context.Context) error {
 	if l.conn != nil {
 		select {
