--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -56,7 +56,7 @@
 	ingress := platform.NewIngress(d.loop, dialer, x.answers, d.log)
 	x.requests = ingress
 	x.engines = &storeEngines{orders: platform.NewOrders(d.loop, dialer), health: platform.NewHealth(d.loop, dialer), log: d.log}
-	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer, d.currentPreset, d.log)
+	reader := platform.NewReader(d.settings.Platform.Address, d.loop, dialer, d.currentPreset, x.documents, d.log)
 	lookup := platform.NewLookup(d.loop, d.log)
 	for _, one := range []struct {
 		listener net.Listener
