Peers: a large result of a fetch is encoded once and compressed

The encoded result is kept for the next hosts that ask from the same base, and one of 4 KB or more is compressed (DEFLATE, as the requesting host says that it reads it; hosts of older versions get and send it plain).

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,20 +27,6 @@
 	methodHosts     = "hosts"
 )
 
-// FetchParams are the parameters of the "document" and "hosts" methods: the digest of the text that the requesting host
-// has, 0 for none.
-type FetchParams struct {
-	Digest uint64 `json:"digest"`
-}
-
-// FetchResult is the result of these methods: the deltas from the requesting host's text to the newest one, or the
-// whole newest text.
-type FetchResult struct {
-	Digest uint64          `json:"digest"`
-	Deltas []delta.Delta   `json:"deltas,omitempty"`
-	Raw    json.RawMessage `json:"raw,omitempty"`
-}
-
 // ErrNothingPublished is the message of the JSON-RPC error that a peer without such a text returns.
 const ErrNothingPublished = errors.ConstError("the peer has no such text")
 
@@ -61,6 +47,8 @@
 type Server struct {
 	control Control
 	memory  *membudget.Budget
+	// documents and hostLists hold results of fetches.
+	documents, hostLists resultCache
 }
 
 // NewServer returns a server that posts to the control loop and answers from its snapshot. The messages that it reads take at most
@@ -99,28 +87,24 @@
 	case methodHeartbeat:
 		return nil, s.heartbeat(req)
 	case methodDocument:
-		return answerFetch(req, s.control.Snapshot().Documents)
+		return s.answerFetch(req, s.control.Snapshot().Documents, &s.documents)
 	case methodHosts:
-		return answerFetch(req, s.control.Snapshot().HostLists)
+		return s.answerFetch(req, s.control.Snapshot().HostLists, &s.hostLists)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 }
 
-// answerFetch returns the deltas from the requesting host's text if the history has all of them, otherwise the whole
-// newest text.
-func answerFetch(req *jsonrpc2.Request, history *delta.History) (*FetchResult, error) {
+// answerFetch returns the encoded result of a fetch.
+func (s *Server) answerFetch(req *jsonrpc2.Request, history *delta.History, cache *resultCache) (any, error) {
 	var params FetchParams
 	if req.Params == nil || json.Unmarshal(*req.Params, &params) != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "not a digest"}
 	}
-	newest := history.Newest()
-	if newest.Digest == 0 {
+	if history.Newest().Digest == 0 {
 		return nil, &jsonrpc2.Error{Code: codeNothingPublished, Message: ErrNothingPublished.Error()}
 	}
-	if deltas, ok := history.Since(params.Digest); ok {
-		return &FetchResult{Digest: newest.Digest, Deltas: deltas}, nil
-	}
-	return &FetchResult{Digest: newest.Digest, Raw: newest.Raw}, nil
+	raw, err := cache.get(params, history)
+	return raw, errors.Trace(err)
 }
 
 // codeNothingPublished is the JSON-RPC error code of a peer that has no text yet.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -271,8 +271,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	base := history.Newest()
-	var got FetchResult
-	if err := conn.Call(ctx, method, FetchParams{Digest: base.Digest}, &got); err != nil {
+	got, err := call(ctx, conn, method, base.Digest)
+	if err != nil {
 		return delta.Text{}, errors.Trace(err)
 	}
 	if len(got.Raw) > 0 {
@@ -281,13 +281,22 @@
 	if text, err := delta.ApplyAll(base, got.Deltas); err == nil && text.Digest == got.Digest {
 		return text, nil
 	}
-	got = FetchResult{}
-	if err := conn.Call(ctx, method, FetchParams{}, &got); err != nil {
+	if got, err = call(ctx, conn, method, 0); err != nil {
 		return delta.Text{}, errors.Trace(err)
 	}
 	return delta.NewText(got.Raw), nil
 }
 
+// call calls a method that returns a FetchResult.
+func call(ctx context.Context, conn *jsonrpc2.Conn, method string, base uint64) (*FetchResult, error) {
+	got := &FetchResult{}
+	if err := conn.Call(ctx, method, FetchParams{Digest: base, Deflate: true}, got); err != nil {
+		return nil, errors.Trace(err)
+	}
+	got, err := got.inflate()
+	return got, errors.Trace(err)
+}
+
 // deadlineConn sets a deadline for each write, so that a suspended peer does not block the sender.
 type deadlineConn struct{ net.Conn }
 
