Routed requests: a host that knows that it is behind gives no final refusal

Such a request gets 503 now, with code revision_behind and a Retry-After, which is true: it has not run and won't. Only for 5 s without progress, and not for a version that the host has refused, so that a request that no version allows gets its 404. Holding the request was weighed and not chosen: it takes memory on the host that has least to spare.

TestHostThatIsBehindGivesNoFinalRefusal failed before: unknown_route with a newer version known.

--- a/internal/core/node/routed.go
+++ b/internal/core/node/routed.go
@@ -26,12 +26,12 @@
 	}
 	route := n.table.Match(req.Routed.Authority, req.Routed.Path)
 	if route == nil {
-		return core.Result{Outcome: api.OutcomeNotRun, Code: api.CodeUnknownRoute, Message: "no such route"}, true
+		return n.notAllowed(api.CodeUnknownRoute, "no such route"), true
 	}
 	if n.table.Keyed() && !route.Public {
 		team, ok := n.table.Team(req.Routed.KeyDigest)
 		if !ok {
-			return core.Result{Outcome: api.OutcomeNotRun, Code: api.CodeUnknownKey, Message: "no team has this key"}, true
+			return n.notAllowed(api.CodeUnknownKey, "no team has this key"), true
 		}
 		req.Team = team
 	}
@@ -46,6 +46,21 @@
 	return core.Result{}, false
 }
 
+// maxBehind is how long this host may be behind, without progress, and still tell callers to come back.
+const maxBehind = 5 * time.Second
+
+// notAllowed returns the refusal of a request that the document in force does not allow. It is final, unless this host knows that a newer
+// document is in force elsewhere, which may allow it.
+func (n *Node) notAllowed(code api.Code, why string) core.Result {
+	if !n.observed.documentFetch.Behind(n.now, n.config.Version(), maxBehind) {
+		return core.Result{Outcome: api.OutcomeNotRun, Code: code, Message: why}
+	}
+	return core.Result{
+		Outcome: api.OutcomeNotRun, Code: api.CodeRevisionBehind, Message: why + " yet on this host, whose configuration is behind",
+		RetryAfter: n.retryAfter(overloadRetryAfter),
+	}
+}
+
 // fillRoute copies the settings of a route into a request.
 func (n *Node) fillRoute(req *core.Request, route *document.Route) {
 	routed := *req.Routed
