Duties: hosts with many cores read the platform and fetch across zones first

Hosts with at least half of the most cores known go first now, by hash; then the others, by hash. Hosts agree on it, as each tells its capacity in heartbeats. Without capacities nothing changes.

TestHostsWithFewCoresReadOnlyIfNoOtherDoes failed before (a host with 0.8 cores among 40 with 0.1 did not read).

--- a/internal/core/node/fetches.go
+++ b/internal/core/node/fetches.go
@@ -8,7 +8,6 @@
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/fetch"
 	"carobshunt/internal/core/member"
-	"carobshunt/internal/core/rendezvous"
 )
 
 // New documents and host lists spread from the hosts that read them from the platform. In a large fleet whose host list
@@ -22,7 +21,7 @@
 	zoneFetchers = 2
 	// maxDirectFetchPeers is the number of peers up to which each host fetches from any other at once.
 	maxDirectFetchPeers = 8
-	// dutyFetch is the key of the rendezvous hash that chooses the zoneFetchers.
+	// dutyFetch is the duty of the zoneFetchers.
 	dutyFetch = "fetch"
 )
 
@@ -124,7 +123,7 @@
 			hosts = append(hosts, address)
 		}
 	}
-	ranked := rendezvous.Rank(dutyFetch, hosts)
+	ranked := n.rankForDuty(dutyFetch, hosts)
 	return ranked[:min(len(ranked), zoneFetchers)]
 }
 
--- a/internal/core/node/freshness.go
+++ b/internal/core/node/freshness.go
@@ -7,11 +7,10 @@
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
-	"carobshunt/internal/core/rendezvous"
 )
 
 // This file decides which hosts watch the platform if the host list names no entry hosts. Hosts report to each other how
-// long ago the platform answered them, and the first fleetReaders hosts by rendezvous hash read. A host leaves out of this
+// long ago the platform answered them, and the first fleetReaders hosts by rankForDuty read. A host leaves out of this
 // order those that it can't reach, that have not reported an answer within maxReaderAge, or whose newer versions it failed
 // to fetch. So hosts that are cut off from the readers, or whose readers are, read by themselves, whatever the zone.
 
@@ -20,7 +19,7 @@
 	maxReaderAge = 1100 * time.Millisecond
 	// fleetReaders is how many hosts watch the platform.
 	fleetReaders = 3
-	// dutyRead is the key of the rendezvous hash that ranks the readers.
+	// dutyRead is the duty to read.
 	dutyRead = "read"
 )
 
@@ -81,7 +80,7 @@
 			candidates = append(candidates, address)
 		}
 	}
-	return rendezvous.Position(dutyRead, n.opts.Peer, candidates) < fleetReaders
+	return n.positionForDuty(dutyRead, candidates) < fleetReaders
 }
 
 // readsFor reports whether a peer can read the platform for this host: it is alive, the platform answers it, and this host
--- a/internal/core/node/readers.go
+++ b/internal/core/node/readers.go
@@ -5,7 +5,6 @@
 
 	"carobshunt/internal/core"
 	"carobshunt/internal/core/member"
-	"carobshunt/internal/core/rendezvous"
 )
 
 // Only some hosts of each availability zone watch the platform, the first ones by rendezvous hash. The others learn of
@@ -96,7 +95,7 @@
 // readRetryPause returns the mean pause after a failed read of the platform.
 func (n *Node) readRetryPause() time.Duration {
 	live := n.liveHosts()
-	if rank := rendezvous.Position(dutyRead, n.opts.Peer, live); rank < fleetReaders {
+	if rank := n.positionForDuty(dutyRead, live); rank < fleetReaders {
 		return retryPause
 	}
 	return retryPause * time.Duration(max(len(live), retryHosts)) / retryHosts
