Readers: hosts of a zone take over in turn from readers that are gone

A host reads if it knows of fewer than three hosts before it that the store has answered within 1.1 s, and counts itself alone when all readers look silent. All hosts learn how old the answers are from the same digests, so all came to that at one moment, whether the readers were lost or 10 ms late; and each then read, translated and checked the whole configuration.

Four hosts of each zone now take over at once, by their rank, four more each 200 ms later, all after 0.8 s at most. The first ones' answers reach the others within a digest. The same holds if fetches fail.

TestHostsTakeOverFromReadersInTurn failed before: the last host of a zone of 31 began to read with the first.

--- a/internal/core/node/duties_test.go
+++ b/internal/core/node/duties_test.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/core/rendezvous"
 
 	"gotest.tools/v3/assert"
 )
@@ -51,3 +52,28 @@
 		assert.Equal(t, r.reads(), c.reads, "%v cores", c.own)
 	}
 }
+
+// TestHostsTakeOverFromReadersInTurn guards against a whole fleet that begins to read the platform within one tick, as all hosts learn at
+// the same moment that the last answers to the readers are too old.
+func TestHostsTakeOverFromReadersInTurn(t *testing.T) {
+	const self, zonePeers = "10.0.0.1:2", 30
+	for _, precede := range []bool{false, true} {
+		r := &readers{routedHost: newRoutedHost(t)}
+		for _, peer := range readerPeers {
+			r.heartbeat(peer, "b")
+		}
+		for i, added := 0, 0; added < zonePeers; i++ {
+			peer := fmt.Sprintf("10.1.%d.%d:2", i/250, i%250)
+			if (rendezvous.Position("read", self, []string{self, peer}) == 1) == precede {
+				r.heartbeat(peer, "a")
+				added++
+			}
+		}
+		r.report(100*time.Millisecond, 1)
+		assert.Assert(t, !r.reads())
+		r.run(1050 * time.Millisecond)
+		assert.Equal(t, r.reads(), !precede, "the first hosts of the zone take over at once")
+		r.run(800 * time.Millisecond)
+		assert.Assert(t, r.reads(), "none of them was answered")
+	}
+}
--- a/internal/core/node/fetches.go
+++ b/internal/core/node/fetches.go
@@ -15,8 +15,8 @@
 // of their own zone. So no host serves the whole fleet, and a text crosses into a zone only a few times.
 
 const (
-	// fetchFailureTicks is the number of ticks without an answer to a fetch after which this host doesn't rely on its peers.
-	fetchFailureTicks = int(500 * time.Millisecond / TickInterval)
+	// fetchFailureTime is the time without an answer to a fetch after which this host doesn't rely on its peers, counted in ticks.
+	fetchFailureTime = 500 * time.Millisecond
 	// zoneFetchers is the number of hosts of each zone that fetch from other zones at once.
 	zoneFetchers = 2
 	// maxDirectFetchPeers is the number of peers up to which each host fetches from any other at once.
@@ -87,11 +87,12 @@
 	}
 }
 
-// fetchFails reports whether this host can't expect to get from its peers the newer versions that one of them has.
-func (n *Node) fetchFails(config, hosts conf.Version) bool {
+// fetchFails reports whether this host can't expect to get from its peers the newer versions that one of them has, and couldn't delay ago.
+func (n *Node) fetchFails(config, hosts conf.Version, delay time.Duration) bool {
 	haveConfig, haveHosts := n.config.Version(), n.hostsVersion()
-	return config.NewerThan(haveConfig) && n.observed.documentFetch.Failing(haveConfig, fetchFailureTicks) ||
-		hosts.NewerThan(haveHosts) && n.observed.hostsFetch.Failing(haveHosts, fetchFailureTicks)
+	ticks := int((fetchFailureTime + delay) / TickInterval)
+	return config.NewerThan(haveConfig) && n.observed.documentFetch.Failing(haveConfig, ticks) ||
+		hosts.NewerThan(haveHosts) && n.observed.hostsFetch.Failing(haveHosts, ticks)
 }
 
 // fetchesAtOnce reports whether this host fetches from a peer without waiting for the hosts of its own zone.
--- a/internal/core/node/freshness.go
+++ b/internal/core/node/freshness.go
@@ -19,6 +19,11 @@
 	maxReaderAge = 1100 * time.Millisecond
 	// fleetReaders is how many hosts watch the platform.
 	fleetReaders = 3
+	// takeoverHosts hosts of each zone read at once when readers are gone, and as many more each takeoverInterval later, up to
+	// maxTakeoverDelay: the first ones tell the others that the platform answers them.
+	takeoverHosts    = 4
+	takeoverInterval = 200 * time.Millisecond
+	maxTakeoverDelay = 800 * time.Millisecond
 	// dutyRead is the duty to read.
 	dutyRead = "read"
 )
@@ -74,25 +79,47 @@
 	if !n.ready {
 		return true
 	}
+	if n.readersKnown(0) {
+		return false
+	}
+	delay := n.takeoverDelay()
+	return delay == 0 || !n.readersKnown(delay)
+}
+
+// readersKnown reports whether fleetReaders peers that precede this host in the order of readers have read for it until at least delay ago.
+func (n *Node) readersKnown(delay time.Duration) bool {
 	candidates := []string{n.opts.Peer}
 	for _, address := range n.peers.Addresses() {
-		if n.readsFor(address) {
+		if n.readsFor(address, delay) {
 			candidates = append(candidates, address)
 		}
 	}
-	return n.positionForDuty(dutyRead, candidates) < fleetReaders
+	return n.positionForDuty(dutyRead, candidates) >= fleetReaders
+}
+
+// takeoverDelay returns how long this host leaves it to others of its zone to read in place of readers that are gone. Otherwise all hosts
+// would read at once, as they all learn from the same digests how old the readers' last answers are.
+func (n *Node) takeoverDelay() time.Duration {
+	var zone []string
+	for _, address := range n.liveHosts() {
+		if address == n.opts.Peer || n.zoneOf(address) == n.opts.Zone {
+			zone = append(zone, address)
+		}
+	}
+	steps := n.positionForDuty(dutyRead, zone) / takeoverHosts
+	return min(time.Duration(steps)*takeoverInterval, maxTakeoverDelay)
 }
 
-// readsFor reports whether a peer can read the platform for this host: it is alive, the platform answers it, and this host
-// has its versions or can expect to get them. Being late with them is no reason to read: a host that is short of processor time would
-// only become later.
-func (n *Node) readsFor(peer string) bool {
+// readsFor reports whether a peer can read the platform for this host, or could until delay ago: it is alive, the platform answers it,
+// and this host has its versions or can expect to get them. Being late with them is no reason to read: a host that is short of
+// processor time would only become later.
+func (n *Node) readsFor(peer string, delay time.Duration) bool {
 	fresh, ok := n.observed.platform.peers[peer]
-	if !ok || n.now-fresh.answered >= maxReaderAge {
+	if !ok || n.now-fresh.answered >= maxReaderAge+delay {
 		return false
 	}
 	if !n.peers.Get(peer).Alive(n.now) {
 		return false
 	}
-	return !n.fetchFails(fresh.config, fresh.hosts)
+	return !n.fetchFails(fresh.config, fresh.hosts, delay)
 }
