Deltas: the pieces of a text are cut once, and only what differs is looked up

Hosts that fetch cut their text again for each delta.

A text keeps its pieces; that of a checked document is cut by the checker. Make compares from both ends and looks only for what stands between. The pieces are those of before, so hosts of older versions read the same deltas.

--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -118,7 +118,7 @@
 	c := &Checked{digest: delta.NewText(raw).Digest}
 	var text []byte
 	c.doc, text, c.err = reader.Read(raw)
-	c.text = delta.NewText(text)
+	c.text = delta.NewText(text).Split()
 	return c
 }
 
--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -4,6 +4,7 @@
 package delta
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,11 +23,21 @@
 	Raw []byte
 	// Digest is the 64-bit xxHash of Raw; 0 for no text.
 	Digest uint64
+	// pieces is Raw cut into pieces; nil if that was not done yet.
+	pieces [][]byte
 }
 
 // NewText returns the text with its digest.
 func NewText(raw []byte) Text { return Text{Raw: raw, Digest: xxhash.Sum64(raw)} }
 
+// Split returns the text with its pieces, so that Make and Apply need not look for them.
+func (t Text) Split() Text {
+	if t.pieces == nil {
+		t.pieces = split(t.Raw)
+	}
+	return t
+}
+
 // Encode returns the canonical text of a value.
 func Encode(value any) (Text, error) {
 	raw, err := json.Marshal(value)
@@ -62,42 +73,66 @@
 // editOverheadBytes is the approximate size of an edit on the wire without its insertion, in bytes.
 const editOverheadBytes = 24
 
-// Make returns the delta that turns from into to.
+// Make returns the delta that turns from into to. It is fast if these differ in few pieces that stand close to each other.
 func Make(from, to Text) Delta {
-	old := split(from.Raw)
+	old, pieces := from.Split().pieces, to.Split().pieces
+	d := Delta{Old: from.Digest, New: to.Digest}
+	begin, end := commonEnds(old, pieces)
+	d.copy(0, begin)
+	d.addChanged(old[begin:len(old)-end], pieces[begin:len(pieces)-end], begin)
+	d.copy(len(old)-end, end)
+	return d
+}
+
+// commonEnds returns the numbers of pieces that two texts have in common at their begin and, beside these, at their end.
+func commonEnds(a, b [][]byte) (begin, end int) {
+	shorter := min(len(a), len(b))
+	for begin < shorter && bytes.Equal(a[begin], b[begin]) {
+		begin++
+	}
+	for end < shorter-begin && bytes.Equal(a[len(a)-1-end], b[len(b)-1-end]) {
+		end++
+	}
+	return begin, end
+}
+
+// addChanged adds the edits for pieces that take the place of others, the first of which is piece first of the old text.
+func (d *Delta) addChanged(old, pieces [][]byte, first int) {
 	index := make(map[string]int, len(old))
 	for i, piece := range old {
 		index[string(piece)] = i
 	}
-	d := Delta{Old: from.Digest, New: to.Digest}
-	next, end, inserted := 0, 0, 0
-	for _, piece := range split(to.Raw) {
-		start := end
-		end += len(piece)
-		same := next < len(old) && string(old[next]) == string(piece)
+	next := 0
+	var inserted []byte
+	for _, piece := range pieces {
+		same := next < len(old) && bytes.Equal(old[next], piece)
 		if i, ok := index[string(piece)]; ok && !same {
 			next, same = i, true
 		}
 		if same {
-			d.insert(to.Raw[inserted:start])
-			inserted = end
-			d.copy(next)
+			d.insert(inserted)
+			inserted = inserted[:0]
+			d.copy(first+next, 1)
+		} else {
+			inserted = append(inserted, piece...)
 		}
 		next++
 	}
-	d.insert(to.Raw[inserted:])
-	return d
+	d.insert(inserted)
 }
 
-// copy adds an edit that copies one piece, or extends the last edit if the piece follows it.
-func (d *Delta) copy(piece int) {
+// copy adds an edit that copies pieces, or extends the last edit if they follow it.
+func (d *Delta) copy(from, count int) {
+	if count == 0 {
+		return
+	}
 	if n := len(d.Edits); n > 0 {
-		if last := &d.Edits[n-1]; last.Count > 0 && last.From+last.Count == piece {
-			last.Count++
+		if last := &d.Edits[n-1]; last.Count > 0 && last.From+last.Count == from {
+			last.Count += count
 			return
 		}
 	}
-	d.Edits = append(d.Edits, Edit{From: piece, Count: 1})
+	d.Edits = append(d.Edits, Edit{From: from, Count: count})
 }
 
 func (d *Delta) insert(text []byte) {
@@ -112,7 +147,7 @@
 	if from.Digest != d.Old {
 		return Text{}, ErrOtherBase
 	}
-	old := split(from.Raw)
+	old := from.Split().pieces
 	out := make([]byte, 0, len(from.Raw)+d.Size())
 	for _, e := range d.Edits {
 		if e.Count < 0 || e.From < 0 || e.Count > len(old) || e.From > len(old)-e.Count {
@@ -137,22 +172,21 @@
 func split(raw []byte) [][]byte {
 	var pieces [][]byte
 	start, depth := 0, 0
-	inString, escaped := false, false
-	for i, b := range raw {
-		switch {
-		case escaped:
-			escaped = false
-		case inString:
-			escaped = b == '\\'
-			inString = b != '"'
-		case b == '"':
-			inString = true
-		case b == '{' || b == '[':
+	for i := 0; i < len(raw); i++ {
+		switch raw[i] {
+		case '"':
+			i = endOfString(raw, i)
+			continue
+		case '{', '[':
 			depth++
-		case b == '}' || b == ']':
+		case '}', ']':
 			depth--
+			continue
+		case ',':
+		default:
+			continue
 		}
-		if inString || depth > pieceDepth || (b != ',' && b != '{' && b != '[') {
+		if depth > pieceDepth {
 			continue
 		}
 		pieces = append(pieces, raw[start:i+1])
@@ -163,3 +197,16 @@
 	}
 	return pieces
 }
+
+// endOfString returns the index of the quote that ends the string that begins at an index, or the last index if none does.
+func endOfString(raw []byte, begin int) int {
+	for i := begin + 1; i < len(raw); i++ {
+		switch raw[i] {
+		case '\\':
+			i++
+		case '"':
+			return i
+		}
+	}
+	return len(raw) - 1
+}
--- a/internal/delta/history.go
+++ b/internal/delta/history.go
@@ -21,11 +21,11 @@
 // Add returns the history with one more text. It drops the oldest deltas, so that the others together are not longer
 // than the whole text.
 func (h *History) Add(text Text) *History {
-	next := &History{newest: text}
+	next := &History{newest: text.Split()}
 	if h.newest.Digest == 0 {
 		return next
 	}
-	next.deltas = append(slices.Clone(h.deltas), Make(h.newest, text))
+	next.deltas = append(slices.Clone(h.deltas), Make(h.newest, next.newest))
 	size := 0
 	for i := len(next.deltas) - 1; i >= 0; i-- {
 		size += next.deltas[i].Size()
