Control goroutine: host lists and published documents come with their canonical text

The same cause elsewhere: a host list was encoded whole on the control goroutine, and a document of the platform's own interface (internal/published) was parsed and checked there, while the ends of streams waited. The readers, and links to peers, now hand on what they have encoded or checked anyway. An input without it is processed as before.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -434,7 +434,7 @@
 		raw, _ := json.Marshal(list)
 		firstParse := cpuTimeOf(func() { _, _ = hostlist.Parse(raw) })
 		reader := hostlist.NewReader()
-		reparse := cpuTimeOf(func() { _, _ = reader.Read(raw) })
+		reparse := cpuTimeOf(func() { _, _, _ = reader.Read(raw) })
 		f := newFleet(4, 0, 10)
 		h := f.hosts[0]
 		apply := cpuTimeOf(func() {
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -9,6 +9,7 @@
 	"carobshunt/internal/core/loadshare"
 	"carobshunt/internal/core/member"
 	"carobshunt/internal/core/target"
+	"carobshunt/internal/delta"
 	"carobshunt/internal/hostlist"
 )
 
@@ -173,6 +174,8 @@
 // HostsReceived is a host list, received from the platform or a peer.
 type HostsReceived struct {
 	List *hostlist.List
+	// Text is the canonical text of the list; without it, it is made when the input is processed, which takes long if the list is.
+	Text delta.Text
 	// Source is the peer address of the sender, or conf.SourcePlatform.
 	Source string
 }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -199,9 +199,15 @@
 }
 
 func (n *Node) hostsReceived(in HostsReceived) {
-	text, err := delta.Encode(in.List)
+	text := in.Text
+	if text.Digest == 0 {
+		var err error
+		if text, err = delta.Encode(in.List); err != nil {
+			return
+		}
+	}
 	version := conf.Version{Revision: in.List.Version, Digest: text.Digest}
-	if err != nil || !version.NewerThan(n.hostsVersion()) {
+	if !version.NewerThan(n.hostsVersion()) {
 		return
 	}
 	if n.hosts != nil && hostlist.RestoresOf(in.List.Version) > hostlist.RestoresOf(n.hosts.Version) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,13 +154,13 @@
 	exchanges := stream.NewStore()
 	x.requests = &nativeRequests{loop: d.loop, exchanges: exchanges, dispatcher: dispatch.New(d.loop, dialer, x.metrics)}
 	x.engines = &nativeEngines{client: engines.New(d.loop, dialer), log: d.log}
-	d.startReaders(ctx, group, dialer)
+	d.startReaders(ctx, group, x, dialer)
 	return d.callersServer(exchanges, withTLS(dialer, creds.forwarding), x.metrics)
 }
 
 // startReaders starts the readers of the configuration, the host list and the targets' load.
-func (d *Daemon) startReaders(ctx context.Context, group *errgroup.Group, dialer netdial.Dialer) {
-	reader := published.NewReader(d.settings.Platform.Address, d.loop, dialer)
+func (d *Daemon) startReaders(ctx context.Context, group *errgroup.Group, x *executor, dialer netdial.Dialer) {
+	reader := published.NewReader(d.settings.Platform.Address, d.loop, x.documents, dialer)
 	group.Go(func() error { reader.WatchConfig(ctx); return nil })
 	group.Go(func() error { reader.WatchHosts(ctx); return nil })
 	group.Go(func() error { published.WatchLoad(ctx, d.loop, dialer); return nil })
--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -103,7 +103,7 @@
 		index[string(piece)] = i
 	}
 	next := 0
-	var inserted []byte
+	var inserted []byte // pieces that follow each other, as they stand in their text
 	for _, piece := range pieces {
 		same := next < len(old) && bytes.Equal(old[next], piece)
 		if i, ok := index[string(piece)]; ok && !same {
@@ -111,10 +111,12 @@
 		}
 		if same {
 			d.insert(inserted)
-			inserted = inserted[:0]
+			inserted = nil
 			d.copy(first+next, 1)
+		} else if inserted == nil {
+			inserted = piece
 		} else {
-			inserted = append(inserted, piece...)
+			inserted = inserted[:len(inserted)+len(piece)]
 		}
 		next++
 	}
--- a/internal/hostlist/parse_test.go
+++ b/internal/hostlist/parse_test.go
@@ -54,14 +54,14 @@
 		`{"address":"10.0.0.2:1","zone":"a","role":"engine","state":"live",%s}]}`
 	nested := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
 	reader := NewReader()
-	_, err := reader.Read([]byte(fmt.Sprintf(text, fmt.Sprintf(`"slots":%d`, MaxSlots))))
+	_, _, err := reader.Read([]byte(fmt.Sprintf(text, fmt.Sprintf(`"slots":%d`, MaxSlots))))
 	assert.NilError(t, err)
 	for change, want := range map[string]string{
 		fmt.Sprintf(`"slots":%d`, MaxSlots+1): "/hosts/1/slots", `"slots":9223372036854775807`: "/hosts/1/slots",
 		`"slots":1e400`: "/hosts/1/slots", `"slots":1e1000001`: "/hosts/1/slots", `"memory_tokens":9223372036854775807`: "/hosts/1/memory_tokens",
 		`"start":-1`: "/hosts/1/start", `"start":1.5`: "/hosts/1/start", `"models":` + nested: "", `"x":` + nested: "",
 	} {
-		_, err := reader.Read([]byte(fmt.Sprintf(text, change)))
+		_, _, err := reader.Read([]byte(fmt.Sprintf(text, change)))
 		var faults *strictjson.Faults
 		assert.Assert(t, errors.As(err, &faults), "%.60s: %v", change, err)
 		assert.Equal(t, faults.List[0].Path, want, "%.60s", change)
--- a/internal/hostlist/reader.go
+++ b/internal/hostlist/reader.go
@@ -21,11 +21,11 @@
 	return &Reader{reader: strictjson.NewReader(schema(), addressFaults, hosts)}
 }
 
-// Read returns the list, or the error that Parse returns for it. The list shares memory with earlier ones, and the reader keeps the
-// text, so neither may be changed.
-func (r *Reader) Read(data []byte) (*List, error) {
+// Read returns the list with its canonical text, or the error that Parse returns for it. The list shares memory with earlier ones, and the
+// reader keeps the text, so neither may be changed.
+func (r *Reader) Read(data []byte) (*List, []byte, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list, _, err := r.reader.Decode(data)
-	return list, errors.Trace(err)
+	list, text, err := r.reader.Decode(data)
+	return list, text, errors.Trace(err)
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -257,12 +257,12 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	list, err := l.pool.lists.Read(text.Raw)
+	list, canonical, err := l.pool.lists.Read(text.Raw)
 	if err != nil {
 		l.pool.control.Post(node.HostsRefused{Source: l.address, Why: err.Error()})
 		return nil
 	}
-	l.pool.control.Post(node.HostsReceived{List: list, Source: l.address})
+	l.pool.control.Post(node.HostsReceived{List: list, Text: delta.NewText(canonical).Split(), Source: l.address})
 	return nil
 }
 
--- a/internal/published/head_test.go
+++ b/internal/published/head_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/doccheck"
 	"carobshunt/internal/netdial"
 	"carobshunt/internal/testhead"
 
@@ -22,7 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := &recorder{}
 			address := testhead.Serve(t, head+"{}")
-			raw, err := NewReader(address, r, netdial.Dialer{}).get(t.Context(), PathConfig, 1)
+			raw, err := NewReader(address, r, doccheck.New(), netdial.Dialer{}).get(t.Context(), PathConfig, 1)
 			assert.Assert(t, err != nil, "%q", raw)
 			readLoad(t.Context(), newClient(netdial.Dialer{}, loadTimeout), r, address)
 			assert.Equal(t, len(r.posted), 0)
--- a/internal/published/platform.go
+++ b/internal/published/platform.go
@@ -14,6 +14,8 @@
 
 	"carobshunt/internal/core/conf"
 	"carobshunt/internal/core/node"
+	"carobshunt/internal/delta"
+	"carobshunt/internal/doccheck"
 	"carobshunt/internal/hostlist"
 	"carobshunt/internal/httpstrict"
 	"carobshunt/internal/netdial"
@@ -57,14 +59,15 @@
 
 // Reader watches the platform's configuration and host list.
 type Reader struct {
-	address string
-	poster  Poster
-	client  *http.Client
+	address   string
+	poster    Poster
+	documents *doccheck.Checker
+	client    *http.Client
 }
 
-// NewReader returns a reader of the platform at address, an IP address and port.
-func NewReader(address string, poster Poster, dialer netdial.Dialer) *Reader {
-	return &Reader{address: address, poster: poster, client: newClient(dialer, watchTimeout)}
+// NewReader returns a reader of the platform at address, an IP address and port. It checks documents by documents.
+func NewReader(address string, poster Poster, documents *doccheck.Checker, dialer netdial.Dialer) *Reader {
+	return &Reader{address: address, poster: poster, documents: documents, client: newClient(dialer, watchTimeout)}
 }
 
 func newClient(dialer netdial.Dialer, timeout time.Duration) *http.Client {
@@ -84,7 +87,10 @@
 func (r *Reader) WatchConfig(ctx context.Context) {
 	r.watch(ctx, PathConfig,
 		func() uint64 { return r.poster.Snapshot().Heartbeat.Revision },
-		func(raw []byte) { r.poster.Post(node.DocumentReceived{Raw: raw, Source: conf.SourcePlatform}) })
+		func(raw []byte) {
+			checked, cost := r.documents.Check(raw)
+			r.poster.Post(node.DocumentReceived{Raw: raw, Checked: checked, Cost: cost, Source: conf.SourcePlatform})
+		})
 }
 
 // WatchHosts posts the platform's host lists until the context ends. It reports invalid ones.
@@ -93,12 +99,12 @@
 	r.watch(ctx, PathHosts,
 		func() uint64 { return r.poster.Snapshot().Heartbeat.HostsVersion },
 		func(raw []byte) {
-			list, err := lists.Read(raw)
+			list, text, err := lists.Read(raw)
 			if err != nil {
 				r.poster.Post(node.HostsRefused{Source: conf.SourcePlatform, Why: err.Error()})
 				return
 			}
-			r.poster.Post(node.HostsReceived{List: list, Source: conf.SourcePlatform})
+			r.poster.Post(node.HostsReceived{List: list, Text: delta.NewText(text).Split(), Source: conf.SourcePlatform})
 		})
 }
 
