Fetches: a version that comes from elsewhere ends the wait for a peer's answer

Read through as a newcomer: a host that got a version from the platform before a peer had answered went on counting that peer as silent, asked others first for the next version, and could count the fetch as failed; peers without an answer were recorded again with each request. TestVersionFromElsewhereEndsAFetch failed before.

--- a/internal/core/fetch/fetch.go
+++ b/internal/core/fetch/fetch.go
@@ -58,9 +58,11 @@
 	requested conf.Version
 	pending   bool
 	until     core.Time
-	// asked are the peers that were asked since the last answer, ticks counts the ticks since the first of them was.
-	asked []string
-	ticks int
+	// asked are the peers that were asked since the last answer, doublings is how often the pause was doubled, and ticks counts the
+	// ticks, since the first of them was.
+	asked     []string
+	doublings int
+	ticks     int
 	// refused is the last version that was refused. It is not fetched before refusedUntil.
 	refused      conf.Version
 	refusedUntil core.Time
@@ -107,8 +109,11 @@
 		s.ticks = 0
 	}
 	s.requested, s.pending = version, true
-	s.until = now + answerTimeout<<min(len(s.asked), maxDoublings)
-	s.asked = append(s.asked, peer)
+	s.until = now + answerTimeout<<s.doublings
+	s.doublings = min(s.doublings+1, maxDoublings)
+	if !slices.Contains(s.asked, peer) {
+		s.asked = append(s.asked, peer)
+	}
 	return true
 }
 
@@ -150,7 +155,7 @@
 
 // Answered records that a peer has sent another version than this host's.
 func (s *State) Answered(now core.Time) {
-	s.pending, s.asked, s.ticks = false, nil, 0
+	s.pending, s.asked, s.doublings, s.ticks = false, nil, 0, 0
 	s.until = now
 }
 
@@ -191,8 +196,11 @@
 	s.refused, s.refusedUntil = s.requested, now+refusalPause
 }
 
-// Applied records that another version has come into force on this host.
+// Applied records that another version has come into force on this host, from any source.
 func (s *State) Applied(now core.Time, have conf.Version) {
+	if s.pending && !s.requested.NewerThan(have) {
+		s.Answered(now) // nothing depends on the answer any more
+	}
 	s.behind = false
 	s.updateBehind(now, have)
 }
--- a/internal/core/fetch/fetch_test.go
+++ b/internal/core/fetch/fetch_test.go
@@ -46,6 +46,17 @@
 	assert.Assert(t, ok, "all were asked, so they are asked again")
 }
 
+// TestVersionFromElsewhereEndsAFetch guards against a host that counts a peer as silent, since it got the version from the platform before
+// the peer could answer.
+func TestVersionFromElsewhereEndsAFetch(t *testing.T) {
+	s := &fetch.State{}
+	assert.Assert(t, s.Offer(0, "a", version(2), version(1), near))
+	s.Applied(time.Millisecond, version(2))
+	assert.Assert(t, s.Offer(2*time.Millisecond, "a", version(3), version(2), near))
+	s.Applied(3*time.Millisecond, version(2))
+	assert.Assert(t, !s.Offer(4*time.Millisecond, "b", version(3), version(2), near), "version 3 is still awaited")
+}
+
 // TestSupersededTextsAreNotChecked guards against a host that checks, one after the other, what it got while it was checking.
 func TestSupersededTextsAreNotChecked(t *testing.T) {
 	s := &fetch.State{}
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -225,6 +225,7 @@
 	n.cells = cells
 	n.setEngineSpeeds()
 	n.hostsHistory = n.hostsHistory.Add(text)
+	n.observed.hostsFetch.Applied(n.now, version)
 	if in.Source != conf.SourcePlatform {
 		n.observed.hostsFetch.Answered(n.now)
 	}
