--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -25,6 +25,7 @@
 	"carobshunt/internal/delta"
 	"carobshunt/internal/document"
 	"carobshunt/internal/hostlist"
+	"carobshunt/internal/testdoc"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"gotest.tools/v3/assert"
@@ -425,6 +426,43 @@
 	}
 }
 
+// TestCapacityOfChangedRoute measures what a change of one route costs: the check outside of the control goroutine, and what the control
+// goroutine does to put the document in force, for a node that also has the teams of the whole fleet.
+func TestCapacityOfChangedRoute(t *testing.T) {
+	t.Logf("%6s %12s %14s %14s %14s %14s", "routes", "text bytes", "parse", "check", "delta bytes", "put in force")
+	for _, routes := range []int{5, 1000, 2900} {
+		text := func(revision uint64) []byte {
+			doc := testdoc.WithRoutes(revision, routes)
+			doc.Teams = config(1, requiredTeams).Teams
+			doc.Routes[int(revision)%routes].TimeoutMs += int64(revision)
+			raw, err := json.Marshal(doc)
+			assert.NilError(t, err)
+			return raw
+		}
+		first := text(1)
+		n := node.New(node.Options{Self: core.Home{Address: "10.0.0.1:1"}, Peer: "10.0.0.1:2", Records: 16384, BodyBytes: 1 << 28})
+		documents := document.NewReader()
+		n.Step(0, node.DocumentReceived{Checked: conf.Check(documents, first), Source: conf.SourcePlatform})
+		parse := cpuTimeOf(func() { _, _ = document.Parse(first) })
+		var texts [][]byte
+		for revision := range uint64(repetitions()) {
+			texts = append(texts, text(revision+2))
+		}
+		var checked []*conf.Checked
+		check := cpuTimeOf(func() { checked = append(checked, conf.Check(documents, texts[len(checked)])) })
+		revision := uint64(1)
+		apply := cpuTimeOf(func() {
+			n.Step(0, node.DocumentReceived{Checked: checked[revision-1], Source: conf.SourcePlatform})
+			revision++
+		})
+		assert.Equal(t, n.Snapshot().Document.Revision, revision)
+		base := delta.NewText(texts[0])
+		wire, err := json.Marshal(delta.Make(delta.NewText(first), base))
+		assert.NilError(t, err)
+		t.Logf("%6d %12d %14v %14v %14d %14v", routes, len(first), parse, check, len(wire), apply)
+	}
+}
+
 func TestCapacityOfHostList(t *testing.T) {
 	t.Logf("%8s %12s %14s %14s %14s %14s %14s %12s",
 		"targets", "text bytes", "first read", "read again", "apply", "tick+snapshot", "pick of one", "memory")
