--- a/internal/core/node/fetches.go
+++ b/internal/core/node/fetches.go
@@ -48,6 +48,11 @@
 
 // documentFetched lets a document that a peer has sent be checked, unless that is in vain.
 func (n *Node) documentFetched(in DocumentFetched) {
+	if in.Version.Revision == 0 {
+		n.observed.documentFetch.Refused(n.now)
+		n.do(StateChange{Event: EventRejected, Text: fmt.Sprintf("from %s: it is no canonical document", in.Source)})
+		return
+	}
 	text := &fetch.Text{Version: in.Version, Raw: in.Raw, Source: in.Source}
 	n.checkNext(n.observed.documentFetch.Received(n.now, text, n.config.Version()))
 }
--- a/internal/core/node/fetches_test.go
+++ b/internal/core/node/fetches_test.go
@@ -121,3 +121,15 @@
 	f.heartbeat(f.near, "a")
 	assert.Assert(t, offers(1001))
 }
+
+// TestTextOfAPeerThatIsNoDocumentIsRefused guards against a peer's text that is dropped without a trace, and fetched again and again.
+func TestTextOfAPeerThatIsNoDocumentIsRefused(t *testing.T) {
+	f := newFetchFleet(t, false)
+	assert.Assert(t, f.offers(f.near))
+	f.step(node.DocumentFetched{Version: conf.Version{Digest: 7}, Raw: []byte("x"), Source: f.near})
+	assert.Equal(t, len(f.actions), 1)
+	change, ok := f.actions[0].(node.StateChange)
+	assert.Assert(t, ok && change.Event == node.EventRejected, "%v", f.actions)
+	f.run(time.Second)
+	assert.Assert(t, !f.offers(f.near))
+}
--- a/internal/core/node/input.go
+++ b/internal/core/node/input.go
@@ -156,6 +156,7 @@
 
 // DocumentFetched is the text of a document that a peer has sent on a FetchDocument. It is not checked yet.
 type DocumentFetched struct {
+	// Version has the revision 0 if the text is no canonical document.
 	Version conf.Version
 	Raw     []byte
 	// Source is the peer address of the sender.
--- a/internal/document/reader_test.go
+++ b/internal/document/reader_test.go
@@ -92,3 +92,12 @@
 	at := 1 + rng.IntN(len(parts)-1)
 	return strings.Join(parts[:at], old) + replacement + strings.Join(parts[at:], old)
 }
+
+func TestRevisionOfACanonicalDocument(t *testing.T) {
+	for text, want := range map[string]uint64{
+		validText(t, 1): 1, `{"revision":18446744073709551615,"active":""}`: 1<<64 - 1, `{"revision":18446744073709551616,"active":""}`: 0,
+		`{ "revision":1,"active":""}`: 0, `{"revision":-1,"active":""}`: 0, `{"revision":1}`: 0, `{"active":""}`: 0, ``: 0,
+	} {
+		assert.Equal(t, RevisionOf([]byte(text)), want, text)
+	}
+}
