Tests of what a change costs: steady beside other goroutines

The test of the control goroutine measures changes of one route only: the first document with routes is another change.

--- a/internal/core/node/documentcost_test.go
+++ b/internal/core/node/documentcost_test.go
@@ -26,13 +26,16 @@
 		return conf.Check(reader, raw)
 	}
 	whole := testdoc.WorkOf(func() { check(100) })
-	for revision := range uint64(3) {
-		checked := check(101 + revision)
-		changed := testdoc.WorkOf(func() {
+	putInForce := func(checked *conf.Checked) testdoc.Work {
+		return testdoc.WorkOf(func() {
 			l.step(node.DocumentReceived{Checked: checked, Source: conf.SourcePlatform})
 			l.node.Snapshot()
 		})
-		assert.Equal(t, l.node.Snapshot().Document.Revision, 101+revision)
+	}
+	putInForce(check(101)) // from a document with few routes
+	for revision := uint64(102); revision < 110; revision++ {
+		changed := putInForce(check(revision))
+		assert.Equal(t, l.node.Snapshot().Document.Revision, revision)
 		assert.Assert(t, changed.AtMost(whole, 10), "%+v of %+v", changed, whole)
 	}
 }
