--- a/internal/core/node/action.go
+++ b/internal/core/node/action.go
@@ -229,6 +229,8 @@
 	// EventHostsRefused: a host list is invalid. It is reported once in a row for a sender and reason.
 	EventHostsRefused Event = "host list refused"
 	EventConflict     Event = "two configurations under one revision"
+	// EventFetchRetried: a peer has not answered a fetch in time, so that another one is asked, or the same again if no other one is known.
+	EventFetchRetried Event = "fetch not answered"
 	// EventDocumentSuperseded: a document that a peer has sent is not checked, as a newer one was received meanwhile.
 	EventDocumentSuperseded Event = "configuration superseded"
 	// EventDocumentUnused: a document was checked in vain, as it was not newer than the one in force by then.
--- a/internal/core/node/fetches.go
+++ b/internal/core/node/fetches.go
@@ -74,9 +74,11 @@
 	documents.Tick()
 	hosts.Tick()
 	if peer, ok := documents.Retry(n.now, n.config.Version()); ok {
+		n.do(StateChange{Event: EventFetchRetried, Text: "configuration, now from " + peer})
 		n.do(FetchDocument{Peer: peer})
 	}
 	if peer, ok := hosts.Retry(n.now, n.hostsVersion()); ok {
+		n.do(StateChange{Event: EventFetchRetried, Text: "host list, now from " + peer})
 		n.do(FetchHosts{Peer: peer})
 	}
 }
