--- a/internal/core/fetch/fetch.go
+++ b/internal/core/fetch/fetch.go
@@ -50,7 +50,7 @@
 	newestAt core.Time
 	// holders are the last peers that may be asked for a version that they offered, the latest last.
 	holders []holder
-	// behindSince is since when this host has known of a newer version than its own without any progress.
+	// behind is set while this host knows of a newer version than its own, behindSince is since when it has, without any progress.
 	behindSince core.Time
 	behind      bool
 
