Peers: the results that are kept for other hosts are bounded in bytes

Read through: four results of the largest documents would have taken 96 MB on a host that has 112. TestCacheOfResultsIsBounded fails without the bound.

--- a/internal/peer/fetched.go
+++ b/internal/peer/fetched.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync"
 
 	"carobshunt/internal/delta"
@@ -91,8 +92,11 @@
 	raw          json.RawMessage
 }
 
-// maxCachedResults is the number of results that a cache holds.
-const maxCachedResults = 4
+// maxCachedResults and maxCachedBytes bound what a cache holds.
+const (
+	maxCachedResults = 4
+	maxCachedBytes   = 2 << 20
+)
 
 // get returns the encoded result of a fetch. While one is encoded, others wait, as they mostly ask for the same.
 func (c *resultCache) get(params FetchParams, history *delta.History) (json.RawMessage, error) {
@@ -109,12 +113,23 @@
 		return nil, errors.Trace(err)
 	}
 	c.encoded++
-	c.results = append(c.results[max(len(c.results)-maxCachedResults+1, 0):], cachedResult{
-		base: params.Digest, newest: newest, deflate: params.Deflate, raw: raw,
-	})
+	c.add(cachedResult{base: params.Digest, newest: newest, deflate: params.Deflate, raw: raw})
 	return raw, nil
 }
 
+// add adds a result, and drops the oldest ones while there are too many, or too many bytes.
+func (c *resultCache) add(result cachedResult) {
+	c.results = append(c.results, result)
+	size := 0
+	for i := len(c.results) - 1; i >= 0; i-- {
+		size += len(c.results[i].raw)
+		if size > maxCachedBytes || len(c.results)-i > maxCachedResults {
+			c.results = slices.Clone(c.results[i+1:])
+			return
+		}
+	}
+}
+
 // encodeResult encodes the result of a fetch: the deltas from the requesting host's text if the history has all of them, otherwise the
 // whole newest text.
 func encodeResult(params FetchParams, history *delta.History) (json.RawMessage, error) {
--- a/internal/peer/fetched_test.go
+++ b/internal/peer/fetched_test.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// TestCacheOfResultsIsBounded guards against results of large documents that take the memory of a host.
+func TestCacheOfResultsIsBounded(t *testing.T) {
+	cache := &resultCache{}
+	for i, size := range []int{1, 2, 3, 4, 5, maxCachedBytes / 2, maxCachedBytes, maxCachedBytes + 1} {
+		cache.add(cachedResult{base: uint64(i), raw: make([]byte, size)})
+		held := 0
+		for _, r := range cache.results {
+			held += len(r.raw)
+		}
+		assert.Assert(t, held <= maxCachedBytes && len(cache.results) <= maxCachedResults, "%d bytes of %d", held, size)
+	}
+}
+
 // TestInflatedResultIsBounded guards against a small message that takes all the memory of a host.
 func TestInflatedResultIsBounded(t *testing.T) {
 	deflated, err := deflate(make([]byte, maxInflated+1))
