Read through: fetch offers ask for the zone only when it matters; one scanner of strings and one of common ends

The state of fetches took whether a peer is near as a value, so a host that was behind ranked its zone for each digest it got, also while a check or a fetch was under way and nothing would be asked: more work for a host that is late. It is a function again, called only within farDelay. The end of a JSON string and the common ends of two lists stood twice (internal/delta, internal/rawjson); delta now calls rawjson. A call of Answered for documents of peers was dead: Received has made it before the check.

--- a/internal/core/fetch/fetch.go
+++ b/internal/core/fetch/fetch.go
@@ -73,8 +73,8 @@
 }
 
 // Offer records that a peer has a version, and reports whether this host, which has another one, is to request it now. A peer that is not
-// near is only asked once the version is known for farDelay.
-func (s *State) Offer(now core.Time, peer string, offered, have conf.Version, near bool) bool {
+// near is only asked once the version is known for farDelay; near is called only before.
+func (s *State) Offer(now core.Time, peer string, offered, have conf.Version, near func() bool) bool {
 	if offered.NewerThan(s.newest) {
 		s.newest, s.newestAt = offered, now
 	}
@@ -82,7 +82,7 @@
 	if !offered.NewerThan(have) {
 		return false
 	}
-	if !near && now < s.newestAt+farDelay {
+	if now < s.newestAt+farDelay && !near() {
 		return false
 	}
 	s.recordHolder(holder{peer: peer, version: offered})
--- a/internal/core/fetch/fetch_test.go
+++ b/internal/core/fetch/fetch_test.go
@@ -14,7 +14,7 @@
 
 func text(revision uint64) *fetch.Text { return &fetch.Text{Version: version(revision), Source: "a"} }
 
-const near = true
+func near() bool { return true }
 
 // TestOneFetchAtATime guards against a host that asks each peer that offers a version, and gets it several times.
 func TestOneFetchAtATime(t *testing.T) {
--- a/internal/core/node/fetches.go
+++ b/internal/core/node/fetches.go
@@ -37,7 +37,7 @@
 	if !newerConfig && !newerHosts {
 		return
 	}
-	near := n.fetchesAtOnce(peer)
+	near := func() bool { return n.fetchesAtOnce(peer) }
 	if newerConfig && n.observed.documentFetch.Offer(n.now, peer, config, n.config.Version(), near) {
 		n.do(FetchDocument{Peer: peer})
 	}
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -155,9 +155,6 @@
 	case conf.Applied:
 		doc := n.config.Document()
 		n.observed.documentFetch.Applied(n.now, n.config.Version())
-		if in.Source != conf.SourcePlatform {
-			n.observed.documentFetch.Answered(n.now)
-		}
 		n.table = routes.New(doc, n.opts.Regions)
 		n.budgets.forget(n.table.Has)
 		n.durations.KeepRoutes(n.table.Has)
--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"encoding/json"
 
+	"carobshunt/internal/rawjson"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 )
@@ -77,25 +79,13 @@
 func Make(from, to Text) Delta {
 	old, pieces := from.Split().pieces, to.Split().pieces
 	d := Delta{Old: from.Digest, New: to.Digest}
-	begin, end := commonEnds(old, pieces)
+	begin, end := rawjson.CommonEnds(old, pieces)
 	d.copy(0, begin)
 	d.addChanged(old[begin:len(old)-end], pieces[begin:len(pieces)-end], begin)
 	d.copy(len(old)-end, end)
 	return d
 }
 
-// commonEnds returns the numbers of pieces that two texts have in common at their begin and, beside these, at their end.
-func commonEnds(a, b [][]byte) (begin, end int) {
-	shorter := min(len(a), len(b))
-	for begin < shorter && bytes.Equal(a[begin], b[begin]) {
-		begin++
-	}
-	for end < shorter-begin && bytes.Equal(a[len(a)-1-end], b[len(b)-1-end]) {
-		end++
-	}
-	return begin, end
-}
-
 // addChanged adds the edits for pieces that take the place of others, the first of which is piece first of the old text.
 func (d *Delta) addChanged(old, pieces [][]byte, first int) {
 	index := make(map[string]int, len(old))
@@ -177,7 +167,11 @@
 	for i := 0; i < len(raw); i++ {
 		switch raw[i] {
 		case '"':
-			i = endOfString(raw, i)
+			length := rawjson.StringLength(raw[i:])
+			if length == 0 {
+				length = len(raw) - i // the string does not end
+			}
+			i += length - 1
 			continue
 		case '{', '[':
 			depth++
@@ -199,16 +193,3 @@
 	}
 	return pieces
 }
-
-// endOfString returns the index of the quote that ends the string that begins at an index, or the last index if none does.
-func endOfString(raw []byte, begin int) int {
-	for i := begin + 1; i < len(raw); i++ {
-		switch raw[i] {
-		case '\\':
-			i++
-		case '"':
-			return i
-		}
-	}
-	return len(raw) - 1
-}
--- a/internal/rawjson/match.go
+++ b/internal/rawjson/match.go
@@ -9,22 +9,18 @@
 // stands twice in a list it may miss the second one. It is fast if the lists differ in few entries that stand close to each other.
 func Match(earlier, entries []json.RawMessage) []int {
 	out := make([]int, len(entries))
-	shorter := min(len(earlier), len(entries))
-	begin := 0
-	for begin < shorter && bytes.Equal(earlier[begin], entries[begin]) {
-		out[begin] = begin
-		begin++
+	begin, end := CommonEnds(earlier, entries)
+	for i := range begin {
+		out[i] = i
 	}
-	same := 0 // entries at the end
-	for same < shorter-begin && bytes.Equal(earlier[len(earlier)-1-same], entries[len(entries)-1-same]) {
-		out[len(entries)-1-same] = len(earlier) - 1 - same
-		same++
+	for i := range end {
+		out[len(entries)-1-i] = len(earlier) - 1 - i
 	}
 	index := make(map[string]int)
-	for i, entry := range earlier[begin : len(earlier)-same] {
+	for i, entry := range earlier[begin : len(earlier)-end] {
 		index[string(entry)] = begin + i
 	}
-	for i := begin; i < len(entries)-same; i++ {
+	for i := begin; i < len(entries)-end; i++ {
 		origin, ok := index[string(entries[i])]
 		if !ok {
 			origin = -1
@@ -33,3 +29,15 @@
 	}
 	return out
 }
+
+// CommonEnds returns the numbers of texts that two lists have in common at their begin and, beside these, at their end.
+func CommonEnds[T ~[]byte](a, b []T) (begin, end int) {
+	shorter := min(len(a), len(b))
+	for begin < shorter && bytes.Equal(a[begin], b[begin]) {
+		begin++
+	}
+	for end < shorter-begin && bytes.Equal(a[len(a)-1-end], b[len(b)-1-end]) {
+		end++
+	}
+	return begin, end
+}
--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -128,14 +128,15 @@
 	}
 	switch text[0] {
 	case '"':
-		return stringLength(text)
+		return StringLength(text)
 	case '{', '[':
 		return nestedLength(text)
 	}
 	return max(bytes.IndexAny(text, ",:]} \t\r\n"), 0)
 }
 
-func stringLength(text []byte) int {
+// StringLength returns the length of the string that the text begins with, quotes included; 0 if it does not end.
+func StringLength(text []byte) int {
 	for i := 1; i < len(text); {
 		n := bytes.IndexByte(text[i:], '"')
 		if n < 0 {
@@ -160,7 +161,7 @@
 	for i := 0; i < len(text); i++ {
 		switch text[i] {
 		case '"':
-			n := stringLength(text[i:])
+			n := StringLength(text[i:])
 			if n == 0 {
 				return 0
 			}
